--- /dev/null
+++ b/packages/control/src/board.ts
@@ -0,0 +1,282 @@
+import { C, Kernel, below, loop, register, sample, type Role } from '@harecross/kernel';
+import { Subject } from 'rxjs';
+
+export type Condition = 'joining' | 'ready' | 'draining' | 'left' | 'ill';
+
+/** What a member says of itself. Only the member writes it. */
+export interface MemberRec {
+  peer: string;
+  client: string;
+  domain: string;
+  role: Role;
+  disk?: string;
+  inst: string;
+  condition: Condition;
+  /** Conns held. */
+  weight: number;
+  rev: number;
+}
+
+/** What we think of a member. */
+export type MemberState = 'live' | 'suspect' | 'dead' | 'left';
+
+export interface Member extends MemberRec { state: MemberState; seenAt: number; liveSince: number }
+
+interface Item { ver: string; val: unknown }
+type Wire = [key: string, ver: string, val: unknown];
+
+declare module '@harecross/kernel' {
+  interface Faces { board: Board }
+}
+
+/**
+ * The board: a table of small versioned facts, each written by one node or ordered by a fence.
+ * News of a change is passed on to a few peers at once; digests mend what got lost. Nodes know each other
+ * through partial views that neighbours shuffle; member records and liveness stand on the board.
+ * @example
+ * k.use('board').put('key/3', ver, { fence, peer }); // passed on to a few, in time to all
+ */
+export class Board {
+  readonly items = new Map<string, Item>();
+  readonly members = new Map<string, Member>();
+  readonly changed$ = new Subject<string>();
+  readonly state$ = new Subject<Member>();
+  private view = new Map<string, number>();
+  private forgotten = new Map<string, string>();
+  private probing = new Set<string>();
+  private beat = 0;
+  private mine: Pick<MemberRec, 'condition' | 'weight' | 'disk'> = { condition: 'joining', weight: 0 };
+
+  constructor(private k: Kernel) {
+    const { clock, rnd } = k.host;
+    k.on('Gossip', (b: { digest: [string, string][] }) => this.compare(b.digest));
+    k.on('News', (b: { items: Wire[] }) => { this.take(b.items); return true; });
+    k.on('Shuffle', (b: { peers: string[] }, f) => {
+      const mine = sample(rnd, [...this.view.keys()], C.shuffleN);
+      this.mergeView([...b.peers, f.peer]);
+      return mine;
+    });
+    k.on('Ping', () => this.beat);
+    k.onUnreachable = (p) => this.doubt(p);
+    k.keep(k.thawed$.subscribe(() => {
+      // We slept, they did not: give everyone a fresh start instead of calling them all dead.
+      for (const m of this.members.values()) m.seenAt = clock.now();
+    }));
+    for (const s of k.host.config.seeds) if (s !== k.self) this.view.set(s, 0);
+    this.sayMine();
+    k.keep(loop(clock, C.gossipMs, rnd, () => this.gossip()));
+    k.keep(loop(clock, C.shuffleMs, rnd, () => this.shuffle()));
+    k.keep(loop(clock, C.loopTickMs, rnd, () => this.watch()));
+    k.onStop(() => {
+      this.mine.condition = 'left';
+      this.sayMine();
+      this.pass([this.wire(`m/${k.self}`)], C.newsFanN * 2);
+    });
+  }
+
+  /** Changes what we say of ourselves. */
+  say(x: Partial<Pick<MemberRec, 'condition' | 'weight' | 'disk'>>, news = false): void {
+    const before = this.mine;
+    this.mine = { ...before, ...x };
+    if (news && JSON.stringify(before) !== JSON.stringify(this.mine)) {
+      this.sayMine();
+      this.pass([this.wire(`m/${this.k.self}`)], C.newsFanN);
+    }
+  }
+
+  private sayMine(): void {
+    const { config } = this.k.host;
+    const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, inst: this.k.inst, rev: this.k.rev, ...this.mine };
+    this.set(`m/${this.k.self}`, `${this.k.inst}.${String(++this.beat).padStart(10, '0')}`, rec);
+  }
+
+  get(key: string): unknown {
+    return this.items.get(key)?.val;
+  }
+
+  /** Puts a fact and passes the news on. */
+  put(key: string, ver: string, val: unknown): void {
+    if (this.set(key, ver, val)) this.pass([[key, ver, val]], C.newsFanN);
+  }
+
+  live(): Member[] {
+    return [...this.members.values()].filter((m) => m.state === 'live');
+  }
+  isLive(peer: string): boolean {
+    return peer === this.k.self || this.members.get(peer)?.state === 'live';
+  }
+  /** Live and willing to take duties. */
+  able(peer: string): boolean {
+    const m = this.members.get(peer);
+    return m !== undefined && m.state === 'live' && m.condition === 'ready';
+  }
+  ofDisk(disk: string): Member | undefined {
+    for (const m of this.members.values()) if (m.disk === disk && m.state !== 'left' && m.state !== 'dead') return m;
+    for (const m of this.members.values()) if (m.disk === disk) return m;
+    return undefined;
+  }
+
+  /** A random live peer other than us, or a seed when we know nobody. */
+  somePeers(n: number): string[] {
+    const { rnd, config } = this.k.host;
+    const viewed = [...this.view.keys()].filter((p) => this.members.get(p)?.state === 'live');
+    const all = this.live().map((m) => m.peer).filter((p) => p !== this.k.self);
+    const base = viewed.length >= n ? viewed : all;
+    const got = sample(rnd, base, n);
+    const seeds = config.seeds.filter((s) => s !== this.k.self && !got.includes(s));
+    // Now and then a seed that is not live to us: heals a fleet that fell in two.
+    if (seeds.length && (got.length < n || rnd.next() < 0.05)) got.push(seeds[below(rnd, seeds.length)]!);
+    return got;
+  }
+
+  private wire(key: string): Wire {
+    const i = this.items.get(key)!;
+    return [key, i.ver, i.val];
+  }
+
+  private set(key: string, ver: string, val: unknown): boolean {
+    const old = this.items.get(key);
+    if (old && old.ver >= ver) return false;
+    const f = this.forgotten.get(key);
+    if (f !== undefined) {
+      if (f >= ver) return false;
+      this.forgotten.delete(key);
+    }
+    this.items.set(key, { ver, val });
+    if (key.startsWith('m/')) this.meet(val as MemberRec);
+    this.changed$.next(key);
+    return true;
+  }
+
+  private meet(r: MemberRec): void {
+    const now = this.k.host.clock.now();
+    const old = this.members.get(r.peer);
+    const m: Member = { ...r, state: old?.state ?? 'dead', seenAt: now, liveSince: old?.liveSince ?? now };
+    this.members.set(r.peer, m);
+    const again = old !== undefined && old.inst !== r.inst;
+    if (again) m.liveSince = now;
+    if (r.peer !== this.k.self && r.condition !== 'left' && !this.view.has(r.peer) && this.view.size < C.viewN) this.view.set(r.peer, 0);
+    this.turn(m, r.condition === 'left' ? 'left' : 'live', again);
+  }
+
+  /** The one function that changes what we think of a member. */
+  private turn(m: Member, s: MemberState, again = false): void {
+    if (m.state === s && !again) return;
+    if (m.state !== 'live' && s === 'live') m.liveSince = this.k.host.clock.now();
+    m.state = s;
+    this.k.count(`member.${s}`);
+    this.state$.next(m);
+  }
+
+  private take(items: Wire[]): void {
+    const fresh = items.filter(([k, v, x]) => this.set(k, v, x));
+    if (fresh.length) this.pass(fresh, C.newsFanN);
+  }
+
+  /** Passes news on to a few others. An empty list still carries our revision. */
+  pass(items: Wire[], n: number): void {
+    if (this.k.phase === 'stopped') return;
+    for (const p of sample(this.k.host.rnd, this.live().map((m) => m.peer).filter((p) => p !== this.k.self), n)) {
+      this.k.count('news.out');
+      this.k.call(p, 'News', { items }).catch(() => undefined);
+    }
+  }
+
+  private async gossip(): Promise<void> {
+    this.sayMine();
+    const digest = [...this.items].map(([k, i]) => [k, i.ver] as [string, string]);
+    await Promise.all(this.somePeers(C.gossipPeersN).map(async (p) => {
+      try {
+        const r = await this.k.call<{ newer: Wire[]; want: string[] }>(p, 'Gossip', { digest });
+        for (const [k, v, x] of r.newer) this.set(k, v, x);
+        if (r.want.length) await this.k.call(p, 'News', { items: r.want.filter((w) => this.items.has(w)).map((w) => this.wire(w)) });
+      } catch { /* the next period mends it */ }
+    }));
+  }
+
+  private compare(digest: [string, string][]): { newer: Wire[]; want: string[] } {
+    const theirs = new Map(digest);
+    const want: string[] = [];
+    for (const [k, v] of theirs) {
+      const mine = this.items.get(k)?.ver ?? this.forgotten.get(k);
+      if (mine === undefined || mine < v) want.push(k);
+    }
+    const newer: Wire[] = [];
+    for (const [k, i] of this.items) {
+      const v = theirs.get(k);
+      if (v === undefined || v < i.ver) newer.push([k, i.ver, i.val]);
+    }
+    return { newer, want };
+  }
+
+  private mergeView(peers: string[]): void {
+    for (const p of peers) if (p !== this.k.self && !this.view.has(p)) this.view.set(p, 0);
+    while (this.view.size > C.viewN) {
+      const oldest = [...this.view].sort((a, b) => b[1] - a[1])[0]![0];
+      this.view.delete(oldest);
+    }
+  }
+
+  private async shuffle(): Promise<void> {
+    for (const [p, age] of this.view) this.view.set(p, age + 1);
+    const oldest = [...this.view].sort((a, b) => b[1] - a[1])[0]?.[0];
+    if (!oldest) return;
+    this.view.delete(oldest);
+    try {
+      const got = await this.k.call<string[]>(oldest, 'Shuffle', { peers: sample(this.k.host.rnd, [...this.view.keys()], C.shuffleN - 1) });
+      this.mergeView([...got, oldest]);
+    } catch { /* gone from the view until someone names it again */ }
+  }
+
+  /** A visit surely did not reach this peer: ask it once more, and suspect it at once if that fails too. */
+  private doubt(peer: string): void {
+    const m = this.members.get(peer);
+    if (m && m.state === 'live') void this.probe(m, true);
+  }
+
+  private async probe(m: Member, hasty: boolean): Promise<void> {
+    if (this.probing.has(m.peer)) return;
+    this.probing.add(m.peer);
+    try {
+      await this.k.call(m.peer, 'Ping', {}, C.probeMs);
+      const now = this.members.get(m.peer);
+      if (now) { now.seenAt = this.k.host.clock.now(); if (now.state === 'suspect' || now.state === 'dead') this.turn(now, 'live'); }
+    } catch (e) {
+      const now = this.members.get(m.peer);
+      if (now && hasty && now.inst === m.inst && (e as { fault?: { tag: string } }).fault?.tag === 'unreachable') this.turn(now, 'suspect');
+    } finally {
+      this.probing.delete(m.peer);
+    }
+  }
+
+  private async watch(): Promise<void> {
+    const now = this.k.host.clock.now();
+    for (const m of [...this.members.values()]) {
+      if (m.peer === this.k.self) continue;
+      const quiet = now - m.seenAt;
+      switch (m.state) {
+        case 'live':
+          if (quiet > C.suspectMs) this.turn(m, 'suspect');
+          else if (quiet > C.probeAfterMs) void this.probe(m, false);
+          break;
+        case 'suspect':
+          if (quiet > C.deadMs) this.turn(m, 'dead');
+          break;
+        case 'dead':
+        case 'left':
+          if (quiet > C.forgetMs) this.forget(m.peer);
+          break;
+      }
+    }
+  }
+
+  private forget(peer: string): void {
+    const key = `m/${peer}`;
+    this.forgotten.set(key, this.items.get(key)?.ver ?? '');
+    this.items.delete(key);
+    this.members.delete(peer);
+    this.view.delete(peer);
+  }
+}
+
+register({ name: 'board', needs: [], setup: (k) => new Board(k) });
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,3 @@
+export * from './board.js';
+export * from './register.js';
+export * from './keeper.js';
--- /dev/null
+++ b/packages/control/src/register.ts
@@ -0,0 +1,358 @@
+import { C, Failure, Kernel, gather, loop, pack, rank, register as plug, retryAfter, sleep, unpack } from '@harecross/kernel';
+import type { FleetConfig } from '@harecross/schema';
+import { Store } from '@harecross/state';
+import { BehaviorSubject } from 'rxjs';
+import invariant from 'tiny-invariant';
+import type { Board } from './board.js';
+
+export type DiskState = 'active' | 'emptying' | 'lost';
+export interface DiskRec { id: string; peer: string; domain: string; state: DiskState }
+export interface Placement { gen: number; copies: string[] }
+export type Outcome = { tag: 'taken'; version: number } | { tag: 'conflict'; version: number };
+
+/** The one value the fleet agrees on. rev counts every change, version only the operators'. */
+export interface Value {
+  fleet: string;
+  rev: number;
+  version: number;
+  changeId: string;
+  config: FleetConfig;
+  /** Family name -> version in which it was (last) born. */
+  born: Map<string, number>;
+  disks: Map<string, DiskRec>;
+  seats: string[];
+  prevSeats: string[];
+  shards: Map<number, Placement>;
+  changes: Map<string, Outcome>;
+}
+
+interface Prepared { disk: string; ok: boolean; promised: string; ballot: string; value?: string }
+interface Accepted { disk: string; ok: boolean; promised: string }
+interface ReadBack { disk: string; rev: number; known: number }
+
+declare module '@harecross/kernel' {
+  interface Faces { register: Register; state: Store }
+}
+
+/** Whether the disks heard from are a majority of each set. */
+function majority(sets: string[][], heard: Set<string>): boolean {
+  return sets.every((s) => s.filter((d) => heard.has(d)).length * 2 > s.length);
+}
+const bothSets = (v: Value): string[][] => [v.seats, v.prevSeats];
+const union = (v: Value): string[] => [...new Set([...v.seats, ...v.prevSeats])];
+
+/**
+ * The register: one compare-and-set value, agreed on a majority of the seats' disks by ballots. There is no log
+ * and no leader: whoever wants a change prepares a ballot, takes the highest accepted value, applies the change
+ * and has it accepted. A value that changes the seats needs a majority of the old and of the new ones, and only
+ * one seat changes at a time, so that any two majorities in a row share a disk.
+ * @example
+ * await reg.change((v) => ({ next: { ...v, version: v.version + 1 }, out: v.version + 1 }));
+ */
+export class Register {
+  readonly value$ = new BehaviorSubject<Value | undefined>(undefined);
+  readonly disk?: string;
+  private confirmedAt = -Infinity;
+  private n = 0;
+  private hint?: Value;
+  private fetching = new Map<string, Promise<void>>();
+  private st?: Store;
+
+  constructor(private k: Kernel, private board: Board) {
+    const { clock, rnd, db } = k.host;
+    if (db) {
+      this.st = k.use('state');
+      this.disk = this.st.get('disk')!;
+      const s = this.st.seat();
+      if (s.value) this.hint = unpack(s.value) as Value;
+      board.say({ disk: this.disk });
+      this.serveSeat(this.st, this.disk);
+    }
+    k.onNewer = (_rev, peer) => this.fetch(peer);
+    k.on('RegGet', () => {
+      const v = this.value$.value;
+      return v ? pack(v) : undefined;
+    });
+    k.keep(loop(clock, C.confirmMs, rnd, () => this.confirm()));
+    if (db && k.host.config.seeds[0] === k.self) k.keep(loop(clock, C.foundMs, rnd, () => this.found()));
+  }
+
+  get value(): Value | undefined {
+    return this.value$.value;
+  }
+
+  /** Whether our value was confirmed by a majority so lately that we may serve by it. */
+  fresh(): boolean {
+    return this.value$.value !== undefined && this.k.host.clock.now() - this.confirmedAt <= C.freshMs;
+  }
+
+  peerOf(disk: string): string | undefined {
+    return this.board.ofDisk(disk)?.peer ?? (this.value ?? this.hint)?.disks.get(disk)?.peer;
+  }
+
+  private serveSeat(st: Store, disk: string): void {
+    const mine = (d: string, step: string): void => {
+      if (d !== disk) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk: d });
+    };
+    this.k.on('RegPrepare', (b: { disk: string; ballot: string }) => {
+      mine(b.disk, 'RegPrepare');
+      return st.db.commit((): Prepared => {
+        const s = st.seat();
+        if (b.ballot <= s.promised) return { disk, ok: false, promised: s.promised, ballot: s.ballot };
+        st.saveSeat({ ...s, promised: b.ballot });
+        return { disk, ok: true, promised: b.ballot, ballot: s.ballot, value: s.value };
+      });
+    });
+    this.k.on('RegAccept', (b: { disk: string; ballot: string; value: string }) => {
+      mine(b.disk, 'RegAccept');
+      return st.db.commit((): Accepted => {
+        const s = st.seat();
+        if (b.ballot < s.promised) return { disk, ok: false, promised: s.promised };
+        st.saveSeat({ promised: b.ballot, ballot: b.ballot, value: b.value });
+        this.hint = unpack(b.value) as Value;
+        return { disk, ok: true, promised: b.ballot };
+      });
+    });
+    this.k.on('RegRead', (b: { disk: string }): ReadBack => {
+      mine(b.disk, 'RegRead');
+      return { disk, rev: this.hint?.rev ?? 0, known: this.value?.rev ?? 0 };
+    });
+    this.k.on('RegWho', () => ({ disk, rev: this.hint?.rev ?? 0 }));
+  }
+
+  /** Takes a value that is known to be agreed. Never goes back. */
+  private learn(v: Value): void {
+    const old = this.value$.value;
+    if (old && old.rev >= v.rev) return;
+    if (old && old.fleet !== v.fleet) { this.k.count('register.foreign'); return; }
+    if (!old || old.version !== v.version) this.k.host.log.info(`configuration ${v.version} in force`, { rev: v.rev });
+    this.k.rev = v.rev;
+    this.value$.next(v);
+    this.board.pass([], C.newsFanN);
+  }
+
+  private fetch(peer: string): Promise<void> {
+    let p = this.fetching.get(peer);
+    if (!p) {
+      p = this.k.call<string | undefined>(peer, 'RegGet', {})
+        .then((s) => { if (s) this.learn(unpack(s) as Value); }, () => undefined /* the next frame tells us again */)
+        .finally(() => this.fetching.delete(peer));
+      this.fetching.set(peer, p);
+    }
+    return p;
+  }
+
+  private ask<T>(disks: string[], m: string, body: object): Promise<T>[] {
+    return disks.map((d) => {
+      const p = this.peerOf(d);
+      return p ? this.k.call<T>(p, m, { disk: d, ...body }) : Promise.reject(new Error(`no address of ${d}`));
+    });
+  }
+
+  /** Confirms at a majority that no newer value than ours is agreed. */
+  async confirm(): Promise<boolean> {
+    const { clock, rnd, config } = this.k.host;
+    if (!this.value) {
+      const from = this.board.somePeers(1).concat(config.seeds.filter((s) => s !== this.k.self));
+      await this.fetch(from[Math.floor(rnd.next() * from.length)]!);
+      if (!this.value && this.hint && this.hint.rev > 0) await this.read().catch(() => undefined);
+      if (!this.value) return false;
+    }
+    for (let i = 0; i < 3; i++) {
+      const v = this.value!;
+      const t0 = clock.now();
+      const heard = new Set<string>();
+      const got = await gather(
+        this.ask<ReadBack>(union(v), 'RegRead', {}).map((p) => p.then((r) => { heard.add(r.disk); return r; })),
+        () => majority(bothSets(v), heard),
+      );
+      if (!majority(bothSets(v), heard)) { this.k.count('register.unconfirmed'); return false; }
+      const top = got.reduce((a, b) => (b.rev > a.rev ? b : a));
+      if (top.rev <= v.rev) {
+        if (this.value!.rev > v.rev) continue;
+        this.confirmedAt = Math.max(this.confirmedAt, t0);
+        return true;
+      }
+      const knows = got.find((r) => r.known >= top.rev);
+      if (knows) await this.fetch(this.peerOf(knows.disk)!);
+      else await sleep(clock, 40 + 80 * rnd.next());
+    }
+    // Someone's change hangs between accepted and agreed: finish it.
+    await this.read().catch(() => undefined);
+    return false;
+  }
+
+  /** The value as a majority has it now. */
+  async read(): Promise<Value> {
+    const t0 = this.k.host.clock.now();
+    const v = await this.change((x) => ({ out: x }));
+    this.confirmedAt = Math.max(this.confirmedAt, t0);
+    return v;
+  }
+
+  /**
+   * Applies a change to the latest agreed value. `fn` may run many times and must give the same outcome for the
+   * same value; without `next` it only reads. Fails with `no_majority` when it could not be told.
+   */
+  async change<T>(fn: (v: Value) => { next?: Value; out: T }, limitMs: number = C.changeMs): Promise<T> {
+    const { clock, rnd } = this.k.host;
+    const until = clock.now() + limitMs;
+    let why = 'no value known';
+    for (let tries = 0; clock.now() < until; tries++) {
+      if (tries > 0) await sleep(clock, Math.min(600, 30 * 2 ** Math.min(tries, 4)) * (0.5 + rnd.next()));
+      let h = this.value ?? this.hint;
+      if (!h) continue;
+      if (this.hint && this.hint.rev > h.rev) h = this.hint;
+      const r = await this.round(h, fn);
+      switch (r.tag) {
+        case 'done': return r.out;
+        case 'again': why = r.why; break;
+      }
+    }
+    this.k.count('register.gave_up');
+    throw new Failure({ tag: 'no_majority', step: 'change', peer: this.k.self, detail: why });
+  }
+
+  private async round<T>(start: Value, fn: (v: Value) => { next?: Value; out: T }): Promise<{ tag: 'done'; out: T } | { tag: 'again'; why: string }> {
+    const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
+    const bump = (p: string): void => { this.n = Math.max(this.n, Number(p.slice(0, 12)) || 0); };
+    let h = start;
+    const got = new Map<string, Prepared>();
+    // Prepare, following the seats as newer values show them.
+    for (;;) {
+      const sets = bothSets(h);
+      const asked = union(h).filter((d) => !got.has(d));
+      const heard = new Set([...got.keys()]);
+      let refused = false;
+      await gather(
+        this.ask<Prepared>(asked, 'RegPrepare', { ballot }).map((p) => p.then((r) => {
+          if (!r.ok) { bump(r.promised); refused = true; return r; }
+          got.set(r.disk, r); heard.add(r.disk);
+          return r;
+        })),
+        () => refused || majority(sets, heard),
+      );
+      if (refused) return { tag: 'again', why: 'another ballot is higher' };
+      if (!majority(sets, heard)) return { tag: 'again', why: `only ${heard.size} of ${union(h).length} seats answered` };
+      const top = [...got.values()].filter((r) => r.value).reduce<Prepared | undefined>((a, b) => (!a || b.ballot > a.ballot ? b : a), undefined);
+      if (!top) return { tag: 'again', why: 'seats are empty' };
+      const v = unpack(top.value!) as Value;
+      const settled = majority(bothSets(v), new Set(got.keys()));
+      h = v;
+      if (settled) break;
+    }
+    const res = fn(h);
+    const next = res.next ? { ...res.next, rev: h.rev + 1, prevSeats: h.seats } : h;
+    invariant(!res.next || Math.abs(next.seats.length - h.seats.length) <= 1, 'one seat at a time');
+    const value = pack(next);
+    const sets = bothSets(next);
+    const heard = new Set<string>();
+    let refused = false;
+    await gather(
+      this.ask<Accepted>(union(next), 'RegAccept', { ballot, value }).map((p) => p.then((r) => {
+        if (r.ok) heard.add(r.disk);
+        else { bump(r.promised); refused = true; }
+        return r;
+      })),
+      () => majority(sets, heard),
+    );
+    if (!majority(sets, heard)) return { tag: 'again', why: refused ? 'another ballot is higher' : `only ${heard.size} of ${union(next).length} seats accepted` };
+    this.learn(next);
+    return { tag: 'done', out: res.out };
+  }
+
+  /**
+   * Founding. Only the first seed founds, and only while all three seeds answer that their disks hold nothing:
+   * prepare and accept both need all three. A fleet that exists is known to at least one of them, so that a
+   * second one could arise only if all three seeds' disks were emptied together.
+   */
+  private async found(): Promise<void> {
+    if (this.value) return;
+    const { config, clock, rnd } = this.k.host;
+    if (clock.now() - Number(this.k.inst.split('-')[0]) < C.foundAfterMs) return;
+    const who = await Promise.all(config.seeds.map((s) => this.k.call<{ disk: string; rev: number }>(s, 'RegWho', {}).catch(() => undefined)));
+    if (who.some((w) => !w)) return;
+    const seats = who.map((w) => w!.disk);
+    const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
+    const ps = await Promise.all(seats.map((d, i) => this.k.call<Prepared>(config.seeds[i]!, 'RegPrepare', { disk: d, ballot }).catch(() => undefined)));
+    for (const p of ps) if (p && !p.ok) this.n = Math.max(this.n, Number(p.promised.slice(0, 12)) || 0);
+    if (ps.some((p) => !p?.ok)) return;
+    const held = ps.filter((p) => p!.value).reduce<Prepared | undefined>((a, b) => (!a || b!.ballot > a.ballot ? b : a), undefined);
+    if (held) {
+      // A founding (ours, cut short) or a fleet that exists: the ordinary way finishes it.
+      this.hint = unpack(held.value!) as Value;
+      await this.read();
+      return;
+    }
+    const v = this.genesis(seats, `${Math.floor(rnd.next() * 2 ** 48).toString(36)}`);
+    const value = pack(v);
+    const as = await Promise.all(seats.map((d, i) => this.k.call<Accepted>(config.seeds[i]!, 'RegAccept', { disk: d, ballot, value }).catch(() => undefined)));
+    if (as.every((a) => a?.ok)) {
+      this.k.host.log.info('fleet founded', { fleet: v.fleet, disks: v.disks.size });
+      this.learn(v);
+    }
+  }
+
+  private genesis(seats: string[], fleet: string): Value {
+    const disks = new Map<string, DiskRec>();
+    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active' });
+    seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active' }); });
+    const shards = new Map<number, Placement>();
+    for (let s = 0; s < C.shardsN; s++) shards.set(s, { gen: 1, copies: matchCopies(s, [...disks.values()], C.copiesN) });
+    return { fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, born: new Map(), disks, seats, prevSeats: seats, shards, changes: new Map() };
+  }
+}
+
+/**
+ * The disks a shard's copies belong on: rendezvous order, taking domains in turn so that copies spread.
+ * The number is odd, so that one more copy never costs a larger majority without bearing one more loss.
+ * @example
+ * matchCopies(3, disks, 5); // ['disk-a', 'disk-f', ...]
+ */
+export function matchCopies(shard: number, disks: DiskRec[], copies: number): string[] {
+  let n = Math.min(copies, disks.length);
+  if (n > 1 && n % 2 === 0) n--;
+  const left = rankDisks(shard, disks);
+  const used = new Map<string, number>();
+  const out: string[] = [];
+  while (out.length < n) {
+    const least = Math.min(...left.map((d) => used.get(d.domain) ?? 0));
+    const i = left.findIndex((d) => (used.get(d.domain) ?? 0) === least);
+    const [d] = left.splice(i, 1);
+    used.set(d!.domain, least + 1);
+    out.push(d!.id);
+  }
+  return out;
+}
+
+function rankDisks(shard: number, disks: DiskRec[]): DiskRec[] {
+  return rank(`copy/${shard}`, disks, (d) => d.id);
+}
+
+/** The answer for a visit that came before we may serve. */
+export function notReady(k: Kernel, step: string): Failure {
+  return new Failure({ tag: 'not_ready', step, peer: k.self, retryAfterMs: retryAfter(k.host.rnd, C.retryMs) });
+}
+
+plug({
+  name: 'state',
+  needs: [],
+  setup: async (k) => {
+    if (!k.host.db) throw new Error('state needs a data folder');
+    const st = new Store(k.host.db);
+    st.init();
+    if (!st.get('disk')) {
+      const id = `d${Math.floor(k.host.rnd.next() * 2 ** 48).toString(36)}`;
+      await st.db.commit(() => st.set('disk', id));
+    }
+    return st;
+  },
+});
+plug({
+  name: 'register',
+  needs: ['board'],
+  setup: async (k) => {
+    if (k.host.db) { try { k.use('state'); } catch { throw new Error('load state before register'); } }
+    return new Register(k, k.use('board'));
+  },
+});
--- /dev/null
+++ b/packages/data/src/copies.ts
@@ -0,0 +1,148 @@
+import { C, Failure, Kernel, register } from '@harecross/kernel';
+import { fenceAt, lastFence, lastIdx, NO_FENCE, type Base, type Copy, type Entry, type Fence, type Store } from '@harecross/state';
+
+/** Entries travel with their age, not their time: clocks differ. */
+export type WireEntry = Omit<Entry, 'at'> & { age: number };
+export interface WireBase { idx: number; fence: Fence; topics: Base['topics']; senders: Map<string, { seq: number; off: number; age: number }> }
+
+export type Promised = { ok: true; disk: string; lastIdx: number; lastFence: Fence; baseIdx: number } | { ok: false; disk: string; promised: Fence };
+export type Appended =
+  | { tag: 'ok'; disk: string; match: number }
+  | { tag: 'fenced'; disk: string; promised: Fence }
+  | { tag: 'behind'; disk: string; last: number };
+export interface Append { disk: string; shard: number; fence: Fence; prevIdx: number; prevFence: Fence; entries: WireEntry[]; trimTo: number }
+export interface Install { disk: string; shard: number; fence: Fence; base: WireBase; entries: WireEntry[] }
+export type Fetched = { tag: 'follow'; entries: WireEntry[] } | { tag: 'snapshot'; base: WireBase; entries: WireEntry[] };
+
+declare module '@harecross/kernel' {
+  interface Faces { copies: Copies }
+}
+
+export const packEntry = (now: number) => (e: Entry): WireEntry => { const { at, ...r } = e; return { ...r, age: now - at }; };
+export const unpackEntry = (now: number) => (e: WireEntry): Entry => { const { age, ...r } = e; return { ...r, at: now - age }; };
+export function packBase(b: Base, now: number): WireBase {
+  return { idx: b.idx, fence: b.fence, topics: new Map(b.topics), senders: new Map([...b.senders].map(([k, s]) => [k, { seq: s.seq, off: s.off, age: now - s.at }])) };
+}
+export function unpackBase(b: WireBase, now: number): Base {
+  return { idx: b.idx, fence: b.fence, topics: new Map([...b.topics].map(([k, t]) => [k, { ...t }])), senders: new Map([...b.senders].map(([k, s]) => [k, { seq: s.seq, off: s.off, at: now - s.age }])) };
+}
+
+/**
+ * The copies of shards that this node's disk keeps. A copy takes entries only under the highest fence it has
+ * promised, answers only when they are synced, and cuts a tail that the owner's history does not have.
+ * @example
+ * await k.call(peer, 'Append', { disk, shard, fence, prevIdx, prevFence, entries, trimTo });
+ */
+export class Copies {
+  readonly all: Map<number, Copy>;
+  readonly disk: string;
+
+  constructor(private k: Kernel, private st: Store) {
+    this.all = st.copies();
+    this.disk = st.get('disk')!;
+    k.on('Fence', (b: { disk: string; shard: number; fence: Fence }) => this.fence(b));
+    k.on('Append', (b: Append) => this.append(b));
+    k.on('Install', (b: Install) => this.install(b));
+    k.on('Fetch', (b: { disk: string; shard: number; from: number; fromFence: Fence }) => this.fetch(b));
+    k.on('Who', (b: { shard: number }) => this.all.get(b.shard)?.promised ?? NO_FENCE);
+  }
+
+  get(shard: number): Copy {
+    let c = this.all.get(shard);
+    if (!c) {
+      c = { shard, promised: NO_FENCE, base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() }, entries: [] };
+      this.all.set(shard, c);
+    }
+    return c;
+  }
+
+  private mine(disk: string, step: string): void {
+    if (disk !== this.disk) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
+  }
+
+  private fence(b: { disk: string; shard: number; fence: Fence }): Promise<Promised> {
+    this.mine(b.disk, 'Fence');
+    return this.st.db.commit((): Promised => {
+      const c = this.get(b.shard);
+      if (b.fence <= c.promised) return { ok: false, disk: this.disk, promised: c.promised };
+      this.st.promise(c, b.fence);
+      return { ok: true, disk: this.disk, lastIdx: lastIdx(c), lastFence: lastFence(c), baseIdx: c.base.idx };
+    });
+  }
+
+  private append(b: Append): Promise<Appended> {
+    this.mine(b.disk, 'Append');
+    return this.st.db.commit((): Appended => {
+      const now = this.k.host.clock.now();
+      const c = this.get(b.shard);
+      if (b.fence < c.promised) return { tag: 'fenced', disk: this.disk, promised: c.promised };
+      if (b.fence > c.promised) this.st.promise(c, b.fence);
+      if (b.prevIdx > lastIdx(c)) return { tag: 'behind', disk: this.disk, last: lastIdx(c) };
+      if (b.prevIdx >= c.base.idx && fenceAt(c, b.prevIdx) !== b.prevFence) {
+        // What we hold at prevIdx lost against another history: go back one owner's span at a time.
+        const bad = fenceAt(c, b.prevIdx)!;
+        let i = b.prevIdx - 1;
+        while (i > c.base.idx && fenceAt(c, i) === bad) i--;
+        return { tag: 'behind', disk: this.disk, last: Math.max(i, c.base.idx) };
+      }
+      for (const w of b.entries) {
+        if (w.idx <= c.base.idx) continue;
+        const have = fenceAt(c, w.idx);
+        if (have === w.fence) continue;
+        if (have !== undefined) { this.st.cut(c, w.idx); this.k.count('copy.cut'); }
+        this.st.add(c, unpackEntry(now)(w));
+      }
+      const match = b.prevIdx + b.entries.length;
+      if (b.trimTo > c.base.idx) this.st.trim(c, Math.min(b.trimTo, match), now - C.dedupeKeepMs);
+      return { tag: 'ok', disk: this.disk, match };
+    });
+  }
+
+  private install(b: Install): Promise<Appended> {
+    this.mine(b.disk, 'Install');
+    return this.st.db.commit((): Appended => {
+      const now = this.k.host.clock.now();
+      const c = this.get(b.shard);
+      if (b.fence < c.promised) return { tag: 'fenced', disk: this.disk, promised: c.promised };
+      if (b.fence > c.promised) this.st.promise(c, b.fence);
+      this.st.install(c, unpackBase(b.base, now), b.entries.map(unpackEntry(now)));
+      this.k.count('copy.snapshots');
+      return { tag: 'ok', disk: this.disk, match: lastIdx(c) };
+    });
+  }
+
+  private fetch(b: { disk: string; shard: number; from: number; fromFence: Fence }): Fetched {
+    this.mine(b.disk, 'Fetch');
+    const now = this.k.host.clock.now();
+    const c = this.get(b.shard);
+    if (b.from >= c.base.idx && fenceAt(c, b.from) === b.fromFence) {
+      return { tag: 'follow', entries: c.entries.slice(b.from - c.base.idx).map(packEntry(now)) };
+    }
+    return { tag: 'snapshot', base: packBase(c.base, now), entries: c.entries.map(packEntry(now)) };
+  }
+
+  /** Takes history from another copy as it is, under a fence we hold ourselves. */
+  async take(shard: number, fence: Fence, f: Fetched, from: number): Promise<void> {
+    await this.st.db.commit(() => {
+      const now = this.k.host.clock.now();
+      const c = this.get(shard);
+      if (c.promised !== fence) throw new Failure({ tag: 'fenced', step: 'take', peer: this.k.self, fence: c.promised });
+      switch (f.tag) {
+        case 'follow':
+          this.st.cut(c, from + 1);
+          for (const e of f.entries) this.st.add(c, unpackEntry(now)(e));
+          break;
+        case 'snapshot':
+          this.st.install(c, unpackBase(f.base, now), f.entries.map(unpackEntry(now)));
+          break;
+      }
+    });
+  }
+
+  /** Lets go of copies that are no longer placed here. */
+  async release(shards: number[]): Promise<void> {
+    await this.st.db.commit(() => { for (const s of shards) this.st.release(this.get(s)); });
+  }
+}
+
+register({ name: 'copies', needs: ['state'], setup: (k) => new Copies(k, k.use('state')) });
--- /dev/null
+++ b/packages/data/src/edge.ts
@@ -0,0 +1,299 @@
+import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, type Fault } from '@harecross/kernel';
+import type { Board, Operators, Register } from '@harecross/control';
+import { Rpcs, configFaults, familyOf, visitFault, type Method, type Visit } from '@harecross/schema';
+import fastify from 'fastify';
+import type { Holds, Sink } from './holds.js';
+import type { Route } from './route.js';
+
+declare module '@harecross/kernel' {
+  interface Faces { edge: Edge }
+}
+
+export interface Reply { status: number; body: any }
+
+/** HTTP status of a fault. */
+export function statusOf(f: Fault): number {
+  switch (f.tag) {
+    case 'bad_visit':
+    case 'invalid_config':
+    case 'cursor_ahead': return 400;
+    case 'unknown_method':
+    case 'unknown_topic':
+    case 'unknown_disk': return 404;
+    case 'conflict':
+    case 'stale_seq':
+    case 'wont_hold': return 409;
+    case 'unknown_conn':
+    case 'cursor_expired': return 410;
+    case 'too_large': return 413;
+    case 'timeout':
+    case 'cut':
+    case 'fenced':
+    case 'outcome_unknown': return 504;
+    case 'unreachable':
+    case 'not_ready':
+    case 'not_owner':
+    case 'overloaded':
+    case 'no_majority':
+    case 'disk_ill': return 503;
+    case 'internal': return 500;
+    default: return never(f);
+  }
+}
+
+/**
+ * The way in for callers: checks a visit, holds it in a bounded holding, answers it. HTTP is a thin shell.
+ * @example
+ * await edge.visit('Probe', { conn }); // { status: 200, body: {} }
+ */
+export class Edge {
+  private holding: Holding<{ m: Method; body: any }, Reply>;
+  private holds?: Holds;
+
+  constructor(private k: Kernel, private board: Board, private reg: Register, private route: Route, private ops: Operators) {
+    this.holding = new Holding(C.edgeHoldingN, C.edgeHoldingN, (v) => this.serve(v.m, v.body));
+    if (k.has('holds')) this.holds = k.use('holds');
+    k.on('Pass', (b: { m: Method; body: any }) => this.visit(b.m, b.body));
+  }
+
+  /** Whether the platform may send us conns. */
+  ready(): boolean {
+    return this.k.phase === 'running' && this.reg.fresh() && this.holds !== undefined;
+  }
+
+  /** Whether this node truly does its work; a store has no conns but serves. */
+  serving(): boolean {
+    return this.k.phase === 'running' && this.reg.fresh();
+  }
+
+  /** Checks an Attach and opens its conn. */
+  attach(body: unknown, sink: Sink): { id: string } | Reply {
+    try {
+      const bad = visitFault('Attach', body);
+      if (bad) throw this.bad('Attach', bad);
+      if (!this.holds) throw this.bad('Attach', 'this node is a store and takes no conns');
+      if (!this.ready()) throw new Failure({ tag: 'not_ready', step: 'Attach', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+      const b = body as Visit<'Attach'>;
+      return { id: this.holds.attach(b.consumer, b.pingS, sink) };
+    } catch (e) {
+      return this.failed('Attach', e);
+    }
+  }
+  gone(id: string): void { this.holds?.gone(id); }
+  drained(id: string): void { this.holds?.drained(id); }
+
+  async visit(m: string, body: unknown): Promise<Reply> {
+    if (!Object.hasOwn(Rpcs, m) || m === 'Attach') return this.failed(m, new Failure({ tag: 'unknown_method', step: m, peer: this.k.self, method: m }));
+    const method = m as Method;
+    const bad = visitFault(method, body);
+    if (bad) return this.failed(m, this.bad(m, bad));
+    if (this.k.phase === 'stopped') return this.failed(m, new Failure({ tag: 'not_ready', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
+    this.k.count(`visit.${m}`);
+    const p = this.holding.offer({ m: method, body }, this.urgent(method, body));
+    if (!p) return this.failed(m, new Failure({ tag: 'overloaded', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
+    return p;
+  }
+
+  private urgent(m: Method, body: any): boolean {
+    switch (m) {
+      case 'Publish':
+        return this.reg.value !== undefined && familyOf(this.reg.value.config, body.topic)?.urgency === 'urgent';
+      case 'Listeners':
+        return false;
+      default:
+        return true;
+    }
+  }
+
+  private bad(step: string, detail: string): Failure {
+    return new Failure({ tag: 'bad_visit', step, peer: this.k.self, detail });
+  }
+
+  private failed(m: string, e: unknown): Reply {
+    const f = faultOf(e, m, this.k.self);
+    if (f.tag === 'internal') this.k.host.log.warn('visit failed', { fault: f, stack: e instanceof Error ? e.stack : undefined });
+    this.k.count(`fault.${f.tag}`);
+    // A publish that surely stored nothing is told so in the words of the schema.
+    if (m === 'Publish' && (f.tag === 'not_ready' || f.tag === 'overloaded' || f.tag === 'unreachable' || f.tag === 'not_owner')) {
+      const retryAfterMs = 'retryAfterMs' in f ? f.retryAfterMs : retryAfter(this.k.host.rnd, C.retryMs);
+      return { status: 503, body: { rejected: { reason: f.tag, retryAfterMs } } };
+    }
+    if (m === 'Publish' && f.tag === 'stale_seq') return { status: 409, body: { rejected: { reason: 'stale_seq', retryAfterMs: 0 } } };
+    const status = statusOf(f);
+    const retryAfterMs = 'retryAfterMs' in f ? f.retryAfterMs : status === 503 || status === 504 ? retryAfter(this.k.host.rnd, C.retryMs) : undefined;
+    return { status, body: { error: retryAfterMs === undefined ? f : { ...f, retryAfterMs } } };
+  }
+
+  private async serve(m: Method, body: any): Promise<Reply> {
+    try {
+      const conn: unknown = body.conn;
+      if (typeof conn === 'string') {
+        const peer = conn.split('/')[0]!;
+        if (peer !== this.k.self) return await this.pass(peer, m, body);
+      }
+      return { status: 200, body: await this.answer(m, body) };
+    } catch (e) {
+      return this.failed(m, e);
+    }
+  }
+
+  /** Passes a visit to the relay that has the conn. */
+  private async pass(peer: string, m: Method, body: any): Promise<Reply> {
+    const known = this.board.members.get(peer);
+    if (!known || known.role !== 'relay' || known.state === 'dead' || known.state === 'left') throw new Failure({ tag: 'unknown_conn', step: m, peer });
+    const fam = m === 'Subscribe' && this.reg.value ? familyOf(this.reg.value.config, body.topic) : undefined;
+    try {
+      return await this.k.call<Reply>(peer, 'Pass', { m, body }, fam ? fam.patienceMs + C.callMs : C.callMs);
+    } catch (e) {
+      if (faultOf(e).tag === 'unreachable') throw new Failure({ tag: 'unknown_conn', step: m, peer });
+      throw e;
+    }
+  }
+
+  private async answer(m: Method, body: any): Promise<unknown> {
+    switch (m) {
+      case 'Probe':
+        this.conns(m).heard(body.conn, m);
+        return {};
+      case 'Detach': {
+        const h = this.conns(m);
+        h.heard(body.conn, m);
+        h.gone(body.conn);
+        return {};
+      }
+      case 'Subscribe':
+        this.mustServe(m);
+        return this.conns(m).subscribe(body.conn, body.topic, body.cursor);
+      case 'Unsubscribe':
+        return { left: this.conns(m).unsubscribe(body.conn, body.topic) };
+      case 'Publish': {
+        this.mustServe(m);
+        const fam = this.family(m, body.topic);
+        const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
+        if (Buffer.byteLength(body.body) > limit) throw new Failure({ tag: 'too_large', step: m, peer: this.k.self, limit });
+        const r = await this.route.atOwner<{ offset: number }>(body.topic, 'Publish', body, fam.patienceMs);
+        return { accepted: r };
+      }
+      case 'Listeners': {
+        this.mustServe(m);
+        const fam = this.family(m, body.topic);
+        return this.route.atOwner(body.topic, 'Count', { topic: body.topic }, fam.patienceMs);
+      }
+      case 'SubmitConfig':
+        return this.ops.submit(body);
+      case 'CheckConfig':
+        return { version: this.reg.value?.version ?? 0, faults: configFaults(body.config) };
+      case 'ReadConfig':
+        return this.ops.readConfig();
+      case 'EmptyDisk':
+        return this.ops.setDisk(body.disk, 'emptying', m);
+      case 'CancelEmpty':
+        return this.ops.setDisk(body.disk, 'active', m);
+      case 'Fleet':
+        return this.fleet();
+      case 'Node':
+        return this.node();
+      case 'Attach':
+        throw this.bad(m, 'Attach is a stream');
+      default:
+        return never(m);
+    }
+  }
+
+  private mustServe(m: string): void {
+    if (!this.reg.fresh()) throw new Failure({ tag: 'not_ready', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+  }
+  private conns(m: string): Holds {
+    if (!this.holds) throw new Failure({ tag: 'unknown_conn', step: m, peer: this.k.self });
+    return this.holds;
+  }
+  private family(m: string, topic: string) {
+    const f = familyOf(this.reg.value!.config, topic);
+    if (!f) throw new Failure({ tag: 'unknown_topic', step: m, peer: this.k.self, topic });
+    return f;
+  }
+
+  private fleet(): unknown {
+    const v = this.reg.value;
+    const now = this.k.host.clock.now();
+    return {
+      at: this.k.self,
+      fresh: this.reg.fresh(),
+      rev: v?.rev ?? 0,
+      version: v?.version ?? 0,
+      fleet: v?.fleet,
+      members: [...this.board.members.values()].map((m) => ({ peer: m.peer, client: m.client, domain: m.domain, role: m.role, disk: m.disk, state: m.state, condition: m.condition, weight: m.weight, rev: m.rev, ageMs: Math.round(now - m.seenAt) })),
+      disks: v ? [...v.disks.values()].map((d) => ({ ...d, seat: v.seats.includes(d.id), copies: [...v.shards.values()].filter((p) => p.copies.includes(d.id)).length })) : [],
+      keys: v ? [...v.shards].map(([s, p]) => ({ shard: s, gen: p.gen, copies: p.copies, ...(this.board.get(`key/${s}`) as object | undefined) })) : [],
+    };
+  }
+
+  private node(): unknown {
+    return {
+      peer: this.k.self,
+      inst: this.k.inst,
+      phase: this.k.phase,
+      rev: this.k.rev,
+      fresh: this.reg.fresh(),
+      counters: Object.fromEntries([...this.k.counters].sort()),
+      keys: this.k.has('owner') ? this.k.use('owner').owned() : [],
+      interest: this.k.has('owner') ? this.k.use('owner').interests() : [],
+      holds: this.holds?.table() ?? [],
+      conns: this.holds?.conns.size ?? 0,
+    };
+  }
+}
+
+/**
+ * Serves an edge over HTTP/1.1.
+ * @example
+ * const close = await serveHttp(edge, '127.0.0.1:7001');
+ */
+export async function serveHttp(k: Kernel, edge: Edge, at: string): Promise<() => Promise<void>> {
+  const app = fastify({ bodyLimit: 2 * 1024 * 1024, keepAliveTimeout: 30_000 });
+  const send = (reply: any, r: Reply): unknown => {
+    const ms = r.body?.error?.retryAfterMs ?? r.body?.rejected?.retryAfterMs;
+    if (ms !== undefined && r.status >= 500) reply.header('retry-after', String(Math.max(1, Math.ceil(ms / 1000))));
+    return reply.code(r.status).send(r.body);
+  };
+  app.setErrorHandler((e: any, _req, reply) => {
+    const status = e.statusCode && e.statusCode < 500 ? e.statusCode : 500;
+    const fault: Fault = status === 413
+      ? { tag: 'too_large', step: 'read', peer: k.self, limit: 2 * 1024 * 1024 }
+      : status < 500 ? { tag: 'bad_visit', step: 'read', peer: k.self, detail: e.message } : { tag: 'internal', step: 'read', peer: k.self, detail: e.message };
+    return reply.code(status).send({ error: fault });
+  });
+  app.setNotFoundHandler((req, reply) => reply.code(404).send({ error: { tag: 'unknown_method', step: 'read', peer: k.self, method: `${req.method} ${req.url}` } satisfies Fault }));
+  app.get('/condition', (_req, reply) => {
+    const ok = edge.serving();
+    return reply.code(ok ? 200 : 503).send({ condition: ok ? 'ready' : k.phase === 'running' ? 'joining' : k.phase });
+  });
+  app.post('/rpc/Attach', (req, reply) => {
+    let id = '';
+    let over = false;
+    const raw = reply.raw;
+    const sink: Sink = {
+      write: (s) => over || raw.write(s),
+      close: () => { if (!over) { over = true; raw.end(); } },
+    };
+    const head = (): void => { raw.writeHead(200, { 'content-type': 'application/x-ndjson', 'cache-control': 'no-store' }); raw.flushHeaders(); };
+    const r = edge.attach(req.body, sink);
+    if ('status' in r) return send(reply, r);
+    id = r.id;
+    reply.hijack();
+    head();
+    raw.on('drain', () => edge.drained(id));
+    raw.on('close', () => { over = true; edge.gone(id); });
+    raw.on('error', () => { over = true; edge.gone(id); });
+    return reply;
+  });
+  app.post('/rpc/:method', async (req, reply) => send(reply, await edge.visit((req.params as { method: string }).method, req.body ?? {})));
+  await app.listen(addr(at));
+  return async () => { app.server.closeAllConnections(); await app.close(); };
+}
+
+register({
+  name: 'edge',
+  needs: ['board', 'register', 'route', 'operators'],
+  setup: (k) => new Edge(k, k.use('board'), k.use('register'), k.use('route'), k.use('operators')),
+});
--- /dev/null
+++ b/packages/data/src/holds.ts
@@ -0,0 +1,471 @@
+import { C, Failure, Kernel, faultOf, loop, rank, register, retryAfter, sleep } from '@harecross/kernel';
+import type { Board, Register } from '@harecross/control';
+import { familyOf, type Frame } from '@harecross/schema';
+import { shardOf, type FanFrame, type HistoryAnswer, type InterestItem } from './owner.js';
+import type { Route } from './route.js';
+
+declare module '@harecross/kernel' {
+  interface Faces { holds: Holds }
+}
+
+/** Where a conn's frames go. `write` says whether more may follow at once; `drained` is called when it may. */
+export interface Sink {
+  write(lines: string): boolean;
+  close(): void;
+}
+
+type ConnState = 'open' | 'closing' | 'closed';
+type CloseReason = Extract<Frame, { t: 'CLOSED' }>['reason'];
+
+interface Waiting { line: string; bytes: number; over: boolean; sub?: Sub; gen?: string; urgent: boolean }
+
+interface Sub {
+  id: string;
+  conn: Conn;
+  topic: string;
+  next: number;
+  expiresAt: number;
+  renewedAt: number;
+  live: boolean;
+}
+
+class Conn {
+  state: ConnState = 'open';
+  subs = new Map<string, Sub>();
+  buf: Waiting[] = [];
+  std = 0;
+  over = 0;
+  blocked = false;
+  armedAt = Infinity;
+  disarm: () => void = () => {};
+  heardAt: number;
+  constructor(readonly id: string, readonly consumer: string, readonly pingMs: number, readonly sink: Sink, readonly at: number) {
+    this.heardAt = at;
+  }
+}
+
+/** The holds of all our subscribers on one topic; the owner learns only the latest deadline. */
+interface TopicHold { topic: string; shard: number; subs: Set<Sub>; gen: string; saidUntil: number; seen: number; pulling: boolean; again: boolean }
+
+/**
+ * The relay's side of interest holds (the paper's design). One hold per subscription, renewed by this node from
+ * traffic on the conn; it ends at its deadline, on unsubscribe, on close, silence or replacement, and what waits
+ * for it goes too. The owner is told deadlines. Extension: each subscription knows the next offset it is owed; a
+ * gap, a lost frame, or a new owner is mended from the owner's history.
+ * @example
+ * const conn = holds.attach('phone-7', 2, sink);
+ * await holds.subscribe(conn, 'feed/7', 41);
+ */
+export class Holds {
+  readonly conns = new Map<string, Conn>();
+  private topics = new Map<string, TopicHold>();
+  private consumers = new Map<string, Conn>();
+  private n = 0;
+  private rev = 0;
+  private dirty = new Set<string>();
+  private homes = new Map<string, { conn: string; peer: string; at: number; seenAt: number }>();
+
+  constructor(private k: Kernel, private board: Board, private reg: Register, private route: Route) {
+    const { clock, rnd } = k.host;
+    k.on('Fan', (b: { frames: FanFrame[] }) => { for (const f of b.frames) this.frame(f); return true; }, true);
+    k.on('CountHolds', (b: { topic: string }) => this.count(b.topic));
+    k.on('Home', (b: { conns: { consumer: string; conn: string; age: number }[] }, f) => this.home(b.conns, f.peer));
+    k.on('Replace', (b: { conn: string }) => { const c = this.conns.get(b.conn); if (c) this.close(c, 'replaced'); return true; });
+    k.keep(loop(clock, 200, rnd, () => this.tick()));
+    k.keep(loop(clock, C.headsMs, rnd, () => this.heads()));
+    k.keep(loop(clock, C.homeRenewMs, rnd, async () => this.sayHome([...this.conns.values()])));
+    k.keep(route.moved$.subscribe((s) => this.moved(s)));
+    k.keep(reg.value$.subscribe(() => this.sweepFamilies()));
+    k.onStop(() => this.drain());
+  }
+
+  // --- conns ---
+
+  attach(consumer: string, pingS: number | undefined, sink: Sink): string {
+    const { clock, rnd } = this.k.host;
+    if (this.conns.size >= C.connsN) throw new Failure({ tag: 'overloaded', step: 'Attach', peer: this.k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
+    const ping = pingS ?? C.pingS;
+    const conn = new Conn(`${this.k.self}/${this.k.inst}/${++this.n}`, consumer, ping * 1000, sink, clock.now());
+    const old = this.consumers.get(consumer);
+    if (old) this.close(old, 'replaced');
+    this.conns.set(conn.id, conn);
+    this.consumers.set(consumer, conn);
+    this.board.say({ weight: this.conns.size });
+    this.k.count('conn.open');
+    this.put(conn, { t: 'ATTACHED', conn: conn.id, pingS: ping }, true);
+    this.sayHome([conn]);
+    return conn.id;
+  }
+
+  /** The one function that ends a conn. Its holds end at once and what waited for them goes too. */
+  close(conn: Conn, reason: CloseReason | 'gone'): void {
+    if (conn.state === 'closed') return;
+    conn.state = 'closed';
+    this.k.count(`conn.closed.${reason}`);
+    conn.disarm();
+    for (const s of [...conn.subs.values()]) this.end(s);
+    conn.buf = [];
+    this.conns.delete(conn.id);
+    if (this.consumers.get(conn.consumer) === conn) this.consumers.delete(conn.consumer);
+    this.board.say({ weight: this.conns.size });
+    if (reason !== 'gone') conn.sink.write(JSON.stringify({ t: 'CLOSED', reason, retryAfterMs: reason === 'replaced' ? 0 : retryAfter(this.k.host.rnd, C.retryMs / 2) }) + '\n');
+    conn.sink.close();
+  }
+
+  gone(id: string): void {
+    const c = this.conns.get(id);
+    if (c) this.close(c, 'gone');
+  }
+
+  drained(id: string): void {
+    const c = this.conns.get(id);
+    if (!c) return;
+    c.blocked = false;
+    if (c.buf.length) this.flush(c);
+    for (const s of c.subs.values()) { const h = this.topics.get(s.topic); if (h && s.next <= h.seen) this.pull(h); }
+  }
+
+  /** The conn of an id; also the sign of life that renews its holds. */
+  heard(id: string, step: string): Conn {
+    const c = this.conns.get(id);
+    if (!c || c.state !== 'open') throw new Failure({ tag: 'unknown_conn', step, peer: this.k.self });
+    const now = this.k.host.clock.now();
+    c.heardAt = now;
+    for (const s of c.subs.values()) {
+      if (now - s.renewedAt < C.holdRenewMs) continue;
+      s.renewedAt = now;
+      s.expiresAt = now + C.holdTtlMs;
+      this.dirty.add(s.topic);
+    }
+    return c;
+  }
+
+  // --- subscriptions ---
+
+  async subscribe(id: string, topic: string, cursor: number | undefined): Promise<{ sub: string; next: number }> {
+    const conn = this.heard(id, 'Subscribe');
+    const had = conn.subs.get(topic);
+    if (had) return { sub: had.id, next: had.next };
+    if (conn.subs.size >= C.subsPerConnN) throw new Failure({ tag: 'overloaded', step: 'Subscribe', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+    const fam = this.reg.value && familyOf(this.reg.value.config, topic);
+    if (!fam) throw new Failure({ tag: 'unknown_topic', step: 'Subscribe', peer: this.k.self, topic });
+    const now = this.k.host.clock.now();
+    const sub: Sub = { id: `${conn.id.slice(conn.id.lastIndexOf('/') + 1)}.${++this.n}`, conn, topic, next: Infinity, expiresAt: now + C.holdTtlMs, renewedAt: now, live: true };
+    conn.subs.set(topic, sub);
+    const h = this.holdOf(topic);
+    h.subs.add(sub);
+    this.dirty.add(topic);
+    void this.sayInterest();
+    try {
+      let o = await this.route.atOwner<{ head: number; first: number; since: number }>(topic, 'Open', { topic, confirm: cursor === undefined }, fam.patienceMs);
+      if (cursor !== undefined && cursor > o.head) {
+        o = await this.route.atOwner(topic, 'Open', { topic, confirm: true }, fam.patienceMs);
+        if (cursor > o.head) throw new Failure({ tag: 'cursor_ahead', step: 'Subscribe', peer: this.k.self, head: o.head });
+      }
+      const next = cursor === undefined ? o.head + 1 : Math.max(cursor + 1, o.since);
+      if (next < o.first) throw new Failure({ tag: 'cursor_expired', step: 'Subscribe', peer: this.k.self, first: o.first, head: o.head });
+      if (!sub.live) throw new Failure({ tag: 'unknown_conn', step: 'Subscribe', peer: this.k.self });
+      sub.next = next;
+      h.seen = Math.max(h.seen, o.head);
+      if (next <= h.seen) this.pull(h);
+      this.k.count('subscribe');
+      return { sub: sub.id, next };
+    } catch (e) {
+      this.end(sub);
+      throw e;
+    }
+  }
+
+  unsubscribe(id: string, topic: string): boolean {
+    const conn = this.heard(id, 'Unsubscribe');
+    const s = conn.subs.get(topic);
+    if (!s) return false;
+    this.leave(s, 'unsubscribed');
+    return true;
+  }
+
+  private leave(s: Sub, reason: Extract<Frame, { t: 'LEFT' }>['reason']): void {
+    if (!s.live) return;
+    this.end(s);
+    this.put(s.conn, { t: 'LEFT', sub: s.id, topic: s.topic, reason }, true);
+  }
+
+  /** The one function that ends a hold: what waits for it goes with it. */
+  private end(s: Sub): void {
+    if (!s.live) return;
+    s.live = false;
+    s.conn.subs.delete(s.topic);
+    const h = this.topics.get(s.topic);
+    h?.subs.delete(s);
+    this.drop(s.conn, (w) => w.sub === s);
+    this.dirty.add(s.topic);
+  }
+
+  /** From no hold to one, a generation is issued; frames must carry it. */
+  private holdOf(topic: string): TopicHold {
+    let h = this.topics.get(topic);
+    if (!h || h.subs.size === 0) {
+      const gen = `${this.k.inst}.${++this.n}`;
+      if (h) { h.gen = gen; h.saidUntil = 0; }
+      else { h = { topic, shard: shardOf(topic), subs: new Set(), gen, saidUntil: 0, seen: 0, pulling: false, again: false }; this.topics.set(topic, h); }
+    }
+    return h;
+  }
+
+  private count(topic: string): number {
+    const now = this.k.host.clock.now();
+    let n = 0;
+    for (const s of this.topics.get(topic)?.subs ?? []) if (s.expiresAt > now && now - s.conn.heardAt <= C.countFreshPingsN * s.conn.pingMs) n++;
+    return n;
+  }
+
+  // --- delivery ---
+
+  private frame(f: FanFrame): void {
+    const h = this.topics.get(f.topic);
+    if (!h) return;
+    h.seen = Math.max(h.seen, f.off);
+    if (h.gen !== f.gen) { this.k.count('frame.old_generation'); if (h.subs.size) this.pull(h); return; }
+    if (this.offer(h, f)) this.pull(h);
+  }
+
+  /** Gives one message to each subscription that is owed it next; says whether some subscription has a gap. */
+  private offer(h: TopicHold, f: { off: number; sender: string; seq: number; body: string }, catchUp = false): boolean {
+    let gap = false;
+    let line: string | undefined;
+    const urgent = this.urgent(h.topic);
+    for (const s of [...h.subs]) {
+      if (s.next < f.off) gap = true;
+      if (s.next !== f.off) continue;
+      if (catchUp && s.conn.std > C.catchUpBytes) continue;
+      s.next++;
+      line ??= JSON.stringify({ topic: h.topic, sender: f.sender, seq: f.seq, offset: f.off, body: f.body }).slice(1);
+      this.push(s.conn, { line: `{"t":"DELIVER","sub":"${s.id}",${line}\n`, bytes: 0, over: false, sub: s, gen: h.gen, urgent });
+    }
+    return gap;
+  }
+
+  private urgent(topic: string): boolean {
+    const v = this.reg.value;
+    return v !== undefined && familyOf(v.config, topic)?.urgency === 'urgent';
+  }
+
+  /** Reads the owner's history from the least offset owed, one reader per topic. */
+  private pull(h: TopicHold): void {
+    if (h.pulling) { h.again = true; return; }
+    h.pulling = true;
+    void this.pulls(h).finally(() => { h.pulling = false; if (h.again) { h.again = false; if (h.subs.size) this.pull(h); } });
+  }
+
+  private async pulls(h: TopicHold): Promise<void> {
+    for (let i = 0; i < 200; i++) {
+      h.again = false;
+      const waiting = [...h.subs].filter((s) => s.next <= h.seen && s.conn.std <= C.catchUpBytes && !s.conn.blocked);
+      if (!waiting.length) return;
+      const from = Math.min(...waiting.map((s) => s.next));
+      let a: HistoryAnswer;
+      try {
+        a = await this.route.atOwner<HistoryAnswer>(h.topic, 'History', { topic: h.topic, from }, C.ownerTryMs * 2);
+      } catch {
+        this.k.count('pull.fail');
+        return; // heads ask again within a second
+      }
+      this.k.count('pull');
+      if (a.tag === 'gone') return;
+      h.seen = Math.max(h.seen, a.head);
+      for (const s of [...h.subs]) {
+        if (s.next < a.since) s.next = a.since;
+        if (s.next < a.first) this.leave(s, 'cursor_expired');
+      }
+      if (!a.entries.length) return;
+      for (const e of a.entries) this.offer(h, e, true);
+    }
+  }
+
+  private put(conn: Conn, f: Frame, urgent: boolean): void {
+    this.push(conn, { line: JSON.stringify(f) + '\n', bytes: 0, over: false, urgent });
+  }
+
+  private push(conn: Conn, w: Waiting): void {
+    if (conn.state === 'closed') return;
+    w.bytes = Buffer.byteLength(w.line);
+    w.over = w.bytes > C.oversizedFromBytes;
+    if (w.over ? conn.over + w.bytes > C.oversizedLaneBytes : conn.std + w.bytes > C.laneBytes) {
+      // A saturated conn is retired; the consumer comes again with its cursor instead of getting a partial stream.
+      this.close(conn, 'saturated');
+      return;
+    }
+    if (w.over) conn.over += w.bytes; else conn.std += w.bytes;
+    conn.buf.push(w);
+    this.arm(conn, w.urgent ? C.flushUrgentMs : C.flushMs);
+  }
+
+  private drop(conn: Conn, out: (w: Waiting) => boolean): void {
+    const keep: Waiting[] = [];
+    for (const w of conn.buf) {
+      if (!out(w)) { keep.push(w); continue; }
+      if (w.over) conn.over -= w.bytes; else conn.std -= w.bytes;
+    }
+    conn.buf = keep;
+  }
+
+  private arm(conn: Conn, ms: number): void {
+    const { clock } = this.k.host;
+    const at = clock.now() + ms;
+    if (conn.blocked || conn.armedAt <= at) return;
+    conn.disarm();
+    conn.armedAt = at;
+    conn.disarm = clock.after(ms, () => { conn.armedAt = Infinity; this.flush(conn); });
+  }
+
+  /** The final send: only what still has a live hold, the current generation and a family in force. */
+  private flush(conn: Conn): void {
+    if (conn.state === 'closed' || conn.blocked || !conn.buf.length) return;
+    const now = this.k.host.clock.now();
+    const fresh = this.reg.fresh();
+    let out = '';
+    const keep: Waiting[] = [];
+    for (const w of conn.buf) {
+      const s = w.sub;
+      if (s) {
+        if (!fresh) { keep.push(w); continue; }
+        const ok = s.live && s.expiresAt > now && this.topics.get(s.topic)?.gen === w.gen;
+        if (!ok) { this.k.count('frame.lapsed'); if (w.over) conn.over -= w.bytes; else conn.std -= w.bytes; continue; }
+        this.k.count('deliver');
+      }
+      if (w.over) conn.over -= w.bytes; else conn.std -= w.bytes;
+      out += w.line;
+    }
+    conn.buf = keep;
+    if (keep.length) this.arm(conn, C.flushMs);
+    if (out && !conn.sink.write(out)) conn.blocked = true;
+  }
+
+  // --- loops ---
+
+  private async tick(): Promise<void> {
+    const now = this.k.host.clock.now();
+    for (const c of [...this.conns.values()]) {
+      if (now - c.heardAt > C.silencePingsN * c.pingMs) { this.close(c, 'silent'); continue; }
+      for (const s of [...c.subs.values()]) if (s.expiresAt <= now) this.leave(s, 'hold_ended');
+    }
+    await this.sayInterest();
+  }
+
+  /** Tells owners the deadlines that changed. */
+  private async sayInterest(): Promise<void> {
+    const byOwner = new Map<string, InterestItem[]>();
+    for (const t of [...this.dirty]) {
+      const h = this.topics.get(t);
+      if (!h) { this.dirty.delete(t); continue; }
+      const until = Math.max(0, ...[...h.subs].map((s) => s.expiresAt));
+      if (until === h.saidUntil) { this.dirty.delete(t); if (!h.subs.size) this.topics.delete(t); continue; }
+      const owner = this.route.owner(h.shard);
+      if (!owner) continue;
+      this.dirty.delete(t);
+      h.saidUntil = until;
+      const items = byOwner.get(owner) ?? [];
+      items.push({ topic: t, rev: ++this.rev, expiresAt: until, gen: h.gen });
+      byOwner.set(owner, items);
+      if (!h.subs.size && !h.pulling) this.topics.delete(t);
+    }
+    await Promise.all([...byOwner].map(async ([owner, items]) => {
+      this.k.count('interest.said', items.length);
+      try {
+        await this.k.call(owner, 'Interest', { items });
+      } catch {
+        for (const i of items) { const h = this.topics.get(i.topic); if (h) { h.saidUntil = -1; this.dirty.add(i.topic); } }
+      }
+    }));
+  }
+
+  private moved(shard: number): void {
+    const mine = [...this.topics.values()].filter((h) => h.shard === shard && h.subs.size);
+    for (const h of mine) { h.saidUntil = -1; this.dirty.add(h.topic); }
+    if (mine.length) { void this.sayInterest(); void this.headsOf(mine); }
+  }
+
+  private async heads(): Promise<void> {
+    await this.headsOf([...this.topics.values()].filter((h) => h.subs.size));
+  }
+
+  private async headsOf(hs: TopicHold[]): Promise<void> {
+    const byOwner = new Map<string, TopicHold[]>();
+    for (const h of hs) {
+      const o = this.route.owner(h.shard);
+      if (!o) { this.route.seek(h.shard); continue; }
+      const l = byOwner.get(o) ?? [];
+      l.push(h);
+      byOwner.set(o, l);
+    }
+    await Promise.all([...byOwner].map(async ([o, l]) => {
+      try {
+        const r = await this.k.call<{ heads: Map<string, number>; missing: string[] }>(o, 'Heads', { topics: l.map((h) => h.topic) });
+        for (const h of l) {
+          const head = r.heads.get(h.topic);
+          if (head === undefined) { this.route.seek(h.shard); continue; }
+          h.seen = Math.max(h.seen, head);
+          if ([...h.subs].some((s) => s.next <= h.seen)) this.pull(h);
+        }
+        for (const t of r.missing) { const h = this.topics.get(t); if (h?.subs.size) { h.saidUntil = -1; this.dirty.add(t); } }
+      } catch { for (const h of l) this.route.seek(h.shard); }
+    }));
+  }
+
+  private sweepFamilies(): void {
+    const v = this.reg.value;
+    if (!v) return;
+    for (const h of [...this.topics.values()]) if (!familyOf(v.config, h.topic)) for (const s of [...h.subs]) this.leave(s, 'topic_removed');
+  }
+
+  // --- homes: which conn of a consumer is the latest ---
+
+  private homeOf(consumer: string): string | undefined {
+    return rank(`home/${consumer}`, this.board.live().filter((m) => m.role === 'relay' && m.condition !== 'draining').map((m) => m.peer))[0];
+  }
+
+  private sayHome(conns: Conn[]): void {
+    const now = this.k.host.clock.now();
+    const by = new Map<string, { consumer: string; conn: string; age: number }[]>();
+    for (const c of conns) {
+      const home = this.homeOf(c.consumer);
+      if (!home) continue;
+      const l = by.get(home) ?? [];
+      l.push({ consumer: c.consumer, conn: c.id, age: now - c.at });
+      by.set(home, l);
+    }
+    for (const [home, l] of by) this.k.call(home, 'Home', { conns: l }).catch(() => undefined);
+  }
+
+  private home(conns: { consumer: string; conn: string; age: number }[], peer: string): true {
+    const now = this.k.host.clock.now();
+    for (const c of conns) {
+      const at = now - c.age;
+      const old = this.homes.get(c.consumer);
+      if (old && old.conn !== c.conn && now - old.seenAt < C.homeForgetMs) {
+        const [out, from] = old.at <= at ? [old.conn, old.peer] : [c.conn, peer];
+        this.k.call(from, 'Replace', { conn: out }).catch(() => undefined);
+        if (out === c.conn) continue;
+      }
+      this.homes.set(c.consumer, { conn: c.conn, peer, at, seenAt: now });
+    }
+    if (this.homes.size > C.connsN * 2) for (const [c, h] of this.homes) if (now - h.seenAt > C.homeForgetMs) this.homes.delete(c);
+    return true;
+  }
+
+  /** Sends everyone away with times to come back that are spread out, and waits a moment for them to go. */
+  private async drain(): Promise<void> {
+    const { clock, rnd } = this.k.host;
+    for (const c of this.conns.values()) this.put(c, { t: 'GOAWAY', retryAfterMs: Math.round(rnd.next() * 1_000) }, true);
+    const until = clock.now() + 1_500;
+    while (this.conns.size && clock.now() < until) await sleep(clock, 50);
+    for (const c of [...this.conns.values()]) { this.flush(c); this.close(c, 'stopping'); }
+    await this.sayInterest().catch((e) => faultOf(e));
+  }
+
+  table(): { topic: string; shard: number; subs: number; gen: string; seen: number }[] {
+    return [...this.topics.values()].map((h) => ({ topic: h.topic, shard: h.shard, subs: h.subs.size, gen: h.gen, seen: h.seen }));
+  }
+}
+
+register({ name: 'holds', needs: ['board', 'register', 'route'], setup: (k) => new Holds(k, k.use('board'), k.use('register'), k.use('route')) });
--- /dev/null
+++ b/packages/data/src/node.ts
@@ -0,0 +1,31 @@
+import { Kernel, loop, type Faces, type Host } from '@harecross/kernel';
+import type { Edge } from './edge.js';
+
+/** The plug-ins of a node by its role and disk. */
+export function pluginsOf(role: 'relay' | 'store', disk: boolean): (keyof Faces)[] {
+  return [
+    ...(disk ? (['state'] as const) : []),
+    'board', 'register',
+    ...(disk ? (['keeper', 'copies', 'owner'] as const) : []),
+    'route',
+    ...(role === 'relay' ? (['holds'] as const) : []),
+    'operators', 'edge',
+  ];
+}
+
+/**
+ * Boots a node of the fleet in the given surroundings; the programs and the simulator share it.
+ * @example
+ * const { kernel, edge } = await startNode(realHost(config));
+ */
+export async function startNode(host: Host): Promise<{ kernel: Kernel; edge: Edge }> {
+  const kernel = new Kernel(host);
+  await kernel.boot(pluginsOf(host.config.role, host.db !== undefined));
+  const board = kernel.use('board');
+  const reg = kernel.use('register');
+  kernel.onStop(() => board.say({ condition: 'draining' }, true));
+  kernel.keep(loop(host.clock, 200, host.rnd, async () => {
+    if (kernel.phase === 'running') board.say({ condition: reg.fresh() ? 'ready' : 'joining' }, true);
+  }));
+  return { kernel, edge: kernel.use('edge') };
+}
--- /dev/null
+++ b/packages/data/src/owner.ts
@@ -0,0 +1,591 @@
+import { C, Failure, Holding, Kernel, faultOf, gather, hash, loop, rank, register, retryAfter, sleep, within } from '@harecross/kernel';
+import { type Board, type KeyRec, type Register } from '@harecross/control';
+import { familyOf, type Family } from '@harecross/schema';
+import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Base, type Entry, type Fence } from '@harecross/state';
+import { packBase, packEntry, type Appended, type Copies, type Fetched, type Promised, type WireEntry } from './copies.js';
+
+declare module '@harecross/kernel' {
+  interface Faces { owner: Owner }
+}
+
+export const shardOf = (topic: string): number => hash(`topic/${topic}`) % C.shardsN;
+
+/** What a relay tells the owner of a topic: a deadline, never who or how many. */
+export interface InterestItem { topic: string; rev: number; expiresAt: number; gen: string }
+export interface FanFrame { topic: string; gen: string; off: number; sender: string; seq: number; body: string }
+export interface HistoryPage { tag: 'page'; head: number; first: number; since: number; entries: { off: number; sender: string; seq: number; body: string }[] }
+export type HistoryAnswer = HistoryPage | { tag: 'gone' };
+
+interface TopicState { head: number; pend: number; since: number; era: number; entries: Entry[] }
+interface SenderState { seq: number; off: number; idx: number; at: number }
+interface Interest { rev: number; deadline: number; gen: string }
+
+/** A key's life at a node. */
+type KeyState = 'none' | 'taking' | 'owner' | 'yielding';
+
+class Key {
+  state: KeyState = 'none';
+  fence: Fence = NO_FENCE;
+  gen = 0;
+  copies: string[] = [];
+  base!: Base;
+  log: Entry[] = [];
+  commit = 0;
+  match = new Map<string, number>();
+  next = new Map<string, number>();
+  flying = new Set<string>();
+  ackAt = new Map<string, number>();
+  topics = new Map<string, TopicState>();
+  senders = new Map<string, SenderState>();
+  waits: { idx: number; res: () => void; rej: (e: unknown) => void }[] = [];
+  trimTo = 0;
+  said = '';
+  saidN = 0;
+  triedAt = -Infinity;
+  constructor(readonly shard: number) {}
+
+  last(): number { return this.base.idx + this.log.length; }
+  fenceAt(idx: number): Fence { return idx === this.base.idx ? this.base.fence : this.log[idx - this.base.idx - 1]!.fence; }
+  /** The time at which a majority of the copies last answered us. */
+  heardAt(): number {
+    const ts = this.copies.map((d) => this.ackAt.get(d) ?? -Infinity).sort((a, b) => b - a);
+    return ts[Math.floor(this.copies.length / 2)] ?? -Infinity;
+  }
+}
+
+/**
+ * The owner's side of topics: takes keys under a fence, accepts messages once a majority of the copies has them
+ * synced, fans frames to relays whose interest has not ended on our own clock, and serves history.
+ * @example
+ * k.use('owner').owned(); // shards this node serves
+ */
+export class Owner {
+  private keys = new Map<number, Key>();
+  private interest = new Map<string, { inst: string; topics: Map<string, Interest> }>();
+  private fanOut = new Map<string, FanFrame[]>();
+  private fanArmed = false;
+  private holding: Holding<{ sender: string; topic: string; seq: number; body: string }, { offset: number }>;
+
+  constructor(private k: Kernel, private board: Board, private reg: Register, private copies: Copies) {
+    const { clock, rnd } = k.host;
+    for (let s = 0; s < C.shardsN; s++) this.keys.set(s, new Key(s));
+    this.holding = new Holding(C.ownerHoldingN, 512, (v) => this.publish(v));
+    k.on('Publish', (b: { sender: string; topic: string; seq: number; body: string }) => {
+      const fam = this.family(b.topic, 'Publish');
+      const p = this.holding.offer(b, fam.urgency === 'urgent');
+      if (!p) throw new Failure({ tag: 'overloaded', step: 'Publish', peer: k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
+      return p;
+    }, true);
+    k.on('Interest', (b: { items: InterestItem[] }, f) => this.hear(f.peer, f.inst, b.items, f.toLocal));
+    k.on('Open', (b: { topic: string; confirm: boolean }) => this.open(b), true);
+    k.on('History', (b: { topic: string; from: number }): HistoryAnswer => this.history(b), true);
+    k.on('Heads', (b: { topics: string[] }, f) => this.heads(b.topics, f.peer));
+    k.on('Count', (b: { topic: string }) => this.countListeners(b.topic), true);
+    k.on('Yield', (b: { shard: number; disk: string }) => this.yieldTo(b.shard, b.disk));
+    k.on('TakeKey', (b: { shard: number }) => { void this.take(this.keys.get(b.shard)!); return true; });
+    k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
+    k.keep(loop(clock, C.beatMs, rnd, async () => { for (const key of this.keys.values()) this.kick(key, true); }));
+    k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
+    k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
+    k.onStop(() => this.leave());
+  }
+
+  owned(): { shard: number; fence: Fence; last: number; commit: number; behind: string[] }[] {
+    return [...this.keys.values()].filter((x) => x.state === 'owner').map((x) => ({ shard: x.shard, fence: x.fence, last: x.last(), commit: x.commit, behind: this.behind(x) }));
+  }
+  interests(): { relay: string; topics: number }[] {
+    return [...this.interest].map(([relay, i]) => ({ relay, topics: i.topics.size }));
+  }
+
+  // --- the key's life ---
+
+  /** The one function that changes a key's state. */
+  private turn(key: Key, s: KeyState): void {
+    if (key.state === s) return;
+    const was = key.state;
+    key.state = s;
+    switch (s) {
+      case 'owner':
+        this.k.count('key.taken');
+        this.k.host.log.info(`owner of shard ${key.shard}`, { fence: key.fence });
+        break;
+      case 'none':
+        if (was === 'owner' || was === 'yielding') { this.k.count('key.given'); this.k.host.log.info(`no longer owner of shard ${key.shard}`); }
+        for (const w of key.waits.splice(0)) w.rej(new Failure({ tag: 'fenced', step: 'Publish', peer: this.k.self, fence: this.copies.get(key.shard).promised }));
+        key.topics.clear();
+        key.senders.clear();
+        key.log = [];
+        break;
+      case 'taking':
+      case 'yielding':
+        break;
+    }
+  }
+
+  private ranked(shard: number): string[] {
+    const p = this.reg.value?.shards.get(shard);
+    if (!p) return [];
+    return rank(`key/${shard}`, p.copies);
+  }
+
+  private peerAble(disk: string): string | undefined {
+    const m = this.board.ofDisk(disk);
+    if (!m || this.reg.value?.disks.get(disk)?.state !== 'active') return undefined;
+    return this.board.able(m.peer) ? m.peer : undefined;
+  }
+
+  private async tick(): Promise<void> {
+    if (!this.reg.fresh() || this.k.phase !== 'running') return;
+    const now = this.k.host.clock.now();
+    const v = this.reg.value!;
+    const gone: number[] = [];
+    for (const key of this.keys.values()) {
+      const p = v.shards.get(key.shard);
+      if (!p) continue;
+      const here = p.copies.includes(this.copies.disk);
+      const rec = this.board.get(`key/${key.shard}`) as KeyRec | undefined;
+      if (!here) {
+        // Not placed here any more: let go once another owner serves under this placement.
+        const c = this.copies.all.get(key.shard);
+        if (c && (c.entries.length || c.base.idx) && rec && rec.gen === p.gen && key.state === 'none') gone.push(key.shard);
+        if (key.state === 'owner' && rec && rec.gen >= p.gen && rec.peer !== this.k.self) this.turn(key, 'none');
+        if (key.state !== 'owner' || key.gen === p.gen) continue;
+        // Still the owner under an older placement: the new copies must take the key.
+        const next = this.ranked(key.shard).map((d) => this.peerAble(d)).find((x) => x !== undefined);
+        if (next) this.k.call(next, 'TakeKey', { shard: key.shard }).catch(() => undefined);
+        continue;
+      }
+      switch (key.state) {
+        case 'owner':
+          if (key.gen !== p.gen) void this.take(key);
+          else this.announce(key);
+          break;
+        case 'none': {
+          const order = this.ranked(key.shard).map((d) => ({ d, peer: this.peerAble(d) })).filter((x) => x.peer !== undefined);
+          if (order[0]?.peer !== this.k.self || now - key.triedAt < 600) break;
+          key.triedAt = now;
+          const holder = rec && rec.peer !== this.k.self && this.board.isLive(rec.peer) && this.board.members.get(rec.peer)?.inst === rec.inst ? rec.peer : undefined;
+          void (holder ? this.askFor(key, holder) : this.take(key));
+          break;
+        }
+        case 'taking':
+        case 'yielding':
+          break;
+      }
+    }
+    if (gone.length) await this.copies.release(gone);
+  }
+
+  /** A better matched node asks the present owner to let go. */
+  private async askFor(key: Key, holder: string): Promise<void> {
+    try {
+      if (await this.k.call<boolean>(holder, 'Yield', { shard: key.shard, disk: this.copies.disk })) await this.take(key);
+    } catch (e) {
+      // not_owner: the board is behind; take it, the fence decides.
+      if (faultOf(e).tag === 'not_owner' || faultOf(e).tag === 'unreachable') await this.take(key);
+    }
+  }
+
+  private async yieldTo(shard: number, disk: string): Promise<boolean> {
+    const key = this.keys.get(shard)!;
+    if (key.state !== 'owner') throw new Failure({ tag: 'not_owner', step: 'Yield', peer: this.k.self });
+    if (!key.copies.includes(disk) || (key.match.get(disk) ?? 0) < key.last() - C.appendN) return false;
+    await this.quiesce(key);
+    return true;
+  }
+
+  /** Stops accepting and waits until what was begun is on a majority. */
+  private async quiesce(key: Key): Promise<void> {
+    this.turn(key, 'yielding');
+    const { clock } = this.k.host;
+    const fence = key.fence;
+    const until = clock.now() + 600;
+    while (key.commit < key.last() && clock.now() < until && key.state === 'yielding') { this.kick(key, false); await sleep(clock, 10); }
+    // If nobody takes it, we serve on.
+    clock.after(1_500, () => { if (key.state === 'yielding' && key.fence === fence && this.k.phase === 'running') this.turn(key, 'owner'); });
+  }
+
+  private async leave(): Promise<void> {
+    const mine = [...this.keys.values()].filter((x) => x.state === 'owner');
+    await Promise.all(mine.map(async (key) => {
+      await this.quiesce(key);
+      const next = this.ranked(key.shard).filter((d) => d !== this.copies.disk).map((d) => this.peerAble(d)).find((x) => x !== undefined);
+      if (next) await this.k.call(next, 'TakeKey', { shard: key.shard }).catch(() => undefined);
+    }));
+    await sleep(this.k.host.clock, mine.length ? 400 : 0);
+  }
+
+  /** Takes the key under a higher fence, with the longest valid history, and completes it to a majority. */
+  private async take(key: Key): Promise<void> {
+    if (key.state === 'taking') return;
+    const p = this.reg.value?.shards.get(key.shard);
+    if (!p || !p.copies.includes(this.copies.disk)) return;
+    const { clock } = this.k.host;
+    if (key.state !== 'none') this.turn(key, 'none');
+    this.turn(key, 'taking');
+    try {
+      const n = readFence(this.copies.get(key.shard).promised).n;
+      let top = n;
+      for (let i = 0; i < 4; i++) {
+        const fence = makeFence(p.gen, top + 1, `${this.k.self}~${this.k.inst}`);
+        const got = await this.askFence(key.shard, p.copies, fence);
+        const ok = got.filter((g) => g.ok);
+        for (const g of got) if (!g.ok) top = Math.max(top, readFence(g.promised).n);
+        if (got.some((g) => !g.ok && readFence(g.promised).gen > p.gen)) return;
+        if (ok.length * 2 <= p.copies.length || !ok.some((g) => g.disk === this.copies.disk)) {
+          if (got.some((g) => !g.ok)) { top++; await sleep(clock, 20 + 60 * this.k.host.rnd.next()); continue; }
+          return;
+        }
+        await this.complete(key, fence, p.gen, p.copies, ok as Extract<Promised, { ok: true }>[]);
+        return;
+      }
+    } catch (e) {
+      this.k.count('key.take_failed');
+      const f = faultOf(e, 'take');
+      if (f.tag === 'internal') this.k.host.log.warn('take failed', { fault: f });
+    } finally {
+      if ((key.state as KeyState) === 'taking') this.turn(key, 'none');
+    }
+  }
+
+  private async askFence(shard: number, copies: string[], fence: Fence): Promise<Promised[]> {
+    const calls = copies.map((disk) => {
+      const peer = this.reg.peerOf(disk);
+      return peer ? this.k.call<Promised>(peer, 'Fence', { disk, shard, fence }) : Promise.reject(new Error('no address'));
+    });
+    return gather(calls, (got) => {
+      const ok = got.filter((g) => g.ok);
+      return ok.length * 2 > copies.length && ok.some((g) => g.disk === this.copies.disk);
+    });
+  }
+
+  private async complete(key: Key, fence: Fence, gen: number, copies: string[], ok: Extract<Promised, { ok: true }>[]): Promise<void> {
+    const mine = this.copies.get(key.shard);
+    const best = ok.reduce((a, b) => (b.lastFence > a.lastFence || (b.lastFence === a.lastFence && b.lastIdx > a.lastIdx) ? b : a));
+    if (best.lastFence !== lastFence(mine) || best.lastIdx !== lastIdx(mine)) {
+      const from = Math.min(lastIdx(mine), best.lastIdx);
+      const fromFence = from >= mine.base.idx ? (from === mine.base.idx ? mine.base.fence : mine.entries[from - mine.base.idx - 1]!.fence) : '?';
+      const f = await this.k.call<Fetched>(this.reg.peerOf(best.disk)!, 'Fetch', { disk: best.disk, shard: key.shard, from, fromFence }, C.snapshotMs);
+      await this.copies.take(key.shard, fence, f, from);
+    }
+    const c = this.copies.get(key.shard);
+    if (c.promised !== fence) return;
+    key.fence = fence;
+    key.gen = gen;
+    key.copies = copies;
+    key.base = { idx: c.base.idx, fence: c.base.fence, topics: new Map([...c.base.topics].map(([t, b]) => [t, { ...b }])), senders: new Map([...c.base.senders].map(([t, b]) => [t, { ...b }])) };
+    key.log = [...c.entries];
+    key.commit = 0;
+    key.trimTo = c.base.idx;
+    key.match = new Map();
+    key.next = new Map(copies.map((d) => [d, key.last() + 1]));
+    key.ackAt = new Map();
+    key.flying = new Set();
+    key.topics.clear();
+    key.senders.clear();
+    for (const [t, b] of key.base.topics) key.topics.set(t, { head: b.head, pend: b.head, since: b.since, era: b.era, entries: [] });
+    for (const [s, b] of key.base.senders) key.senders.set(s, { ...b, idx: 0 });
+    for (const e of key.log) this.note(key, e);
+    const now = this.k.host.clock.now();
+    key.log.push({ idx: key.last() + 1, fence, topic: '', off: 0, era: 0, sender: '', seq: 0, body: '', at: now });
+    const barrier = key.last();
+    this.kick(key, true);
+    const until = now + C.appendMs * 2;
+    while (key.commit < barrier && key.fence === fence && key.state === 'taking' && this.k.host.clock.now() < until) await sleep(this.k.host.clock, 5);
+    if (key.state !== 'taking' || key.fence !== fence || key.commit < barrier) return;
+    this.turn(key, 'owner');
+    this.announce(key);
+  }
+
+  private behind(key: Key): string[] {
+    return key.copies.filter((d) => (key.match.get(d) ?? -1) < key.last() - C.appendN);
+  }
+
+  private announce(key: Key): void {
+    const rec: KeyRec = { fence: key.fence, gen: key.gen, peer: this.k.self, inst: this.k.inst, behind: this.behind(key) };
+    const s = JSON.stringify(rec);
+    if (s === key.said) return;
+    key.said = s;
+    this.board.put(`key/${key.shard}`, `${key.fence}/${String(++key.saidN).padStart(8, '0')}`, rec);
+  }
+
+  private async trim(): Promise<void> {
+    if (!this.reg.fresh()) return;
+    const cfg = this.reg.value!.config;
+    const now = this.k.host.clock.now();
+    for (const key of this.keys.values()) {
+      if (key.state !== 'owner') continue;
+      let to = key.trimTo;
+      for (const e of key.log) {
+        if (e.idx > key.commit) break;
+        if (e.topic) {
+          const f = familyOf(cfg, e.topic);
+          if (f && now - e.at <= f.memoryS * 1000 * C.memorySlack + C.memorySlackMs) break;
+        } else if (e.idx === key.commit) break;
+        to = e.idx;
+      }
+      if (to <= key.trimTo) continue;
+      key.trimTo = to;
+      // Our own log goes with the trim; copies follow with the next append.
+      const n = to - key.base.idx;
+      for (const e of key.log.splice(0, n)) {
+        fold(key.base, e);
+        const t = e.topic ? key.topics.get(e.topic) : undefined;
+        if (t && t.entries[0]?.idx === e.idx) t.entries.shift();
+      }
+      for (const [s, b] of key.senders) if (now - b.at > C.dedupeKeepMs && b.idx <= key.base.idx) { key.senders.delete(s); key.base.senders.delete(s); }
+    }
+  }
+
+  // --- replication ---
+
+  private kick(key: Key, beat: boolean): void {
+    if (key.state === 'none' || !key.base || key.fence === NO_FENCE) return;
+    for (const d of key.copies) void this.send(key, d, beat);
+  }
+
+  private async send(key: Key, disk: string, beat: boolean): Promise<void> {
+    if (key.flying.has(disk)) return;
+    const fence = key.fence;
+    const next = key.next.get(disk) ?? key.last() + 1;
+    if (next > key.last() && !beat) return;
+    const peer = this.reg.peerOf(disk);
+    if (!peer || (peer !== this.k.self && !this.board.isLive(peer) && !beat)) return;
+    key.flying.add(disk);
+    const { clock } = this.k.host;
+    const now = clock.now();
+    let again = false;
+    try {
+      let r: Appended;
+      if (next <= key.base.idx) {
+        r = await this.k.call<Appended>(peer, 'Install', { disk, shard: key.shard, fence, base: packBase(key.base, now), entries: key.log.map(packEntry(now)) }, C.snapshotMs);
+      } else {
+        const entries: WireEntry[] = key.log.slice(next - key.base.idx - 1, next - key.base.idx - 1 + C.appendN).map(packEntry(now));
+        r = await this.k.call<Appended>(peer, 'Append', { disk, shard: key.shard, fence, prevIdx: next - 1, prevFence: key.fenceAt(next - 1), entries, trimTo: key.trimTo }, C.appendMs);
+      }
+      if (key.fence !== fence || key.state === 'none') return;
+      switch (r.tag) {
+        case 'ok':
+          key.ackAt.set(disk, now);
+          key.match.set(disk, Math.max(key.match.get(disk) ?? 0, r.match));
+          key.next.set(disk, Math.max(r.match, key.match.get(disk)!) + 1);
+          this.advance(key);
+          again = key.next.get(disk)! <= key.last();
+          break;
+        case 'behind':
+          key.next.set(disk, Math.max(Math.min(r.last + 1, next - 1), 0));
+          again = true;
+          break;
+        case 'fenced':
+          this.turn(key, 'none');
+          return;
+      }
+    } catch {
+      this.k.count('append.fail');
+    } finally {
+      if (key.fence === fence) key.flying.delete(disk);
+    }
+    if (again) void this.send(key, disk, false);
+  }
+
+  private advance(key: Key): void {
+    const ms = key.copies.map((d) => key.match.get(d) ?? 0).sort((a, b) => b - a);
+    const n = ms[Math.floor(key.copies.length / 2)]!;
+    if (n <= key.commit || n <= key.base.idx || key.fenceAt(n) !== key.fence) return;
+    const from = Math.max(key.commit, key.base.idx);
+    const was = key.commit;
+    key.commit = n;
+    for (const e of key.log.slice(from - key.base.idx, n - key.base.idx)) this.apply(key, e, was > 0);
+    const left: typeof key.waits = [];
+    for (const w of key.waits) { if (w.idx <= n) w.res(); else left.push(w); }
+    key.waits = left;
+  }
+
+  /** Takes an entry into the state by which new ones are judged. */
+  private note(key: Key, e: Entry): void {
+    if (!e.topic) return;
+    const t = this.topicOf(key, e.topic, e.era);
+    t.pend = e.off;
+    key.senders.set(`${e.topic}\n${e.sender}`, { seq: e.seq, off: e.off, idx: e.idx, at: e.at });
+  }
+
+  /** Takes an entry that a majority holds into what consumers see. */
+  private apply(key: Key, e: Entry, fan: boolean): void {
+    if (!e.topic) return;
+    const t = this.topicOf(key, e.topic, e.era);
+    t.head = e.off;
+    if (e.off >= t.since) t.entries.push(e);
+    if (fan && this.visible(e)) this.fan(e);
+  }
+
+  private topicOf(key: Key, topic: string, era: number): TopicState {
+    let t = key.topics.get(topic);
+    if (!t) { t = { head: 0, pend: 0, since: 1, era, entries: [] }; key.topics.set(topic, t); }
+    if (t.era < era) { t.era = era; t.since = t.pend + 1; t.entries = []; }
+    return t;
+  }
+
+  private visible(e: Entry): boolean {
+    const f = this.reg.value && familyOf(this.reg.value.config, e.topic);
+    return f !== undefined && this.reg.value!.born.get(f.name) === e.era;
+  }
+
+  // --- visits of relays ---
+
+  private family(topic: string, step: string): Family {
+    if (!this.reg.fresh() || this.k.phase === 'stopped') throw new Failure({ tag: 'not_ready', step, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+    const f = familyOf(this.reg.value!.config, topic);
+    if (!f) throw new Failure({ tag: 'unknown_topic', step, peer: this.k.self, topic });
+    return f;
+  }
+
+  private serving(topic: string, step: string): Key {
+    const key = this.keys.get(shardOf(topic))!;
+    const doubt = key.state === 'owner' && this.k.host.clock.now() - key.heardAt() > C.doubtMs;
+    if (key.state !== 'owner' || doubt) {
+      const f = doubt ? NO_FENCE : this.copies.get(key.shard).promised;
+      throw new Failure({ tag: 'not_owner', step, peer: this.k.self, hint: f });
+    }
+    return key;
+  }
+
+  private async publish(b: { sender: string; topic: string; seq: number; body: string }): Promise<{ offset: number }> {
+    const fam = this.family(b.topic, 'Publish');
+    const key = this.serving(b.topic, 'Publish');
+    const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
+    if (Buffer.byteLength(b.body) > limit) throw new Failure({ tag: 'too_large', step: 'Publish', peer: this.k.self, limit });
+    const sk = `${b.topic}\n${b.sender}`;
+    const s = key.senders.get(sk);
+    if (s && b.seq === s.seq) {
+      this.k.count('publish.again');
+      if (s.idx > key.commit) await this.wait(key, s.idx);
+      return { offset: s.off };
+    }
+    if (s && b.seq < s.seq) throw new Failure({ tag: 'stale_seq', step: 'Publish', peer: this.k.self, last: s.seq });
+    const era = this.reg.value!.born.get(fam.name)!;
+    const t = this.topicOf(key, b.topic, era);
+    const e: Entry = { idx: key.last() + 1, fence: key.fence, topic: b.topic, off: t.pend + 1, era, sender: b.sender, seq: b.seq, body: b.body, at: this.k.host.clock.now() };
+    key.log.push(e);
+    this.note(key, e);
+    queueMicrotask(() => this.kick(key, false));
+    await this.wait(key, e.idx);
+    this.k.count('publish.accepted');
+    return { offset: e.off };
+  }
+
+  private wait(key: Key, idx: number): Promise<void> {
+    return new Promise((res, rej) => key.waits.push({ idx, res, rej }));
+  }
+
+  private hear(relay: string, inst: string, items: InterestItem[], toLocal: (t: number) => number): true {
+    let r = this.interest.get(relay);
+    if (r && inst < r.inst) return true;
+    if (!r || r.inst !== inst) { r = { inst, topics: new Map() }; this.interest.set(relay, r); }
+    for (const i of items) {
+      const old = r.topics.get(i.topic);
+      if (old && old.rev >= i.rev) { this.k.count('interest.stale'); continue; }
+      r.topics.set(i.topic, { rev: i.rev, gen: i.gen, deadline: i.expiresAt === 0 ? 0 : toLocal(i.expiresAt) + C.holdSkewMs });
+    }
+    return true;
+  }
+
+  private interested(topic: string): [string, Interest][] {
+    const now = this.k.host.clock.now();
+    const out: [string, Interest][] = [];
+    for (const [relay, r] of this.interest) {
+      const i = r.topics.get(topic);
+      if (!i) continue;
+      if (i.deadline > now) out.push([relay, i]);
+      else if (now - i.deadline > C.holdTtlMs && i.deadline > 0) r.topics.delete(topic);
+    }
+    return out;
+  }
+
+  private fan(e: Entry): void {
+    for (const [relay, i] of this.interested(e.topic)) {
+      let q = this.fanOut.get(relay);
+      if (!q) { q = []; this.fanOut.set(relay, q); }
+      q.push({ topic: e.topic, gen: i.gen, off: e.off, sender: e.sender, seq: e.seq, body: e.body });
+    }
+    if (this.fanArmed || this.fanOut.size === 0) return;
+    this.fanArmed = true;
+    queueMicrotask(() => {
+      this.fanArmed = false;
+      for (const [relay, frames] of this.fanOut) {
+        this.k.count('fan.frames', frames.length);
+        this.k.call(relay, 'Fan', { frames }).catch(() => this.k.count('fan.lost', frames.length));
+      }
+      this.fanOut.clear();
+    });
+  }
+
+  private view(key: Key, topic: string): { head: number; first: number; since: number; entries: Entry[] } {
+    const f = this.family(topic, 'History');
+    const t = this.topicOf(key, topic, this.reg.value!.born.get(f.name)!);
+    const first = t.entries[0]?.off ?? t.head + 1;
+    return { head: t.head, first, since: t.since, entries: t.entries };
+  }
+
+  private async open(b: { topic: string; confirm: boolean }): Promise<{ head: number; first: number; since: number }> {
+    this.family(b.topic, 'Open');
+    const key = this.serving(b.topic, 'Open');
+    if (b.confirm) await this.confirm(key);
+    const { head, first, since } = this.view(key, b.topic);
+    return { head, first, since };
+  }
+
+  /** A majority answers an append begun after now: nobody else owned the key up to now. */
+  private async confirm(key: Key): Promise<void> {
+    const { clock } = this.k.host;
+    const t0 = clock.now();
+    const fence = key.fence;
+    const until = t0 + C.ownerTryMs - 100;
+    while (key.heardAt() < t0) {
+      if (key.fence !== fence || key.state !== 'owner' || clock.now() > until) throw new Failure({ tag: 'not_owner', step: 'confirm', peer: this.k.self });
+      this.kick(key, true);
+      await sleep(clock, 4);
+    }
+  }
+
+  private history(b: { topic: string; from: number }): HistoryAnswer {
+    if (!this.reg.fresh()) throw new Failure({ tag: 'not_ready', step: 'History', peer: this.k.self, retryAfterMs: C.retryMs });
+    if (!familyOf(this.reg.value!.config, b.topic)) return { tag: 'gone' };
+    const key = this.serving(b.topic, 'History');
+    const v = this.view(key, b.topic);
+    const from = Math.max(b.from, v.since);
+    const i = Math.max(0, from - v.first);
+    const entries = v.entries.slice(i, i + C.historyPageN).map((e) => ({ off: e.off, sender: e.sender, seq: e.seq, body: e.body }));
+    return { tag: 'page', head: v.head, first: v.first, since: v.since, entries };
+  }
+
+  private heads(topics: string[], relay: string): { heads: Map<string, number>; missing: string[] } {
+    const heads = new Map<string, number>();
+    const missing: string[] = [];
+    const mine = this.interest.get(relay);
+    const now = this.k.host.clock.now();
+    for (const t of topics) {
+      const f = this.reg.fresh() ? familyOf(this.reg.value!.config, t) : undefined;
+      const key = this.keys.get(shardOf(t))!;
+      if (!f || key.state !== 'owner') continue;
+      heads.set(t, this.view(key, t).head);
+      if ((mine?.topics.get(t)?.deadline ?? 0) <= now) missing.push(t);
+    }
+    return { heads, missing };
+  }
+
+  private async countListeners(topic: string): Promise<{ count: number; partial: boolean }> {
+    this.family(topic, 'Count');
+    this.serving(topic, 'Count');
+    const asked = this.interested(topic);
+    const got = await Promise.all(asked.map(([relay]) => within(this.k.host.clock, C.countWaitMs, this.k.call<number>(relay, 'CountHolds', { topic }, C.countWaitMs)).catch(() => undefined)));
+    // A relay that is gone has no listeners any more; one that is there and silent makes the answer partial.
+    const partial = got.some((n, i) => n === undefined && this.board.isLive(asked[i]![0]));
+    return { count: got.reduce<number>((a, n) => a + (n ?? 0), 0), partial };
+  }
+}
+
+register({
+  name: 'owner',
+  needs: ['board', 'register', 'copies'],
+  setup: (k) => new Owner(k, k.use('board'), k.use('register'), k.use('copies')),
+});
--- /dev/null
+++ b/packages/data/src/route.ts
@@ -0,0 +1,123 @@
+import { C, Failure, Kernel, faultOf, register, retryAfter, sleep, type Fault } from '@harecross/kernel';
+import type { Board, KeyRec, Register } from '@harecross/control';
+import { readFence, type Fence } from '@harecross/state';
+import { Subject } from 'rxjs';
+import { shardOf } from './owner.js';
+
+declare module '@harecross/kernel' {
+  interface Faces { route: Route }
+}
+
+/**
+ * Finds the owner of a topic's shard, and passes visits to it while keys change hands.
+ * @example
+ * await k.use('route').atOwner('pay/7', 'Publish', visit, 2000);
+ */
+export class Route {
+  private hints = new Map<number, { fence: Fence; peer: string }>();
+  private asking = new Map<number, Promise<void>>();
+  /** A shard whose owner changed, as far as we know. */
+  readonly moved$ = new Subject<number>();
+
+  constructor(private k: Kernel, private board: Board, private reg: Register) {
+    k.keep(board.changed$.subscribe((key) => {
+      if (!key.startsWith('key/')) return;
+      const r = board.get(key) as KeyRec;
+      this.hint(Number(key.slice(4)), r.fence, r.peer);
+    }));
+  }
+
+  private hint(shard: number, fence: Fence, peer: string): void {
+    const old = this.hints.get(shard);
+    if (!peer || (old && old.fence >= fence)) return;
+    this.hints.set(shard, { fence, peer });
+    this.moved$.next(shard);
+  }
+
+  owner(shard: number): string | undefined {
+    const h = this.hints.get(shard);
+    return h && this.board.isLive(h.peer) ? h.peer : undefined;
+  }
+
+  /** Looks for an owner in the background. */
+  seek(shard: number): void {
+    void this.who(shard);
+  }
+
+  /** Asks the shard's copies whom they promised the highest fence. */
+  private who(shard: number): Promise<void> {
+    let p = this.asking.get(shard);
+    if (!p) {
+      const disks = this.reg.value?.shards.get(shard)?.copies ?? [];
+      p = Promise.all(disks.map(async (d) => {
+        const peer = this.reg.peerOf(d);
+        if (!peer || !this.board.isLive(peer)) return;
+        try {
+          const f = await this.k.call<Fence>(peer, 'Who', { shard }, 300);
+          this.hint(shard, f, readFence(f).peer);
+        } catch { /* others answer */ }
+      })).then(() => undefined).finally(() => this.asking.delete(shard));
+      this.asking.set(shard, p);
+    }
+    return p;
+  }
+
+  /**
+   * One visit at the owner, tried again while the key changes hands. Gives up, at once, when nobody owns the key
+   * or the patience is over. `outcome_unknown` when some try may have been stored.
+   */
+  async atOwner<T>(topic: string, m: string, body: unknown, patienceMs: number): Promise<T> {
+    const { clock, rnd } = this.k.host;
+    const shard = shardOf(topic);
+    const until = clock.now() + patienceMs;
+    let lostSince: number | undefined;
+    let perhaps = false;
+    for (;;) {
+      const left = until - clock.now();
+      if (left <= 0) break;
+      const peer = this.owner(shard);
+      if (!peer) {
+        lostSince ??= clock.now();
+        if (clock.now() - lostSince > C.noOwnerMs) break;
+        await this.who(shard);
+        if (!this.owner(shard)) await sleep(clock, C.ownerRetryMs);
+        continue;
+      }
+      let f: Fault;
+      try {
+        return await this.k.call<T>(peer, m, body, Math.min(C.ownerTryMs, left));
+      } catch (e) {
+        f = faultOf(e, m, peer);
+      }
+      switch (f.tag) {
+        case 'unreachable':
+        case 'not_ready':
+          break;
+        case 'not_owner':
+          if (f.hint) this.hint(shard, f.hint, readFence(f.hint).peer);
+          break;
+        case 'unknown_topic':
+          // The owner's configuration may be behind ours; frames bring it up.
+          if (until - clock.now() < patienceMs / 2) throw new Failure(f);
+          break;
+        case 'timeout':
+        case 'cut':
+        case 'fenced':
+        case 'internal':
+          perhaps = true;
+          break;
+        default:
+          if (perhaps && f.tag === 'overloaded') throw new Failure({ tag: 'outcome_unknown', step: m, peer, retryAfterMs: f.retryAfterMs });
+          throw new Failure(f);
+      }
+      await sleep(clock, C.ownerRetryMs);
+      if (f.tag !== 'unknown_topic') await this.who(shard);
+    }
+    const retryAfterMs = retryAfter(rnd, C.retryMs);
+    throw new Failure(perhaps
+      ? { tag: 'outcome_unknown', step: m, peer: this.k.self, retryAfterMs }
+      : { tag: 'not_ready', step: m, peer: this.k.self, retryAfterMs });
+  }
+}
+
+register({ name: 'route', needs: ['board', 'register'], setup: (k) => new Route(k, k.use('board'), k.use('register')) });
--- /dev/null
+++ b/packages/harecross/src/main.ts
@@ -0,0 +1,72 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs';
+import { configFaults } from '@harecross/schema';
+import { request } from 'undici';
+import yargs from 'yargs';
+
+/** Exit codes: 0 done, 1 rejected by the fleet, 2 wrong use, 3 no answer. */
+const out = (x: unknown): void => { process.stdout.write(JSON.stringify(x, null, 2) + '\n'); };
+const fail = (code: number, line: string): never => { process.stderr.write(`harecross: ${line}\n`); process.exit(code); };
+
+async function rpc(at: string[], method: string, body: unknown): Promise<any> {
+  let last = 'no address given';
+  for (const a of at) {
+    try {
+      const r = await request(`http://${a}/rpc/${method}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), headersTimeout: 10_000, bodyTimeout: 10_000 });
+      const b = (await r.body.json()) as any;
+      if (r.statusCode === 200) return b;
+      if (r.statusCode === 503) { last = `${a}: ${b.error?.tag ?? r.statusCode}`; continue; }
+      const e = b.error ?? {};
+      if (e.tag === 'invalid_config') { for (const f of e.faults) process.stderr.write(`  ${f.path}: ${f.fault}\n`); }
+      return fail(1, `${e.tag ?? r.statusCode} at ${e.step} (${e.peer})${e.detail ? `: ${e.detail}` : ''}${e.version !== undefined ? `: version ${e.version} is in force` : ''}`);
+    } catch (e) {
+      last = `${a}: ${e instanceof Error ? e.message : e}`;
+    }
+  }
+  return fail(3, `no answer (${last})`);
+}
+
+function readJson(file: string): unknown {
+  try {
+    return JSON.parse(readFileSync(file, 'utf8'));
+  } catch (e) {
+    return fail(2, `${file}: ${e instanceof Error ? e.message : e}`);
+  }
+}
+
+const at = (a: { at: string }): string[] => a.at.split(',');
+
+await yargs(process.argv.slice(2))
+  .scriptName('harecross')
+  .usage('$0 <command>\n\nOperates a harecross fleet.')
+  .option('at', { type: 'string', demandOption: true, describe: 'client addresses of one or more nodes, comma between' })
+  .command('submit <file>', 'take a configuration', (y) => y.positional('file', { type: 'string', demandOption: true })
+    .option('change-id', { type: 'string', describe: 'name of this change; sending it again changes nothing' })
+    .option('expect', { type: 'number', describe: 'only if this version is in force' })
+    .option('dry-run', { type: 'boolean', default: false, describe: 'check it and show what would change' }), async (a) => {
+    const config = readJson(a.file) as any;
+    const faults = configFaults(config);
+    if (faults.length) { for (const f of faults) process.stderr.write(`  ${f.path}: ${f.fault}\n`); fail(1, `${a.file}: invalid configuration`); }
+    if (a.dryRun) {
+      const now = await rpc(at(a), 'ReadConfig', {});
+      const names = (c: any): Map<string, string> => new Map(c.families.map((f: any) => [f.name, JSON.stringify(f)]));
+      const [o, n] = [names(now.config), names(config)];
+      for (const [k, v] of n) if (!o.has(k)) process.stdout.write(`+ ${k}\n`); else if (o.get(k) !== v) process.stdout.write(`~ ${k}\n  - ${o.get(k)}\n  + ${v}\n`);
+      for (const k of o.keys()) if (!n.has(k)) process.stdout.write(`- ${k}\n`);
+      process.stdout.write(`against version ${now.version}; nothing was changed\n`);
+      return;
+    }
+    const changeId = a.changeId ?? `cli-${Date.now().toString(36)}-${process.pid}`;
+    out({ changeId, ...(await rpc(at(a), 'SubmitConfig', { changeId, config, ...(a.expect === undefined ? {} : { expect: a.expect }) })) });
+  })
+  .command('read', 'the configuration in force, confirmed by a majority', (y) => y, async (a) => out(await rpc(at(a), 'ReadConfig', {})))
+  .command('empty <disk>', 'move copies and keys off a disk', (y) => y.positional('disk', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'EmptyDisk', { disk: a.disk })))
+  .command('cancel-empty <disk>', 'take an emptying back', (y) => y.positional('disk', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'CancelEmpty', { disk: a.disk })))
+  .command('fleet', 'members, disks and keys as a node knows them', (y) => y, async (a) => out(await rpc(at(a), 'Fleet', {})))
+  .command('node', 'counters and states of a node', (y) => y, async (a) => out(await rpc(at(a), 'Node', {})))
+  .command('listeners <topic>', 'how many listen on a topic', (y) => y.positional('topic', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'Listeners', { topic: a.topic })))
+  .demandCommand(1, 'name a command')
+  .strict()
+  .version(false)
+  .fail((msg, err) => fail(2, (msg || err?.message || 'bad flags').split('\n')[0]!))
+  .parseAsync();
--- /dev/null
+++ b/packages/kernel/src/constants.ts
@@ -0,0 +1,149 @@
+/**
+ * Every constant of the system, with its unit and the reason for it.
+ * Names end in the unit: Ms, S, Bytes, N (a count).
+ */
+export const C = {
+  // --- interest holds (the paper's design; values are ours) ---
+  /** A hold ends this long after its last renewal. Three renewals fit, so two may be lost. */
+  holdTtlMs: 60_000,
+  /** A relay renews a hold from traffic this often. A third of the TTL, as in the source. */
+  holdRenewMs: 20_000,
+  /** The owner keeps fanning this long past expiresAt, so it never stops before the relay does. */
+  holdSkewMs: 2_000,
+  /** A conn silent for this many pings is dropped: one lost probe and one late one are forgiven. */
+  silencePingsN: 3,
+  /** Default ping_s; callers check in about every two seconds. */
+  pingS: 2,
+  /** Counts leave out conns silent for longer than this many pings: the truth of the last 5 s at ping 2. */
+  countFreshPingsN: 2.25,
+  /** Standard lane of a conn's buffer. */
+  laneBytes: 512 * 1024,
+  /** Frames above this size use the oversized lane. */
+  oversizedFromBytes: 64 * 1024,
+  /** Oversized lane of a conn's buffer; a few of the largest bodies. */
+  oversizedLaneBytes: 2 * 1024 * 1024,
+  /** Flush of a conn's buffer for routine families. */
+  flushMs: 250,
+  /** Flush when an urgent message waits: a warning must not sit a quarter second for company. */
+  flushUrgentMs: 20,
+  /** Catch-up from history pauses above this much buffered, so that it never saturates a lane itself. */
+  catchUpBytes: 128 * 1024,
+  /** Relay asks owners for heads this often: finds a lost last frame within one period. */
+  headsMs: 1_000,
+  /** Entries asked of history at a time; a page stays far below a lane. */
+  historyPageN: 64,
+  /** How long the owner waits for relays when it counts listeners; the asker's patience is about 2 s. */
+  countWaitMs: 700,
+  /** Holds and conns a relay may have: beyond it, new conns are rejected at once. */
+  connsN: 4_000,
+  /** Subscriptions a conn may have. */
+  subsPerConnN: 256,
+  /** A consumer's home forgets a conn not re-registered for this long. */
+  homeForgetMs: 15_000,
+  /** Relay re-registers its conns at their homes this often. */
+  homeRenewMs: 5_000,
+
+  // --- data: shards, copies ---
+  /** Shards of the topic space: several per disk at today's 8 disks, so that duty evens out. */
+  shardsN: 32,
+  /** Default copies of a shard; survives two lost disks. */
+  copiesN: 5,
+  /** History kept = family memory times this ... */
+  memorySlack: 1.5,
+  /** ... plus this, so that a promise of 25 s is never cut short by rounding or fail-over. */
+  memorySlackMs: 15_000,
+  /** Dedupe rows outlive any memory by a wide margin. */
+  dedupeKeepMs: 30 * 60_000,
+  /** Owner checks its keys this often. */
+  keyTickMs: 250,
+  /** Owner pings its copies this often when there is no traffic. */
+  beatMs: 400,
+  /** Without a majority's answer for this long an owner holds its duty in doubt and rejects visits. */
+  doubtMs: 1_600,
+  /** Time limit of one Append; a slow disk may take a while, and the others make the majority. */
+  appendMs: 1_500,
+  /** Entries in one Append. */
+  appendN: 256,
+  /** Publishes waiting at one owner before it rejects; urgent ones have the whole, routine ones half. */
+  ownerHoldingN: 2_000,
+  /** An owner trims its history this often. */
+  trimMs: 2_000,
+  /** Copies follow in snapshots when behind the base; a snapshot call may take this long. */
+  snapshotMs: 5_000,
+
+  // --- visits ---
+  /** Visits in work at one edge; beyond it they are rejected with a time to come back. */
+  edgeHoldingN: 3_000,
+  /** Retry hint base; a random share of as much again spreads callers out. */
+  retryMs: 400,
+  /** One try of a relay at an owner. */
+  ownerTryMs: 900,
+  /** Pause between two tries at owners while a key changes hands. */
+  ownerRetryMs: 60,
+  /** A publish whose key has no owner in sight is given up after this long, well below any patience. */
+  noOwnerMs: 700,
+  /** Default limit of a body. */
+  bodyBytes: 64 * 1024,
+
+  // --- membership, gossip ---
+  /** One gossip exchange with this many peers per period. */
+  gossipPeersN: 2,
+  gossipMs: 500,
+  /** News goes to this many peers at each step; log2(200) steps reach a large fleet. */
+  newsFanN: 4,
+  /** Entries of a partial view. */
+  viewN: 12,
+  /** Entries swapped in one shuffle. */
+  shuffleN: 5,
+  shuffleMs: 1_000,
+  /** A member whose beat stood still this long is asked directly. */
+  probeAfterMs: 1_500,
+  probeMs: 700,
+  /** A member whose beat stood still this long and did not answer is suspected (not matched for duties). */
+  suspectMs: 2_600,
+  /** A suspected member is dead after this long. */
+  deadMs: 8_000,
+  /** A dead member's record is forgotten after this long. */
+  forgetMs: 120_000,
+  /** Time limit of small control calls. */
+  callMs: 800,
+  /** A gap in our own loop this long means we were frozen: duties are in doubt until confirmed. */
+  frozenMs: 1_200,
+  loopTickMs: 200,
+
+  // --- register ---
+  /** Every node confirms its version at a majority this often ... */
+  confirmMs: 600,
+  /** ... and serves only while the last confirmation began at most this long ago; 3 s is the promise. */
+  freshMs: 2_400,
+  /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
+  seatsN: 7,
+  /** Change attempts give up after this long, and say so. */
+  changeMs: 6_000,
+  /** Change ids remembered with their outcome. */
+  changeIdsN: 4_096,
+  /** Founders look around this long for other disks before they found. */
+  foundAfterMs: 1_200,
+  foundMs: 500,
+
+  // --- keeper: disks and placement ---
+  keeperMs: 500,
+  /** A disk seen live this long is let into the disk set. */
+  joinAfterMs: 1_000,
+  /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
+  replaceAfterMs: 45_000,
+  /** Shards in motion at once; keeps repair from taking traffic's share. */
+  movingN: 8,
+
+  // --- process ---
+  /** SIGTERM to exit; the hard kill comes at 6 s. */
+  stopMs: 4_500,
+  /** Commits gather this long into one synced transaction. */
+  commitMs: 2,
+  /** Settings files are compared this often, for changes without a signal. */
+  rereadMs: 1_000,
+  /** Time limit for connecting to a peer; loopback and site links answer far sooner. */
+  connectMs: 1_000,
+  /** Sockets to one peer. */
+  peerSocketsN: 6,
+} as const;
--- /dev/null
+++ b/packages/kernel/src/disk.ts
@@ -0,0 +1,68 @@
+import Database from 'better-sqlite3';
+import type { Clock } from './host.js';
+
+export type Sql = Database.Database;
+
+/**
+ * One database per node. Work given to `commit` is gathered for a moment and run in one synced
+ * transaction; the promise resolves once that transaction lasts. Nothing is answered before.
+ * @example
+ * const n = await db.commit((sql) => sql.prepare('insert into t values (1)').run().changes);
+ */
+export class Db {
+  private wait: { fn: (sql: Sql) => unknown; res: (x: any) => void; rej: (e: unknown) => void }[] = [];
+  private armed = false;
+  private dead = false;
+  commits = 0;
+  works = 0;
+
+  constructor(
+    readonly sql: Sql,
+    private clock: Clock,
+    private gatherMs: () => number,
+    private onFault: (e: Error) => void,
+  ) {}
+
+  commit<T>(fn: (sql: Sql) => T): Promise<T> {
+    return new Promise((res, rej) => {
+      this.wait.push({ fn, res, rej });
+      if (this.armed || this.dead) return;
+      this.armed = true;
+      this.clock.after(this.gatherMs(), () => this.flush());
+    });
+  }
+
+  private flush(): void {
+    this.armed = false;
+    if (this.dead) return;
+    const all = this.wait;
+    this.wait = [];
+    const out: unknown[] = [];
+    try {
+      this.sql.transaction(() => {
+        for (const w of all) out.push(w.fn(this.sql));
+      })();
+    } catch (e) {
+      // What the work changed in memory may now differ from the disk: stop, and start again from the disk.
+      this.dead = true;
+      this.onFault(e as Error);
+      for (const w of all) w.rej(e);
+      return;
+    }
+    this.commits++;
+    this.works += all.length;
+    all.forEach((w, i) => w.res(out[i]));
+  }
+
+  /** Drops what was not yet synced, as a loss of power would. */
+  drop(): void {
+    this.dead = true;
+    this.wait = [];
+  }
+
+  close(): void {
+    if (!this.dead && this.wait.length) this.flush();
+    this.dead = true;
+    this.sql.close();
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/fault.ts
@@ -0,0 +1,58 @@
+/** Errors as a tagged union. Each carries the step at which it arose and the peer it arose with. */
+export type Fault =
+  | { tag: 'unreachable'; step: string; peer: string; detail: string }
+  | { tag: 'timeout'; step: string; peer: string }
+  | { tag: 'cut'; step: string; peer: string; detail: string }
+  | { tag: 'not_ready'; step: string; peer: string; retryAfterMs: number }
+  | { tag: 'not_owner'; step: string; peer: string; hint?: string }
+  | { tag: 'fenced'; step: string; peer: string; fence: string }
+  | { tag: 'overloaded'; step: string; peer: string; retryAfterMs: number }
+  | { tag: 'bad_visit'; step: string; peer: string; detail: string }
+  | { tag: 'unknown_method'; step: string; peer: string; method: string }
+  | { tag: 'unknown_topic'; step: string; peer: string; topic: string }
+  | { tag: 'unknown_conn'; step: string; peer: string }
+  | { tag: 'unknown_disk'; step: string; peer: string; disk: string }
+  | { tag: 'cursor_expired'; step: string; peer: string; first: number; head: number }
+  | { tag: 'cursor_ahead'; step: string; peer: string; head: number }
+  | { tag: 'too_large'; step: string; peer: string; limit: number }
+  | { tag: 'stale_seq'; step: string; peer: string; last: number }
+  | { tag: 'outcome_unknown'; step: string; peer: string; retryAfterMs: number }
+  | { tag: 'conflict'; step: string; peer: string; version: number }
+  | { tag: 'invalid_config'; step: string; peer: string; faults: { path: string; fault: string }[] }
+  | { tag: 'no_majority'; step: string; peer: string; detail: string }
+  | { tag: 'wont_hold'; step: string; peer: string; detail: string }
+  | { tag: 'disk_ill'; step: string; peer: string; detail: string }
+  | { tag: 'internal'; step: string; peer: string; detail: string };
+
+export type FaultTag = Fault['tag'];
+
+/**
+ * The one Error class; the matter is in `fault`.
+ * @example
+ * throw new Failure({ tag: 'timeout', step: 'append', peer: '127.0.0.1:7101' });
+ */
+export class Failure extends Error {
+  constructor(readonly fault: Fault) {
+    super(`${fault.tag} at ${fault.step} (${fault.peer})${'detail' in fault ? `: ${fault.detail}` : ''}`);
+    this.name = 'Failure';
+  }
+}
+
+/**
+ * The fault in anything thrown; foreign errors become `internal`.
+ * @example
+ * try { await call() } catch (e) { switch (faultOf(e).tag) { case 'timeout': retry() } }
+ */
+export function faultOf(e: unknown, step = 'unknown', peer = 'self'): Fault {
+  if (e instanceof Failure) return e.fault;
+  return { tag: 'internal', step, peer, detail: e instanceof Error ? e.message : String(e) };
+}
+
+/**
+ * For the default branch of exhaustive switches.
+ * @example
+ * switch (x.tag) { case 'a': return 1; default: return never(x) }
+ */
+export function never(x: never): never {
+  throw new Error(`unreachable: ${JSON.stringify(x)}`);
+}
--- /dev/null
+++ b/packages/kernel/src/flow.ts
@@ -0,0 +1,127 @@
+import { Observable, Subject, exhaustMap, from, mergeMap } from 'rxjs';
+import type { Clock, Rnd } from './host.js';
+
+/**
+ * Ticks by an injected clock, with up to a tenth of random shift so that nodes do not tick in step.
+ * @example
+ * every(clock, 500, rnd).pipe(exhaustMap(() => gossip())).subscribe();
+ */
+export function every(clock: Clock, ms: number, rnd?: Rnd): Observable<void> {
+  return new Observable((o) => {
+    let cancel = () => {};
+    const next = () => {
+      const shift = rnd ? ms * 0.1 * (rnd.next() - 0.5) : 0;
+      cancel = clock.after(ms + shift, () => {
+        o.next();
+        if (!o.closed) next();
+      });
+    };
+    next();
+    return () => cancel();
+  });
+}
+
+/**
+ * A loop that never overlaps itself: a tick that comes while the last round still works is skipped.
+ * @example
+ * const sub = loop(clock, 500, rnd, async () => { await gossip() });
+ */
+export function loop(clock: Clock, ms: number, rnd: Rnd, round: () => Promise<unknown>) {
+  return every(clock, ms, rnd)
+    .pipe(exhaustMap(() => from(round().catch(() => undefined))))
+    .subscribe();
+}
+
+/**
+ * Resolves after ms of the injected clock.
+ * @example
+ * await sleep(clock, 60);
+ */
+export function sleep(clock: Clock, ms: number): Promise<void> {
+  return new Promise((res) => {
+    clock.after(ms, res);
+  });
+}
+
+/**
+ * The promise's result, or undefined after ms.
+ * @example
+ * const n = await within(clock, 700, count());
+ */
+export function within<T>(clock: Clock, ms: number, p: Promise<T>): Promise<T | undefined> {
+  return new Promise((res, rej) => {
+    const cancel = clock.after(ms, () => res(undefined));
+    p.then(
+      (x) => { cancel(); res(x); },
+      (e) => { cancel(); rej(e); },
+    );
+  });
+}
+
+/**
+ * Waits until enough of the calls succeeded, or until it is clear that they will not.
+ * Gives all answers so far; later ones are dropped.
+ * @example
+ * const xs = await gather(calls, (got) => got.length > calls.length / 2);
+ */
+export function gather<T>(calls: Promise<T>[], enough: (got: T[]) => boolean): Promise<T[]> {
+  return new Promise((res) => {
+    const got: T[] = [];
+    let left = calls.length;
+    if (left === 0) res(got);
+    for (const c of calls) {
+      c.then(
+        (x) => { got.push(x); left--; if (left === 0 || enough(got)) res(got); },
+        () => { left--; if (left === 0) res(got); },
+      );
+    }
+  });
+}
+
+/**
+ * A bounded holding that joins two stages: what `offer` takes is worked on by at most `wide` at once,
+ * urgent ones first. What it cannot take it rejects at once, and routine visits may fill only half of it.
+ * @example
+ * const h = new Holding(1000, 64, (v) => serve(v));
+ * const p = h.offer(visit, true); // undefined when full
+ */
+export class Holding<A, B> {
+  private urgent: (() => void)[] = [];
+  private routine: (() => void)[] = [];
+  private go = new Subject<() => Promise<void>>();
+  private busy = 0;
+  taken = 0;
+  rejected = 0;
+
+  constructor(private size: number, private wide: number, private work: (a: A) => Promise<B>) {
+    this.go.pipe(mergeMap((f) => from(f()))).subscribe();
+  }
+
+  get length(): number {
+    return this.urgent.length + this.routine.length + this.busy;
+  }
+
+  offer(a: A, urgent = false): Promise<B> | undefined {
+    if (this.length >= (urgent ? this.size : this.size / 2)) {
+      this.rejected++;
+      return undefined;
+    }
+    this.taken++;
+    return new Promise((res, rej) => {
+      const run = () => {
+        this.busy++;
+        this.go.next(() => this.work(a).then(res, rej).finally(() => { this.busy--; this.pump(); }));
+      };
+      (urgent ? this.urgent : this.routine).push(run);
+      this.pump();
+    });
+  }
+
+  private pump(): void {
+    while (this.busy < this.wide) {
+      const f = this.urgent.shift() ?? this.routine.shift();
+      if (!f) return;
+      f();
+    }
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/host.ts
@@ -0,0 +1,86 @@
+import type { Db } from './disk.js';
+
+/** What a node gets from its surroundings. The real one and the simulator's stand behind the same face. */
+export interface Clock {
+  /** Milliseconds; runs at the true rate, may differ from other machines' by any amount. */
+  now(): number;
+  /** Runs fn after ms; the result cancels. */
+  after(ms: number, fn: () => void): () => void;
+}
+
+export interface Rnd {
+  /** In [0, 1). */
+  next(): number;
+}
+
+export interface Net {
+  /** Serves peer frames at our address. */
+  serve(handle: (frame: string) => Promise<string>): Promise<void>;
+  /** One visit to a peer. Fails with `unreachable` only if the peer surely never saw it. */
+  call(peer: string, frame: string, timeoutMs: number): Promise<string>;
+  close(): Promise<void>;
+}
+
+export interface Log {
+  info(line: string, data?: Record<string, unknown>): void;
+  warn(line: string, data?: Record<string, unknown>): void;
+}
+
+export type Role = 'relay' | 'store';
+
+/** A process's own config (its place), checked by `readNodeConfig`. */
+export interface NodeConfig {
+  role: Role;
+  domain: string;
+  /** Where peers reach us, ip:port. Also our name. */
+  peer: string;
+  /** Where consumers and operators reach us, ip:port. */
+  client: string;
+  seeds: string[];
+  /** Folder for everything lasting; a node without one keeps no copies. */
+  data?: string;
+}
+
+export interface Host {
+  clock: Clock;
+  rnd: Rnd;
+  net: Net;
+  log: Log;
+  config: NodeConfig;
+  db?: Db;
+  /** Ends the process; for faults it must not serve with. */
+  die(reason: string): void;
+}
+
+/**
+ * A random whole number below n.
+ * @example
+ * const i = below(rnd, 3); // 0, 1 or 2
+ */
+export function below(rnd: Rnd, n: number): number {
+  return Math.floor(rnd.next() * n);
+}
+
+/**
+ * Up to n different items in random order.
+ * @example
+ * sample(rnd, ['a', 'b', 'c'], 2); // ['c', 'a']
+ */
+export function sample<T>(rnd: Rnd, xs: readonly T[], n: number): T[] {
+  const a = [...xs];
+  const k = Math.min(n, a.length);
+  for (let i = 0; i < k; i++) {
+    const j = i + below(rnd, a.length - i);
+    [a[i], a[j]] = [a[j]!, a[i]!];
+  }
+  return a.slice(0, k);
+}
+
+/**
+ * A time to come back, spread over [ms, 2 ms).
+ * @example
+ * retryAfter(rnd, 400); // 613
+ */
+export function retryAfter(rnd: Rnd, ms: number): number {
+  return Math.round(ms * (1 + rnd.next()));
+}
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,11 @@
+export * from './constants.js';
+export * from './fault.js';
+export * from './host.js';
+export * from './flow.js';
+export * from './disk.js';
+export * from './kernel.js';
+export * from './match.js';
+export * from './real.js';
+export * from './node-config.js';
+export { parse as unpack, stringify as pack } from 'devalue';
+export * from './flags.js';
--- /dev/null
+++ b/packages/kernel/src/kernel.ts
@@ -0,0 +1,189 @@
+import { parse, stringify } from 'devalue';
+import { Subject, type Subscription } from 'rxjs';
+import { C } from './constants.js';
+import { Failure, faultOf, type Fault } from './fault.js';
+import { every, within } from './flow.js';
+import { retryAfter, type Host } from './host.js';
+
+/** Plug-ins add their face here by declaration merging, so that `use` is typed. */
+export interface Faces {}
+
+export interface Plugin<K extends keyof Faces = keyof Faces> {
+  name: K;
+  needs: (keyof Faces)[];
+  setup(k: Kernel): Faces[K] | Promise<Faces[K]>;
+}
+
+const known = new Map<string, Plugin<never>>();
+
+/**
+ * Plug-ins call this when their module loads; a program picks by name which of them it runs.
+ * @example
+ * register({ name: 'board', needs: [], setup: (k) => new Board(k) });
+ */
+export function register<K extends keyof Faces>(p: Plugin<K>): void {
+  known.set(p.name, p as unknown as Plugin<never>);
+}
+
+export type Phase = 'starting' | 'running' | 'draining' | 'stopped';
+
+interface Ask { m: string; from: string; inst: string; rev: number; now: number; body: unknown }
+type Answer = { rev: number; now: number } & ({ ok: unknown } | { err: Fault });
+
+/** What a handler learns of the sender. `ageOf` turns the sender's clock into ours. */
+export interface From { peer: string; inst: string; toLocal(t: number): number }
+export type Handler = (body: any, from: From) => unknown;
+
+/**
+ * The kernel of a node: plug-ins, the peer wire, counters, phases. One loop, one thread.
+ * @example
+ * const k = new Kernel(host);
+ * await k.boot(['board', 'register']);
+ * k.use('board').live();
+ */
+export class Kernel {
+  readonly counters = new Map<string, number>();
+  readonly phase$ = new Subject<Phase>();
+  /** Fires when our own loop stood still for long: duties are in doubt until confirmed. */
+  readonly thawed$ = new Subject<number>();
+  /** Highest register revision we have in force; goes with every frame. */
+  rev = 0;
+  /** Called with every revision seen on a peer's frame that is above ours. */
+  onNewer: (rev: number, peer: string) => Promise<void> = async () => {};
+  /** Called when a peer surely did not get a visit; speeds up suspicion. */
+  onUnreachable: (peer: string) => void = () => {};
+  phase: Phase = 'starting';
+  readonly self: string;
+  readonly inst: string;
+  private faces = new Map<string, unknown>();
+  private handlers = new Map<string, { h: Handler; current: boolean }>();
+  private subs: Subscription[] = [];
+  private stops: (() => void | Promise<void>)[] = [];
+
+  constructor(readonly host: Host) {
+    this.self = host.config.peer;
+    this.inst = `${String(Math.floor(host.clock.now())).padStart(15, '0')}-${Math.floor(host.rnd.next() * 1e9).toString(36)}`;
+  }
+
+  async boot(names: (keyof Faces)[]): Promise<void> {
+    for (const n of names) await this.load(n);
+    await this.host.net.serve((f) => this.answer(f));
+    let last = this.host.clock.now();
+    this.keep(every(this.host.clock, C.loopTickMs).subscribe(() => {
+      const now = this.host.clock.now();
+      if (now - last > C.frozenMs) { this.count('loop.frozen'); this.thawed$.next(now - last); }
+      last = now;
+    }));
+    this.become('running');
+  }
+
+  private async load(n: string): Promise<void> {
+    if (this.faces.has(n)) return;
+    const p = known.get(n);
+    if (!p) throw new Error(`no plug-in ${n}`);
+    for (const d of p.needs) await this.load(d);
+    this.faces.set(n, await p.setup(this));
+  }
+
+  use<K extends keyof Faces>(n: K): Faces[K] {
+    const f = this.faces.get(n);
+    if (f === undefined) throw new Error(`plug-in ${n} is not loaded`);
+    return f as Faces[K];
+  }
+
+  has(n: keyof Faces): boolean {
+    return this.faces.has(n);
+  }
+
+  /** The one function that changes the phase. */
+  become(p: Phase): void {
+    if (this.phase === p || this.phase === 'stopped') return;
+    this.host.log.info(`phase ${this.phase} -> ${p}`);
+    this.phase = p;
+    this.phase$.next(p);
+  }
+
+  keep(s: Subscription): void {
+    this.subs.push(s);
+  }
+
+  /** Run at stop, last added first. */
+  onStop(f: () => void | Promise<void>): void {
+    this.stops.push(f);
+  }
+
+  async stop(): Promise<void> {
+    this.become('draining');
+    for (const f of [...this.stops].reverse()) {
+      try { await f(); } catch (e) { this.host.log.warn('stop step failed', { fault: faultOf(e) }); }
+    }
+    this.end();
+    await this.host.net.close();
+    this.host.db?.close();
+  }
+
+  /** Ends all loops at once, without goodbye. */
+  end(): void {
+    for (const s of this.subs) s.unsubscribe();
+    this.become('stopped');
+  }
+
+  count(name: string, by = 1): void {
+    this.counters.set(name, (this.counters.get(name) ?? 0) + by);
+  }
+
+  /** With `current`, a visit from a peer that knows a newer value waits until we have it too. */
+  on(method: string, h: Handler, current = false): void {
+    this.handlers.set(method, { h, current });
+  }
+
+  /** A visit to a peer; a visit to ourselves takes the same way without the net. */
+  async call<T = any>(peer: string, m: string, body: unknown, timeoutMs: number = C.callMs): Promise<T> {
+    const now = this.host.clock.now();
+    if (peer === this.self) {
+      const h = this.handlers.get(m);
+      if (!h) throw new Failure({ tag: 'unknown_method', step: m, peer, method: m });
+      return (await h.h(body, { peer, inst: this.inst, toLocal: (t) => t })) as T;
+    }
+    this.count('peer.out');
+    const ask: Ask = { m, from: this.self, inst: this.inst, rev: this.rev, now, body };
+    let raw: string;
+    try {
+      raw = await this.host.net.call(peer, stringify(ask), timeoutMs);
+    } catch (e) {
+      const f = faultOf(e, m, peer);
+      this.count(`peer.fail.${f.tag}`);
+      if (f.tag === 'unreachable') this.onUnreachable(peer);
+      throw new Failure({ ...f, step: m });
+    }
+    const a = parse(raw) as Answer;
+    if (a.rev > this.rev) void this.onNewer(a.rev, peer);
+    if ('err' in a) throw new Failure(a.err);
+    return a.ok as T;
+  }
+
+  private async answer(frame: string): Promise<string> {
+    const now = this.host.clock.now();
+    this.count('peer.in');
+    const a = parse(frame) as Ask;
+    const shift = now - a.now;
+    const out = (x: { ok: unknown } | { err: Fault }): string =>
+      stringify({ rev: this.rev, now: this.host.clock.now(), ...x });
+    const h = this.handlers.get(a.m);
+    if (a.rev > this.rev) {
+      const newer = this.onNewer(a.rev, a.from);
+      if (h?.current) await within(this.host.clock, C.callMs / 2, newer);
+    }
+    if (!h) return out({ err: { tag: 'unknown_method', step: a.m, peer: this.self, method: a.m } });
+    if (this.phase === 'stopped') {
+      return out({ err: { tag: 'not_ready', step: a.m, peer: this.self, retryAfterMs: retryAfter(this.host.rnd, C.retryMs) } });
+    }
+    try {
+      return out({ ok: await h.h(a.body, { peer: a.from, inst: a.inst, toLocal: (t) => t + shift }) });
+    } catch (e) {
+      const f = faultOf(e, a.m, this.self);
+      if (f.tag === 'internal') { this.count('internal'); this.host.log.warn('handler failed', { fault: f, stack: e instanceof Error ? e.stack : undefined }); }
+      return out({ err: f });
+    }
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/match.ts
@@ -0,0 +1,22 @@
+import { createHash } from 'node:crypto';
+
+/**
+ * A 32-bit hash, the same on every machine.
+ * @example
+ * hash('meter/12') % 32
+ */
+export function hash(s: string): number {
+  return createHash('md5').update(s).digest().readUInt32BE(0);
+}
+
+/**
+ * Rendezvous: nodes ranked for a key. When a node goes, only its keys move.
+ * @example
+ * rank('shard/3', ['a', 'b', 'c'])[0] // the owner
+ */
+export function rank<T>(key: string, xs: Iterable<T>, name: (x: T) => string = String): T[] {
+  return [...xs]
+    .map((x) => [hash(`${key}|${name(x)}`), name(x), x] as const)
+    .sort((a, b) => b[0] - a[0] || (a[1] < b[1] ? -1 : 1))
+    .map((t) => t[2]);
+}
--- /dev/null
+++ b/packages/kernel/src/node-config.ts
@@ -0,0 +1,69 @@
+import { readFileSync } from 'node:fs';
+import Type from 'typebox';
+import { Compile } from 'typebox/compile';
+import type { NodeConfig, Role } from './host.js';
+
+const Address = Type.String({ pattern: '^\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}$' });
+
+/** Schema of a process's config file. */
+export const NodeConfigSchema = Type.Object(
+  {
+    role: Type.Optional(Type.Union([Type.Literal('relay'), Type.Literal('store')])),
+    domain: Type.String({ minLength: 1, maxLength: 64 }),
+    peer: Address,
+    client: Address,
+    seeds: Type.Array(Address, { minItems: 3, maxItems: 3, uniqueItems: true }),
+    data: Type.Optional(Type.String({ minLength: 1 })),
+  },
+  { additionalProperties: false },
+);
+const check = Compile(NodeConfigSchema);
+
+/**
+ * Why a value is not a NodeConfig, one clear line; undefined when it is one.
+ * @example
+ * faultInConfig({ domain: 'kaolack' }); // 'peer: required'
+ */
+export function faultInConfig(x: unknown): string | undefined {
+  if (!check.Check(x)) {
+    const es = check.Errors(x) as { instancePath: string; message: string; params?: any }[];
+    const e = es[0];
+    const miss = e?.params?.requiredProperties?.[0];
+    const extra = e?.params?.additionalProperties?.[0];
+    if (miss) return `${miss}: missing`;
+    if (extra) return `${extra}: unknown key`;
+    return `${e?.instancePath.replace(/^\//, '').replaceAll('/', '.') || 'config'}: ${e?.message === 'schema is false' ? 'unknown key' : (e?.message ?? 'invalid')}`;
+  }
+  const c = x as NodeConfig;
+  for (const [k, a] of [['peer', c.peer], ['client', c.client], ...c.seeds.map((s, i) => [`seeds.${i}`, s])] as [string, string][]) {
+    const [ip, port] = a.split(':') as [string, string];
+    if (ip.split('.').some((n) => Number(n) > 255)) return `${k}: '${a}' is not an IP address and port`;
+    if (Number(port) < 1 || Number(port) > 65535) return `${k}: port ${port} is out of range 1..65535`;
+  }
+  if (c.peer === c.client) return 'peer and client: must be two different addresses';
+  return undefined;
+}
+
+/**
+ * Reads a config file and lays flags over it. Throws an Error with one clear line.
+ * @example
+ * const c = readNodeConfig('store', 'store-1.json', { domain: 'fatick' });
+ */
+export function readNodeConfig(role: Role, file: string | undefined, flags: Partial<NodeConfig>): NodeConfig {
+  let base: Record<string, unknown> = {};
+  if (file) {
+    try {
+      base = JSON.parse(readFileSync(file, 'utf8'));
+    } catch (e) {
+      throw new Error(`${file}: ${e instanceof Error ? e.message : e}`);
+    }
+    if (typeof base !== 'object' || base === null || Array.isArray(base)) throw new Error(`${file}: must hold a JSON object`);
+  }
+  const x: Record<string, unknown> = { ...base };
+  for (const [k, v] of Object.entries(flags)) if (v !== undefined) x[k] = v;
+  const f = faultInConfig(x);
+  if (f) throw new Error(file ? `${file}: ${f}` : f);
+  if (x.role !== undefined && x.role !== role) throw new Error(`role: '${x.role}' in the config, but this program is '${role}'`);
+  if (role === 'store' && !x.data) throw new Error('data: a store needs a data folder');
+  return { ...(x as unknown as NodeConfig), role };
+}
--- /dev/null
+++ b/packages/relay/src/main.ts
@@ -0,0 +1,7 @@
+#!/usr/bin/env node
+import '@harecross/control';
+import { runNode } from '@harecross/data';
+import { nodeFlags } from '@harecross/kernel';
+
+const { file, flags } = nodeFlags('relay', process.argv.slice(2));
+await runNode('relay', file, flags);
--- /dev/null
+++ b/packages/state/src/index.ts
@@ -0,0 +1,205 @@
+import type { Db, Sql } from '@harecross/kernel';
+
+/** Fences compare as strings: generation of the placement, then number, then the owner that took it. */
+export type Fence = string;
+export const NO_FENCE: Fence = '';
+
+/**
+ * @example
+ * makeFence(3, 7, '10.0.0.1:7101~0001'); // '00000003.0000000007.10.0.0.1:7101~0001'
+ */
+export function makeFence(gen: number, n: number, owner: string): Fence {
+  return `${String(gen).padStart(8, '0')}.${String(n).padStart(10, '0')}.${owner}`;
+}
+
+/**
+ * @example
+ * readFence(f).peer; // '10.0.0.1:7101'
+ */
+export function readFence(f: Fence): { gen: number; n: number; peer: string } {
+  if (f === NO_FENCE) return { gen: 0, n: 0, peer: '' };
+  const owner = f.slice(20);
+  return { gen: Number(f.slice(0, 8)), n: Number(f.slice(9, 19)), peer: owner.split('~')[0]! };
+}
+
+/** One entry of a shard's history. `at` is the keeper's own clock; ages travel, times do not. */
+export interface Entry {
+  idx: number;
+  fence: Fence;
+  /** Topic of a message; '' for the barrier that a new owner writes first. */
+  topic: string;
+  off: number;
+  /** Config version in which the topic's family was born: a family made anew shows nothing older. */
+  era: number;
+  sender: string;
+  seq: number;
+  body: string;
+  at: number;
+}
+
+/** `since` is the first offset of the present era: what is older belongs to a family that was removed. */
+export interface TopicBase { head: number; since: number; era: number }
+export interface SenderBase { seq: number; off: number; at: number }
+
+/** What is known up to and including idx, once the entries themselves are trimmed. */
+export interface Base {
+  idx: number;
+  fence: Fence;
+  topics: Map<string, TopicBase>;
+  /** Key: topic + '\n' + sender. */
+  senders: Map<string, SenderBase>;
+}
+
+/** A copy of one shard: in memory what is on disk, changed only together with the disk. */
+export interface Copy {
+  shard: number;
+  promised: Fence;
+  base: Base;
+  /** entries[i].idx === base.idx + 1 + i */
+  entries: Entry[];
+}
+
+export const lastIdx = (c: Copy): number => c.base.idx + c.entries.length;
+export const lastFence = (c: Copy): Fence => (c.entries.length ? c.entries[c.entries.length - 1]!.fence : c.base.fence);
+/** The fence of the entry at idx; undefined when it is not held. */
+export function fenceAt(c: Copy, idx: number): Fence | undefined {
+  if (idx === c.base.idx) return c.base.fence;
+  return c.entries[idx - c.base.idx - 1]?.fence;
+}
+
+/** An acceptor's state in the register. */
+export interface Seat { promised: string; ballot: string; value: string | undefined }
+
+/**
+ * The node's lasting state. All writes are made inside `db.commit`, which syncs them.
+ * @example
+ * const st = new Store(db); st.init();
+ * await db.commit(() => st.saveSeat({ promised: b, ballot: '', value: undefined }));
+ */
+export class Store {
+  private sql: Sql;
+  constructor(readonly db: Db) {
+    this.sql = db.sql;
+  }
+
+  init(): void {
+    this.sql.exec(`
+      create table if not exists meta (k text primary key, v text not null) without rowid;
+      create table if not exists copy (shard integer primary key, promised text not null, idx integer not null, fence text not null);
+      create table if not exists entry (shard integer, idx integer, fence text, topic text, off integer, era integer, sender text, seq integer, body text, at real, primary key (shard, idx)) without rowid;
+      create table if not exists topic (shard integer, topic text, head integer, since integer, era integer, primary key (shard, topic)) without rowid;
+      create table if not exists sender (shard integer, k text, seq integer, off integer, at real, primary key (shard, k)) without rowid;`);
+  }
+
+  get(k: string): string | undefined {
+    return (this.sql.prepare('select v from meta where k = ?').get(k) as { v: string } | undefined)?.v;
+  }
+  set(k: string, v: string): void {
+    this.sql.prepare('insert into meta values (?, ?) on conflict (k) do update set v = excluded.v').run(k, v);
+  }
+
+  seat(): Seat {
+    return { promised: this.get('seat.promised') ?? '', ballot: this.get('seat.ballot') ?? '', value: this.get('seat.value') };
+  }
+  saveSeat(s: Seat): void {
+    this.set('seat.promised', s.promised);
+    this.set('seat.ballot', s.ballot);
+    if (s.value !== undefined) this.set('seat.value', s.value);
+  }
+
+  copies(): Map<number, Copy> {
+    const out = new Map<number, Copy>();
+    for (const r of this.sql.prepare('select * from copy').all() as { shard: number; promised: string; idx: number; fence: string }[]) {
+      out.set(r.shard, { shard: r.shard, promised: r.promised, base: { idx: r.idx, fence: r.fence, topics: new Map(), senders: new Map() }, entries: [] });
+    }
+    for (const r of this.sql.prepare('select * from topic').all() as any[]) out.get(r.shard)?.base.topics.set(r.topic, { head: r.head, since: r.since, era: r.era });
+    for (const r of this.sql.prepare('select * from sender').all() as any[]) out.get(r.shard)?.base.senders.set(r.k, { seq: r.seq, off: r.off, at: r.at });
+    for (const r of this.sql.prepare('select * from entry order by shard, idx').all() as any[]) {
+      const { shard, ...e } = r;
+      out.get(shard)?.entries.push(e as Entry);
+    }
+    return out;
+  }
+
+  promise(c: Copy, f: Fence): void {
+    c.promised = f;
+    this.saveCopy(c);
+  }
+  private saveCopy(c: Copy): void {
+    this.sql.prepare('insert into copy values (?, ?, ?, ?) on conflict (shard) do update set promised = excluded.promised, idx = excluded.idx, fence = excluded.fence')
+      .run(c.shard, c.promised, c.base.idx, c.base.fence);
+  }
+
+  /** Cuts everything from idx on. */
+  cut(c: Copy, idx: number): void {
+    const keep = idx - c.base.idx - 1;
+    if (keep >= c.entries.length) return;
+    c.entries.length = keep;
+    this.sql.prepare('delete from entry where shard = ? and idx >= ?').run(c.shard, idx);
+  }
+
+  add(c: Copy, e: Entry): void {
+    c.entries.push(e);
+    this.sql.prepare('insert into entry values (?, ?, ?, ?, ?, ?, ?, ?, ?, ?)').run(c.shard, e.idx, e.fence, e.topic, e.off, e.era, e.sender, e.seq, e.body, e.at);
+  }
+
+  /** Folds entries up to idx into the base. Only ever called for entries a majority holds. */
+  trim(c: Copy, idx: number, dedupeAfter: number): void {
+    const n = Math.min(idx - c.base.idx, c.entries.length);
+    if (n <= 0) return;
+    const gone = c.entries.splice(0, n);
+    const topics = new Set<string>();
+    const senders = new Set<string>();
+    for (const e of gone) {
+      fold(c.base, e);
+      if (e.topic) { topics.add(e.topic); senders.add(`${e.topic}\n${e.sender}`); }
+    }
+    this.sql.prepare('delete from entry where shard = ? and idx <= ?').run(c.shard, c.base.idx);
+    for (const t of topics) this.saveTopic(c, t);
+    for (const s of senders) this.saveSender(c, s);
+    for (const [s, b] of c.base.senders) {
+      if (b.at >= dedupeAfter) continue;
+      c.base.senders.delete(s);
+      this.sql.prepare('delete from sender where shard = ? and k = ?').run(c.shard, s);
+    }
+    this.saveCopy(c);
+  }
+  private saveTopic(c: Copy, t: string): void {
+    const b = c.base.topics.get(t)!;
+    this.sql.prepare('insert into topic values (?, ?, ?, ?, ?) on conflict (shard, topic) do update set head = excluded.head, since = excluded.since, era = excluded.era').run(c.shard, t, b.head, b.since, b.era);
+  }
+  private saveSender(c: Copy, s: string): void {
+    const b = c.base.senders.get(s)!;
+    this.sql.prepare('insert into sender values (?, ?, ?, ?, ?) on conflict (shard, k) do update set seq = excluded.seq, off = excluded.off, at = excluded.at').run(c.shard, s, b.seq, b.off, b.at);
+  }
+
+  /** Replaces a copy by a snapshot; the promise stays. */
+  install(c: Copy, base: Base, entries: Entry[]): void {
+    for (const t of ['entry', 'topic', 'sender']) this.sql.prepare(`delete from ${t} where shard = ?`).run(c.shard);
+    c.base = base;
+    c.entries = [];
+    for (const t of base.topics.keys()) this.saveTopic(c, t);
+    for (const s of base.senders.keys()) this.saveSender(c, s);
+    for (const e of entries) this.add(c, e);
+    this.saveCopy(c);
+  }
+
+  /** Lets go of a copy's matter. The promise stays, so that an old owner stays fenced. */
+  release(c: Copy): void {
+    this.install(c, { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() }, []);
+  }
+}
+
+/**
+ * Moves the base over one entry.
+ * @example
+ * for (const e of entries) fold(base, e);
+ */
+export function fold(b: Base, e: Entry): void {
+  b.idx = e.idx;
+  b.fence = e.fence;
+  if (!e.topic) return;
+  const old = b.topics.get(e.topic);
+  b.topics.set(e.topic, { head: e.off, since: old && old.era === e.era ? old.since : e.off, era: e.era });
+  b.senders.set(`${e.topic}\n${e.sender}`, { seq: e.seq, off: e.off, at: e.at });
+}
