--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -233,6 +233,7 @@
       peer: this.k.self,
       inst: this.k.inst,
       phase: this.k.phase,
+      version: this.reg.value?.version ?? 0,
       rev: this.k.rev,
       fresh: this.reg.fresh(),
       counters: Object.fromEntries([...this.k.counters].sort()),
--- /dev/null
+++ b/packages/trial/src/actors.ts
@@ -0,0 +1,293 @@
+import { faultOf, sample, sleep, type Clock, type Rnd } from '@harecross/kernel';
+import type { Frame } from '@harecross/schema';
+import type { Journal } from './journal.js';
+
+/** The outside's way to a fleet; the simulator's and the real one stand behind it. Nodes are client addresses. */
+export interface Way {
+  visit(node: string, method: string, body: unknown, timeoutMs: number): Promise<{ status: number; body: any } | undefined>;
+  attach(node: string, body: unknown, onFrame: (f: Frame) => void, onEnd: () => void): () => void;
+  /** What a platform knows: nodes that take conns and call themselves well, in a domain or anywhere. */
+  nodes(domain?: string): string[];
+}
+
+export interface World { clock: Clock; rnd: Rnd; way: Way; journal: Journal }
+
+const pick = (w: World, domain?: string): string | undefined => {
+  const near = w.way.nodes(domain);
+  return sample(w.rnd, near.length ? near : w.way.nodes(), 1)[0];
+};
+
+/** A consumer: attaches, subscribes from where it left off, probes every two seconds, drops off often. */
+export class Consumer {
+  private cursors = new Map<string, number>();
+  private conn?: string;
+  private node?: string;
+  private closeNow?: () => void;
+  private running = false;
+  private life = 0;
+  private runs = 0;
+  /** Topics wanted now. */
+  readonly want: Set<string>;
+
+  constructor(private w: World, readonly name: string, public domain: string, topics: string[], private opts: { pingS?: number; jitterMs?: number } = {}) {
+    this.want = new Set(topics);
+  }
+
+  start(): void {
+    this.running = true;
+    void this.live();
+  }
+  stop(): void {
+    this.running = false;
+    this.drop('stop');
+  }
+  /** The conn breaks; the consumer comes back by itself. */
+  drop(why = 'drop'): void {
+    this.end(why);
+  }
+  /** Drops off and stays away for a while. */
+  async away(ms: number): Promise<void> {
+    this.running = false;
+    this.drop('away');
+    await sleep(this.w.clock, ms);
+    this.start();
+  }
+
+  async unsubscribe(topic: string): Promise<void> {
+    this.want.delete(topic);
+    const conn = this.conn;
+    if (!conn) return;
+    const r = await this.w.way.visit(this.node!, 'Unsubscribe', { conn, topic }, 2_000);
+    if (r?.status === 200) this.w.journal.add({ k: 'unsub.ok', consumer: this.name, conn, topic });
+  }
+
+  private end(why: string): void {
+    if (this.conn) this.w.journal.add({ k: 'conn.end', consumer: this.name, conn: this.conn, why });
+    this.conn = undefined;
+    const c = this.closeNow;
+    this.closeNow = undefined;
+    this.life++;
+    c?.();
+  }
+
+  private async live(): Promise<void> {
+    const { clock, rnd } = this.w;
+    const me = ++this.runs;
+    let wait = (this.opts.jitterMs ?? 300) * rnd.next();
+    while (this.running) {
+      await sleep(clock, wait);
+      if (!this.running || this.runs !== me) return;
+      const node = pick(this.w, this.domain);
+      if (!node) { wait = 300 + 300 * rnd.next(); continue; }
+      wait = await this.one(node);
+      if (!this.running || this.runs !== me) return;
+    }
+  }
+
+  /** One conn's life; gives the time to wait before the next. */
+  private one(node: string): Promise<number> {
+    const { rnd, way, clock, journal } = this.w;
+    return new Promise((res) => {
+      const life = ++this.life;
+      let hint = 100 + 400 * rnd.next();
+      const over = (why: string): void => {
+        if (this.life === life) this.end(why);
+        res(hint);
+      };
+      this.node = node;
+      let attached = false;
+      const cancel = clock.after(3_000, () => { if (!attached) { close(); over('no answer'); } });
+      const close = way.attach(node, { consumer: this.name, pingS: this.opts.pingS ?? 2 }, (f) => {
+        if (this.life !== life) return;
+        switch (f.t) {
+          case 'ATTACHED':
+            attached = true;
+            cancel();
+            this.conn = f.conn;
+            journal.add({ k: 'conn.open', consumer: this.name, conn: f.conn, node });
+            void this.probes(f.conn, life, node);
+            for (const t of this.want) void this.subscribe(f.conn, t, life, node);
+            break;
+          case 'DELIVER':
+            journal.add({ k: 'deliver', consumer: this.name, conn: this.conn!, topic: f.topic, sender: f.sender, seq: f.seq, offset: f.offset, body: f.body });
+            this.cursors.set(f.topic, Math.max(f.offset, this.cursors.get(f.topic) ?? 0));
+            break;
+          case 'LEFT':
+            journal.add({ k: 'left', consumer: this.name, conn: this.conn!, topic: f.topic, reason: f.reason, cursor: this.cursors.get(f.topic) });
+            if (f.reason === 'cursor_expired' || f.reason === 'topic_removed') this.cursors.delete(f.topic);
+            if (f.reason === 'cursor_expired') void this.subscribe(this.conn!, f.topic, life, node);
+            if (f.reason === 'topic_removed') void sleep(clock, 1_500).then(() => this.subscribe(this.conn!, f.topic, life, node));
+            break;
+          case 'GOAWAY':
+            hint = f.retryAfterMs;
+            close();
+            over('goaway');
+            break;
+          case 'CLOSED':
+            hint = f.retryAfterMs;
+            close();
+            over(f.reason);
+            break;
+        }
+      }, () => { cancel(); over('reset'); });
+      this.closeNow = () => { cancel(); close(); res(hint); };
+    });
+  }
+
+  /** The platform puts each TCP connection where it likes: mostly the same node, now and then another. */
+  private nodeFor(node: string): string {
+    return this.w.rnd.next() < 0.3 ? (pick(this.w, this.domain) ?? node) : node;
+  }
+
+  private async probes(conn: string, life: number, node: string): Promise<void> {
+    const { clock, rnd, way } = this.w;
+    while (this.life === life) {
+      await sleep(clock, (this.opts.pingS ?? 2) * (900 + 200 * rnd.next()));
+      if (this.life !== life) return;
+      const r = await way.visit(this.nodeFor(node), 'Probe', { conn }, 2_000);
+      if (this.life === life && r?.status === 410) { this.end('unknown_conn'); }
+    }
+  }
+
+  async subscribe(conn: string, topic: string, life: number, node: string): Promise<void> {
+    const { clock, rnd, way, journal } = this.w;
+    for (let i = 0; this.life === life && this.want.has(topic); i++) {
+      const cursor = this.cursors.get(topic);
+      journal.add({ k: 'sub.ask', consumer: this.name, conn, topic, cursor });
+      const r = await way.visit(this.nodeFor(node), 'Subscribe', { conn, topic, ...(cursor === undefined ? {} : { cursor }) }, 8_000);
+      if (this.life !== life) return;
+      if (r?.status === 200) {
+        journal.add({ k: 'sub.ok', consumer: this.name, conn, topic, cursor, next: r.body.next });
+        if (cursor === undefined && !this.cursors.has(topic)) this.cursors.set(topic, r.body.next - 1);
+        return;
+      }
+      const tag: string = r?.body?.error?.tag ?? 'no answer';
+      journal.add({ k: 'sub.fail', consumer: this.name, conn, topic, cursor, tag });
+      if (tag === 'unknown_conn') { this.end('unknown_conn'); return; }
+      if (tag === 'cursor_expired' || tag === 'cursor_ahead') this.cursors.delete(topic);
+      await sleep(clock, r?.body?.error?.retryAfterMs ?? 500 + 500 * rnd.next());
+    }
+  }
+}
+
+/** A sender: one message at a time per topic, the same seq again until it is told or gives up. */
+export class Sender {
+  private seqs = new Map<string, number>();
+  private busy = new Set<string>();
+  private running = false;
+  private static tries = 0;
+  constructor(private w: World, readonly name: string, public domain: string, private topics: string[], private everyMs: number, private opts: { triesN?: number; bodyBytes?: number } = {}) {}
+
+  start(): void {
+    this.running = true;
+    void this.live();
+  }
+  stop(): void { this.running = false; }
+
+  private async live(): Promise<void> {
+    const { clock, rnd } = this.w;
+    await sleep(clock, this.everyMs * rnd.next());
+    while (this.running) {
+      const topic = this.topics[Math.floor(rnd.next() * this.topics.length)]!;
+      void this.publish(topic);
+      await sleep(clock, this.everyMs * (0.6 + 0.8 * rnd.next()));
+    }
+  }
+
+  async publish(topic: string): Promise<void> {
+    if (this.busy.has(topic)) return;
+    this.busy.add(topic);
+    const { clock, rnd, way, journal } = this.w;
+    const seq = (this.seqs.get(topic) ?? 0) + 1;
+    this.seqs.set(topic, seq);
+    const body = `${this.name}:${topic}:${seq}:${Math.floor(rnd.next() * 1e6)}`.padEnd(this.opts.bodyBytes ?? 0, '.');
+    try {
+      for (let i = 0; i < (this.opts.triesN ?? 6); i++) {
+        const node = pick(this.w, this.domain);
+        if (!node) { await sleep(clock, 400); continue; }
+        const n = ++Sender.tries;
+        journal.add({ k: 'pub.try', try: n, sender: this.name, topic, seq, body });
+        const r = await way.visit(node, 'Publish', { sender: this.name, topic, seq, body }, 5_000);
+        const say = (out: 'accepted' | 'rejected' | 'unknown', x: { offset?: number; tag?: string } = {}): void =>
+          journal.add({ k: 'pub.answer', try: n, sender: this.name, topic, seq, out, node, ...x });
+        if (r?.status === 200 && r.body.accepted) { say('accepted', { offset: r.body.accepted.offset }); return; }
+        if (r?.body?.rejected) {
+          say('rejected', { tag: r.body.rejected.reason });
+          if (r.body.rejected.reason === 'stale_seq') return;
+          await sleep(clock, r.body.rejected.retryAfterMs);
+          continue;
+        }
+        const tag: string = r?.body?.error?.tag ?? 'no answer';
+        switch (tag) {
+          case 'unknown_topic':
+          case 'too_large':
+          case 'bad_visit':
+            say('rejected', { tag });
+            return;
+          default:
+            say('unknown', { tag });
+            await sleep(clock, r?.body?.error?.retryAfterMs ?? 300 + 300 * rnd.next());
+        }
+      }
+    } catch (e) {
+      throw new Error(`sender ${this.name}: ${faultOf(e).tag}`);
+    } finally {
+      this.busy.delete(topic);
+    }
+  }
+}
+
+/** An operator: sends whole configurations, the same changeId until answered; reads back; looks at nodes. */
+export class Operator {
+  constructor(private w: World, private name: string) {}
+
+  async submit(changeId: string, config: unknown, valid: boolean, expect?: number): Promise<{ out: string; version?: number }> {
+    const { clock, journal, way, rnd } = this.w;
+    for (let i = 0; i < 25; i++) {
+      const node = sample(rnd, way.nodes(), 1)[0];
+      if (!node) { await sleep(clock, 400); continue; }
+      journal.add({ k: 'cfg.submit', changeId, expect, config, valid });
+      const r = await way.visit(node, 'SubmitConfig', { changeId, config, ...(expect === undefined ? {} : { expect }) }, 9_000);
+      const tag = r?.body?.error?.tag;
+      if (r?.status === 200) { journal.add({ k: 'cfg.answer', changeId, out: 'taken', version: r.body.version }); return { out: 'taken', version: r.body.version }; }
+      if (tag === 'conflict') { journal.add({ k: 'cfg.answer', changeId, out: 'conflict', version: r!.body.error.version }); return { out: 'conflict' }; }
+      if (tag === 'invalid_config') { journal.add({ k: 'cfg.answer', changeId, out: 'invalid' }); return { out: 'invalid' }; }
+      journal.add({ k: 'cfg.answer', changeId, out: 'unanswered' });
+      await sleep(clock, 300 + 300 * rnd.next());
+    }
+    return { out: 'unanswered' };
+  }
+
+  async read(last = false): Promise<number | undefined> {
+    const { clock, journal, way, rnd } = this.w;
+    for (let i = 0; i < 20; i++) {
+      const node = sample(rnd, way.nodes(), 1)[0];
+      const asked = clock.now();
+      const r = node ? await way.visit(node, 'ReadConfig', {}, 8_000) : undefined;
+      if (r?.status === 200) { journal.add({ k: 'cfg.read', asked, version: r.body.version, config: r.body.config, last }); return r.body.version; }
+      await sleep(clock, 400);
+    }
+    return undefined;
+  }
+
+  /** Asks nodes which version they serve by. */
+  async look(nodes: string[]): Promise<void> {
+    const { clock, journal, way } = this.w;
+    await Promise.all(nodes.map(async (node) => {
+      const asked = clock.now();
+      const r = await way.visit(node, 'Node', {}, 1_500);
+      if (r?.status === 200) journal.add({ k: 'node.says', asked, node, version: r.body.version, fresh: r.body.fresh });
+    }));
+  }
+
+  async count(topic: string): Promise<void> {
+    const { clock, journal, way, rnd } = this.w;
+    const node = sample(rnd, way.nodes(), 1)[0];
+    if (!node) return;
+    const asked = clock.now();
+    const r = await way.visit(node, 'Listeners', { topic }, 3_000);
+    if (r?.status === 200) journal.add({ k: 'count', asked, topic, count: r.body.count, partial: r.body.partial });
+  }
+
+  get label(): string { return this.name; }
+}
--- /dev/null
+++ b/packages/trial/src/faults.ts
@@ -0,0 +1,174 @@
+import { sleep } from '@harecross/kernel';
+import type { Scenario, Stage } from './scenario.js';
+
+const any = <T>(s: Stage, xs: T[]): T => xs[Math.floor(s.rnd.next() * xs.length)]!;
+const pause = (s: Stage, ms: number): Promise<void> => sleep(s.sim.clock, ms);
+
+/** Every fault of the brief, by name. */
+export const SCENARIOS = new Map<string, Scenario>([
+  ['calm', { faults: async (s) => { await pause(s, 10_000); } }],
+  ['kill-relay', { faults: async (s) => {
+    for (let i = 0; i < 3; i++) {
+      const n = any(s, s.relays);
+      s.note(`kill ${n.name}`);
+      s.sim.kill(n);
+      await pause(s, 3_000);
+      await s.sim.start(n);
+      await pause(s, 2_000);
+    }
+  } }],
+  ['kill-store', { faults: async (s) => {
+    for (let i = 0; i < 3; i++) {
+      const n = any(s, s.stores);
+      s.note(`kill ${n.name}`);
+      s.sim.kill(n);
+      await pause(s, 1_000 + 5_000 * s.rnd.next());
+      await s.sim.start(n);
+      await pause(s, 3_000);
+    }
+  } }],
+  ['rolling', { forMs: 60_000, faults: async (s) => {
+    for (const n of [...s.stores, ...s.relays]) {
+      s.note(`stop ${n.name}`);
+      if (!(await s.sim.stop(n))) s.note(`${n.name} had to be killed`);
+      await pause(s, 1_500);
+      await s.sim.start(n);
+      await pause(s, 3_000);
+    }
+  } }],
+  ['freeze', { faults: async (s) => {
+    for (let i = 0; i < 3; i++) {
+      const n = any(s, [...s.stores, ...s.relays]);
+      s.note(`freeze ${n.name}`);
+      s.sim.freeze(n);
+      await pause(s, 1_000 + 6_000 * s.rnd.next());
+      s.sim.thaw(n);
+      s.note(`thaw ${n.name}`);
+      await pause(s, 2_000);
+    }
+  } }],
+  ['slow', { faults: async (s) => {
+    const n = any(s, s.disks);
+    n.slowMs = 150; n.diskMs = 120;
+    await pause(s, 8_000);
+    n.slowMs = 0; n.diskMs = 2;
+    await pause(s, 3_000);
+  } }],
+  ['lost-disk', { forMs: 70_000, faults: async (s) => {
+    const n = any(s, s.stores);
+    s.note(`disk of ${n.name} dies`);
+    s.sim.loseDisk(n);
+    if (s.rnd.next() < 0.5) { await pause(s, 4_000); await s.sim.start(n); s.note(`${n.name} is back, empty`); }
+    await pause(s, 50_000);
+    const m = any(s, s.disks.filter((x) => x !== n));
+    s.note(`kill ${m.name}`);
+    s.sim.kill(m);
+    await pause(s, 4_000);
+    await s.sim.start(m);
+  } }],
+  ['power', { faults: async (s) => {
+    const n = any(s, s.stores);
+    const m = any(s, s.disks.filter((x) => x !== n));
+    s.note(`power of ${n.name} and ${m.name} fails`);
+    s.sim.kill(n);
+    s.sim.kill(m);
+    await pause(s, 2_000);
+    await s.sim.start(n);
+    await pause(s, 3_000);
+    await s.sim.start(m);
+  } }],
+  ['blackout', { faults: async (s) => {
+    s.note('all power fails');
+    for (const n of s.sim.nodes.values()) s.sim.kill(n);
+    s.world.journal.add({ k: 'closing' });
+    await pause(s, 1_500);
+    for (const n of s.sim.nodes.values()) await s.sim.start(n);
+    await pause(s, 16_000);
+  } }],
+  ['join', { faults: async (s) => {
+    for (const [i, disk] of [true, false, true].entries()) {
+      const n = s.sim.add(`new${i}`, { role: disk ? 'store' : 'relay', domain: any(s, s.site.domains), disk });
+      n.config.seeds = s.stores.slice(0, 3).map((x) => x.config.peer);
+      await s.sim.start(n);
+      s.note(`${n.name} joins`);
+      await pause(s, 6_000);
+    }
+  } }],
+  ['loss', { opts: { loss: 0.05, delayMs: [5, 40] }, faults: async (s) => { await pause(s, 15_000); } }],
+  ['resets', { faults: async (s) => {
+    for (let i = 0; i < 10; i++) { s.sim.resetStreams(0.1); await pause(s, 500); }
+    s.note('mass reset');
+    s.sim.resetStreams(0.97);
+    await pause(s, 6_000);
+  } }],
+  ['cut', { faults: async (s) => {
+    const n = any(s, [...s.stores, ...s.relays]);
+    s.note(`cut off ${n.name}`);
+    const both = s.rnd.next() < 0.5;
+    for (const o of s.sim.nodes.values()) if (o !== n) s.sim.cut(n.name, o.name, both);
+    await pause(s, 4_000 + 6_000 * s.rnd.next());
+    s.sim.heal();
+    s.note('healed');
+    await pause(s, 4_000);
+  } }],
+  ['split', { faults: async (s) => {
+    const side = new Set([...s.sim.nodes.values()].filter(() => s.rnd.next() < 0.4).map((n) => n.name));
+    s.note(`split off ${[...side].join(' ')}`);
+    for (const a of s.sim.nodes.keys()) for (const b of s.sim.nodes.keys()) if (side.has(a) && !side.has(b)) s.sim.cut(a, b);
+    await pause(s, 5_000);
+    s.sim.heal();
+    await pause(s, 6_000);
+  } }],
+  ['skew', { skewMs: 300_000, faults: async (s) => {
+    const n = any(s, s.stores);
+    s.sim.kill(n);
+    await pause(s, 4_000);
+    await s.sim.start(n);
+    await pause(s, 4_000);
+  } }],
+  ['operators', { faults: async (s) => {
+    const base = { families: s.site.families.map((f) => ({ name: f.name, topics: [`${f.prefix}*`], urgency: f.urgency, patienceMs: f.patienceMs, memoryS: f.memoryS })) };
+    const plus = (n: number) => ({ families: [...base.families, { name: `extra${n}`, topics: [`x${n}/*`], urgency: 'routine' as const, patienceMs: 2_000, memoryS: 30 }] });
+    const op = s.crowd.operator;
+    for (let i = 0; i < 4; i++) {
+      const v = await op.read();
+      await Promise.all([op.submit(`race-${i}-a`, plus(i), true, v), op.submit(`race-${i}-b`, plus(10 + i), true, v), op.submit(`free-${i}`, plus(20 + i), true), op.submit(`bad-${i}`, { families: [{ name: 7 }] }, false)]);
+      if (i === 1) { const n = any(s, s.stores); s.sim.kill(n); void pause(s, 2_500).then(() => s.sim.start(n)); }
+      await pause(s, 1_000);
+      if (i > 0) await op.submit(`free-${i - 1}`, plus(20 + i - 1), true);
+      await op.read();
+    }
+  } }],
+  ['remove-family', { forMs: 30_000, faults: async (s) => {
+    const all = s.site.families.map((f) => ({ name: f.name, topics: [`${f.prefix}*`], urgency: f.urgency, patienceMs: f.patienceMs, memoryS: f.memoryS }));
+    const op = s.crowd.operator;
+    await op.submit('remove', { families: all.slice(0, 1) }, true);
+    await pause(s, 9_000);
+    await op.submit('again', { families: all }, true);
+    await pause(s, 9_000);
+  } }],
+  ['churn', { faults: async (s) => {
+    for (let i = 0; i < 40; i++) {
+      const c = any(s, s.crowd.consumers);
+      const x = s.rnd.next();
+      if (x < 0.4) c.drop();
+      else if (x < 0.7) void c.away(500 + 12_000 * s.rnd.next());
+      else { c.domain = any(s, s.site.domains); c.drop('moved'); }
+      await pause(s, 300);
+    }
+    await pause(s, 8_000);
+  } }],
+  ['mixed', { forMs: 40_000, opts: { loss: 0.01 }, skewMs: 60_000, faults: async (s) => {
+    for (let i = 0; i < 7; i++) {
+      const n = any(s, [...s.stores, ...s.relays]);
+      const x = s.rnd.next();
+      if (x < 0.35) { s.note(`kill ${n.name}`); s.sim.kill(n); await pause(s, 500 + 4_000 * s.rnd.next()); await s.sim.start(n); }
+      else if (x < 0.6) { s.note(`freeze ${n.name}`); s.sim.freeze(n); await pause(s, 500 + 4_000 * s.rnd.next()); s.sim.thaw(n); }
+      else if (x < 0.8) { s.note(`cut ${n.name}`); for (const o of s.sim.nodes.values()) if (o !== n) s.sim.cut(n.name, o.name, s.rnd.next() < 0.5); await pause(s, 500 + 4_000 * s.rnd.next()); s.sim.heal(); }
+      else { s.note(`stop ${n.name}`); await s.sim.stop(n); await pause(s, 700); await s.sim.start(n); }
+      if (s.rnd.next() < 0.3) s.sim.resetStreams(0.5);
+      await pause(s, 1_500);
+    }
+    await pause(s, 4_000);
+  } }],
+]);
--- /dev/null
+++ b/packages/trial/src/scenario.ts
@@ -0,0 +1,145 @@
+import { sample, sleep } from '@harecross/kernel';
+import type { FleetConfig } from '@harecross/schema';
+import { Consumer, Operator, Sender, type World } from './actors.js';
+import { Journal, type Seen } from './journal.js';
+import { judge, SETTLE_MS, type Violation } from './oracle.js';
+import { seeded, Sim, type SimNode, type SimOpts } from './sim.js';
+
+/** A deployment's shape. */
+export interface Site {
+  name: string;
+  domains: string[];
+  relays: number;
+  relayDisks: number;
+  stores: number;
+  consumers: number;
+  families: { name: string; prefix: string; topics: number; urgency: 'urgent' | 'routine'; perS: number; memoryS: number; patienceMs: number }[];
+}
+
+/** The two deployments of the brief at full size. */
+export const SINE_SALOUM: Site = {
+  name: 'sine-saloum', domains: ['kaolack', 'fatick', 'foundiougne'], relays: 12, relayDisks: 3, stores: 3, consumers: 400,
+  families: [
+    { name: 'payments', prefix: 'pay/', topics: 420, urgency: 'routine', perS: 70, memoryS: 35, patienceMs: 3_000 },
+    { name: 'warnings', prefix: 'warn/', topics: 30, urgency: 'urgent', perS: 25, memoryS: 25, patienceMs: 2_000 },
+  ],
+};
+export const DUNARE: Site = {
+  name: 'dunare-carpati', domains: ['galati', 'braila', 'tulcea', 'focsani'], relays: 11, relayDisks: 4, stores: 4, consumers: 410,
+  families: [
+    { name: 'levels', prefix: 'level/', topics: 260, urgency: 'routine', perS: 50, memoryS: 35, patienceMs: 3_000 },
+    { name: 'floods', prefix: 'flood/', topics: 30, urgency: 'urgent', perS: 25, memoryS: 25, patienceMs: 2_000 },
+  ],
+};
+/** A site of the same shape, small enough for many seeds. */
+export const SMALL: Site = {
+  name: 'small', domains: ['a', 'b', 'c'], relays: 6, relayDisks: 2, stores: 3, consumers: 24,
+  families: [
+    { name: 'routine', prefix: 'r/', topics: 24, urgency: 'routine', perS: 14, memoryS: 35, patienceMs: 3_000 },
+    { name: 'urgent', prefix: 'u/', topics: 6, urgency: 'urgent', perS: 6, memoryS: 25, patienceMs: 2_000 },
+  ],
+};
+
+export function configOf(site: Site, extra: FleetConfig['families'] = []): FleetConfig {
+  return { families: [...site.families.map((f) => ({ name: f.name, topics: [`${f.prefix}*`], urgency: f.urgency, patienceMs: f.patienceMs, memoryS: f.memoryS })), ...extra] };
+}
+
+/** Stand-ins for a site's callers. */
+export interface Crowd { consumers: Consumer[]; senders: Sender[]; operator: Operator; topics: string[] }
+
+export function crowd(w: World, site: Site): Crowd {
+  const consumers: Consumer[] = [];
+  const senders: Sender[] = [];
+  const topics = site.families.flatMap((f) => Array.from({ length: f.topics }, (_, i) => `${f.prefix}${i}`));
+  for (let i = 0; i < site.consumers; i++) {
+    const mine = new Set<string>();
+    // A household follows its own feed, a desk several; everyone follows some of the urgent topics.
+    for (const f of site.families) {
+      mine.add(`${f.prefix}${i % f.topics}`);
+      if (i % 8 === 0) for (const n of sample(w.rnd, [...Array(f.topics).keys()], 3)) mine.add(`${f.prefix}${n}`);
+    }
+    consumers.push(new Consumer(w, `c${i}`, site.domains[i % site.domains.length]!, [...mine]));
+  }
+  for (const f of site.families) {
+    const n = Math.max(2, Math.min(20, Math.floor(f.topics / 3)));
+    for (let i = 0; i < n; i++) {
+      // Two senders share a topic here and there; each still numbers its own messages.
+      const own = Array.from({ length: f.topics }, (_, t) => t).filter((t) => t % n === i || (t % 7 === 0 && t % n === (i + 1) % n)).map((t) => `${f.prefix}${t}`);
+      senders.push(new Sender(w, `${f.name}-${i}`, site.domains[i % site.domains.length]!, own, (1000 * n) / f.perS, { triesN: 8 }));
+    }
+  }
+  return { consumers, senders, operator: new Operator(w, 'op'), topics };
+}
+
+export interface Stage { sim: Sim; world: World; site: Site; crowd: Crowd; stores: SimNode[]; relays: SimNode[]; disks: SimNode[]; rnd: { next(): number }; note(s: string): void }
+export interface Run { seen: Seen[]; bad: Violation[]; sim: Sim; notes: string[]; counters: Map<string, number> }
+
+export interface Scenario {
+  site?: Site;
+  opts?: SimOpts;
+  /** Clocks of the machines differ by up to this much. */
+  skewMs?: number;
+  /** What goes wrong, while traffic runs. */
+  faults: (s: Stage) => Promise<void>;
+  /** Length of the part with faults. */
+  forMs?: number;
+}
+
+/** Builds a site's machines in a simulator and starts them. */
+export async function build(sim: Sim, site: Site, skewMs = 0): Promise<{ stores: SimNode[]; relays: SimNode[]; disks: SimNode[] }> {
+  const skew = (): number => (skewMs ? Math.round((sim.rnd.next() * 2 - 1) * skewMs) : 0);
+  const stores = Array.from({ length: site.stores }, (_, i) => sim.add(`store${i + 1}`, { role: 'store', domain: site.domains[i % site.domains.length]!, disk: true, skewMs: skew() }));
+  const relays = Array.from({ length: site.relays }, (_, i) => sim.add(`relay${i + 1}`, { role: 'relay', domain: site.domains[i % site.domains.length]!, disk: i < site.relayDisks, skewMs: skew() }));
+  const seeds = stores.slice(0, 3).map((n) => n.config.peer);
+  for (const n of sim.nodes.values()) n.config.seeds = seeds;
+  for (const n of sim.nodes.values()) void sim.clock.after(sim.rnd.next() * 1500, () => void sim.start(n));
+  return { stores, relays, disks: [...stores, ...relays.filter((r) => r.config.data)] };
+}
+
+/**
+ * Runs a day: machines up, configuration, traffic, faults, settling, the oracle.
+ * @example
+ * const r = await play(7, { faults: async ({ sim, stores }) => { sim.kill(stores[0]!); } });
+ */
+export async function play(seed: number, sc: Scenario): Promise<Run> {
+  const site = sc.site ?? SMALL;
+  const sim = new Sim(seed, sc.opts);
+  const m = await build(sim, site, sc.skewMs);
+  const journal = new Journal(() => sim.now);
+  const world: World = { clock: sim.clock, rnd: seeded(seed ^ 0x5eed), way: sim.outside, journal };
+  const cr = crowd(world, site);
+  const notes: string[] = [];
+  const stage: Stage = { sim, world, site, crowd: cr, ...m, rnd: seeded(seed ^ 0xfa17), note: (s) => { notes.push(`${(sim.now / 1000).toFixed(3)} ${s}`); sim.lines.push(`${(sim.now / 1000).toFixed(3)} ** ${s}`); } };
+  await sim.run(6_000);
+  let fault: unknown;
+  const first = cr.operator.submit('first', configOf(site), true);
+  await sim.run(12_000);
+  await first;
+  for (const c of cr.consumers) c.start();
+  for (const s of cr.senders) s.start();
+  let watching = true;
+  void (async () => { while (watching) { await sleep(sim.clock, 400); void cr.operator.look([...sim.nodes.values()].map((n) => n.config.client)); } })();
+  void (async () => { while (watching) { await sleep(sim.clock, 500); void cr.operator.count(cr.topics[Math.floor(world.rnd.next() * cr.topics.length)]!); } })();
+  await sim.run(17_000);
+  let done = false;
+  sc.faults(stage).then(() => { done = true; }, (e) => { fault = e; done = true; });
+  const until = sim.now + (sc.forMs ?? 20_000);
+  await sim.run(until);
+  for (let i = 0; i < 60 && !done; i++) await sim.run(sim.now + 1_000);
+  if (!done) throw new Error(`seed ${seed}: the faults never ended`);
+  if (fault) throw fault;
+  await sim.run(sim.now + 3_000);
+  for (const s of cr.senders) s.stop();
+  await sim.run(sim.now + SETTLE_MS + 10_000);
+  watching = false;
+  const read = cr.operator.read(true);
+  await sim.run(sim.now + 8_000);
+  await read;
+  journal.add({ k: 'end' });
+  const bad = judge(journal.seen);
+  const counters = new Map<string, number>();
+  for (const n of sim.nodes.values()) for (const [k, v] of n.kernel?.counters ?? []) counters.set(k, (counters.get(k) ?? 0) + v);
+  for (const e of sim.errors) bad.push({ rule: 'served', t: 0, what: `unexpected error: ${e}` });
+  sim.close();
+  return { seen: journal.seen, bad, sim, notes, counters };
+}
--- /dev/null
+++ b/packages/trial/src/sim.ts
@@ -0,0 +1,376 @@
+import '@harecross/control';
+import { startNode, type Edge } from '@harecross/data';
+import { Db, Failure, type Clock, type Host, type Kernel, type Net, type NodeConfig, type Rnd, type Role } from '@harecross/kernel';
+import type { Frame } from '@harecross/schema';
+import Database from 'better-sqlite3';
+import type { Way } from './actors.js';
+
+/** A small seeded generator (mulberry32). */
+export function seeded(seed: number): Rnd {
+  let a = seed >>> 0;
+  return {
+    next() {
+      a = (a + 0x6d2b79f5) >>> 0;
+      let t = a;
+      t = Math.imul(t ^ (t >>> 15), t | 1);
+      t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
+      return ((t ^ (t >>> 14)) >>> 0) / 4294967296;
+    },
+  };
+}
+
+interface Ev { at: number; n: number; fn: () => void; off: boolean }
+
+class Heap {
+  private a: Ev[] = [];
+  get size(): number { return this.a.length; }
+  get top(): Ev | undefined { return this.a[0]; }
+  private less(i: number, j: number): boolean {
+    const x = this.a[i]!, y = this.a[j]!;
+    return x.at < y.at || (x.at === y.at && x.n < y.n);
+  }
+  push(e: Ev): void {
+    const a = this.a;
+    a.push(e);
+    let i = a.length - 1;
+    while (i > 0) {
+      const p = (i - 1) >> 1;
+      if (!this.less(i, p)) break;
+      [a[i], a[p]] = [a[p]!, a[i]!];
+      i = p;
+    }
+  }
+  pop(): Ev {
+    const a = this.a;
+    const top = a[0]!;
+    const end = a.pop()!;
+    if (a.length) {
+      a[0] = end;
+      let i = 0;
+      for (;;) {
+        const l = 2 * i + 1, r = l + 1;
+        let m = i;
+        if (l < a.length && this.less(l, m)) m = l;
+        if (r < a.length && this.less(r, m)) m = r;
+        if (m === i) break;
+        [a[i], a[m]] = [a[m]!, a[i]!];
+        i = m;
+      }
+    }
+    return top;
+  }
+}
+
+export interface SimNode {
+  name: string;
+  config: NodeConfig;
+  skewMs: number;
+  /** What lasts: only what was committed is in it. */
+  sql?: Database.Database;
+  life: number;
+  up: boolean;
+  frozen: boolean;
+  /** Work put off while frozen. */
+  frozenWork: (() => void)[];
+  slowMs: number;
+  diskMs: number;
+  handle?: (f: string) => Promise<string>;
+  kernel?: Kernel;
+  edge?: Edge;
+  db?: Db;
+  /** Calls under way at this node; they break when it dies. */
+  calls: Set<() => void>;
+  streams: Set<() => void>;
+}
+
+export interface SimOpts { delayMs?: [number, number]; loss?: number; log?: boolean }
+
+/**
+ * A fleet of the real code in virtual time. One seed, one run. What is not real: the clock, the net, the random
+ * numbers, the time a disk takes, and HTTP.
+ * @example
+ * const sim = new Sim(7); await sim.start(sim.add('s1', { role: 'store', domain: 'a' })); await sim.run(5_000);
+ */
+export class Sim {
+  now = 0;
+  readonly rnd: Rnd;
+  readonly nodes = new Map<string, SimNode>();
+  readonly lines: string[] = [];
+  events = 0;
+  delay: [number, number];
+  loss: number;
+  /** Directed pairs between which nothing arrives. */
+  readonly cuts = new Set<string>();
+  private heap = new Heap();
+  private n = 0;
+  private byPeer = new Map<string, SimNode>();
+  private byClient = new Map<string, SimNode>();
+  /** Unexpected errors of node code. */
+  readonly errors: string[] = [];
+
+  constructor(readonly seed: number, private opts: SimOpts = {}) {
+    this.rnd = seeded(seed);
+    this.delay = opts.delayMs ?? [0.5, 6];
+    this.loss = opts.loss ?? 0;
+  }
+
+  private at(ms: number, fn: () => void): () => void {
+    const e: Ev = { at: this.now + Math.max(0, ms), n: this.n++, fn, off: false };
+    this.heap.push(e);
+    return () => { e.off = true; };
+  }
+
+  /** The clock of the outside world. */
+  readonly clock: Clock = { now: () => this.now, after: (ms, fn) => this.at(ms, fn) };
+
+  /** Runs until the given time. */
+  async run(until: number): Promise<void> {
+    for (;;) {
+      const e = this.heap.top;
+      if (!e || e.at > until) break;
+      this.heap.pop();
+      if (e.off) continue;
+      this.now = Math.max(this.now, e.at);
+      this.events++;
+      e.fn();
+      await new Promise<void>((r) => setImmediate(r));
+    }
+    this.now = until;
+  }
+
+  add(name: string, x: { role: Role; domain: string; disk?: boolean; skewMs?: number }): SimNode {
+    const i = this.nodes.size + 1;
+    const peer = `10.0.${i >> 8}.${i & 255}:7100`;
+    const config: NodeConfig = { role: x.role, domain: x.domain, peer, client: peer.replace('7100', '7000'), seeds: [], ...(x.disk ? { data: name } : {}) };
+    const node: SimNode = { name, config, skewMs: x.skewMs ?? 0, life: 0, up: false, frozen: false, frozenWork: [], slowMs: 0, diskMs: 2, calls: new Set(), streams: new Set() };
+    this.nodes.set(name, node);
+    this.byPeer.set(peer, node);
+    this.byClient.set(config.client, node);
+    return node;
+  }
+
+  get(name: string): SimNode {
+    const n = this.nodes.get(name);
+    if (!n) throw new Error(`no node ${name}`);
+    return n;
+  }
+
+  private work(n: SimNode, life: number, fn: () => void): void {
+    if (!n.up || n.life !== life) return;
+    if (n.frozen) { n.frozenWork.push(() => this.work(n, life, fn)); return; }
+    fn();
+  }
+
+  /** The way there (or back) takes this long; a lost packet is sent again after 200 ms and more. */
+  private way(slow = 0): number {
+    let d = this.delay[0] + (this.delay[1] - this.delay[0]) * this.rnd.next() + slow * this.rnd.next();
+    for (let back = 200; this.rnd.next() < this.loss && back < 4_000; back *= 2) d += back;
+    return d;
+  }
+
+  private isCut(a: string, b: string): boolean {
+    return this.cuts.has(`${a}>${b}`);
+  }
+  /** Nothing arrives from a at b (and from b at a). */
+  cut(a: string, b: string, both = true): void {
+    this.cuts.add(`${a}>${b}`);
+    if (both) this.cuts.add(`${b}>${a}`);
+  }
+  heal(): void { this.cuts.clear(); }
+
+  async start(n: SimNode): Promise<void> {
+    if (n.up) return;
+    const life = ++n.life;
+    n.up = true;
+    n.frozen = false;
+    n.frozenWork = [];
+    const rnd = seeded(Math.floor(this.rnd.next() * 2 ** 32));
+    const clock: Clock = {
+      now: () => this.now + n.skewMs,
+      after: (ms, fn) => this.at(ms + n.slowMs * rnd.next(), () => this.work(n, life, fn)),
+    };
+    const net: Net = {
+      serve: async (h) => { n.handle = h; },
+      call: (peer, frame, timeoutMs) => this.call(n, life, peer, frame, timeoutMs),
+      close: async () => { n.handle = undefined; },
+    };
+    const note = (kind: string) => (line: string, data?: Record<string, unknown>): void => {
+      const s = `${(this.now / 1000).toFixed(3)} ${n.name} ${kind}${line} ${data ? JSON.stringify(data) : ''}`;
+      this.lines.push(s);
+      if (this.opts.log) process.stdout.write(s + '\n');
+      if (data && (data.fault as { tag?: string } | undefined)?.tag === 'internal') this.errors.push(s);
+    };
+    const host: Host = { clock, rnd, net, config: n.config, log: { info: note(''), warn: note('! ') }, die: () => this.kill(n) };
+    if (n.config.data) {
+      n.sql ??= new Database(':memory:');
+      n.db = host.db = new Db(n.sql, clock, () => n.diskMs * (0.5 + rnd.next()), (e) => { this.errors.push(`${n.name} disk: ${e.message}`); this.kill(n); });
+    }
+    const { kernel, edge } = await startNode(host);
+    n.kernel = kernel;
+    n.edge = edge;
+  }
+
+  /** Ends the process at once; what was not synced is lost. Serves for a kill and for a loss of power. */
+  kill(n: SimNode): void {
+    if (!n.up) return;
+    n.up = false;
+    n.life++;
+    n.db?.drop();
+    n.kernel?.end();
+    n.handle = undefined;
+    n.frozen = false;
+    n.frozenWork = [];
+    for (const f of [...n.calls]) f();
+    n.calls.clear();
+    for (const f of [...n.streams]) f();
+    n.streams.clear();
+  }
+
+  /** SIGTERM, and the hard kill 6 s later. Gives whether it left by itself. */
+  async stop(n: SimNode): Promise<boolean> {
+    const life = n.life;
+    let left = false;
+    const hard = this.at(6_000, () => { if (n.life === life) this.kill(n); });
+    const k = n.kernel!;
+    const sql = n.sql;
+    // The process's own bound, as in the program.
+    await Promise.race([
+      (async () => { await stopButDisk(k); left = true; })(),
+      new Promise<void>((r) => { this.at(6_001, r); }),
+    ]);
+    hard();
+    if (n.life === life) this.kill(n);
+    n.sql = sql;
+    return left;
+  }
+
+  /** The disk dies with all that is on it; the machine comes back with an empty one, if at all. */
+  loseDisk(n: SimNode): void {
+    this.kill(n);
+    n.sql?.close();
+    n.sql = undefined;
+  }
+
+  freeze(n: SimNode): void { if (n.up) n.frozen = true; }
+  thaw(n: SimNode): void {
+    if (!n.frozen) return;
+    n.frozen = false;
+    const w = n.frozenWork;
+    n.frozenWork = [];
+    for (const f of w) this.at(this.rnd.next(), f);
+  }
+
+  private call(from: SimNode, life: number, peer: string, frame: string, timeoutMs: number): Promise<string> {
+    const to = this.byPeer.get(peer);
+    return new Promise((res, rej) => {
+      let over = false;
+      let broken = (): void => {};
+      const end = (fn: () => void): void => {
+        if (over) return;
+        over = true;
+        stop();
+        to?.calls.delete(broken);
+        this.work(from, life, fn);
+      };
+      const stop = this.at(timeoutMs, () => end(() => rej(new Failure({ tag: 'timeout', step: 'call', peer }))));
+      if (!to) { this.at(1, () => end(() => rej(new Failure({ tag: 'unreachable', step: 'call', peer, detail: 'no route' })))); return; }
+      this.at(this.way(from.slowMs + to.slowMs), () => {
+        if (this.isCut(from.name, to.name)) return; // silence until the time limit
+        if (!to.up || !to.handle) { this.at(this.way(), () => end(() => rej(new Failure({ tag: 'unreachable', step: 'call', peer, detail: 'refused' })))); return; }
+        const toLife = to.life;
+        broken = () => { this.at(this.way(), () => { if (!this.isCut(to.name, from.name)) end(() => rej(new Failure({ tag: 'cut', step: 'call', peer, detail: 'reset' }))); }); };
+        to.calls.add(broken);
+        this.work(to, toLife, () => {
+          to.handle!(frame).then(
+            (s) => {
+              if (!to.up || to.life !== toLife) return;
+              this.at(this.way(from.slowMs + to.slowMs), () => { if (!this.isCut(to.name, from.name)) end(() => res(s)); });
+            },
+            (e) => { this.errors.push(`${to.name} handler: ${e}`); },
+          );
+        });
+      });
+    });
+  }
+
+  /** The outside's way in. `outside` is the name cuts use for it. */
+  readonly outside: Way = {
+    nodes: (domain) => [...this.nodes.values()].filter((n) => n.up && !n.frozen && n.config.role === 'relay' && n.edge?.ready() && (domain === undefined || n.config.domain === domain)).map((n) => n.config.client),
+    visit: (node, method, body, timeoutMs) => new Promise((res) => {
+      const to = this.byClient.get(node)!;
+      const life = to.life;
+      let over = false;
+      const end = (x: { status: number; body: any } | undefined): void => { if (!over) { over = true; stop(); to.calls.delete(broken); res(x); } };
+      const broken = (): void => { this.at(this.way(), () => end(undefined)); };
+      const stop = this.at(timeoutMs, () => end(undefined));
+      const sent = JSON.stringify(body);
+      this.at(this.way(to.slowMs), () => {
+        if (!to.up || to.life !== life || !to.edge) { end(undefined); return; }
+        to.calls.add(broken);
+        this.work(to, life, () => {
+          void to.edge!.visit(method, JSON.parse(sent)).then((r) => {
+            if (!to.up || to.life !== life) return;
+            const raw = JSON.stringify(r.body);
+            this.at(this.way(to.slowMs), () => end({ status: r.status, body: JSON.parse(raw) }));
+          });
+        });
+      });
+    }),
+    attach: (node, body, onFrame, onEnd) => {
+      const to = this.byClient.get(node)!;
+      const life = to.life;
+      let closed = false;
+      let id = '';
+      let last = 0;
+      const ended = (): void => { if (closed) return; closed = true; to.streams.delete(reset); onEnd(); };
+      const reset = (): void => { this.at(this.way(), ended); };
+      // One stream is one TCP connection: what is written arrives in order.
+      const toClient = (fn: () => void): void => {
+        const t = Math.max(last, this.now + this.way(to.slowMs));
+        last = t;
+        this.at(t - this.now, fn);
+      };
+      this.at(this.way(to.slowMs), () => {
+        if (closed) return;
+        if (!to.up || to.life !== life || !to.edge) { ended(); return; }
+        to.streams.add(reset);
+        this.work(to, life, () => {
+          if (closed) return;
+          const r = to.edge!.attach(body, {
+            write: (s) => {
+              toClient(() => { for (const line of s.split('\n')) if (line && !closed) onFrame(JSON.parse(line) as Frame); });
+              return true;
+            },
+            close: () => toClient(ended),
+          });
+          if ('status' in r) toClient(ended);
+          else id = r.id;
+        });
+      });
+      return () => {
+        if (closed) return;
+        closed = true;
+        to.streams.delete(reset);
+        // The node sees the close unless it is gone; frozen ones see it later.
+        this.at(this.way(), () => this.work(to, life, () => { if (id) to.edge!.gone(id); }));
+      };
+    },
+  };
+
+  /** Resets conns of callers; the callers come back by themselves. */
+  resetStreams(share: number): void {
+    for (const n of this.nodes.values()) for (const f of [...n.streams]) if (this.rnd.next() < share) { n.streams.delete(f); f(); }
+  }
+
+  close(): void {
+    for (const n of this.nodes.values()) { this.kill(n); n.sql?.close(); }
+  }
+}
+
+/** Stops a kernel but leaves its database open for the next life. */
+async function stopButDisk(k: Kernel): Promise<void> {
+  const db = k.host.db;
+  (k.host as { db?: Db }).db = undefined;
+  await k.stop();
+  (k.host as { db?: Db }).db = db;
+}
