Counts ask all relays after a take; a lost fence no longer counts as a disk fault

Machines' clocks now start in 2026. Ruled out: lost Fan frames (heads mend them within a second in every run).

--- a/packages/data/src/copies.ts
+++ b/packages/data/src/copies.ts
@@ -121,12 +121,12 @@
     return { tag: 'snapshot', base: packBase(c.base, now), entries: c.entries.map(packEntry(now)) };
   }
 
-  /** Takes history from another copy as it is, under a fence we hold ourselves. */
-  async take(shard: number, fence: Fence, f: Fetched, from: number): Promise<void> {
-    await this.st.db.commit(() => {
+  /** Takes history from another copy as it is, under a fence we hold ourselves; false when it was lost meanwhile. */
+  take(shard: number, fence: Fence, f: Fetched, from: number): Promise<boolean> {
+    return this.st.db.commit(() => {
       const now = this.k.host.clock.now();
       const c = this.get(shard);
-      if (c.promised !== fence) throw new Failure({ tag: 'fenced', step: 'take', peer: this.k.self, fence: c.promised });
+      if (c.promised !== fence) return false;
       switch (f.tag) {
         case 'follow':
           this.st.cut(c, from + 1);
@@ -136,6 +136,7 @@
           this.st.install(c, unpackBase(f.base, now), f.entries.map(unpackEntry(now)));
           break;
       }
+      return true;
     });
   }
 
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -42,6 +42,7 @@
   said = '';
   saidN = 0;
   triedAt = -Infinity;
+  takenAt = -Infinity;
   constructor(readonly shard: number) {}
 
   last(): number { return this.base.idx + this.log.length; }
@@ -106,6 +107,7 @@
     key.state = s;
     switch (s) {
       case 'owner':
+        if (was === 'taking') key.takenAt = this.k.host.clock.now();
         this.k.count('key.taken');
         this.k.host.log.info(`owner of shard ${key.shard}`, { fence: key.fence });
         break;
@@ -266,7 +268,7 @@
       const from = Math.min(lastIdx(mine), best.lastIdx);
       const fromFence = from >= mine.base.idx ? (from === mine.base.idx ? mine.base.fence : mine.entries[from - mine.base.idx - 1]!.fence) : '?';
       const f = await this.k.call<Fetched>(this.reg.peerOf(best.disk)!, 'Fetch', { disk: best.disk, shard: key.shard, from, fromFence }, C.snapshotMs);
-      await this.copies.take(key.shard, fence, f, from);
+      if (!(await this.copies.take(key.shard, fence, f, from))) return;
     }
     const c = this.copies.get(key.shard);
     if (c.promised !== fence) return;
@@ -575,12 +577,19 @@
 
   private async countListeners(topic: string): Promise<{ count: number; partial: boolean }> {
     this.family(topic, 'Count');
-    this.serving(topic, 'Count');
-    const asked = this.interested(topic);
-    const got = await Promise.all(asked.map(([relay]) => within(this.k.host.clock, C.countWaitMs, this.k.call<number>(relay, 'CountHolds', { topic }, C.countWaitMs)).catch(() => undefined)));
-    // A relay that is gone has no listeners any more; one that is there and silent makes the answer partial.
-    const partial = got.some((n, i) => n === undefined && this.board.isLive(asked[i]![0]));
-    return { count: got.reduce<number>((a, n) => a + (n ?? 0), 0), partial };
+    const key = this.serving(topic, 'Count');
+    const asked = new Set(this.interested(topic).map(([relay]) => relay));
+    // A new owner has not heard of every interest yet: it asks all relays.
+    if (this.k.host.clock.now() - key.takenAt < C.countAllMs) for (const m of this.board.members.values()) if (m.role === 'relay' && m.state !== 'left') asked.add(m.peer);
+    const got = await Promise.all([...asked].map(async (relay) => {
+      try {
+        return (await within(this.k.host.clock, C.countWaitMs, this.k.call<number>(relay, 'CountHolds', { topic }, C.countWaitMs))) ?? 'silent';
+      } catch (e) {
+        // No process there: it has no listeners any more. One that is there and silent makes the answer partial.
+        return faultOf(e).tag === 'unreachable' ? 0 : 'silent';
+      }
+    }));
+    return { count: got.reduce<number>((a, n) => a + (n === 'silent' ? 0 : n), 0), partial: got.includes('silent') };
   }
 }
 
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -34,6 +34,8 @@
   historyPageN: 64,
   /** How long the owner waits for relays when it counts listeners; the asker's patience is about 2 s. */
   countWaitMs: 700,
+  /** A key taken this lately: relays may not have told their interest, so all of them are asked. */
+  countAllMs: 4_000,
   /** Holds and conns a relay may have: beyond it, new conns are rejected at once. */
   connsN: 4_000,
   /** Subscriptions a conn may have. */
--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -34,6 +34,7 @@
   }
 
   start(): void {
+    if (this.running) return;
     this.running = true;
     void this.live();
   }
@@ -88,6 +89,7 @@
   private one(node: string): Promise<number> {
     const { rnd, way, clock, journal } = this.w;
     return new Promise((res) => {
+      this.end('superseded');
       const life = ++this.life;
       let hint = 100 + 400 * rnd.next();
       const over = (why: string): void => {
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -19,6 +19,9 @@
   };
 }
 
+/** Machines' clocks begin at some time of the year 2026. */
+const EPOCH_MS = 1_790_000_000_000;
+
 interface Ev { at: number; n: number; fn: () => void; off: boolean }
 
 class Heap {
@@ -186,7 +189,7 @@
     n.frozenWork = [];
     const rnd = seeded(Math.floor(this.rnd.next() * 2 ** 32));
     const clock: Clock = {
-      now: () => this.now + n.skewMs,
+      now: () => EPOCH_MS + this.now + n.skewMs,
       after: (ms, fn) => this.at(ms + n.slowMs * rnd.next(), () => this.work(n, life, fn)),
     };
     const net: Net = {
