--- /dev/null
+++ b/packages/trial/src/day.ts
@@ -0,0 +1,158 @@
+import { mkdtempSync, writeFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { consola } from 'consola';
+import { sleep, realClock } from '@harecross/kernel';
+import yargs from 'yargs';
+import { type World } from './actors.js';
+import { Fleet, type Proc } from './fleet.js';
+import { Journal } from './journal.js';
+import { judge, SETTLE_MS } from './oracle.js';
+import { configOf, crowd, DUNARE, SINE_SALOUM, SMALL, type Site } from './scenario.js';
+import { seeded } from './sim.js';
+
+const SITES = new Map<string, Site>([SINE_SALOUM, DUNARE, SMALL].map((s) => [s.name, s]));
+const FAULTS = ['kill-relay', 'kill-store', 'freeze', 'reset', 'operators', 'settings', 'rolling', 'remove', 'wipe', 'closing'] as const;
+type Fault = (typeof FAULTS)[number];
+
+const a = yargs(process.argv.slice(2))
+  .scriptName('day')
+  .usage('$0 [flags]\n\nRuns a site at full size as real processes on loopback, with faults, and judges the day.')
+  .option('site', { choices: [...SITES.keys()], default: SINE_SALOUM.name })
+  .option('faults', { type: 'string', default: FAULTS.join(','), describe: 'which, in order; or none' })
+  .option('calm-s', { type: 'number', default: 4, describe: 'seconds of plain traffic before each fault' })
+  .option('seed', { type: 'number', default: 1 })
+  .option('keep', { type: 'boolean', default: false, describe: 'keep the folder with logs and journal' })
+  .strict().parseSync();
+const site = SITES.get(a.site)!;
+const faults = (a.faults === 'none' ? [] : a.faults.split(',')) as Fault[];
+for (const f of faults) if (!FAULTS.includes(f)) { process.stderr.write(`no fault ${f}; there are: ${FAULTS.join(', ')}\n`); process.exit(2); }
+
+const folder = mkdtempSync(join(tmpdir(), 'harecross-day-'));
+const fleet = await Fleet.of(site, folder);
+const t0 = realClock.now();
+const clock = { now: () => realClock.now() - t0, after: realClock.after };
+const journal = new Journal(() => clock.now());
+const rnd = seeded(a.seed);
+const world: World = { clock, rnd, way: fleet.way, journal };
+const cr = crowd(world, site);
+const pause = (ms: number): Promise<void> => sleep(realClock, ms);
+const any = <T>(xs: T[]): T => xs[Math.floor(rnd.next() * xs.length)]!;
+const say = (s: string): void => { consola.info(`${(clock.now() / 1000).toFixed(1)} s: ${s}`); };
+const left: number[] = [];
+const stopped = async (p: Proc): Promise<void> => {
+  const ms = await fleet.stop(p);
+  if (ms === undefined) say(`${p.name} did not leave within 6 s and was killed`);
+  left.push(ms ?? Infinity);
+};
+
+say(`${site.name}: ${fleet.procs.length} processes in ${folder}`);
+fleet.startAll();
+await pause(Math.max(0, 6_000 - clock.now()));
+const first = cr.operator.submit('first', configOf(site), true);
+await pause(Math.max(0, 12_000 - clock.now()));
+say(`configuration: ${(await first).out}; ${fleet.way.nodes().length} of ${site.relays} relays take conns`);
+for (const c of cr.consumers) c.start();
+for (const s of cr.senders) s.start();
+let on = true;
+void (async () => { while (on) { await pause(500); void cr.operator.look(fleet.procs.filter((p) => p.up).map((p) => p.config.client)); } })();
+void (async () => { while (on) { await pause(400); void cr.operator.count(any(cr.topics)); } })();
+// Callers drop off often, by themselves.
+void (async () => { while (on) { await pause(500); const c = any(cr.consumers); if (rnd.next() < 0.5) c.drop(); else void c.away(500 + 15_000 * rnd.next()); } })();
+
+const run: Record<Fault, () => Promise<void>> = {
+  'kill-relay': async () => { const p = any(fleet.relays); say(`kill -9 ${p.name}`); await fleet.kill(p); await pause(3_000); fleet.start(p); },
+  'kill-store': async () => { const p = any(fleet.stores); say(`kill -9 ${p.name}`); await fleet.kill(p); await pause(4_000); fleet.start(p); },
+  freeze: async () => { const p = any(fleet.procs); say(`freeze ${p.name}`); fleet.signal(p, 'SIGSTOP'); await pause(5_000); fleet.signal(p, 'SIGCONT'); },
+  reset: async () => { say(`reset ${fleet.resetStreams(0.97)} conns`); await pause(4_000); },
+  operators: async () => {
+    const extra = (n: string) => configOf(site, [{ name: n, topics: [`${n}/*`], urgency: 'routine', patienceMs: 2_000, memoryS: 30 }]);
+    for (let i = 0; i < 3; i++) {
+      const v = await cr.operator.read();
+      const r = await Promise.all([cr.operator.submit(`a${i}`, extra(`a${i}`), true, v), cr.operator.submit(`b${i}`, extra(`b${i}`), true, v), cr.operator.submit(`c${i}`, { families: 5 }, false)]);
+      say(`two operators at once: ${r.map((x) => x.out).join(', ')}`);
+      await pause(500);
+    }
+    await cr.operator.submit('a0', extra('a0'), true);
+  },
+  settings: async () => {
+    const p = any(fleet.relays);
+    say(`config file of ${p.name}: rewritten silently, then broken with a signal, then mended`);
+    fleet.writeConfig(p);
+    await pause(1_500);
+    writeFileSync(p.file, '{ "domain": ');
+    fleet.signal(p, 'SIGHUP');
+    await pause(1_500);
+    fleet.writeConfig(p);
+    fleet.signal(p, 'SIGHUP');
+    await pause(500);
+  },
+  rolling: async () => {
+    for (const p of fleet.stores) {
+      say(`stop ${p.name}`);
+      await stopped(p);
+      await pause(1_500);
+      fleet.start(p);
+      await pause(4_000);
+    }
+    for (const p of fleet.relays.slice(0, 3)) { say(`stop ${p.name}`); await stopped(p); fleet.start(p); await pause(2_000); }
+  },
+  remove: async () => {
+    const all = configOf(site);
+    say('a family is removed, and comes back');
+    await cr.operator.submit('remove', { families: all.families.slice(0, 1) }, true);
+    await pause(8_000);
+    await cr.operator.submit('again', all, true);
+    await pause(3_000);
+  },
+  wipe: async () => {
+    const p = any(fleet.stores);
+    say(`disk of ${p.name} dies; it comes back empty`);
+    await fleet.kill(p);
+    rmSync(p.config.data!, { recursive: true, force: true });
+    await pause(3_000);
+    fleet.start(p);
+    await pause(6_000);
+  },
+  closing: async () => {
+    say('closing fault: a third of the relays and one store die');
+    const victims = [...fleet.relays.filter((_, i) => i % 3 === 0), any(fleet.stores)];
+    await Promise.all(victims.map((p) => fleet.kill(p)));
+    journal.add({ k: 'closing' });
+    await pause(17_000);
+    for (const p of victims) fleet.start(p);
+    await pause(3_000);
+  },
+};
+for (const f of faults) { await pause(a.calmS * 1000); await run[f](); }
+await pause(a.calmS * 1000);
+for (const s of cr.senders) s.stop();
+on = false;
+await pause(SETTLE_MS + 16_000);
+await cr.operator.read(true);
+journal.add({ k: 'end' });
+
+const bad = judge(journal.seen);
+const n = (k: string): number => journal.seen.filter((s) => s.k === k).length;
+const outs = new Map<string, number>();
+const tried = new Map<number, number>();
+const lat: number[] = [];
+const way: number[] = [];
+const firstTry = new Map<string, number>();
+for (const s of journal.seen) {
+  if (s.k === 'pub.try') { tried.set(s.try, s.t); const id = `${s.topic} ${s.sender} ${s.seq}`; if (!firstTry.has(id)) firstTry.set(id, s.t); }
+  if (s.k === 'pub.answer') { const o = s.out === 'accepted' ? s.out : `${s.out}:${s.tag}`; outs.set(o, (outs.get(o) ?? 0) + 1); if (s.out === 'accepted') lat.push(s.t - tried.get(s.try)!); }
+  if (s.k === 'deliver') { const t = firstTry.get(`${s.topic} ${s.sender} ${s.seq}`); if (t !== undefined) way.push(s.t - t); }
+}
+const q = (xs: number[]): string => { const s = [...xs].sort((x, y) => x - y); return [0.5, 0.9, 0.99, 1].map((p) => `p${p * 100}=${Math.round(s[Math.min(s.length - 1, Math.floor(p * s.length))] ?? NaN)}`).join(' '); };
+consola.info(`publishes: ${n('pub.try')} tries; ${[...outs].map(([k, v]) => `${k} ${v}`).join(', ')}`);
+consola.info(`delivered ${n('deliver')}, conns ${n('conn.open')}, counts ${n('count')} (${journal.seen.filter((s) => s.k === 'count' && s.partial).length} partial), node looks ${n('node.says')}`);
+consola.info(`accept ms ${q(lat)}; first try to delivery ms ${q(way)} (this machine, for shape only)`);
+if (left.length) consola.info(`SIGTERM to exit ms: ${left.map((x) => Math.round(x)).join(' ')}`);
+consola.info(`exits not 0: ${fleet.procs.filter((p) => p.exits.some((e) => e > 0)).map((p) => `${p.name} ${p.exits}`).join('; ') || 'none'}`);
+await fleet.close();
+writeFileSync(join(folder, 'journal.json'), journal.seen.map((s) => JSON.stringify(s)).join('\n'));
+for (const v of bad.slice(0, 20)) consola.error(`${v.rule} at ${v.t}: ${v.what}`);
+consola.info(bad.length ? `VERDICT: ${bad.length} violations (folder ${folder})` : 'VERDICT: clean');
+if (!a.keep && !bad.length) rmSync(folder, { recursive: true, force: true });
+process.exit(bad.length ? 1 : 0);
--- /dev/null
+++ b/packages/trial/src/fleet.ts
@@ -0,0 +1,167 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { request as httpRequest, Agent as HttpAgent } from 'node:http';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { sleep, realClock, type NodeConfig, type Role } from '@harecross/kernel';
+import type { Frame } from '@harecross/schema';
+import { Agent, request } from 'undici';
+import type { Way } from './actors.js';
+import type { Site } from './scenario.js';
+
+/** A process of the fleet under test, as the runner sees it. */
+export interface Proc { name: string; role: Role; config: NodeConfig; file: string; child?: ChildProcess; well: boolean; up: boolean; exits: number[] }
+
+const program = (role: Role): string => fileURLToPath(new URL(`../../${role}/dist/main.js`, import.meta.url));
+
+/** Ports the OS says are free; held until all are known so that none comes twice. */
+export async function freePorts(n: number): Promise<number[]> {
+  const held = await Promise.all(Array.from({ length: n }, () => new Promise<{ port: number; close: () => Promise<void> }>((res, rej) => {
+    const s = createServer();
+    s.on('error', rej);
+    s.listen(0, '127.0.0.1', () => res({ port: (s.address() as { port: number }).port, close: () => new Promise((r) => s.close(() => r())) }));
+  })));
+  await Promise.all(held.map((h) => h.close()));
+  return held.map((h) => h.port);
+}
+
+/**
+ * A fleet of real processes on loopback.
+ * @example
+ * const f = await Fleet.of(SINE_SALOUM, '/tmp/day'); f.startAll();
+ */
+export class Fleet {
+  readonly procs: Proc[] = [];
+  private agent = new Agent({ connections: 256, pipelining: 1 });
+  private http = new HttpAgent({ keepAlive: false, maxSockets: Infinity });
+  private conns = new Set<() => void>();
+  private polling = true;
+
+  static async of(site: Site, folder: string): Promise<Fleet> {
+    const f = new Fleet();
+    mkdirSync(folder, { recursive: true });
+    const total = site.stores + site.relays;
+    const ports = await freePorts(total * 2);
+    const make = (role: Role, i: number, disk: boolean): void => {
+      const name = `${role}${i + 1}`;
+      const k = f.procs.length;
+      const config: NodeConfig = { role, domain: site.domains[i % site.domains.length]!, peer: `127.0.0.1:${ports[2 * k]}`, client: `127.0.0.1:${ports[2 * k + 1]}`, seeds: [], ...(disk ? { data: join(folder, name) } : {}) };
+      f.procs.push({ name, role, config, file: join(folder, `${name}.json`), well: false, up: false, exits: [] });
+    };
+    for (let i = 0; i < site.stores; i++) make('store', i, true);
+    for (let i = 0; i < site.relays; i++) make('relay', i, i < site.relayDisks);
+    const seeds = f.procs.slice(0, 3).map((p) => p.config.peer);
+    for (const p of f.procs) { p.config.seeds = seeds; f.writeConfig(p); }
+    void f.poll();
+    return f;
+  }
+
+  get stores(): Proc[] { return this.procs.filter((p) => p.role === 'store'); }
+  get relays(): Proc[] { return this.procs.filter((p) => p.role === 'relay'); }
+
+  writeConfig(p: Proc): void {
+    writeFileSync(p.file, JSON.stringify(p.config, null, 2) + '\n');
+  }
+
+  start(p: Proc): void {
+    if (p.up) return;
+    const log = createWriteStream(p.file.replace(/\.json$/, '.log'), { flags: 'a' });
+    const child = spawn(process.execPath, [program(p.role), '--config', p.file], { stdio: ['ignore', 'pipe', 'pipe'] });
+    child.stdout!.pipe(log);
+    child.stderr!.pipe(log);
+    p.child = child;
+    p.up = true;
+    child.on('exit', (code, sig) => { p.up = false; p.well = false; p.exits.push(sig ? -1 : (code ?? -1)); });
+  }
+  startAll(): void { for (const p of this.procs) this.start(p); }
+
+  signal(p: Proc, s: NodeJS.Signals): void {
+    if (p.up) p.child!.kill(s);
+  }
+  async gone(p: Proc, ms: number): Promise<boolean> {
+    const until = realClock.now() + ms;
+    while (p.up && realClock.now() < until) await sleep(realClock, 20);
+    return !p.up;
+  }
+  async kill(p: Proc): Promise<void> {
+    this.signal(p, 'SIGKILL');
+    await this.gone(p, 2_000);
+  }
+  /** SIGTERM, and the hard kill 6 s later; gives the ms it took to leave by itself. */
+  async stop(p: Proc): Promise<number | undefined> {
+    const t0 = realClock.now();
+    this.signal(p, 'SIGTERM');
+    if (await this.gone(p, 6_000)) return realClock.now() - t0;
+    await this.kill(p);
+    return undefined;
+  }
+
+  /** What the callers' platform does: asks each access machine for its condition. */
+  private async poll(): Promise<void> {
+    while (this.polling) {
+      await Promise.all(this.procs.map(async (p) => {
+        if (!p.up) { p.well = false; return; }
+        try {
+          const r = await request(`http://${p.config.client}/condition`, { dispatcher: this.agent, headersTimeout: 800, bodyTimeout: 800 });
+          await r.body.dump();
+          p.well = r.statusCode === 200;
+        } catch { p.well = false; }
+      }));
+      await sleep(realClock, 250);
+    }
+  }
+
+  /** All conns of the stand-ins, or a share of them, are reset. */
+  resetStreams(share: number): number {
+    let n = 0;
+    for (const f of [...this.conns]) if (Math.random() < share) { f(); n++; }
+    return n;
+  }
+
+  readonly way: Way = {
+    nodes: (domain) => this.procs.filter((p) => p.role === 'relay' && p.up && p.well && (domain === undefined || p.config.domain === domain)).map((p) => p.config.client),
+    visit: async (node, method, body, timeoutMs) => {
+      const ac = new AbortController();
+      const t = setTimeout(() => ac.abort(), timeoutMs);
+      try {
+        const r = await request(`http://${node}/rpc/${method}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), dispatcher: this.agent, signal: ac.signal });
+        return { status: r.statusCode, body: await r.body.json() };
+      } catch { return undefined; } finally { clearTimeout(t); }
+    },
+    attach: (node, body, onFrame, onEnd) => {
+      let over = false;
+      const raw = JSON.stringify(body);
+      const req = httpRequest(`http://${node}/rpc/Attach`, { method: 'POST', agent: this.http, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(raw) } });
+      const reset = (): void => { req.destroy(); };
+      const end = (): void => { if (over) return; over = true; this.conns.delete(reset); onEnd(); };
+      let rest = '';
+      req.on('response', (res) => {
+        if (res.statusCode !== 200) { res.resume(); end(); return; }
+        res.setEncoding('utf8');
+        res.on('data', (s: string) => {
+          rest += s;
+          const lines = rest.split('\n');
+          rest = lines.pop()!;
+          for (const l of lines) if (l && !over) onFrame(JSON.parse(l) as Frame);
+        });
+        res.on('end', end);
+        res.on('close', end);
+        res.on('error', end);
+      });
+      req.on('error', end);
+      req.on('close', end);
+      req.end(raw);
+      this.conns.add(reset);
+      return () => { over = true; this.conns.delete(reset); req.destroy(); };
+    },
+  };
+
+  async close(): Promise<void> {
+    this.polling = false;
+    for (const p of this.procs) if (p.up) { this.signal(p, 'SIGCONT'); this.signal(p, 'SIGTERM'); }
+    await Promise.all(this.procs.map((p) => this.gone(p, 6_000)));
+    for (const p of this.procs) await this.kill(p);
+    await this.agent.destroy();
+  }
+}
