--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,8 +1,7 @@
-import { C, Kernel, loop, rank, register } from '@harecross/kernel';
-import { configFaults, type FleetConfig } from '@harecross/schema';
-import { Failure } from '@harecross/kernel';
+import { C, Failure, Kernel, loop, rank, register } from '@harecross/kernel';
+import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
-import { matchCopies, notReady, type DiskRec, type Register, type Value } from './register.js';
+import { matchCopies, notReady, type DiskRec, type MoveState, type Register, type Value } from './register.js';
 
 /** What the owner of a shard says on the board under `key/<shard>`. */
 export interface KeyRec { fence: string; gen: number; peer: string; inst: string; behind: string[] }
@@ -43,7 +42,56 @@
 
   /** The next step from this value, if one is due. */
   private plan(v: Value): Value | undefined {
-    return this.planDisks(v) ?? this.planSeats(v) ?? this.planShards(v);
+    return this.planDisks(v) ?? this.planSeats(v) ?? this.planMoves(v) ?? this.planShards(v);
+  }
+
+  /** Begins and ends the moves of the calendar. A move runs once: its state is in the register. */
+  private planMoves(v: Value): Value | undefined {
+    const now = this.k.host.clock.now();
+    const turn = (m: Move, state: MoveState, why: string, x: Partial<Value> = {}): Value => {
+      this.lastPlan = `move ${m.id} (${m.kind} ${m.node}): ${state}${why ? `, ${why}` : ''}`;
+      return { ...v, ...x, moves: new Map(v.moves).set(moveKey(m), { state, why }) };
+    };
+    for (const m of v.config.moves ?? []) {
+      const r = v.moves.get(moveKey(m));
+      const disk = [...v.disks.values()].find((d) => d.peer === m.node && d.state !== 'lost');
+      switch (r?.state) {
+        case undefined: {
+          if (now < m.from) break;
+          if (now >= m.until) return turn(m, 'missed', 'its time passed before it could begin');
+          if (m.kind === 'add') return turn(m, 'running', '');
+          const bar = barTo(v, m, disk, this.board);
+          if (bar) break; // tried again until its time has passed
+          if (m.kind === 'restart') return turn(m, 'running', '');
+          if (!disk) return turn(m, 'refused', `${m.node} has no disk`);
+          return turn(m, 'running', '', { disks: new Map(v.disks).set(disk.id, { ...disk, state: 'emptying' }) });
+        }
+        case 'running':
+        case 'late':
+          switch (m.kind) {
+            case 'empty':
+              if (!disk || disk.state !== 'emptying') return turn(m, 'refused', 'the emptying was taken back');
+              if (copiesOn(v, disk.id) === 0 && !v.seats.includes(disk.id)) return turn(m, 'done', '');
+              if (r.state === 'running' && now >= m.until) return turn(m, 'late', `${copiesOn(v, disk.id)} copies are still there`);
+              break;
+            case 'restart':
+              if (now >= m.until) return turn(m, 'done', '');
+              break;
+            case 'add': {
+              const there = this.board.live().find((x) => x.peer === m.node);
+              if (there && (!there.disk || (disk && copiesOn(v, disk.id) > 0))) return turn(m, 'done', '');
+              if (now >= m.until) return turn(m, 'missed', 'the machine did not come');
+              break;
+            }
+          }
+          break;
+        case 'done':
+        case 'missed':
+        case 'refused':
+          break;
+      }
+    }
+    return undefined;
   }
 
   private planDisks(v: Value): Value | undefined {
@@ -51,7 +99,7 @@
     const disks = new Map(v.disks);
     const said: string[] = [];
     for (const m of this.board.live()) {
-      if (!m.disk || now - m.liveSince < C.joinAfterMs) continue;
+      if (!m.disk || now - m.liveSince < C.joinAfterMs || now < waitsFor(v, m.peer)) continue;
       const d = disks.get(m.disk);
       if (!d) {
         disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active' });
@@ -65,7 +113,7 @@
       }
     }
     for (const d of v.disks.values()) {
-      if (d.state === 'lost' || disks.get(d.id)!.state === 'lost') continue;
+      if (d.state !== 'active' || disks.get(d.id)!.state === 'lost') continue;
       const m = this.board.ofDisk(d.id);
       const gone = m ? (m.state === 'live' ? 0 : now - m.seenAt) : now - (Number(this.k.inst.split('-')[0]) || now);
       if (gone > C.replaceAfterMs) { disks.set(d.id, { ...d, state: 'lost' }); said.push(`disk ${d.id} is lost`); }
@@ -128,60 +176,126 @@
   }
 }
 
+const moveKey = (m: Move): string => `${m.id}@${m.from}`;
+/** Copies that a disk still has. */
+export const copiesOn = (v: Value, disk: string): number => [...v.shards.values()].filter((p) => p.copies.includes(disk)).length;
+/** A machine that the calendar adds later is not let in before. */
+const waitsFor = (v: Value, peer: string): number =>
+  Math.max(0, ...(v.config.moves ?? []).filter((m) => m.kind === 'add' && m.node === peer && !v.moves.has(moveKey(m)) && ![...v.disks.values()].some((d) => d.peer === peer)).map((m) => m.from));
+
+/** Whether the calendar has this machine out for a restart now. */
+export const awayNow = (v: Value | undefined, peer: string): boolean =>
+  v !== undefined && (v.config.moves ?? []).some((m) => m.kind === 'restart' && m.node === peer && v.moves.get(moveKey(m))?.state === 'running');
+
+/** What keeps a machine from leaving now: a majority that would break, or copies that would have no place. */
+function barTo(v: Value, m: Pick<Move, 'kind'>, disk: DiskRec | undefined, board: Board): string | undefined {
+  if (!disk) return undefined;
+  const live = (d: string): boolean => { const x = board.ofDisk(d); return d !== disk.id && x !== undefined && board.isLive(x.peer); };
+  const short = (set: string[]): boolean => set.filter(live).length * 2 <= set.length;
+  if (short(v.seats)) return 'the register would lose its majority';
+  for (const [s, p] of v.shards) if (short(p.copies)) return `shard ${s} would lose its majority`;
+  if (m.kind === 'restart') return undefined;
+  const active = [...v.disks.values()].filter((d) => d.state === 'active');
+  const now = matchCopies(0, active, v.config.copies ?? C.copiesN).length;
+  const left = active.filter((d) => d.id !== disk.id && live(d.id));
+  if (left.length < now) return `${left.length} active live disks would be left for ${now} copies`;
+  return undefined;
+}
+
 /** What operators ask of the register. */
 export class Operators {
-  constructor(private k: Kernel, private reg: Register) {}
+  constructor(private k: Kernel, private board: Board, private reg: Register) {}
 
   /** Takes a configuration, or gives the first outcome of its changeId. */
-  async submit(b: { changeId: string; expect?: number; config: unknown }): Promise<{ version: number }> {
-    const faults = configFaults(b.config);
-    if (faults.length) throw new Failure({ tag: 'invalid_config', step: 'SubmitConfig', peer: this.k.self, faults });
-    if (!this.reg.value) throw notReady(this.k, 'SubmitConfig');
-    const config = b.config as FleetConfig;
+  submit(b: { changeId: string; expect?: number; config: unknown }): Promise<{ version: number }> {
+    return this.change('SubmitConfig', b.changeId, b.expect, () => b.config);
+  }
+
+  /** Takes a new calendar into the configuration in force. */
+  planMoves(b: { changeId: string; expect?: number; moves: Move[] }): Promise<{ version: number }> {
+    return this.change('PlanMoves', b.changeId, b.expect, (v) => ({ ...v.config, moves: b.moves }));
+  }
+
+  private async change(step: string, changeId: string, expect: number | undefined, make: (v: Value) => unknown): Promise<{ version: number }> {
+    if (!this.reg.value) throw notReady(this.k, step);
+    const check = (v: Value): FleetConfig => {
+      const x = make(v);
+      const faults = configFaults(x);
+      if (!faults.length) faults.push(...this.moveFaults(v, x as FleetConfig));
+      if (faults.length) throw new Failure({ tag: 'invalid_config', step, peer: this.k.self, faults });
+      return x as FleetConfig;
+    };
+    if (!this.reg.value.changes.has(changeId)) check(this.reg.value);
     const o = await this.reg.change((v) => {
-      const first = v.changes.get(b.changeId);
+      const first = v.changes.get(changeId);
       if (first) return { out: first };
       const changes = new Map(v.changes);
-      if (b.expect !== undefined && b.expect !== v.version) {
+      if (expect !== undefined && expect !== v.version) {
         const out = { tag: 'conflict' as const, version: v.version };
-        changes.set(b.changeId, out);
+        changes.set(changeId, out);
         return { next: { ...v, changes: trimmed(changes) }, out };
       }
+      const config = check(v);
       const version = v.version + 1;
       const born = new Map<string, number>();
       for (const f of config.families) born.set(f.name, v.born.get(f.name) ?? version);
       const out = { tag: 'taken' as const, version };
-      changes.set(b.changeId, out);
-      return { next: { ...v, version, changeId: b.changeId, config, born, changes: trimmed(changes) }, out };
+      changes.set(changeId, out);
+      const keys = new Set((config.moves ?? []).map(moveKey));
+      const moves = new Map([...v.moves].filter(([k]) => keys.has(k)));
+      return { next: { ...v, version, changeId, config, born, changes: trimmed(changes), moves }, out };
     });
     switch (o.tag) {
       case 'taken': return { version: o.version };
-      case 'conflict': throw new Failure({ tag: 'conflict', step: 'SubmitConfig', peer: this.k.self, version: o.version });
+      case 'conflict': throw new Failure({ tag: 'conflict', step, peer: this.k.self, version: o.version });
     }
   }
 
+  /** Faults of moves that are new against the configuration in force. */
+  private moveFaults(v: Value, c: FleetConfig): { path: string; fault: string }[] {
+    const now = this.k.host.clock.now();
+    const had = new Set((v.config.moves ?? []).map((m) => JSON.stringify(m)));
+    const out: { path: string; fault: string }[] = [];
+    (c.moves ?? []).forEach((m, i) => {
+      if (had.has(JSON.stringify(m))) return;
+      if (m.until <= now) out.push({ path: `/moves/${i}/until`, fault: 'is in the past' });
+      const known = this.board.members.has(m.node) || [...v.disks.values()].some((d) => d.peer === m.node);
+      if (m.kind !== 'add' && !known) out.push({ path: `/moves/${i}/node`, fault: `no machine '${m.node}' is known` });
+    });
+    return out;
+  }
+
   async readConfig(): Promise<{ version: number; changeId: string; config: unknown }> {
     if (!this.reg.value) throw notReady(this.k, 'ReadConfig');
     const v = (await this.reg.confirm()) ? this.reg.value! : await this.reg.read();
     return { version: v.version, changeId: v.changeId, config: v.config };
   }
 
-  async setDisk(disk: string, state: 'active' | 'emptying', step: string): Promise<{ disk: string; state: string }> {
+  /** Begins or takes back the emptying of a disk. */
+  async setDisk(disk: string, state: 'active' | 'emptying', step: string): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
     if (!this.reg.value) throw notReady(this.k, step);
     return this.reg.change((v) => {
       const d = v.disks.get(disk);
       if (!d) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
-      if (d.state === state) return { out: { disk, state } };
+      const told = { disk, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
+      if (d.state === state) return { out: told };
       if (d.state === 'lost') throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: `disk ${disk} is lost` });
-      const disks = new Map(v.disks).set(disk, { ...d, state });
-      const left = [...disks.values()].filter((x) => x.state === 'active').length;
-      const copies = Math.min(v.config.copies ?? C.copiesN, v.disks.size);
-      if (state === 'emptying' && left < Math.min(3, copies)) {
-        throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: `${left} active disks would be left; a majority that bears a loss needs 3` });
-      }
-      return { next: { ...v, disks }, out: { disk, state } };
+      const bar = state === 'emptying' ? barTo(v, { kind: 'empty' }, d, this.board) : undefined;
+      if (bar) throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: bar });
+      return { next: { ...v, disks: new Map(v.disks).set(disk, { ...d, state }) }, out: told };
     });
   }
+
+  /** How far the emptying of a disk has come. */
+  emptyStatus(disk: string): { disk: string; state: string; copies: number; seat: boolean } {
+    const v = this.reg.value;
+    if (!v) throw notReady(this.k, 'EmptyStatus');
+    const d = v.disks.get(disk);
+    if (!d) throw new Failure({ tag: 'unknown_disk', step: 'EmptyStatus', peer: this.k.self, disk });
+    const copies = copiesOn(v, disk);
+    const seat = v.seats.includes(disk);
+    return { disk, state: d.state === 'emptying' && !copies && !seat ? 'emptied' : d.state, copies, seat };
+  }
 }
 
 function trimmed<T>(m: Map<string, T>): Map<string, T> {
@@ -190,4 +304,4 @@
 }
 
 register({ name: 'keeper', needs: ['board', 'register'], setup: (k) => new Keeper(k, k.use('board'), k.use('register')) });
-register({ name: 'operators', needs: ['register'], setup: (k) => new Operators(k, k.use('register')) });
+register({ name: 'operators', needs: ['board', 'register'], setup: (k) => new Operators(k, k.use('board'), k.use('register')) });
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -8,6 +8,9 @@
 export type DiskState = 'active' | 'emptying' | 'lost';
 export interface DiskRec { id: string; peer: string; domain: string; state: DiskState }
 export interface Placement { gen: number; copies: string[] }
+export type MoveState = 'running' | 'late' | 'done' | 'missed' | 'refused';
+/** How far a planned move has come; only moves that have begun (or never will) are here. */
+export interface MoveRec { state: MoveState; why: string }
 export type Outcome = { tag: 'taken'; version: number } | { tag: 'conflict'; version: number };
 
 /** The one value the fleet agrees on. rev counts every change, version only the operators'. */
@@ -24,6 +27,8 @@
   prevSeats: string[];
   shards: Map<number, Placement>;
   changes: Map<string, Outcome>;
+  /** Key: id@from. */
+  moves: Map<string, MoveRec>;
 }
 
 interface Prepared { disk: string; ok: boolean; promised: string; ballot: string; value?: string }
@@ -299,7 +304,7 @@
     seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active' }); });
     const shards = new Map<number, Placement>();
     for (let s = 0; s < C.shardsN; s++) shards.set(s, { gen: 1, copies: matchCopies(s, [...disks.values()], C.copiesN) });
-    return { fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, born: new Map(), disks, seats, prevSeats: seats, shards, changes: new Map() };
+    return { fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, born: new Map(), disks, seats, prevSeats: seats, shards, changes: new Map(), moves: new Map() };
   }
 }
 
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -1,5 +1,5 @@
 import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, type Fault } from '@harecross/kernel';
-import type { Board, Operators, Register } from '@harecross/control';
+import { awayNow, type Board, type Operators, type Register } from '@harecross/control';
 import { Rpcs, configFaults, familyOf, visitFault, type Method, type Visit } from '@harecross/schema';
 import fastify from 'fastify';
 import type { Holds, Sink } from './holds.js';
@@ -58,12 +58,12 @@
 
   /** Whether the platform may send us conns. */
   ready(): boolean {
-    return this.k.phase === 'running' && this.reg.fresh() && this.holds !== undefined;
+    return this.serving() && this.holds !== undefined;
   }
 
   /** Whether this node truly does its work; a store has no conns but serves. */
   serving(): boolean {
-    return this.k.phase === 'running' && this.reg.fresh();
+    return this.k.phase === 'running' && this.reg.fresh() && !awayNow(this.reg.value, this.k.self);
   }
 
   /** Checks an Attach and opens its conn. */
@@ -187,6 +187,14 @@
         return this.ops.readConfig();
       case 'EmptyDisk':
         return this.ops.setDisk(body.disk, 'emptying', m);
+      case 'EmptyStatus':
+        return this.ops.emptyStatus(body.disk);
+      case 'PlanMoves':
+        return this.ops.planMoves(body);
+      case 'Moves': {
+        const v = this.reg.value;
+        return { version: v?.version ?? 0, moves: (v?.config.moves ?? []).map((x) => ({ ...x, ...(v!.moves.get(`${x.id}@${x.from}`) ?? { state: 'planned', why: '' }) })) };
+      }
       case 'CancelEmpty':
         return this.ops.setDisk(body.disk, 'active', m);
       case 'Fleet':
@@ -267,7 +275,7 @@
   app.setNotFoundHandler((req, reply) => reply.code(404).send({ error: { tag: 'unknown_method', step: 'read', peer: k.self, method: `${req.method} ${req.url}` } satisfies Fault }));
   app.get('/condition', (_req, reply) => {
     const ok = edge.serving();
-    return reply.code(ok ? 200 : 503).send({ condition: ok ? 'ready' : k.phase === 'running' ? 'joining' : k.phase });
+    return reply.code(ok ? 200 : 503).send({ condition: ok ? 'ready' : k.phase !== 'running' ? k.phase : awayNow(k.use('register').value, k.self) ? 'away' : 'joining' });
   });
   app.post('/rpc/Attach', (req, reply) => {
     let id = '';
--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -1,6 +1,7 @@
 import { C, Failure, Kernel, faultOf, loop, rank, register, retryAfter, sleep } from '@harecross/kernel';
-import type { Board, Register } from '@harecross/control';
+import { awayNow, type Board, type Register } from '@harecross/control';
 import { familyOf, type Frame } from '@harecross/schema';
+import { distinctUntilChanged, map } from 'rxjs';
 import { shardOf, type FanFrame, type HistoryAnswer, type InterestItem } from './owner.js';
 import type { Route } from './route.js';
 
@@ -76,6 +77,7 @@
     k.keep(loop(clock, C.homeRenewMs, rnd, async () => this.sayHome([...this.conns.values()])));
     k.keep(route.moved$.subscribe((s) => this.moved(s)));
     k.keep(reg.value$.subscribe(() => this.sweepFamilies()));
+    k.keep(reg.value$.pipe(map((v) => awayNow(v, k.self)), distinctUntilChanged()).subscribe((away) => { if (away) this.sendAway(C.awaySpreadMs); }));
     k.onStop(() => this.drain());
   }
 
@@ -453,10 +455,14 @@
     return true;
   }
 
+  private sendAway(spreadMs: number): void {
+    for (const c of this.conns.values()) this.put(c, { t: 'GOAWAY', retryAfterMs: Math.round(this.k.host.rnd.next() * spreadMs) }, true);
+  }
+
   /** Sends everyone away with times to come back that are spread out, and waits a moment for them to go. */
   private async drain(): Promise<void> {
-    const { clock, rnd } = this.k.host;
-    for (const c of this.conns.values()) this.put(c, { t: 'GOAWAY', retryAfterMs: Math.round(rnd.next() * 1_000) }, true);
+    const { clock } = this.k.host;
+    this.sendAway(C.drainSpreadMs);
     const until = clock.now() + 1_500;
     while (this.conns.size && clock.now() < until) await sleep(clock, 50);
     for (const c of [...this.conns.values()]) { this.flush(c); this.close(c, 'stopping'); }
--- a/packages/data/src/node.ts
+++ b/packages/data/src/node.ts
@@ -1,4 +1,5 @@
 import { Kernel, loop, type Faces, type Host } from '@harecross/kernel';
+import { awayNow } from '@harecross/control';
 import type { Edge } from './edge.js';
 
 /** The plug-ins of a node by its role and disk. */
@@ -25,7 +26,7 @@
   const reg = kernel.use('register');
   kernel.onStop(() => board.say({ condition: 'draining' }, true));
   kernel.keep(loop(host.clock, 200, host.rnd, async () => {
-    if (kernel.phase === 'running') board.say({ condition: reg.fresh() ? 'ready' : 'joining' }, true);
+    if (kernel.phase === 'running') board.say({ condition: !reg.fresh() ? 'joining' : awayNow(reg.value, kernel.self) ? 'draining' : 'ready' }, true);
   }));
   return { kernel, edge: kernel.use('edge') };
 }
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -93,6 +93,9 @@
   owned(): { shard: number; fence: Fence; last: number; commit: number; behind: string[] }[] {
     return [...this.keys.values()].filter((x) => x.state === 'owner').map((x) => ({ shard: x.shard, fence: x.fence, last: x.last(), commit: x.commit, behind: this.behind(x) }));
   }
+  owns(topic: string): boolean {
+    return this.keys.get(shardOf(topic))!.state === 'owner';
+  }
   interests(): { relay: string; topics: number }[] {
     return [...this.interest].map(([relay, i]) => ({ relay, topics: i.topics.size }));
   }
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -76,9 +76,10 @@
       const left = until - clock.now();
       if (left <= 0) break;
       const peer = this.owner(shard);
+      // Nobody owned the key for a while: give up now rather than hold the caller to its deadline.
+      if (lostSince !== undefined && clock.now() - lostSince > C.noOwnerMs) break;
       if (!peer) {
         lostSince ??= clock.now();
-        if (clock.now() - lostSince > C.noOwnerMs) break;
         await this.who(shard);
         if (!this.owner(shard)) await sleep(clock, C.ownerRetryMs);
         continue;
@@ -92,8 +93,10 @@
       switch (f.tag) {
         case 'unreachable':
         case 'not_ready':
+          lostSince ??= clock.now();
           break;
         case 'not_owner':
+          lostSince ??= clock.now();
           if (f.hint) this.hint(shard, f.hint, readFence(f.hint).peer);
           break;
         case 'unknown_topic':
@@ -104,6 +107,7 @@
         case 'cut':
         case 'fenced':
         case 'internal':
+          lostSince = undefined;
           perhaps = true;
           break;
         default:
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -139,6 +139,10 @@
   /** Shards in motion at once; keeps repair from taking traffic's share. */
   movingN: 8,
 
+  /** A planned restart sends its conns away over this long; a stop has less time. */
+  awaySpreadMs: 3_000,
+  drainSpreadMs: 1_000,
+
   // --- process ---
   /** SIGTERM to exit; the hard kill comes at 6 s. */
   stopMs: 4_500,
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -1,7 +1,7 @@
 import { mkdirSync } from 'node:fs';
 import { join } from 'node:path';
 import Database from 'better-sqlite3';
-import { createConsola } from 'consola';
+import { createConsola } from 'consola/basic';
 import fastify from 'fastify';
 import { Pool } from 'undici';
 import { C } from './constants.js';
@@ -88,7 +88,11 @@
  * consolaLog('127.0.0.1:7101').info('owner of shard 3', { fence });
  */
 export function consolaLog(name: string): Log {
-  const c = createConsola({ formatOptions: { colors: false, date: true } }).withTag(name);
+  // Level and form are ours to say: left alone, consola changes both where CI or test variables are set.
+  const c = createConsola({
+    level: 3,
+    reporters: [{ log: (o) => { process.stdout.write(`${o.date.toISOString()} ${o.type} ${o.tag} ${o.args.join(' ')}\n`); } }],
+  }).withTag(name);
   return {
     info: (line, data) => (data ? c.info(line, JSON.stringify(data)) : c.info(line)),
     warn: (line, data) => (data ? c.warn(line, JSON.stringify(data)) : c.warn(line)),
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -88,6 +88,8 @@
 const rpc = <A extends Type.TSchema, B extends Type.TSchema>(about: string, visit: A, answer: B) => ({ about, visit, answer });
 const obj = <P extends Type.TProperties>(p: P) => Type.Object(p, strict);
 
+const EmptyAnswer = obj({ disk: Type.String(), state: Type.String(), copies: Count, seat: Type.Boolean() });
+
 /** Every RPC: POST /rpc/<Method> with a JSON body. */
 export const Rpcs = {
   Attach: rpc(
@@ -116,8 +118,15 @@
   ),
   CheckConfig: rpc('Checks a configuration and changes nothing.', obj({ config: Type.Unknown() }), obj({ version: Count, faults: Type.Array(obj({ path: Type.String(), fault: Type.String() })) })),
   ReadConfig: rpc('The configuration in force, confirmed by a majority.', obj({}), obj({ version: Count, changeId: Type.String(), config: Type.Unknown() })),
-  EmptyDisk: rpc('Begins to move copies and keys off a disk.', obj({ disk: Type.String() }), obj({ disk: Type.String(), state: Type.String() })),
-  CancelEmpty: rpc('Takes an emptying back.', obj({ disk: Type.String() }), obj({ disk: Type.String(), state: Type.String() })),
+  EmptyDisk: rpc('Begins to move copies, keys and seat off a disk. Rejected, with the reason, when what is left cannot hold them.', obj({ disk: Type.String() }), EmptyAnswer),
+  EmptyStatus: rpc('How far an emptying has come: `emptied` when nothing is left on the disk.', obj({ disk: Type.String() }), EmptyAnswer),
+  CancelEmpty: rpc('Takes an emptying back.', obj({ disk: Type.String() }), EmptyAnswer),
+  PlanMoves: rpc(
+    'Replaces the calendar of planned moves in the configuration in force.',
+    obj({ changeId: Name(128), expect: Type.Optional(Count), moves: Type.Array(Move, { maxItems: 256 }) }),
+    obj({ version: Count }),
+  ),
+  Moves: rpc('The calendar, with how far each move has come.', obj({}), obj({ version: Count, moves: Type.Array(Type.Unknown()) })),
   Fleet: rpc('What this node knows of the fleet.', obj({}), Type.Unknown()),
   Node: rpc('Counters and states of this node.', obj({}), Type.Unknown()),
 } as const;
--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -278,6 +278,27 @@
     return undefined;
   }
 
+  /** Plans moves on top of a configuration that is in force. */
+  async plan(changeId: string, base: object, moves: object[]): Promise<{ status: number; body: any }> {
+    const { journal } = this.w;
+    journal.add({ k: 'cfg.submit', changeId, config: { ...base, moves }, valid: true });
+    const r = await this.ask('PlanMoves', { changeId, moves });
+    journal.add(r.status === 200 ? { k: 'cfg.answer', changeId, out: 'taken', version: r.body.version } : { k: 'cfg.answer', changeId, out: 'invalid' });
+    return r;
+  }
+
+  /** Any operator's visit, again until it has an answer that is not 'come back'. */
+  async ask(method: string, body: unknown): Promise<{ status: number; body: any }> {
+    const { clock, way, rnd } = this.w;
+    for (let i = 0; i < 30; i++) {
+      const node = sample(rnd, way.nodes(), 1)[0];
+      const r = node ? await way.visit(node, method, body, 9_000) : undefined;
+      if (r && r.status < 500) return r;
+      await sleep(clock, 300);
+    }
+    throw new Error(`${method} was never answered`);
+  }
+
   /** Asks nodes which version they serve by. */
   async look(nodes: string[]): Promise<void> {
     const { clock, journal, way } = this.w;
--- a/packages/trial/src/faults.ts
+++ b/packages/trial/src/faults.ts
@@ -1,7 +1,8 @@
 import { sleep } from '@harecross/kernel';
 import { Consumer, Sender } from './actors.js';
-import { configOf, type Scenario, type Stage } from './scenario.js';
+import { configOf, SMALL, type Scenario, type Site, type Stage } from './scenario.js';
 
+const SIX_DISKS: Site = { ...SMALL, name: 'six-disks', relayDisks: 3 };
 const any = <T>(s: Stage, xs: T[]): T => xs[Math.floor(s.rnd.next() * xs.length)]!;
 const pause = (s: Stage, ms: number): Promise<void> => sleep(s.sim.clock, ms);
 
@@ -229,6 +230,71 @@
       await pause(s, 20_000);
     }
   } }],
+  ['empty', { site: SIX_DISKS, forMs: 45_000, faults: async (s) => {
+    // A disk is emptied while a machine dies and comes back; copies never get fewer.
+    const op = s.crowd.operator;
+    const d = any(s, s.disks);
+    const disk = d.kernel!.use('register').disk!;
+    const least = (): number => Math.min(...[...s.relays.find((r) => r.up)!.kernel!.use('register').value!.shards.values()].map((p) => p.copies.length));
+    const before = least();
+    const r = await op.ask('EmptyDisk', { disk });
+    if (r.status !== 200) throw new Error(`EmptyDisk: ${JSON.stringify(r.body)}`);
+    const n = any(s, s.disks.filter((x) => x !== d));
+    await pause(s, 1_000);
+    s.note(`kill ${n.name} while ${d.name} is emptied`);
+    s.sim.kill(n);
+    let fewest = before;
+    const watch = async (ms: number): Promise<string> => {
+      for (let t = 0; t < ms; t += 200) {
+        await pause(s, 200);
+        fewest = Math.min(fewest, least());
+        const st = await op.ask('EmptyStatus', { disk });
+        if (st.body.state === 'emptied') return 'emptied';
+      }
+      return 'not emptied';
+    };
+    await pause(s, 4_000);
+    await s.sim.start(n);
+    const end = await watch(30_000);
+    if (end !== 'emptied') throw new Error(`${d.name} is ${end}`);
+    if (fewest < before) throw new Error(`a shard had ${fewest} copies, ${before} were wanted`);
+    s.note(`${d.name} is emptied and is taken away`);
+    s.sim.loseDisk(d);
+    await pause(s, 5_000);
+  } }],
+  ['calendar', { site: SIX_DISKS, forMs: 60_000, faults: async (s) => {
+    // A restart, an emptying and a new machine at known times; the keeper's machine dies in between.
+    const op = s.crowd.operator;
+    const at = (ms: number): number => Math.round(s.relays[0]!.kernel!.host.clock.now() + ms);
+    const e = s.stores[0]!, r = s.relays[s.relays.length - 1]!;
+    const a = s.sim.add('added', { role: 'store', domain: any(s, s.site.domains), disk: true });
+    a.config.seeds = s.stores.slice(0, 3).map((x) => x.config.peer);
+    const moves = [
+      { id: 'new', kind: 'add', node: a.config.peer, from: at(2_000), until: at(15_000) },
+      { id: 'restart', kind: 'restart', node: r.config.peer, from: at(16_000), until: at(24_000) },
+      { id: 'empty', kind: 'empty', node: e.config.peer, from: at(25_000), until: at(50_000) },
+    ];
+    const bad = await op.ask('PlanMoves', { changeId: 'past', moves: [{ id: 'p', kind: 'empty', node: e.config.peer, from: 1, until: 2 }] });
+    if (bad.body.error?.tag !== 'invalid_config') throw new Error('a move in the past was taken');
+    const p = await op.plan('plan', configOf(s.site), moves);
+    if (p.status !== 200) throw new Error(JSON.stringify(p.body));
+    await s.sim.start(a);
+    await pause(s, 19_000);
+    if (r.edge!.ready()) throw new Error(`${r.name} takes conns while it is away`);
+    const conns = r.kernel!.use('holds').conns.size;
+    if (conns) throw new Error(`${r.name} still has ${conns} conns`);
+    await s.sim.stop(r);
+    await pause(s, 1_500);
+    await s.sim.start(r);
+    await pause(s, 6_000);
+    const keeper = s.disks.find((x) => x.up && x.kernel?.use('keeper').mine());
+    if (keeper && keeper !== e) { s.note(`keeper ${keeper.name} dies`); s.sim.kill(keeper); await pause(s, 6_000); await s.sim.start(keeper); }
+    await pause(s, 22_000);
+    const got = (await op.ask('Moves', {})).body.moves as { id: string; state: string; why: string }[];
+    const said = got.map((m) => `${m.id} ${m.state}${m.why ? ` (${m.why})` : ''}`).join(', ');
+    if (said !== 'new done, restart done, empty done') throw new Error(said);
+    if (!r.edge!.ready()) throw new Error(`${r.name} did not come back`);
+  } }],
   ['mixed', { forMs: 40_000, opts: { loss: 0.01 }, skewMs: 60_000, faults: async (s) => {
     for (let i = 0; i < 7; i++) {
       const n = any(s, [...s.stores, ...s.relays]);
--- /dev/null
+++ b/packages/trial/src/test/holds.test.ts
@@ -0,0 +1,136 @@
+import { C } from '@harecross/kernel';
+import type { InterestItem } from '@harecross/data';
+import test from 'ava';
+import { smallFleet, type Small } from './small-fleet.js';
+
+const publish = (s: Small, seq: number, topic = 'feed/1') => s.ask(s.relays[1]!, 'Publish', { sender: 'desk', topic, seq, body: `m${seq}` });
+const delivered = (frames: { t: string }[]): number[] => frames.flatMap((f) => (f.t === 'DELIVER' ? [(f as unknown as { offset: number }).offset] : []));
+/** The owner's side: deadline of our relay's interest, by the owner's clock. */
+const interest = (s: Small, topic: string): { deadline: number; gen: string; rev: number } | undefined =>
+  (s.ownerOf(topic).kernel!.use('owner') as any).interest.get(s.relays[0]!.config.peer)?.topics.get(topic);
+const now = (s: Small, topic: string): number => s.ownerOf(topic).kernel!.host.clock.now();
+
+test('a hold is renewed by traffic on its conn, ends at its deadline without, and the owner learns deadlines only', async (t) => {
+  const s = await smallFleet(31);
+  const said: InterestItem[] = [];
+  for (const n of s.stores) {
+    const handlers = (n.kernel as any).handlers as Map<string, { h: (b: any, f: any) => unknown; current: boolean }>;
+    const old = handlers.get('Interest')!;
+    handlers.set('Interest', { ...old, h: (b, f) => { said.push(...b.items); return old.h(b, f); } });
+  }
+  // A ping of 40 s: silence alone would close the conn only after two minutes.
+  const c = await s.attach(s.relays[0]!, 'phone', 40);
+  await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1' });
+  await s.pass(1_000);
+  const first = interest(s, 'feed/1')!;
+  const left = first.deadline - now(s, 'feed/1');
+  t.true(left > C.holdTtlMs - 3_000 && left <= C.holdTtlMs + C.holdSkewMs);
+  await s.pass(25_000);
+  await s.ask(s.relays[0]!, 'Probe', { conn: c.conn });
+  await s.pass(1_000);
+  const renewed = interest(s, 'feed/1')!;
+  t.true(renewed.deadline > first.deadline + 20_000, 'traffic after the renewal period moved the deadline');
+  t.is(renewed.gen, first.gen, 'a renewal keeps its generation');
+  await s.pass(C.holdTtlMs - 3_000);
+  t.false(c.frames.some((f) => f.t === 'LEFT'));
+  await s.pass(4_000);
+  t.like(c.frames.find((f) => f.t === 'LEFT'), { topic: 'feed/1', reason: 'hold_ended' });
+  await publish(s, 1);
+  await s.pass(1_000);
+  t.deepEqual(delivered(c.frames), [], 'nothing is kept for the lapsed');
+  t.true(said.length >= 3);
+  for (const i of said) t.deepEqual(Object.keys(i).sort(), ['expiresAt', 'gen', 'rev', 'topic']);
+  s.sim.close();
+});
+
+test('the owner stops at the deadline by its own clock, with clocks five minutes apart and no word from the relay', async (t) => {
+  const s = await smallFleet(32, { skews: [300_000, -300_000, 120_000, -240_000, 0] });
+  const c = await s.attach(s.relays[0]!, 'phone', 40);
+  await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1' });
+  await publish(s, 1);
+  await s.pass(500);
+  t.deepEqual(delivered(c.frames), [1]);
+  const owner = s.ownerOf('feed/1');
+  const live = (): number => (owner.kernel!.use('owner') as any).interested('feed/1').length;
+  // The relay vanishes without a word; only the deadline is left.
+  s.sim.freeze(s.relays[0]!);
+  await s.pass(C.holdTtlMs - 4_000);
+  t.is(live(), 1, 'before the deadline the owner goes on');
+  await s.pass(4_000 + C.holdSkewMs);
+  t.is(live(), 0, 'after the deadline and the margin it has stopped');
+  const before = owner.kernel!.counters.get('fan.frames') ?? 0;
+  await publish(s, 2);
+  t.is(owner.kernel!.counters.get('fan.frames') ?? 0, before);
+  s.sim.close();
+});
+
+test('the owner ignores stale revisions, and clears its interest on a new instance only', async (t) => {
+  const s = await smallFleet(33);
+  const o = s.ownerOf('feed/1').kernel!.use('owner') as any;
+  const at = now(s, 'feed/1');
+  const same = (x: number): number => x;
+  const gens = (): string[] => o.interested('feed/1').map(([, i]: [string, { gen: string }]) => i.gen);
+  o.hear('r', '0001-a', [{ topic: 'feed/1', rev: 5, expiresAt: at + 50_000, gen: 'g5' }], same);
+  o.hear('r', '0001-a', [{ topic: 'feed/1', rev: 4, expiresAt: 0, gen: 'g4' }], same);
+  t.deepEqual(gens(), ['g5'], 'an older revision came late');
+  o.hear('r', '0001-a', [{ topic: 'feed/1', rev: 6, expiresAt: 0, gen: 'g5' }], same);
+  t.deepEqual(gens(), []);
+  o.hear('r', '0001-a', [{ topic: 'feed/1', rev: 7, expiresAt: at + 50_000, gen: 'g7' }, { topic: 'feed/2', rev: 8, expiresAt: at + 50_000, gen: 'g8' }], same);
+  o.hear('r', '0002-b', [{ topic: 'feed/1', rev: 1, expiresAt: at + 50_000, gen: 'new' }], same);
+  t.deepEqual(gens(), ['new']);
+  t.is(o.interested('feed/2').length, 0, 'the other topic went with the old instance');
+  o.hear('r', '0001-a', [{ topic: 'feed/1', rev: 99, expiresAt: 0, gen: 'g' }], same);
+  t.deepEqual(gens(), ['new'], 'a frame of the instance before changes nothing');
+  s.sim.close();
+});
+
+test('a frame of an older generation is not sent; from none to one a new generation is issued', async (t) => {
+  const s = await smallFleet(34);
+  const c = await s.attach(s.relays[0]!, 'phone');
+  await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1' });
+  await s.pass(300);
+  const gen = interest(s, 'feed/1')!.gen;
+  await s.ask(s.relays[0]!, 'Unsubscribe', { conn: c.conn, topic: 'feed/1' });
+  await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1' });
+  await s.pass(300);
+  t.not(interest(s, 'feed/1')!.gen, gen);
+  const holds = s.relays[0]!.kernel!.use('holds') as any;
+  holds.frame({ topic: 'feed/1', gen, off: 1, sender: 'ghost', seq: 1, body: 'old' });
+  await s.pass(500);
+  t.deepEqual(delivered(c.frames), []);
+  t.is(s.relays[0]!.kernel!.counters.get('frame.old_generation'), 1);
+  s.sim.close();
+});
+
+test('what waits for a hold goes with it: unsubscribe before the flush', async (t) => {
+  const s = await smallFleet(35);
+  const c = await s.attach(s.relays[0]!, 'phone');
+  await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1' });
+  await publish(s, 1);
+  const holds = s.relays[0]!.kernel!.use('holds');
+  const conn = holds.conns.get(c.conn)!;
+  for (let i = 0; i < 100 && !conn.buf.length; i++) await s.sim.run(s.sim.now + 1);
+  t.is(conn.buf.length, 1, 'the message waits for the flush');
+  holds.unsubscribe(c.conn, 'feed/1');
+  await s.pass(600);
+  t.deepEqual(c.frames.map((f) => f.t), ['ATTACHED', 'LEFT']);
+  // And it is owed when the consumer comes again with its cursor.
+  await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1', cursor: 0 });
+  await s.pass(600);
+  t.deepEqual(delivered(c.frames), [1]);
+  s.sim.close();
+});
+
+test('silence of three pings, and a later conn of the same consumer at another relay, end a conn and its holds', async (t) => {
+  const s = await smallFleet(36);
+  const a = await s.attach(s.relays[0]!, 'phone');
+  await s.ask(s.relays[0]!, 'Subscribe', { conn: a.conn, topic: 'feed/1' });
+  const b = await s.attach(s.relays[1]!, 'phone');
+  await s.pass(500);
+  t.like(a.frames.at(-1), { t: 'CLOSED', reason: 'replaced' });
+  t.deepEqual((await s.ask(s.relays[1]!, 'Listeners', { topic: 'feed/1' })).body, { count: 0, partial: false });
+  t.is((await s.ask(s.relays[1]!, 'Probe', { conn: a.conn })).status, 410);
+  await s.pass(C.silencePingsN * 2_000 + 500);
+  t.like(b.frames.at(-1), { t: 'CLOSED', reason: 'silent' });
+  s.sim.close();
+});
