--- a/packages/data/src/copies.ts
+++ b/packages/data/src/copies.ts
@@ -1,5 +1,5 @@
 import { C, Failure, Kernel, register } from '@harecross/kernel';
-import { fenceAt, lastFence, lastIdx, NO_FENCE, type Base, type Copy, type Entry, type Fence, type Store } from '@harecross/state';
+import { fenceAt, lastFence, lastIdx, NO_FENCE, readFence, type Base, type Copy, type Entry, type Fence, type Store } from '@harecross/state';
 
 /** Entries travel with their age, not their time: clocks differ. */
 export type WireEntry = Omit<Entry, 'at'> & { age: number };
@@ -56,6 +56,13 @@
     return c;
   }
 
+  table(): { shard: number; last: number; kept: number; gen: number; number: number; by: string }[] {
+    return [...this.all.values()].filter((c) => c.promised !== NO_FENCE).map((c) => {
+      const f = readFence(c.promised);
+      return { shard: c.shard, last: lastIdx(c), kept: c.entries.length, gen: f.gen, number: f.n, by: f.peer };
+    });
+  }
+
   private mine(disk: string, step: string): void {
     if (disk !== this.disk) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
   }
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -246,6 +246,7 @@
       fresh: this.reg.fresh(),
       counters: Object.fromEntries([...this.k.counters].sort()),
       keys: this.k.has('owner') ? this.k.use('owner').owned() : [],
+      copies: this.k.has('copies') ? this.k.use('copies').table() : [],
       interest: this.k.has('owner') ? this.k.use('owner').interests() : [],
       holds: this.holds?.table() ?? [],
       conns: this.holds?.conns.size ?? 0,
--- a/packages/harecross/src/main.ts
+++ b/packages/harecross/src/main.ts
@@ -1,8 +1,11 @@
 #!/usr/bin/env node
 import { readFileSync } from 'node:fs';
 import { configFaults } from '@harecross/schema';
+import { createInterface } from 'node:readline/promises';
 import { request } from 'undici';
 import yargs from 'yargs';
+import { answer, parse, table, type Row } from './query.js';
+import { look, TABLES, trust, type View } from './view.js';
 
 /** Exit codes: 0 done, 1 rejected by the fleet, 2 wrong use, 3 no answer. */
 const out = (x: unknown): void => { process.stdout.write(JSON.stringify(x, null, 2) + '\n'); };
@@ -34,6 +37,38 @@
   }
 }
 
+/** One visit that may fail without ending us. */
+async function quiet(client: string, method: string, body: unknown): Promise<any | undefined> {
+  try {
+    const r = await request(`http://${client}/rpc/${method}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), headersTimeout: 3_000, bodyTimeout: 3_000 });
+    const b = await r.body.json();
+    return r.statusCode === 200 ? b : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+const HELP = `table [where field op value [and ...]] [sort field [desc] ...] [show field ...] [limit n]
+tables: ${TABLES.join(', ')}
+op: = != < <= > >= ~ (contains); every answer looks anew; 'fields TABLE' lists fields; 'exit' leaves
+`;
+
+/** Answers one line of the shell; gives whether it was understood. */
+async function query(addresses: string[], line: string, json: boolean): Promise<boolean> {
+  const p = parse(line.startsWith('fields ') ? line.slice(7) : line);
+  if (p.tag === 'wrong') { process.stderr.write(`${p.why}\n`); return false; }
+  if (!(TABLES as readonly string[]).includes(p.query.table)) { process.stderr.write(`no table '${p.query.table}'; there are: ${TABLES.join(', ')}\n`); return false; }
+  const v: View | undefined = await look(addresses, quiet, () => performance.now());
+  if (!v) return fail(3, `no answer from ${addresses.join(', ')}`);
+  const r = answer(p.query, v.tables.get(p.query.table)!);
+  if (r.tag === 'wrong') { process.stderr.write(`${r.why}\n`); return false; }
+  if (line.startsWith('fields ')) { process.stdout.write(`${r.fields.join(' ')}\n`); return true; }
+  const plain = (x: Row): object => Object.fromEntries(r.fields.map((f) => [f, x.get(f)]));
+  if (json) out({ rows: r.rows.map(plain), nodes: v.asked, silent: v.silent, tookMs: v.tookMs });
+  else process.stdout.write(`${table(r.fields, r.rows)}${r.rows.length} rows, ${trust(v)}\n`);
+  return true;
+}
+
 const at = (a: { at: string }): string[] => a.at.split(',');
 
 await yargs(process.argv.slice(2))
@@ -60,8 +95,30 @@
     out({ changeId, ...(await rpc(at(a), 'SubmitConfig', { changeId, config, ...(a.expect === undefined ? {} : { expect: a.expect }) })) });
   })
   .command('read', 'the configuration in force, confirmed by a majority', (y) => y, async (a) => out(await rpc(at(a), 'ReadConfig', {})))
+  .command('query <words..>', 'one query on the state of the fleet', (y) => y.positional('words', { type: 'string', array: true, demandOption: true }).option('json', { type: 'boolean', default: false })
+    .epilogue(HELP), async (a) => { if (!(await query(at(a), a.words!.join(' '), a.json))) process.exit(2); })
+  .command('shell', 'queries on the state of the fleet, line by line', (y) => y.option('json', { type: 'boolean', default: false }), async (a) => {
+    const rl = createInterface({ input: process.stdin, output: process.stdout, prompt: 'harecross> ', terminal: process.stdin.isTTY === true });
+    if (process.stdin.isTTY) process.stdout.write(HELP);
+    rl.prompt();
+    for await (const l of rl) {
+      const line = l.trim();
+      if (line === 'exit' || line === 'quit') break;
+      if (line === 'help') process.stdout.write(HELP);
+      else if (line) await query(at(a), line, a.json);
+      rl.prompt();
+    }
+    rl.close();
+  })
   .command('empty <disk>', 'move copies and keys off a disk', (y) => y.positional('disk', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'EmptyDisk', { disk: a.disk })))
+  .command('empty-status <disk>', 'how far an emptying has come', (y) => y.positional('disk', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'EmptyStatus', { disk: a.disk })))
   .command('cancel-empty <disk>', 'take an emptying back', (y) => y.positional('disk', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'CancelEmpty', { disk: a.disk })))
+  .command('plan <file>', 'replace the calendar of planned moves', (y) => y.positional('file', { type: 'string', demandOption: true })
+    .option('change-id', { type: 'string' }).option('expect', { type: 'number', describe: 'only if this version is in force' }), async (a) => {
+    const changeId = a.changeId ?? `cli-${Date.now().toString(36)}-${process.pid}`;
+    out({ changeId, ...(await rpc(at(a), 'PlanMoves', { changeId, moves: readJson(a.file), ...(a.expect === undefined ? {} : { expect: a.expect }) })) });
+  })
+  .command('moves', 'the calendar, with how far each move has come', (y) => y, async (a) => out(await rpc(at(a), 'Moves', {})))
   .command('fleet', 'members, disks and keys as a node knows them', (y) => y, async (a) => out(await rpc(at(a), 'Fleet', {})))
   .command('node', 'counters and states of a node', (y) => y, async (a) => out(await rpc(at(a), 'Node', {})))
   .command('listeners <topic>', 'how many listen on a topic', (y) => y.positional('topic', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'Listeners', { topic: a.topic })))
