Disk faults: damaged files moved aside, full disks end the process; overload by urgency

- A damaged database is noticed at start (quick check), kept aside, and replaced by an empty one, which the fleet takes as a new disk and repairs.
- A full disk ends the process before anything unsynced is answered; a relay whose disk cannot be written goes on without copies, a store says why and exits 1.
Scenario full-disk.
- Scenario domain-dies: every machine of a domain at once.

--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -93,6 +93,10 @@
   owned(): { shard: number; fence: Fence; last: number; commit: number; behind: string[] }[] {
     return [...this.keys.values()].filter((x) => x.state === 'owner').map((x) => ({ shard: x.shard, fence: x.fence, last: x.last(), commit: x.commit, behind: this.behind(x) }));
   }
+  /** Sets the bound of publishes held; operators have no need of it, trials do. */
+  bound(n: number): void {
+    this.holding.resize(n);
+  }
   owns(topic: string): boolean {
     return this.keys.get(shardOf(topic))!.state === 'owner';
   }
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -106,6 +106,7 @@
         case 'timeout':
         case 'cut':
         case 'fenced':
+        case 'disk_ill':
         case 'internal':
           lostSince = undefined;
           perhaps = true;
--- a/packages/data/src/run.ts
+++ b/packages/data/src/run.ts
@@ -1,5 +1,5 @@
 import { watchFile, unwatchFile } from 'node:fs';
-import { C, readNodeConfig, realHost, within, realClock, type NodeConfig, type Role } from '@harecross/kernel';
+import { C, readNodeConfig, realHost, within, realClock, type Host, type NodeConfig, type Role } from '@harecross/kernel';
 import { serveHttp } from './edge.js';
 import { startNode } from './node.js';
 
@@ -16,11 +16,17 @@
     process.stderr.write(`harecross-${role}: ${e instanceof Error ? e.message : e}\n`);
     process.exit(2);
   }
-  const host = realHost(config);
-  const { kernel, edge } = await startNode(host).catch((e) => {
+  const cannot = (e: unknown): never => {
     process.stderr.write(`harecross-${role}: cannot start: ${e instanceof Error ? e.message : e}\n`);
     process.exit(1);
-  });
+  };
+  let host: Host;
+  try {
+    host = realHost(config);
+  } catch (e) {
+    return cannot(e);
+  }
+  const { kernel, edge } = await startNode(host).catch(cannot);
   const closeHttp = await serveHttp(kernel, edge, config.client).catch((e) => {
     process.stderr.write(`harecross-${role}: cannot listen at ${config.client}: ${e instanceof Error ? e.message : e}\n`);
     process.exit(1);
--- a/packages/kernel/src/disk.ts
+++ b/packages/kernel/src/disk.ts
@@ -1,4 +1,5 @@
 import Database from 'better-sqlite3';
+import { Failure } from './fault.js';
 import type { Clock } from './host.js';
 
 export type Sql = Database.Database;
@@ -46,7 +47,8 @@
       // What the work changed in memory may now differ from the disk: stop, and start again from the disk.
       this.dead = true;
       this.onFault(e as Error);
-      for (const w of all) w.rej(e);
+      const detail = (e as Error).message;
+      for (const w of all) w.rej(new Failure({ tag: 'disk_ill', step: 'commit', peer: 'self', detail }));
       return;
     }
     this.commits++;
--- a/packages/kernel/src/flow.ts
+++ b/packages/kernel/src/flow.ts
@@ -97,6 +97,11 @@
     this.go.pipe(mergeMap((f) => from(f()))).subscribe();
   }
 
+  /** Changes the bound; what is already held stays. */
+  resize(size: number): void {
+    this.size = size;
+  }
+
   get length(): number {
     return this.urgent.length + this.routine.length + this.busy;
   }
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -1,11 +1,11 @@
-import { mkdirSync } from 'node:fs';
+import { mkdirSync, renameSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import Database from 'better-sqlite3';
 import { createConsola } from 'consola/basic';
 import fastify from 'fastify';
 import { Pool } from 'undici';
 import { C } from './constants.js';
-import { Db } from './disk.js';
+import { Db, type Sql } from './disk.js';
 import { Failure } from './fault.js';
 import type { Clock, Host, Log, Net, NodeConfig } from './host.js';
 
@@ -99,17 +99,44 @@
   };
 }
 
+/** Whether a database file opens, reads well throughout and takes a write. */
+function tryOpen(file: string): { tag: 'well'; sql: Sql } | { tag: 'damaged' | 'unwritable'; why: string } {
+  let sql: Sql | undefined;
+  try {
+    sql = new Database(file);
+    sql.pragma('journal_mode = WAL');
+    sql.pragma('synchronous = FULL');
+    const said = String(sql.pragma('quick_check(1)', { simple: true })).replaceAll('\n', ' ');
+    if (said !== 'ok') { sql.close(); return { tag: 'damaged', why: said }; }
+    // A page that must be written and synced, and is given back.
+    sql.exec('create table if not exists probe (x blob); insert into probe values (zeroblob(65536)); delete from probe;');
+    return { tag: 'well', sql };
+  } catch (e) {
+    const { code = '', message } = e as Error & { code?: string };
+    sql?.close();
+    return { tag: code === 'SQLITE_NOTADB' || code.startsWith('SQLITE_CORRUPT') ? 'damaged' : 'unwritable', why: `${code} ${message}` };
+  }
+}
+
 /**
- * Opens the node's database, synced at every commit.
+ * Opens the node's database, synced at every commit. A damaged one is moved aside, kept, and replaced by an empty
+ * one: an empty disk is a new disk to the fleet, which repairs it from the other copies. Throws when it can't write.
  * @example
- * const db = openDb('/var/lib/harecross', clock, (e) => process.exit(1));
+ * const db = openDb('/var/lib/harecross', clock, log, (e) => process.exit(3));
  */
-export function openDb(folder: string, clock: Clock, onFault: (e: Error) => void): Db {
+export function openDb(folder: string, clock: Clock, log: Log, onFault: (e: Error) => void): Db {
   mkdirSync(folder, { recursive: true });
-  const sql = new Database(join(folder, 'state.db'));
-  sql.pragma('journal_mode = WAL');
-  sql.pragma('synchronous = FULL');
-  return new Db(sql, clock, () => C.commitMs, onFault);
+  const file = join(folder, 'state.db');
+  let r = tryOpen(file);
+  if (r.tag === 'damaged') {
+    const aside = `${file}.damaged-${Math.floor(clock.now())}`;
+    log.warn(`${file} is damaged (${r.why}); kept as ${aside}, begun anew`);
+    renameSync(file, aside);
+    for (const x of ['-wal', '-shm']) rmSync(file + x, { force: true });
+    r = tryOpen(file);
+  }
+  if (r.tag !== 'well') throw new Error(`${file}: ${r.why}`);
+  return new Db(r.sql, clock, () => C.commitMs, onFault);
 }
 
 /**
@@ -121,6 +148,13 @@
   const log = consolaLog(config.peer);
   const die = (reason: string): void => { log.warn(`stopping: ${reason}`); process.exit(3); };
   const host: Host = { clock: realClock, rnd: { next: Math.random }, net: realNet(config.peer), log, config, die };
-  if (config.data) host.db = openDb(config.data, realClock, (e) => die(`disk fault: ${e.message}`));
+  if (config.data) {
+    try {
+      host.db = openDb(config.data, realClock, log, (e) => die(`disk fault: ${e.message}`));
+    } catch (e) {
+      if (config.role === 'store') throw e;
+      log.warn(`the disk cannot be used, going on as a relay without copies: ${e instanceof Error ? e.message : e}`);
+    }
+  }
   return host;
 }
--- a/packages/trial/src/faults.ts
+++ b/packages/trial/src/faults.ts
@@ -1,4 +1,4 @@
-import { sleep } from '@harecross/kernel';
+import { C, sleep } from '@harecross/kernel';
 import { Consumer, Sender } from './actors.js';
 import { configOf, SMALL, type Scenario, type Site, type Stage } from './scenario.js';
 
@@ -295,6 +295,49 @@
     if (said !== 'new done, restart done, empty done') throw new Error(said);
     if (!r.edge!.ready()) throw new Error(`${r.name} did not come back`);
   } }],
+  ['full-disk', { forMs: 30_000, faults: async (s) => {
+    const n = any(s, s.disks);
+    s.note(`disk of ${n.name} is full`);
+    s.sim.fillDisk(n, true);
+    for (let i = 0; i < 400 && n.up; i++) await pause(s, 50);
+    if (n.up) throw new Error(`${n.name} goes on with a full disk`);
+    await pause(s, 4_000);
+    s.sim.fillDisk(n, false);
+    await s.sim.start(n);
+    await pause(s, 6_000);
+  } }],
+  ['domain-dies', { forMs: 12_000, faults: async (s) => {
+    const d = any(s, s.site.domains);
+    s.note(`all machines of ${d} die for good`);
+    for (const n of s.sim.nodes.values()) if (n.config.domain === d) s.sim.kill(n);
+    s.world.journal.add({ k: 'closing' });
+    await pause(s, 17_000);
+  } }],
+  ['overload', { forMs: 30_000, faults: async (s) => {
+    // Disks get so slow that visits pile up; the bounds are made small for the while, so that a small site meets them.
+    const was = { ownerHoldingN: C.ownerHoldingN };
+    const seen = s.world.journal.seen;
+    try {
+      for (const n of s.disks) n.kernel!.use('owner').bound(8);
+      for (const n of s.disks) n.diskMs = 250;
+      const more = Array.from({ length: 30 }, (_, i) => new Sender(s.world, `flood${i}`, any(s, s.site.domains), s.crowd.topics.filter((_, j) => j % 30 === i), 60, { triesN: 12 }));
+      const from = seen.length;
+      for (const x of more) x.start();
+      await pause(s, 9_000);
+      for (const x of more) x.stop();
+      const share = (prefix: string): number => {
+        const a = seen.slice(from).filter((x) => x.k === 'pub.answer' && x.topic.startsWith(prefix));
+        return a.filter((x) => x.k === 'pub.answer' && x.out === 'rejected').length / Math.max(1, a.length);
+      };
+      const [u, r] = [share('u/'), share('r/')];
+      s.note(`rejected: urgent ${(100 * u).toFixed(1)} %, routine ${(100 * r).toFixed(1)} %`);
+      if (r === 0) throw new Error('nothing was rejected: the fault was not caused');
+      if (u > r / 2) throw new Error(`urgent ${u.toFixed(3)} and routine ${r.toFixed(3)} were rejected alike`);
+    } finally {
+      for (const n of s.disks) { n.diskMs = 2; n.kernel?.use('owner').bound(was.ownerHoldingN); }
+    }
+    await pause(s, 6_000);
+  } }],
   ['mixed', { forMs: 40_000, opts: { loss: 0.01 }, skewMs: 60_000, faults: async (s) => {
     for (let i = 0; i < 7; i++) {
       const n = any(s, [...s.stores, ...s.relays]);
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -81,6 +81,8 @@
   kernel?: Kernel;
   edge?: Edge;
   db?: Db;
+  /** The disk takes no more: the process is expected to notice and end. */
+  fullDisk?: boolean;
   /** Calls under way at this node; they break when it dies. */
   calls: Set<() => void>;
   streams: Set<() => void>;
@@ -211,7 +213,11 @@
     const host: Host = { clock, rnd, net, config: n.config, log: { info: note(''), warn: note('! ') }, die: () => this.kill(n) };
     if (n.config.data) {
       n.sql ??= new Database(':memory:');
-      n.db = host.db = new Db(n.sql, clock, () => n.diskMs * (0.5 + rnd.next()), (e) => { this.errors.push(`${n.name} disk: ${e.message}`); this.kill(n); });
+      n.db = host.db = new Db(n.sql, clock, () => n.diskMs * (0.5 + rnd.next()), (e) => {
+        this.lines.push(`${(this.now / 1000).toFixed(3)} ${n.name} disk fault: ${e.message}`);
+        if (!n.fullDisk) this.errors.push(`${n.name} disk: ${e.message}`);
+        this.kill(n);
+      });
     }
     const { kernel, edge } = await startNode(host);
     n.kernel = kernel;
@@ -259,6 +265,12 @@
     n.sql = undefined;
   }
 
+  /** No more room on the disk, or room again. */
+  fillDisk(n: SimNode, full: boolean): void {
+    n.fullDisk = full;
+    n.sql!.pragma(`max_page_count = ${full ? Number(n.sql!.pragma('page_count', { simple: true })) : 1_073_741_823}`);
+  }
+
   freeze(n: SimNode): void { if (n.up) n.frozen = true; }
   thaw(n: SimNode): void {
     if (!n.frozen) return;
--- a/packages/trial/src/sweep.ts
+++ b/packages/trial/src/sweep.ts
@@ -8,6 +8,7 @@
   .option('from', { type: 'number', default: 1 })
   .option('seeds', { type: 'number', default: 5 })
   .option('counters', { type: 'string', describe: 'print counters (of processes alive at the end) that match' })
+  .option('notes', { type: 'boolean', default: false, describe: 'print what was done and seen' })
   .option('log', { type: 'boolean', default: false })
   .option('lines', { type: 'number', default: 0, describe: 'last log lines to print of a failing run' })
   .strict().parseSync();
@@ -23,6 +24,7 @@
     const acc = r.seen.filter((s) => s.k === 'pub.answer' && s.out === 'accepted').length;
     const line = `${name} seed ${seed}: ${acc}/${n('pub.try')} accepted, ${n('deliver')} delivered, ${n('conn.open')} conns, ${r.sim.events} events, ${r.bad.length} violations`;
     process.stdout.write(line + '\n');
+    if (a.notes) for (const x of r.notes) process.stdout.write(`   ${x}\n`);
     if (a.counters) process.stdout.write(`   ${[...r.counters].filter(([k]) => new RegExp(a.counters!).test(k)).sort().map(([k, v]) => `${k} ${v}`).join(', ')}\n`);
     if (r.bad.length) {
       failed++;
