--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -1,4 +1,4 @@
-import { C, Kernel, below, loop, register, sample, type Role } from '@harecross/kernel';
+import { C, Kernel, below, hash, loop, register, sample, type Role } from '@harecross/kernel';
 import { Subject } from 'rxjs';
 
 export type Condition = 'joining' | 'ready' | 'draining' | 'left' | 'ill';
@@ -32,7 +32,9 @@
 /**
  * The board: a table of small versioned facts, each written by one node or ordered by a fence.
  * News of a change is passed on to a few peers at once; digests mend what got lost. Nodes know each other
- * through partial views that neighbours shuffle; member records and liveness stand on the board.
+ * through partial views that neighbours shuffle. Liveness: any frame of a member is a sign of life; one that was
+ * silent is asked directly, then through others, then suspected, and the suspicion is news. A member that hears
+ * itself suspected says its record anew, which outdates the suspicion.
  * @example
  * k.use('board').put('key/3', ver, { fence, peer }); // passed on to a few, in time to all
  */
@@ -44,12 +46,16 @@
   private view = new Map<string, number>();
   private forgotten = new Map<string, string>();
   private probing = new Set<string>();
+  private turnOrder: string[] = [];
+  /** Sum over all facts, for digests that are equal to be seen as equal at once. */
+  private sums: [number, number] = [0, 0];
   private beat = 0;
   private mine: Pick<MemberRec, 'condition' | 'weight' | 'disk'> = { condition: 'joining', weight: 0 };
+  private saidWeight = 0;
 
   constructor(private k: Kernel) {
     const { clock, rnd } = k.host;
-    k.on('Gossip', (b: { digest: [string, string][] }) => this.compare(b.digest));
+    k.on('Gossip', (b: { sums: [number, number]; digest?: [string, string][] }) => (b.sums.join() === this.sums.join() ? 'same' : b.digest ? this.compare(b.digest) : 'differs'));
     k.on('News', (b: { items: Wire[] }) => { this.take(b.items); return true; });
     // What a digest missed is taken, not passed on: it is no news, and the next digests carry it further.
     k.on('Mend', (b: { items: Wire[] }) => { for (const [key, v, x] of b.items) this.set(key, v, x); return true; });
@@ -59,7 +65,9 @@
       return mine;
     });
     k.on('Ping', () => this.beat);
+    k.on('PingFor', (b: { peer: string }) => this.ping(b.peer));
     k.onUnreachable = (p) => this.doubt(p);
+    k.onHeard = (p, inst) => this.heard(p, inst);
     k.keep(k.thawed$.subscribe(() => {
       // We slept, they did not: give everyone a fresh start instead of calling them all dead.
       for (const m of this.members.values()) m.seenAt = clock.now();
@@ -68,28 +76,27 @@
     this.sayMine();
     k.keep(loop(clock, C.gossipMs, rnd, () => this.gossip()));
     k.keep(loop(clock, C.shuffleMs, rnd, () => this.shuffle()));
-    k.keep(loop(clock, C.loopTickMs, rnd, () => this.watch()));
+    k.keep(loop(clock, C.probeEveryMs, rnd, () => this.watch()));
     k.onStop(() => {
       this.mine.condition = 'left';
       this.sayMine();
-      this.pass([this.wire(`m/${k.self}`)], C.newsFanN * 2);
     });
   }
 
-  /** Changes what we say of ourselves. */
-  say(x: Partial<Pick<MemberRec, 'condition' | 'weight' | 'disk'>>, news = false): void {
-    const before = this.mine;
-    this.mine = { ...before, ...x };
-    if (news && JSON.stringify(before) !== JSON.stringify(this.mine)) {
-      this.sayMine();
-      this.pass([this.wire(`m/${this.k.self}`)], C.newsFanN);
-    }
+  /** Changes what we say of ourselves. Small changes of weight wait for a larger one. */
+  say(x: Partial<Pick<MemberRec, 'condition' | 'weight' | 'disk'>>): void {
+    const was = this.mine;
+    this.mine = { ...was, ...x };
+    const step = Math.max(8, this.saidWeight / 5);
+    if (was.condition === this.mine.condition && was.disk === this.mine.disk && Math.abs(this.mine.weight - this.saidWeight) < step) return;
+    this.sayMine();
   }
 
   private sayMine(): void {
     const { config } = this.k.host;
     const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, inst: this.k.inst, rev: this.k.rev, ...this.mine };
-    this.set(`m/${this.k.self}`, `${this.k.inst}.${String(++this.beat).padStart(10, '0')}`, rec);
+    this.saidWeight = rec.weight;
+    this.put(`m/${this.k.self}`, `${this.k.inst}.${String(++this.beat).padStart(10, '0')}`, rec);
   }
 
   get(key: string): unknown {
@@ -144,12 +151,36 @@
       if (f >= ver) return false;
       this.forgotten.delete(key);
     }
+    if (old) this.sum(key, old.ver, -1);
+    this.sum(key, ver, 1);
     this.items.set(key, { ver, val });
     if (key.startsWith('m/')) this.meet(val as MemberRec);
+    else if (key.startsWith('s/')) this.suspicion(key.slice(2), ver);
     this.changed$.next(key);
     return true;
   }
 
+  private sum(key: string, ver: string, sign: 1 | -1): void {
+    const h = hash(`${key}=${ver}`);
+    this.sums = [(this.sums[0] + sign * h) | 0, (this.sums[1] + sign * Math.imul(h, 0x9e3779b1)) | 0];
+  }
+
+  /** Someone suspects a member: of us, we know better; of another, it stands unless its record is newer. */
+  private suspicion(peer: string, ver: string): void {
+    if (peer === this.k.self) { if (this.k.phase !== 'stopped') this.sayMine(); return; }
+    const m = this.members.get(peer);
+    const rec = this.items.get(`m/${peer}`);
+    if (m && rec && rec.ver <= ver && m.state === 'live') this.turn(m, 'suspect');
+  }
+
+  /** A sign of life. */
+  private heard(peer: string, inst?: string): void {
+    const m = this.members.get(peer);
+    if (!m || m.state === 'left' || (inst !== undefined && inst !== m.inst)) return;
+    m.seenAt = this.k.host.clock.now();
+    if (m.state !== 'live') this.turn(m, 'live');
+  }
+
   private meet(r: MemberRec): void {
     const now = this.k.host.clock.now();
     const old = this.members.get(r.peer);
@@ -158,7 +189,9 @@
     const again = old !== undefined && old.inst !== r.inst;
     if (again) m.liveSince = now;
     if (r.peer !== this.k.self && r.condition !== 'left' && !this.view.has(r.peer) && this.view.size < C.viewN) this.view.set(r.peer, 0);
-    this.turn(m, r.condition === 'left' ? 'left' : 'live', again);
+    const s = this.items.get(`s/${r.peer}`);
+    const rec = this.items.get(`m/${r.peer}`)!;
+    this.turn(m, r.condition === 'left' ? 'left' : s && s.ver >= rec.ver ? 'suspect' : 'live', again);
   }
 
   /** The one function that changes what we think of a member. */
@@ -185,11 +218,12 @@
   }
 
   private async gossip(): Promise<void> {
-    this.sayMine();
-    const digest = [...this.items].map(([k, i]) => [k, i.ver] as [string, string]);
     await Promise.all(this.somePeers(C.gossipPeersN).map(async (p) => {
       try {
-        const r = await this.k.call<{ newer: Wire[]; want: string[] }>(p, 'Gossip', { digest });
+        type Answer = 'same' | 'differs' | { newer: Wire[]; want: string[] };
+        let r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums });
+        if (r === 'differs') r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums, digest: [...this.items].map(([k, i]) => [k, i.ver] as [string, string]) });
+        if (r === 'same' || r === 'differs') return;
         for (const [k, v, x] of r.newer) this.set(k, v, x);
         if (r.want.length) await this.k.call(p, 'Mend', { items: r.want.filter((w) => this.items.has(w)).map((w) => this.wire(w)) });
       } catch { /* the next period mends it */ }
@@ -230,52 +264,64 @@
     } catch { /* gone from the view until someone names it again */ }
   }
 
-  /** A visit surely did not reach this peer: ask it once more, and suspect it at once if that fails too. */
+  /** A visit surely did not reach this peer: ask it once more at once. */
   private doubt(peer: string): void {
     const m = this.members.get(peer);
-    if (m && m.state === 'live') void this.probe(m, true);
+    if (m && m.state === 'live') void this.probe(m);
+  }
+
+  private async ping(peer: string): Promise<boolean> {
+    return this.k.call(peer, 'Ping', {}, C.probeMs).then(() => true, () => false);
   }
 
-  private async probe(m: Member, hasty: boolean): Promise<void> {
+  /** Asks a member directly, then through others, and suspects it when nobody reaches it. */
+  private async probe(m: Member): Promise<void> {
     if (this.probing.has(m.peer)) return;
     this.probing.add(m.peer);
+    const { clock, rnd } = this.k.host;
+    const t0 = clock.now();
     try {
-      await this.k.call(m.peer, 'Ping', {}, C.probeMs);
+      if (await this.ping(m.peer)) return; // the answer itself was the sign of life
+      const helpers = sample(rnd, this.live().map((x) => x.peer).filter((p) => p !== this.k.self && p !== m.peer), C.probeHelpersN);
+      const got = await Promise.all(helpers.map((h) => this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeMs * 2).catch(() => false)));
       const now = this.members.get(m.peer);
-      if (now) { now.seenAt = this.k.host.clock.now(); if (now.state === 'suspect' || now.state === 'dead') this.turn(now, 'live'); }
-    } catch (e) {
-      const now = this.members.get(m.peer);
-      if (now && hasty && now.inst === m.inst && (e as { fault?: { tag: string } }).fault?.tag === 'unreachable') this.turn(now, 'suspect');
+      if (!now || now.inst !== m.inst) return;
+      if (got.includes(true)) { this.heard(m.peer, m.inst); return; }
+      // Frozen ourselves meanwhile? Then the silence was ours.
+      if (clock.now() - t0 > C.probeMs * 4 || now.seenAt > t0 || now.state !== 'live') return;
+      this.turn(now, 'suspect');
+      this.put(`s/${m.peer}`, this.items.get(`m/${m.peer}`)!.ver, { by: this.k.self });
     } finally {
       this.probing.delete(m.peer);
     }
   }
 
   private async watch(): Promise<void> {
-    const now = this.k.host.clock.now();
+    const { clock, rnd } = this.k.host;
+    const now = clock.now();
     for (const m of [...this.members.values()]) {
       if (m.peer === this.k.self) continue;
       const quiet = now - m.seenAt;
-      switch (m.state) {
-        case 'live':
-          if (quiet > C.suspectMs) this.turn(m, 'suspect');
-          else if (quiet > C.probeAfterMs) void this.probe(m, false);
-          break;
-        case 'suspect':
-          if (quiet > C.deadMs) this.turn(m, 'dead');
-          break;
-        case 'dead':
-        case 'left':
-          if (quiet > C.forgetMs) this.forget(m.peer);
-          break;
-      }
+      if (m.state === 'suspect' && quiet > C.deadMs) this.turn(m, 'dead');
+      if ((m.state === 'dead' || m.state === 'left') && quiet > C.forgetMs) this.forget(m.peer);
+    }
+    for (let left = this.members.size; left > 0; left--) {
+      if (!this.turnOrder.length) this.turnOrder = sample(rnd, [...this.members.keys()], this.members.size);
+      const m = this.members.get(this.turnOrder.pop()!);
+      if (!m || m.peer === this.k.self || m.state === 'left' || now - m.seenAt < C.probeAfterMs) continue;
+      void this.probe(m);
+      return;
     }
   }
 
   private forget(peer: string): void {
-    const key = `m/${peer}`;
-    this.forgotten.set(key, this.items.get(key)?.ver ?? '');
-    this.items.delete(key);
+    for (const key of [`m/${peer}`, `s/${peer}`]) {
+      const i = this.items.get(key);
+      if (!i) continue;
+      this.forgotten.set(key, i.ver);
+      this.sum(key, i.ver, -1);
+      this.items.delete(key);
+    }
     this.members.delete(peer);
     this.view.delete(peer);
   }
--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -1,8 +1,8 @@
-import { C, Failure, Kernel, faultOf, loop, rank, register, retryAfter, sleep } from '@harecross/kernel';
+import { C, Failure, Kernel, faultOf, loop, rank, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
 import { awayNow, type Board, type Register } from '@harecross/control';
 import { familyOf, type Frame } from '@harecross/schema';
 import { distinctUntilChanged, map } from 'rxjs';
-import { shardOf, type FanFrame, type HistoryAnswer, type InterestItem } from './owner.js';
+import { type FanFrame, type HistoryAnswer, type InterestItem } from './owner.js';
 import type { Route } from './route.js';
 
 declare module '@harecross/kernel' {
--- a/packages/data/src/node.ts
+++ b/packages/data/src/node.ts
@@ -24,9 +24,9 @@
   await kernel.boot(pluginsOf(host.config.role, host.db !== undefined));
   const board = kernel.use('board');
   const reg = kernel.use('register');
-  kernel.onStop(() => board.say({ condition: 'draining' }, true));
+  kernel.onStop(() => board.say({ condition: 'draining' }));
   kernel.keep(loop(host.clock, 200, host.rnd, async () => {
-    if (kernel.phase === 'running') board.say({ condition: !reg.fresh() ? 'joining' : awayNow(reg.value, kernel.self) ? 'draining' : 'ready' }, true);
+    if (kernel.phase === 'running') board.say({ condition: !reg.fresh() ? 'joining' : awayNow(reg.value, kernel.self) ? 'draining' : 'ready' });
   }));
   return { kernel, edge: kernel.use('edge') };
 }
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -104,11 +104,13 @@
   /** Entries swapped in one shuffle. */
   shuffleN: 5,
   shuffleMs: 1_000,
-  /** A member whose beat stood still this long is asked directly. */
-  probeAfterMs: 1_500,
-  probeMs: 700,
-  /** A member whose beat stood still this long and did not answer is suspected (not matched for duties). */
-  suspectMs: 2_600,
+  /** One member not heard of for this long is asked directly every period, in shuffled turn. */
+  probeAfterMs: 800,
+  probeEveryMs: 250,
+  /** Time limit of a probe; a lost packet is sent again after about 200 ms. */
+  probeMs: 500,
+  /** Members asked to try in our place before we suspect one: they may have a better link to it. */
+  probeHelpersN: 3,
   /** A suspected member is dead after this long. */
   deadMs: 8_000,
   /** A dead member's record is forgotten after this long. */
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -50,6 +50,8 @@
   rev = 0;
   /** Called with every revision seen on a peer's frame that is above ours. */
   onNewer: (rev: number, peer: string) => Promise<void> = async () => {};
+  /** Called with every frame of a peer; its instance is known only on its own visits. */
+  onHeard: (peer: string, inst?: string) => void = () => {};
   /** Called when a peer surely did not get a visit; speeds up suspicion. */
   onUnreachable: (peer: string) => void = () => {};
   phase: Phase = 'starting';
@@ -157,6 +159,7 @@
       throw new Failure({ ...f, step: m });
     }
     const a = parse(raw) as Answer;
+    this.onHeard(peer);
     if (a.rev > this.rev) void this.onNewer(a.rev, peer);
     if ('err' in a) throw new Failure(a.err);
     return a.ok as T;
@@ -167,6 +170,7 @@
     this.count('peer.in');
     const a = parse(frame) as Ask;
     const shift = now - a.now;
+    this.onHeard(a.from, a.inst);
     const out = (x: { ok: unknown } | { err: Fault }): string =>
       stringify({ rev: this.rev, now: this.host.clock.now(), ...x });
     const h = this.handlers.get(a.m);
