--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,7 +1,7 @@
 import { C, Failure, Kernel, loop, rank, register } from '@harecross/kernel';
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
-import { copiesFor, matchCopies } from './placement.js';
+import { copiesFor, targetsOf } from './placement.js';
 import { notReady, type DiskRec, type MoveState, type Register, type Value } from './register.js';
 
 /** What the owner of a shard says on the board under `key/<shard>`. */
@@ -151,7 +151,7 @@
     const shards = new Map(v.shards);
     let steps = 0;
     let moving = 0;
-    const targets = matchCopies(active, v.config.copies ?? C.copiesN);
+    const targets = targetsOf(v.config, active);
     for (const [s, p] of v.shards) {
       const target = targets.get(s)!;
       const missing = target.filter((d) => !p.copies.includes(d));
@@ -223,7 +223,7 @@
     const check = (v: Value): FleetConfig => {
       const x = make(v);
       const faults = configFaults(x);
-      if (!faults.length) faults.push(...this.moveFaults(v, x as FleetConfig));
+      if (!faults.length) faults.push(...this.machineFaults(v, x as FleetConfig));
       if (faults.length) throw new Failure({ tag: 'invalid_config', step, peer: this.k.self, faults });
       return x as FleetConfig;
     };
@@ -253,8 +253,8 @@
     }
   }
 
-  /** Faults of moves that are new against the configuration in force. */
-  private moveFaults(v: Value, c: FleetConfig): { path: string; fault: string }[] {
+  /** Faults of what a configuration says of machines; moves that are already in force are not judged again. */
+  private machineFaults(v: Value, c: FleetConfig): { path: string; fault: string }[] {
     const now = this.k.host.clock.now();
     const had = new Set((v.config.moves ?? []).map((m) => JSON.stringify(m)));
     const out: { path: string; fault: string }[] = [];
@@ -264,6 +264,12 @@
       const known = this.board.members.has(m.node) || [...v.disks.values()].some((d) => d.peer === m.node);
       if (m.kind !== 'add' && !known) out.push({ path: `/moves/${i}/node`, fault: `no machine '${m.node}' is known` });
     });
+    (c.placement ?? []).forEach((p, i) => {
+      if (!v.shards.has(p.shard)) out.push({ path: `/placement/${i}/shard`, fault: `there is no shard ${p.shard}` });
+      p.nodes.forEach((n, j) => {
+        if (![...v.disks.values()].some((d) => d.peer === n && d.state !== 'lost')) out.push({ path: `/placement/${i}/nodes/${j}`, fault: `no disk is known at '${n}'` });
+      });
+    });
     return out;
   }
 
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -1,4 +1,5 @@
 import { C, rank } from '@harecross/kernel';
+import type { FleetConfig } from '@harecross/schema';
 import type { DiskRec, Placement } from './register.js';
 
 /** Copies a shard gets: odd, so that one more copy never costs a larger majority without bearing one more loss. */
@@ -57,3 +58,20 @@
   }
   return out;
 }
+
+/**
+ * Where the copies of each shard belong by the configuration: as placed by hand where all named machines have an
+ * active disk; where one is missing, what is left of them and the fleet's own choice to fill up.
+ * @example
+ * targetsOf(value.config, activeDisks).get(3);
+ */
+export function targetsOf(c: FleetConfig, active: DiskRec[]): Map<number, string[]> {
+  const out = matchCopies(active, c.copies ?? C.copiesN);
+  const at = new Map(active.map((d) => [d.peer, d.id]));
+  for (const p of c.placement ?? []) {
+    const found = p.nodes.map((n) => at.get(n)).filter((d) => d !== undefined);
+    const fill = rank(`copy/${p.shard}`, active, (d) => d.id).map((d) => d.id).filter((d) => !found.includes(d));
+    if (out.has(p.shard)) out.set(p.shard, [...found, ...fill].slice(0, copiesFor(p.nodes.length, active.length)));
+  }
+  return out;
+}
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Holding, Kernel, faultOf, gather, hash, loop, register, retryAfter, sleep, within } from '@harecross/kernel';
+import { C, Failure, Holding, Kernel, faultOf, gather, loop, register, retryAfter, shardOf, sleep, within } from '@harecross/kernel';
 import { matchOwners, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Base, type Entry, type Fence } from '@harecross/state';
@@ -8,8 +8,6 @@
   interface Faces { owner: Owner }
 }
 
-export const shardOf = (topic: string): number => hash(`topic/${topic}`) % C.shardsN;
-
 /** What a relay tells the owner of a topic: a deadline, never who or how many. */
 export interface InterestItem { topic: string; rev: number; expiresAt: number; gen: string }
 export interface FanFrame { topic: string; gen: string; off: number; sender: string; seq: number; body: string }
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -1,8 +1,7 @@
-import { C, Failure, Kernel, faultOf, register, retryAfter, sleep, type Fault } from '@harecross/kernel';
+import { C, Failure, Kernel, faultOf, register, retryAfter, shardOf, sleep, type Fault } from '@harecross/kernel';
 import type { Board, KeyRec, Register } from '@harecross/control';
 import { readFence, type Fence } from '@harecross/state';
 import { Subject } from 'rxjs';
-import { shardOf } from './owner.js';
 
 declare module '@harecross/kernel' {
   interface Faces { route: Route }
--- /dev/null
+++ b/packages/harecross/src/index.ts
@@ -0,0 +1,3 @@
+export * from './query.js';
+export * from './view.js';
+export * from './place.js';
--- a/packages/harecross/src/main.ts
+++ b/packages/harecross/src/main.ts
@@ -1,9 +1,10 @@
 #!/usr/bin/env node
-import { readFileSync } from 'node:fs';
+import { readFileSync, writeFileSync } from 'node:fs';
 import { configFaults } from '@harecross/schema';
 import { createInterface } from 'node:readline/promises';
 import { request } from 'undici';
 import yargs from 'yargs';
+import { place, planFaults, type Constraints } from './place.js';
 import { answer, parse, table, type Row } from './query.js';
 import { look, TABLES, trust, type View } from './view.js';
 
@@ -118,6 +119,40 @@
     const changeId = a.changeId ?? `cli-${Date.now().toString(36)}-${process.pid}`;
     out({ changeId, ...(await rpc(at(a), 'PlanMoves', { changeId, moves: readJson(a.file), ...(a.expect === undefined ? {} : { expect: a.expect }) })) });
   })
+  .command('place <file>', 'solve where copies go from a constraint file, show the plan, and write or apply it', (y) => y.positional('file', { type: 'string', demandOption: true })
+    .option('out', { type: 'string', describe: 'write the whole configuration with the placement here, for submit --expect' })
+    .option('apply', { type: 'boolean', default: false, describe: 'submit it, if the configuration it was made from is still in force' }), async (a) => {
+    const [fleet, was] = [await rpc(at(a), 'Fleet', {}), await rpc(at(a), 'ReadConfig', {})];
+    const disks = fleet.disks.filter((d: any) => d.state === 'active');
+    const peer = new Map<string, string>(fleet.disks.map((d: any) => [d.id, d.peer]));
+    const now = new Map<number, string[]>(fleet.keys.map((k: any) => [k.shard, k.copies.map((d: string) => peer.get(d) ?? d)]));
+    const constraints = readJson(a.file);
+    const r = place(constraints, disks, now);
+    switch (r.tag) {
+      case 'wrong':
+        for (const f of r.faults) process.stderr.write(`  ${f}\n`);
+        return fail(2, `${a.file}: invalid constraints`);
+      case 'conflict':
+        for (const f of r.between) process.stderr.write(`  ${f}\n`);
+        return fail(1, 'no placement satisfies these constraints together; leaving out any one of them would do');
+      case 'plan': {
+        const bad = planFaults(constraints as Constraints, disks, r.plan.placement);
+        if (bad.length) return fail(1, `the solver's plan is wrong: ${bad[0]}`);
+        const weight = (m: Iterable<string[]>, p: string): number => [...m].filter((x) => x.includes(p)).length;
+        const rows = disks.map((d: any) => new Map<string, string | number>([['machine', d.peer], ['domain', d.domain], ['copies now', weight(now.values(), d.peer)], ['planned', weight(r.plan.placement.map((p) => p.nodes), d.peer)]]));
+        process.stdout.write(table(['machine', 'domain', 'copies now', 'planned'], rows));
+        for (const p of r.plan.placement) {
+          const n = now.get(p.shard) ?? [];
+          const [come, go] = [p.nodes.filter((x) => !n.includes(x)), n.filter((x) => !p.nodes.includes(x))];
+          if (come.length || go.length) process.stdout.write(`shard ${p.shard}: ${[...come.map((x) => `+${x}`), ...go.map((x) => `-${x}`)].join(' ')}\n`);
+        }
+        process.stdout.write(`${r.plan.moved} copies move; made from version ${was.version}\n`);
+        const config = { ...was.config, copies: (constraints as Constraints).copies, placement: r.plan.placement };
+        if (a.out) writeFileSync(a.out, JSON.stringify(config, null, 2) + '\n');
+        if (a.apply) out(await rpc(at(a), 'SubmitConfig', { changeId: `place-${Date.now().toString(36)}-${process.pid}`, expect: was.version, config }));
+      }
+    }
+  })
   .command('moves', 'the calendar, with how far each move has come', (y) => y, async (a) => out(await rpc(at(a), 'Moves', {})))
   .command('fleet', 'members, disks and keys as a node knows them', (y) => y, async (a) => out(await rpc(at(a), 'Fleet', {})))
   .command('node', 'counters and states of a node', (y) => y, async (a) => out(await rpc(at(a), 'Node', {})))
--- a/packages/kernel/src/match.ts
+++ b/packages/kernel/src/match.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { C } from './constants.js';
 
 /**
  * A 32-bit hash, the same on every machine.
@@ -20,3 +21,12 @@
     .sort((a, b) => b[0] - a[0] || (a[1] < b[1] ? -1 : 1))
     .map((t) => t[2]);
 }
+
+/**
+ * The shard of a topic.
+ * @example
+ * shardOf('pay/77'); // 12
+ */
+export function shardOf(topic: string): number {
+  return hash(`topic/${topic}`) % C.shardsN;
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -36,17 +36,23 @@
   strict,
 );
 
+/** The machines that keep a shard's copies, by peer address. */
+export const Placed = Type.Object({ shard: Count, nodes: Type.Array(Name(64), { minItems: 1, maxItems: 9, uniqueItems: true }) }, strict);
+
 /** A whole configuration, as operators send it. */
 export const FleetConfig = Type.Object(
   {
     families: Type.Array(Family, { maxItems: 256 }),
     copies: Type.Optional(Type.Integer({ minimum: 1, maximum: 9 })),
     moves: Type.Optional(Type.Array(Move, { maxItems: 256 })),
+    /** Shards placed by hand or by `harecross place`; the others are matched by the fleet. */
+    placement: Type.Optional(Type.Array(Placed, { maxItems: 1_024 })),
   },
   strict,
 );
 export type Family = Static<typeof Family>;
 export type Move = Static<typeof Move>;
+export type Placed = Static<typeof Placed>;
 export type FleetConfig = Static<typeof FleetConfig>;
 
 const Retry = { retryAfterMs: Count };
@@ -179,6 +185,12 @@
       seen.push({ p, path, family: f.name });
     });
   });
+  const shards = new Set<number>();
+  (c.placement ?? []).forEach((p, i) => {
+    if (shards.has(p.shard)) out.push({ path: `/placement/${i}/shard`, fault: `shard ${p.shard} is placed twice` });
+    shards.add(p.shard);
+    if (p.nodes.length % 2 === 0) out.push({ path: `/placement/${i}/nodes`, fault: 'must be an odd number of machines: an even one costs a larger majority and bears no more losses' });
+  });
   const ids = new Set<string>();
   (c.moves ?? []).forEach((m, i) => {
     if (ids.has(m.id)) out.push({ path: `/moves/${i}/id`, fault: `'${m.id}' is named twice` });
--- a/packages/trial/src/faults.ts
+++ b/packages/trial/src/faults.ts
@@ -338,6 +338,25 @@
     }
     await pause(s, 6_000);
   } }],
+  ['placed', { site: SIX_DISKS, forMs: 30_000, faults: async (s) => {
+    // Copies are placed by hand on three machines; one of them dies for good meanwhile and comes back.
+    const op = s.crowd.operator;
+    const on = s.stores.map((n) => n.config.peer);
+    const config = { ...configOf(s.site), placement: Array.from({ length: C.shardsN }, (_, shard) => ({ shard, nodes: on })) };
+    const r = await op.submit('placed', config, true);
+    if (r.out !== 'taken') throw new Error(`placement ${r.out}`);
+    await pause(s, 3_000);
+    const n = any(s, s.stores);
+    s.sim.kill(n);
+    await pause(s, 4_000);
+    await s.sim.start(n);
+    await pause(s, 20_000);
+    const v = s.relays[0]!.kernel!.use('register').value!;
+    const got = [...v.shards.values()].filter((p) => p.copies.map((d) => v.disks.get(d)!.peer).sort().join() === [...on].sort().join()).length;
+    if (got !== C.shardsN) throw new Error(`${got} of ${C.shardsN} shards are placed as asked`);
+    const bad = await op.ask('SubmitConfig', { changeId: 'nowhere', config: { ...config, placement: [{ shard: 99, nodes: ['9.9.9.9:1'] }] } });
+    if (bad.body.error?.faults?.length !== 2) throw new Error(JSON.stringify(bad.body));
+  } }],
   ['mixed', { forMs: 40_000, opts: { loss: 0.01 }, skewMs: 60_000, faults: async (s) => {
     for (let i = 0; i < 7; i++) {
       const n = any(s, [...s.stores, ...s.relays]);
