Disks mark their fleet: a second one was founded once seats had left the seeds

Cause: founding asked the seeds' disks for an accepted register value. A disk without a seat has none, so once the seats had moved (seeds' disks replaced one after the other in a fleet of 18), the three seeds coming up first after a loss of power founded a second fleet, and the revision fell from 32 to 8. Ruled out: a wiped founder alone (two marked seeds forbid it, and did before), a founding cut short (20 places, finished each time). Now every disk that learns of its fleet marks it, with a seat or without, and founding needs three unmarked seeds. The simulator ran nothing that was begun while no event was waiting; it does now.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -15,6 +15,8 @@
  * The keeper's duty: lets disks in, takes lost ones out, moves copies. It belongs to the first live seat by
  * rendezvous; should two believe they have it, each step is still one change of the register that is checked
  * against the value it changes.
+ * @example
+ * k.use('keeper').mine(); // whether the duty is ours now
  */
 export class Keeper {
   private lastPlan = '';
@@ -179,13 +181,19 @@
 }
 
 const moveKey = (m: Move): string => `${m.id}@${m.from}`;
-/** Copies that a disk still has. */
+/** Copies that a disk still has.
+ * @example
+ * copiesOn(value, 'd1k'); // 12
+ */
 export const copiesOn = (v: Value, disk: string): number => [...v.shards.values()].filter((p) => p.copies.includes(disk)).length;
 /** A machine that the calendar adds later is not let in before. */
 const waitsFor = (v: Value, peer: string): number =>
   Math.max(0, ...(v.config.moves ?? []).filter((m) => m.kind === 'add' && m.node === peer && !v.moves.has(moveKey(m)) && ![...v.disks.values()].some((d) => d.peer === peer)).map((m) => m.from));
 
-/** Whether the calendar has this machine out for a restart now. */
+/** Whether the calendar has this machine out for a restart now.
+ * @example
+ * awayNow(reg.value, k.self); // true from a restart's `from` to its `until`
+ */
 export const awayNow = (v: Value | undefined, peer: string): boolean =>
   v !== undefined && (v.config.moves ?? []).some((m) => m.kind === 'restart' && m.node === peer && v.moves.get(moveKey(m))?.state === 'running');
 
@@ -204,7 +212,10 @@
   return undefined;
 }
 
-/** What operators ask of the register. */
+/** What operators ask of the register.
+ * @example
+ * await k.use('operators').submit({ changeId: 'c1', expect: 3, config }); // { version: 4 }
+ */
 export class Operators {
   constructor(private k: Kernel, private board: Board, private reg: Register) {}
 
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -2,7 +2,11 @@
 import type { FleetConfig } from '@harecross/schema';
 import type { DiskRec, Placement } from './register.js';
 
-/** Copies a shard gets: odd, so that one more copy never costs a larger majority without bearing one more loss. */
+/**
+ * Copies a shard gets: odd, so that one more copy never costs a larger majority without bearing one more loss.
+ * @example
+ * copiesFor(5, 4); // 3
+ */
 export function copiesFor(copies: number, disks: number): number {
   const n = Math.min(copies, disks);
   return n > 1 && n % 2 === 0 ? n - 1 : n;
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -123,7 +123,7 @@
       mine(b.disk, 'RegRead');
       return { disk, rev: this.hint?.rev ?? 0, known: this.value?.rev ?? 0 };
     });
-    this.k.on('RegWho', () => ({ disk, rev: this.hint?.rev ?? 0 }));
+    this.k.on('RegWho', () => ({ disk, fleet: st.get('fleet') }));
   }
 
   /** Takes a value that is known to be agreed. Never goes back. */
@@ -134,6 +134,9 @@
     if (!old || old.version !== v.version) this.k.host.log.info(`configuration ${v.version} in force`, { rev: v.rev });
     this.k.rev = v.rev;
     this.value$.next(v);
+    // Every disk remembers its fleet, with a seat or without: founding asks for it.
+    const st = this.st;
+    if (st && st.get('fleet') !== v.fleet) st.db.commit(() => st.set('fleet', v.fleet)).catch(() => undefined);
     this.board.pass([], C.newsFanN);
   }
 
@@ -268,29 +271,26 @@
   }
 
   /**
-   * Founding. Only the first seed founds, and only while all three seeds answer that their disks hold nothing:
-   * prepare and accept both need all three. A fleet that exists is known to at least one of them, so that a
-   * second one could arise only if all three seeds' disks were emptied together.
+   * Founding. Only the first seed founds, and only while all three seeds answer that their disks belong to no
+   * fleet: asking, preparing and accepting all need all three. A value accepted anywhere is on a seed's disk and is
+   * found again; a disk that learns of its fleet marks it, with a seat or without. So a second fleet could arise only
+   * if all three seeds' disks were emptied together and none had joined since.
    */
   private async found(): Promise<void> {
     if (this.value) return;
     const { config, clock, rnd } = this.k.host;
     if (clock.now() - Number(this.k.inst.split('-')[0]) < C.foundAfterMs) return;
-    const who = await Promise.all(config.seeds.map((s) => this.k.call<{ disk: string; rev: number }>(s, 'RegWho', {}).catch(() => undefined)));
-    if (who.some((w) => !w)) return;
+    const who = await Promise.all(config.seeds.map((s) => this.k.call<{ disk: string; fleet?: string }>(s, 'RegWho', {}).catch(() => undefined)));
+    if (who.some((w) => !w || w.fleet !== undefined)) return;
     const seats = who.map((w) => w!.disk);
     const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
     const ps = await Promise.all(seats.map((d, i) => this.k.call<Prepared>(config.seeds[i]!, 'RegPrepare', { disk: d, ballot }).catch(() => undefined)));
     for (const p of ps) if (p && !p.ok) this.n = Math.max(this.n, Number(p.promised.slice(0, 12)) || 0);
     if (ps.some((p) => !p?.ok)) return;
     const held = ps.filter((p) => p!.value).reduce<Prepared | undefined>((a, b) => (!a || b!.ballot > a.ballot ? b : a), undefined);
-    if (held) {
-      // A founding (ours, cut short) or a fleet that exists: the ordinary way finishes it.
-      this.hint = unpack(held.value!) as Value;
-      await this.read();
-      return;
-    }
-    const v = this.genesis(seats, `${Math.floor(rnd.next() * 2 ** 48).toString(36)}`);
+    // A founding that was cut short: the same value, not another one.
+    const v = held ? (unpack(held.value!) as Value) : this.genesis(seats, `${Math.floor(rnd.next() * 2 ** 48).toString(36)}`);
+    if (v.rev !== 1) return; // a fleet that lives: the ordinary way finds it
     const value = pack(v);
     const as = await Promise.all(seats.map((d, i) => this.k.call<Accepted>(config.seeds[i]!, 'RegAccept', { disk: d, ballot, value }).catch(() => undefined)));
     if (as.every((a) => a?.ok)) {
@@ -308,7 +308,10 @@
   }
 }
 
-/** The answer for a visit that came before we may serve. */
+/** The answer for a visit that came before we may serve.
+ * @example
+ * if (!reg.value) throw notReady(k, 'ReadConfig');
+ */
 export function notReady(k: Kernel, step: string): Failure {
   return new Failure({ tag: 'not_ready', step, peer: k.self, retryAfterMs: retryAfter(k.host.rnd, C.retryMs) });
 }
--- a/packages/data/src/copies.ts
+++ b/packages/data/src/copies.ts
@@ -18,11 +18,31 @@
   interface Faces { copies: Copies }
 }
 
+/**
+ * An entry with its age instead of its time, for the way to another machine.
+ * @example
+ * entries.map(packEntry(clock.now()))
+ */
 export const packEntry = (now: number) => (e: Entry): WireEntry => { const { at, ...r } = e; return { ...r, age: now - at }; };
+/**
+ * An entry that came from another machine, with its time by our clock.
+ * @example
+ * wire.map(unpackEntry(clock.now()))
+ */
 export const unpackEntry = (now: number) => (e: WireEntry): Entry => { const { age, ...r } = e; return { ...r, at: now - age }; };
+/**
+ * A base for the way to another machine.
+ * @example
+ * { base: packBase(key.base, clock.now()) }
+ */
 export function packBase(b: Base, now: number): WireBase {
   return { idx: b.idx, fence: b.fence, topics: new Map(b.topics), senders: new Map([...b.senders].map(([k, s]) => [k, { seq: s.seq, off: s.off, age: now - s.at }])) };
 }
+/**
+ * A base that came from another machine.
+ * @example
+ * st.install(c, unpackBase(b.base, clock.now()), entries)
+ */
 export function unpackBase(b: WireBase, now: number): Base {
   return { idx: b.idx, fence: b.fence, topics: new Map([...b.topics].map(([k, t]) => [k, { ...t }])), senders: new Map([...b.senders].map(([k, s]) => [k, { seq: s.seq, off: s.off, at: now - s.age }])) };
 }
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -11,7 +11,11 @@
 
 export interface Reply { status: number; body: any }
 
-/** HTTP status of a fault. */
+/**
+ * HTTP status of a fault.
+ * @example
+ * statusOf({ tag: 'overloaded', step: 'Attach', peer, retryAfterMs: 500 }); // 503
+ */
 export function statusOf(f: Fault): number {
   switch (f.tag) {
     case 'bad_visit':
--- a/packages/data/src/node.ts
+++ b/packages/data/src/node.ts
@@ -2,7 +2,11 @@
 import { awayNow } from '@harecross/control';
 import type { Edge } from './edge.js';
 
-/** The plug-ins of a node by its role and disk. */
+/**
+ * The plug-ins of a node by its role and disk.
+ * @example
+ * pluginsOf('relay', false); // ['board', 'register', 'route', 'holds', 'operators', 'edge']
+ */
 export function pluginsOf(role: 'relay' | 'store', disk: boolean): (keyof Faces)[] {
   return [
     ...(disk ? (['state'] as const) : []),
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -60,9 +60,22 @@
   entries: Entry[];
 }
 
+/**
+ * The last entry a copy holds.
+ * @example
+ * lastIdx(copy); // base.idx + entries.length
+ */
 export const lastIdx = (c: Copy): number => c.base.idx + c.entries.length;
+/**
+ * The fence of the last entry a copy holds: of two histories the one with the higher is the valid one.
+ * @example
+ * lastFence(a) > lastFence(b)
+ */
 export const lastFence = (c: Copy): Fence => (c.entries.length ? c.entries[c.entries.length - 1]!.fence : c.base.fence);
-/** The fence of the entry at idx; undefined when it is not held. */
+/** The fence of the entry at idx; undefined when it is not held.
+ * @example
+ * fenceAt(copy, prevIdx) === prevFence // histories agree up to prevIdx
+ */
 export function fenceAt(c: Copy, idx: number): Fence | undefined {
   if (idx === c.base.idx) return c.base.fence;
   return c.entries[idx - c.base.idx - 1]?.fence;
--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -17,7 +17,10 @@
   return sample(w.rnd, near.length ? near : w.way.nodes(), 1)[0];
 };
 
-/** A consumer: attaches, subscribes from where it left off, probes every two seconds, drops off often. */
+/** A consumer: attaches, subscribes from where it left off, probes every two seconds, drops off often.
+ * @example
+ * const c = new Consumer(world, 'phone-7', 'kaolack', ['feed/7']); c.start();
+ */
 export class Consumer {
   private cursors = new Map<string, number>();
   private conn?: string;
@@ -178,7 +181,10 @@
   }
 }
 
-/** A sender: one message at a time per topic, the same seq again until it is told or gives up. */
+/** A sender: one message at a time per topic, the same seq again until it is told or gives up.
+ * @example
+ * new Sender(world, 'desk', 'kaolack', ['warn/1'], 500).start();
+ */
 export class Sender {
   private seqs = new Map<string, number>();
   private busy = new Set<string>();
@@ -245,7 +251,10 @@
   }
 }
 
-/** An operator: sends whole configurations, the same changeId until answered; reads back; looks at nodes. */
+/** An operator: sends whole configurations, the same changeId until answered; reads back; looks at nodes.
+ * @example
+ * await new Operator(world, 'op').submit('c1', config, true);
+ */
 export class Operator {
   constructor(private w: World, private name: string) {}
 
--- a/packages/trial/src/day.ts
+++ b/packages/trial/src/day.ts
@@ -12,7 +12,7 @@
 import { seeded } from './sim.js';
 
 const SITES = new Map<string, Site>([SINE_SALOUM, DUNARE, SMALL].map((s) => [s.name, s]));
-const FAULTS = ['kill-relay', 'kill-store', 'freeze', 'reset', 'operators', 'settings', 'rolling', 'remove', 'wipe', 'closing'] as const;
+const FAULTS = ['kill-relay', 'kill-store', 'freeze', 'reset', 'operators', 'settings', 'rolling', 'remove', 'wipe', 'join', 'empty', 'closing'] as const;
 type Fault = (typeof FAULTS)[number];
 
 const a = yargs(process.argv.slice(2))
@@ -40,6 +40,7 @@
 const any = <T>(xs: T[]): T => xs[Math.floor(rnd.next() * xs.length)]!;
 const say = (s: string): void => { consola.info(`${(clock.now() / 1000).toFixed(1)} s: ${s}`); };
 const left: number[] = [];
+const failed: string[] = [];
 const stopped = async (p: Proc): Promise<void> => {
   const ms = await fleet.stop(p);
   if (ms === undefined) say(`${p.name} did not leave within 6 s and was killed`);
@@ -58,7 +59,7 @@
 void (async () => { while (on) { await pause(500); void cr.operator.look(fleet.procs.filter((p) => p.up).map((p) => p.config.client)); } })();
 void (async () => { while (on) { await pause(400); void cr.operator.count(any(cr.topics)); } })();
 // Callers drop off often, by themselves.
-void (async () => { while (on) { await pause(500); const c = any(cr.consumers); if (rnd.next() < 0.5) c.drop(); else void c.away(500 + 15_000 * rnd.next()); } })();
+void (async () => { while (on) { await pause(500); const c = any(cr.consumers); if (rnd.next() < 0.4) c.drop(); else if (rnd.next() < 0.3) { c.domain = any(site.domains); c.drop('moved'); } else void c.away(500 + 15_000 * rnd.next()); } })();
 
 const run: Record<Fault, () => Promise<void>> = {
   'kill-relay': async () => { const p = any(fleet.relays); say(`kill -9 ${p.name}`); await fleet.kill(p); await pause(3_000); fleet.start(p); },
@@ -114,6 +115,32 @@
     fleet.start(p);
     await pause(6_000);
   },
+  join: async () => {
+    const p = await fleet.add('store', any(site.domains));
+    say(`${p.name} joins in ${p.config.domain}`);
+    fleet.start(p);
+    for (let i = 0; i < 60; i++) {
+      await pause(500);
+      const r = await cr.operator.ask('Fleet', {});
+      const d = r.body.disks.find((x: any) => x.peer === p.config.peer);
+      if (d?.copies) { say(`${p.name} has ${d.copies} copies`); return; }
+    }
+    failed.push(`${p.name} never got a copy`);
+  },
+  empty: async () => {
+    const f = (await cr.operator.ask('Fleet', {})).body;
+    const p = any(fleet.stores.filter((x) => !x.config.seeds.includes(x.config.peer)).concat(fleet.relays.filter((x) => x.config.data)));
+    const d = f.disks.find((x: any) => x.peer === p.config.peer && x.state === 'active');
+    const r = await cr.operator.ask('EmptyDisk', { disk: d?.id ?? 'none' });
+    say(`empty the disk of ${p.name}: ${r.status === 200 ? `${r.body.copies} copies` : JSON.stringify(r.body.error)}`);
+    if (r.status !== 200) { failed.push('the emptying was refused'); return; }
+    for (let i = 0; i < 120; i++) {
+      await pause(500);
+      const st = (await cr.operator.ask('EmptyStatus', { disk: d.id })).body;
+      if (st.state === 'emptied') { say(`${p.name} is emptied`); await fleet.kill(p); rmSync(p.config.data!, { recursive: true, force: true }); await pause(2_000); fleet.start(p); return; }
+    }
+    failed.push(`${p.name} was never emptied`);
+  },
   closing: async () => {
     say('closing fault: a third of the relays and one store die');
     const victims = [...fleet.relays.filter((_, i) => i % 3 === 0), any(fleet.stores)];
@@ -153,6 +180,8 @@
 await fleet.close();
 writeFileSync(join(folder, 'journal.json'), journal.seen.map((s) => JSON.stringify(s)).join('\n'));
 for (const v of bad.slice(0, 20)) consola.error(`${v.rule} at ${v.t}: ${v.what}`);
-consola.info(bad.length ? `VERDICT: ${bad.length} violations (folder ${folder})` : 'VERDICT: clean');
-if (!a.keep && !bad.length) rmSync(folder, { recursive: true, force: true });
-process.exit(bad.length ? 1 : 0);
+for (const f of failed) { consola.error(f); }
+const wrong = bad.length + failed.length;
+consola.info(wrong ? `VERDICT: ${wrong} violations (folder ${folder})` : 'VERDICT: clean');
+if (!a.keep && !wrong) rmSync(folder, { recursive: true, force: true });
+process.exit(wrong ? 1 : 0);
--- a/packages/trial/src/fleet.ts
+++ b/packages/trial/src/fleet.ts
@@ -2,7 +2,7 @@
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import { request as httpRequest, Agent as HttpAgent } from 'node:http';
-import { join } from 'node:path';
+import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { sleep, realClock, type NodeConfig, type Role } from '@harecross/kernel';
 import type { Frame } from '@harecross/schema';
@@ -15,7 +15,10 @@
 
 const program = (role: Role): string => fileURLToPath(new URL(`../../${role}/dist/main.js`, import.meta.url));
 
-/** Ports the OS says are free; held until all are known so that none comes twice. */
+/** Ports the OS says are free; held until all are known so that none comes twice.
+ * @example
+ * const [a, b] = await freePorts(2);
+ */
 export async function freePorts(n: number): Promise<number[]> {
   const held = await Promise.all(Array.from({ length: n }, () => new Promise<{ port: number; close: () => Promise<void> }>((res, rej) => {
     const s = createServer();
@@ -57,6 +60,19 @@
     return f;
   }
 
+  /** Another machine for the fleet; it is started apart. */
+  async add(role: Role, domain: string): Promise<Proc> {
+    const [a, b] = await freePorts(2);
+    const n = this.procs.filter((p) => p.role === role).length + 1;
+    const folder = dirname(this.procs[0]!.file);
+    const name = `${role}${n}`;
+    const config: NodeConfig = { role, domain, peer: `127.0.0.1:${a}`, client: `127.0.0.1:${b}`, seeds: this.procs[0]!.config.seeds, ...(role === 'store' ? { data: join(folder, name) } : {}) };
+    const p: Proc = { name, role, config, file: join(folder, `${name}.json`), well: false, up: false, exits: [] };
+    this.procs.push(p);
+    this.writeConfig(p);
+    return p;
+  }
+
   get stores(): Proc[] { return this.procs.filter((p) => p.role === 'store'); }
   get relays(): Proc[] { return this.procs.filter((p) => p.role === 'relay'); }
 
--- a/packages/trial/src/journal.ts
+++ b/packages/trial/src/journal.ts
@@ -18,6 +18,11 @@
   | { k: 'closing'; t: number }
   | { k: 'end'; t: number };
 
+/**
+ * The journal of a day.
+ * @example
+ * journal.add({ k: 'closing' });
+ */
 export class Journal {
   readonly seen: Seen[] = [];
   constructor(private now: () => number) {}
--- a/packages/trial/src/scenario.ts
+++ b/packages/trial/src/scenario.ts
@@ -40,6 +40,11 @@
   ],
 };
 
+/**
+ * A site's configuration, with more families if wanted.
+ * @example
+ * configOf(SMALL, [{ name: 'x', topics: ['x/*'], urgency: 'routine', patienceMs: 2000, memoryS: 30 }])
+ */
 export function configOf(site: Site, extra: FleetConfig['families'] = []): FleetConfig {
   return { families: [...site.families.map((f) => ({ name: f.name, topics: [`${f.prefix}*`], urgency: f.urgency, patienceMs: f.patienceMs, memoryS: f.memoryS })), ...extra] };
 }
@@ -47,6 +52,11 @@
 /** Stand-ins for a site's callers. */
 export interface Crowd { consumers: Consumer[]; senders: Sender[]; operator: Operator; topics: string[] }
 
+/**
+ * The stand-ins of a site: consumers by domain, senders at the site's rates, an operator.
+ * @example
+ * for (const c of crowd(world, SMALL).consumers) c.start();
+ */
 export function crowd(w: World, site: Site): Crowd {
   const consumers: Consumer[] = [];
   const senders: Sender[] = [];
@@ -85,7 +95,10 @@
   forMs?: number;
 }
 
-/** Builds a site's machines in a simulator and starts them. */
+/** Builds a site's machines in a simulator and starts them.
+ * @example
+ * const { stores, relays, disks } = await build(sim, SMALL);
+ */
 export async function build(sim: Sim, site: Site, skewMs = 0): Promise<{ stores: SimNode[]; relays: SimNode[]; disks: SimNode[] }> {
   const skew = (): number => (skewMs ? Math.round((sim.rnd.next() * 2 - 1) * skewMs) : 0);
   const stores = Array.from({ length: site.stores }, (_, i) => sim.add(`store${i + 1}`, { role: 'store', domain: site.domains[i % site.domains.length]!, disk: true, skewMs: skew() }));
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -5,7 +5,11 @@
 import Database from 'better-sqlite3';
 import type { Way } from './actors.js';
 
-/** A small seeded generator (mulberry32). */
+/**
+ * A small seeded generator (mulberry32).
+ * @example
+ * seeded(7).next(); // the same number every time
+ */
 export function seeded(seed: number): Rnd {
   let a = seed >>> 0;
   return {
@@ -135,6 +139,8 @@
 
   /** Runs until the given time. */
   async run(until: number): Promise<void> {
+    // What was begun outside of an event goes first.
+    await new Promise<void>((r) => setImmediate(r));
     for (;;) {
       const e = this.heap.top;
       if (!e || e.at > until) break;
