Clocks that jump: history is not let go early, and a clock that went back is outlived

And one that restarts an hour behind got an instance below its former one: the others went on believing the dead process, its interest was ignored, and messages came by repair once a second instead of by frames. Ruled out: clocks that merely differ (`skew` was clean; entries travel with their age).

A changed domain was no longer told since members' records are said on change only; it is said when the config is reread. Test first: process.test, 'the new domain is known'.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -14,7 +14,6 @@
   condition: Condition;
   /** Conns held. */
   weight: number;
-  rev: number;
 }
 
 /** What we think of a member. */
@@ -92,9 +91,14 @@
     this.sayMine();
   }
 
+  /** Says our record anew, after our config was reread. */
+  refresh(): void {
+    this.sayMine();
+  }
+
   private sayMine(): void {
     const { config } = this.k.host;
-    const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, inst: this.k.inst, rev: this.k.rev, ...this.mine };
+    const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, inst: this.k.inst, ...this.mine };
     this.saidWeight = rec.weight;
     this.put(`m/${this.k.self}`, `${this.k.inst}.${String(++this.beat).padStart(10, '0')}`, rec);
   }
@@ -146,6 +150,12 @@
   private set(key: string, ver: string, val: unknown): boolean {
     const old = this.items.get(key);
     if (old && old.ver >= ver) return false;
+    if (key === `m/${this.k.self}` && (val as MemberRec).inst !== this.k.inst) {
+      // A record of the process that was here before, from a clock that ran ahead of ours.
+      this.k.outlive((val as MemberRec).inst);
+      this.sayMine();
+      return false;
+    }
     const f = this.forgotten.get(key);
     if (f !== undefined) {
       if (f >= ver) return false;
--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -118,7 +118,7 @@
     for (const d of v.disks.values()) {
       if (d.state !== 'active' || disks.get(d.id)!.state === 'lost') continue;
       const m = this.board.ofDisk(d.id);
-      const gone = m ? (m.state === 'live' ? 0 : now - m.seenAt) : now - (Number(this.k.inst.split('-')[0]) || now);
+      const gone = m ? (m.state === 'live' ? 0 : now - m.seenAt) : now - this.k.startedAt;
       if (gone > C.replaceAfterMs) { disks.set(d.id, { ...d, state: 'lost' }); said.push(`disk ${d.id} is lost`); }
     }
     if (!said.length) return undefined;
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -279,7 +279,7 @@
   private async found(): Promise<void> {
     if (this.value) return;
     const { config, clock, rnd } = this.k.host;
-    if (clock.now() - Number(this.k.inst.split('-')[0]) < C.foundAfterMs) return;
+    if (clock.now() - this.k.startedAt < C.foundAfterMs) return;
     const who = await Promise.all(config.seeds.map((s) => this.k.call<{ disk: string; fleet?: string }>(s, 'RegWho', {}).catch(() => undefined)));
     if (who.some((w) => !w || w.fleet !== undefined)) return;
     const seats = who.map((w) => w!.disk);
--- a/packages/data/src/copies.ts
+++ b/packages/data/src/copies.ts
@@ -58,7 +58,7 @@
   readonly disk: string;
 
   constructor(private k: Kernel, private st: Store) {
-    this.all = st.copies();
+    this.all = st.copies(k.host.clock.now());
     this.disk = st.get('disk')!;
     k.on('Fence', (b: { disk: string; shard: number; fence: Fence }) => this.fence(b));
     k.on('Append', (b: Append) => this.append(b));
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -56,7 +56,9 @@
   onUnreachable: (peer: string) => void = () => {};
   phase: Phase = 'starting';
   readonly self: string;
-  readonly inst: string;
+  inst: string;
+  /** When this process began, by our clock. */
+  readonly startedAt: number;
   private faces = new Map<string, unknown>();
   private handlers = new Map<string, { h: Handler; current: boolean }>();
   private subs: Subscription[] = [];
@@ -64,7 +66,22 @@
 
   constructor(readonly host: Host) {
     this.self = host.config.peer;
-    this.inst = `${String(Math.floor(host.clock.now())).padStart(15, '0')}-${Math.floor(host.rnd.next() * 1e9).toString(36)}`;
+    this.startedAt = host.clock.now();
+    this.inst = this.instance(this.startedAt);
+  }
+
+  private instance(at: number): string {
+    return `${String(Math.floor(at)).padStart(15, '0')}-${Math.floor(this.host.rnd.next() * 1e9).toString(36)}`;
+  }
+
+  /**
+   * Others know an earlier process at our address under a later instance: our machine's clock went back. We take
+   * an instance above it, or they would go on believing the dead one.
+   */
+  outlive(inst: string): void {
+    if (inst < this.inst) return;
+    this.inst = this.instance(Number(inst.split('-')[0]) + 1);
+    this.count('instance.outlived');
   }
 
   async boot(names: (keyof Faces)[]): Promise<void> {
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -129,16 +129,20 @@
     if (s.value !== undefined) this.set('seat.value', s.value);
   }
 
-  copies(): Map<number, Copy> {
+  /**
+   * The copies as they are on disk. A machine may come back with another time than it left with, so what was kept
+   * begins its life in memory anew: kept a little longer, never let go early.
+   */
+  copies(now: number): Map<number, Copy> {
     const out = new Map<number, Copy>();
     for (const r of this.q('select * from copy').all() as { shard: number; promised: string; idx: number; fence: string }[]) {
       out.set(r.shard, { shard: r.shard, promised: r.promised, base: { idx: r.idx, fence: r.fence, topics: new Map(), senders: new Map() }, entries: [] });
     }
     for (const r of this.q('select * from topic').all() as any[]) out.get(r.shard)?.base.topics.set(r.topic, { head: r.head, since: r.since, era: r.era });
-    for (const r of this.q('select * from sender').all() as any[]) out.get(r.shard)?.base.senders.set(r.k, { seq: r.seq, off: r.off, at: r.at });
+    for (const r of this.q('select * from sender').all() as any[]) out.get(r.shard)?.base.senders.set(r.k, { seq: r.seq, off: r.off, at: now });
     for (const r of this.q('select * from entry order by shard, idx').all() as any[]) {
       const { shard, ...e } = r;
-      out.get(shard)?.entries.push(e as Entry);
+      out.get(shard)?.entries.push({ ...e, at: now } as Entry);
     }
     return out;
   }
--- a/packages/trial/src/faults.ts
+++ b/packages/trial/src/faults.ts
@@ -144,6 +144,23 @@
     await s.sim.start(n);
     await pause(s, 4_000);
   } }],
+  ['clock-jump', { forMs: 45_000, faults: async (s) => {
+    // Machines without a clock of their own come back with the wrong time: an hour behind, or an hour ahead.
+    const hour = 3_600_000;
+    for (const [i, n] of [...s.relays.slice(0, 3), s.stores[0]!, s.stores[1]!].entries()) {
+      s.sim.kill(n);
+      n.skewMs += (i % 2 ? 1 : -1) * hour;
+      s.note(`${n.name} comes back ${i % 2 ? 'an hour ahead' : 'an hour behind'}`);
+      await pause(s, 800);
+      await s.sim.start(n);
+      await pause(s, 3_500);
+    }
+    // All of them at once, and every consumer resumes where it left off.
+    for (const c of s.crowd.consumers) void c.away(4_000);
+    for (const n of s.sim.nodes.values()) s.sim.kill(n);
+    for (const n of s.sim.nodes.values()) { n.skewMs += hour; await s.sim.start(n); }
+    await pause(s, 12_000);
+  } }],
   ['operators', { faults: async (s) => {
     const plus = (n: number) => configOf(s.site, [{ name: `extra${n}`, topics: [`x${n}/*`], urgency: 'routine', patienceMs: 2_000, memoryS: 30 }]);
     const op = s.crowd.operator;
--- a/packages/trial/src/test/holds.test.ts
+++ b/packages/trial/src/test/holds.test.ts
@@ -134,3 +134,28 @@
   t.like(b.frames.at(-1), { t: 'CLOSED', reason: 'silent' });
   s.sim.close();
 });
+
+test('a relay that comes back with its clock an hour behind is known by its new instance, and its interest counts', async (t) => {
+  const s = await smallFleet(37);
+  const r = s.relays[0]!;
+  const old = await s.attach(r, 'phone');
+  await s.ask(r, 'Subscribe', { conn: old.conn, topic: 'feed/1' });
+  const inst = r.kernel!.inst;
+  s.sim.kill(r);
+  r.skewMs -= 3_600_000;
+  await s.pass(500);
+  void s.sim.start(r);
+  await s.pass(3_000);
+  t.is(r.kernel!.counters.get('instance.outlived'), 1);
+  t.true(r.kernel!.inst > inst);
+  t.is(s.ownerOf('feed/1').kernel!.use('board').members.get(r.config.peer)!.inst, r.kernel!.inst);
+  const c = await s.attach(r, 'phone');
+  await s.ask(r, 'Subscribe', { conn: c.conn, topic: 'feed/1' });
+  await s.pass(500);
+  t.true(interest(s, 'feed/1')!.deadline > now(s, 'feed/1'));
+  await publish(s, 1);
+  await s.pass(500);
+  t.deepEqual(delivered(c.frames), [1]);
+  t.is(r.kernel!.counters.get('pull') ?? 0, 0, 'by a frame, not by a repair');
+  s.sim.close();
+});
--- a/packages/trial/src/test/process.test.ts
+++ b/packages/trial/src/test/process.test.ts
@@ -113,6 +113,9 @@
     await eventually('a change of address was reported', () => lines(store).includes('peer cannot change while running'));
     f.writeConfig(store);
     await eventually('the config was reread', () => lines(store).includes('config reread'));
+    // A new domain, by a silent change, is known to the others.
+    writeFileSync(store.file, JSON.stringify({ ...store.config, domain: 'elsewhere' }));
+    await eventually('the new domain is known', async () => ((await visit(r2, 'Fleet', {}))?.body.members as { peer: string; domain: string }[]).some((m) => m.peer === store.config.peer && m.domain === 'elsewhere'));
 
     for (const p of [r1, store]) {
       await f.stop(p);
