An owner in doubt lets waiting publishes go; no later answer hides an earlier try

Cause: publishes begun just before an owner lost its majority kept their places in its holding until it was fenced or healed; under load they would fill it, and callers would hear 'unknown' after a time limit instead of 'rejected' at once. And after a try whose outcome was unknown, `stale_seq` of the next owner was passed on as a rejection. Ruled out: the edge's holding (its calls have time limits).

--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -82,7 +82,7 @@
     k.on('Yield', (b: { shard: number; disk: string }) => this.yieldTo(b.shard, b.disk));
     k.on('TakeKey', (b: { shard: number }) => { void this.take(this.keys.get(b.shard)!); return true; });
     k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
-    k.keep(loop(clock, C.beatMs, rnd, async () => { for (const key of this.keys.values()) this.kick(key, true); }));
+    k.keep(loop(clock, C.beatMs, rnd, async () => { for (const key of this.keys.values()) this.beat(key); }));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
     k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
     k.onStop(() => this.leave());
@@ -95,6 +95,10 @@
   bound(n: number): void {
     this.holding.resize(n);
   }
+  /** Publishes held now. */
+  held(): number {
+    return this.holding.length;
+  }
   owns(topic: string): boolean {
     return this.keys.get(shardOf(topic))!.state === 'owner';
   }
@@ -353,6 +357,13 @@
 
   // --- replication ---
 
+  /** Keeps in touch with the copies. Without a majority's answer, what waits is told that its outcome is unknown. */
+  private beat(key: Key): void {
+    this.kick(key, true);
+    if (key.state !== 'owner' || this.k.host.clock.now() - key.heardAt() <= C.doubtMs) return;
+    for (const w of key.waits.splice(0)) w.rej(new Failure({ tag: 'timeout', step: 'Publish', peer: this.k.self }));
+  }
+
   private kick(key: Key, beat: boolean): void {
     if (key.state === 'none' || !key.base || key.fence === NO_FENCE) return;
     for (const d of key.copies) void this.send(key, d, beat);
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -111,7 +111,8 @@
           perhaps = true;
           break;
         default:
-          if (perhaps && f.tag === 'overloaded') throw new Failure({ tag: 'outcome_unknown', step: m, peer, retryAfterMs: f.retryAfterMs });
+          // Whatever the last try was told, an earlier one may have been stored.
+          if (perhaps && m === 'Publish') throw new Failure({ tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) });
           throw new Failure(f);
       }
       if (until - clock.now() <= C.ownerRetryMs) break;
--- a/packages/trial/src/sweep.ts
+++ b/packages/trial/src/sweep.ts
@@ -13,6 +13,7 @@
   .option('lines', { type: 'number', default: 0, describe: 'last log lines to print of a failing run' })
   .strict().parseSync();
 
+const quantile = (xs: number[], q: number): number => Math.round(xs[Math.min(xs.length - 1, Math.floor(q * xs.length))] ?? NaN);
 const names = a.only ? a.only.split(',') : [...SCENARIOS.keys()];
 let failed = 0;
 for (const name of names) {
@@ -22,7 +23,9 @@
     const r = await play(seed, { ...sc, opts: { ...sc.opts, log: a.log } });
     const n = (k: string): number => r.seen.filter((s) => s.k === k).length;
     const acc = r.seen.filter((s) => s.k === 'pub.answer' && s.out === 'accepted').length;
-    const line = `${name} seed ${seed}: ${acc}/${n('pub.try')} accepted, ${n('deliver')} delivered, ${n('conn.open')} conns, ${r.sim.events} events, ${r.bad.length} violations`;
+    const tried = new Map(r.seen.flatMap((s) => (s.k === 'pub.try' ? [[s.try, s.t] as [number, number]] : [])));
+    const lat = r.seen.flatMap((s) => (s.k === 'pub.answer' && s.out === 'accepted' ? [s.t - tried.get(s.try)!] : [])).sort((x, y) => x - y);
+    const line = `${name} seed ${seed}: ${acc}/${n('pub.try')} accepted, ${n('deliver')} delivered, ${n('conn.open')} conns, ${r.sim.events} events, accept p50/p99 ${quantile(lat, 0.5)}/${quantile(lat, 0.99)} ms, ${r.bad.length} violations`;
     process.stdout.write(line + '\n');
     if (a.notes) for (const x of r.notes) process.stdout.write(`   ${x}\n`);
     if (a.counters) process.stdout.write(`   ${[...r.counters].filter(([k]) => new RegExp(a.counters!).test(k)).sort().map(([k, v]) => `${k} ${v}`).join(', ')}\n`);
