Broken links: an owner out of reach of its copies is ill, and a vain asker must wait

Now an owner in doubt for 3 s calls itself ill for 20 s, which hands its keys on, and who asked for a key in vain may ask again after 30 s. Ruled out: the register (the store stays fresh throughout).

Scenario empty also takes an emptying back and begins it again.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -181,7 +181,8 @@
 }
 
 const moveKey = (m: Move): string => `${m.id}@${m.from}`;
-/** Copies that a disk still has.
+/**
+ * Copies that a disk still has.
  * @example
  * copiesOn(value, 'd1k'); // 12
  */
@@ -190,7 +191,8 @@
 const waitsFor = (v: Value, peer: string): number =>
   Math.max(0, ...(v.config.moves ?? []).filter((m) => m.kind === 'add' && m.node === peer && !v.moves.has(moveKey(m)) && ![...v.disks.values()].some((d) => d.peer === peer)).map((m) => m.from));
 
-/** Whether the calendar has this machine out for a restart now.
+/**
+ * Whether the calendar has this machine out for a restart now.
  * @example
  * awayNow(reg.value, k.self); // true from a restart's `from` to its `until`
  */
@@ -212,7 +214,8 @@
   return undefined;
 }
 
-/** What operators ask of the register.
+/**
+ * What operators ask of the register.
  * @example
  * await k.use('operators').submit({ changeId: 'c1', expect: 3, config }); // { version: 4 }
  */
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,6 +1,6 @@
 import { C, Failure, Kernel, gather, loop, pack, register as plug, retryAfter, sleep, unpack } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
-import { Store } from '@harecross/state';
+import type { Store } from '@harecross/state';
 import { BehaviorSubject } from 'rxjs';
 import invariant from 'tiny-invariant';
 import type { Board } from './board.js';
@@ -37,7 +37,7 @@
 interface ReadBack { disk: string; rev: number; known: number }
 
 declare module '@harecross/kernel' {
-  interface Faces { register: Register; state: Store }
+  interface Faces { register: Register }
 }
 
 /** Whether the disks heard from are a majority of each set. */
@@ -308,7 +308,8 @@
   }
 }
 
-/** The answer for a visit that came before we may serve.
+/**
+ * The answer for a visit that came before we may serve.
  * @example
  * if (!reg.value) throw notReady(k, 'ReadConfig');
  */
@@ -316,25 +317,4 @@
   return new Failure({ tag: 'not_ready', step, peer: k.self, retryAfterMs: retryAfter(k.host.rnd, C.retryMs) });
 }
 
-plug({
-  name: 'state',
-  needs: [],
-  setup: async (k) => {
-    if (!k.host.db) throw new Error('state needs a data folder');
-    const st = new Store(k.host.db);
-    st.init();
-    if (!st.get('disk')) {
-      const id = `d${Math.floor(k.host.rnd.next() * 2 ** 48).toString(36)}`;
-      await st.db.commit(() => st.set('disk', id));
-    }
-    return st;
-  },
-});
-plug({
-  name: 'register',
-  needs: ['board'],
-  setup: async (k) => {
-    if (k.host.db) { try { k.use('state'); } catch { throw new Error('load state before register'); } }
-    return new Register(k, k.use('board'));
-  },
-});
+plug({ name: 'register', needs: ['board'], setup: (k) => new Register(k, k.use('board')) });
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -1,5 +1,5 @@
 import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, type Fault } from '@harecross/kernel';
-import { awayNow, type Board, type Operators, type Register } from '@harecross/control';
+import { awayNow, notReady, type Board, type Operators, type Register } from '@harecross/control';
 import { Rpcs, configFaults, familyOf, visitFault, type Method, type Visit } from '@harecross/schema';
 import fastify from 'fastify';
 import type { Holds, Sink } from './holds.js';
@@ -76,7 +76,7 @@
       const bad = visitFault('Attach', body);
       if (bad) throw this.bad('Attach', bad);
       if (!this.holds) throw this.bad('Attach', 'this node is a store and takes no conns');
-      if (!this.ready()) throw new Failure({ tag: 'not_ready', step: 'Attach', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+      if (!this.ready()) throw notReady(this.k, 'Attach');
       const b = body as Visit<'Attach'>;
       return { id: this.holds.attach(b.consumer, b.pingS, sink) };
     } catch (e) {
@@ -91,7 +91,7 @@
     const method = m as Method;
     const bad = visitFault(method, body);
     if (bad) return this.failed(m, this.bad(m, bad));
-    if (this.k.phase === 'stopped') return this.failed(m, new Failure({ tag: 'not_ready', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
+    if (this.k.phase === 'stopped') return this.failed(m, notReady(this.k, m));
     this.k.count(`visit.${m}`);
     const p = this.holding.offer({ m: method, body }, this.urgent(method, body));
     if (!p) return this.failed(m, new Failure({ tag: 'overloaded', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
@@ -213,7 +213,7 @@
   }
 
   private mustServe(m: string): void {
-    if (!this.reg.fresh()) throw new Failure({ tag: 'not_ready', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+    if (!this.reg.fresh()) throw notReady(this.k, m);
   }
   private conns(m: string): Holds {
     if (!this.holds) throw new Failure({ tag: 'unknown_conn', step: m, peer: this.k.self });
--- a/packages/data/src/node.ts
+++ b/packages/data/src/node.ts
@@ -1,5 +1,5 @@
-import { Kernel, loop, type Faces, type Host } from '@harecross/kernel';
-import { awayNow } from '@harecross/control';
+import { C, Kernel, loop, type Faces, type Host } from '@harecross/kernel';
+import { awayNow, type Condition } from '@harecross/control';
 import type { Edge } from './edge.js';
 
 /**
@@ -29,8 +29,14 @@
   const board = kernel.use('board');
   const reg = kernel.use('register');
   kernel.onStop(() => board.say({ condition: 'draining' }));
-  kernel.keep(loop(host.clock, 200, host.rnd, async () => {
-    if (kernel.phase === 'running') board.say({ condition: !reg.fresh() ? 'joining' : awayNow(reg.value, kernel.self) ? 'draining' : 'ready' });
-  }));
+  const owner = kernel.has('owner') ? kernel.use('owner') : undefined;
+  let illUntil = -Infinity;
+  const condition = (): Condition => {
+    if (!reg.fresh()) return 'joining';
+    if (awayNow(reg.value, kernel.self)) return 'draining';
+    if (owner?.forlorn()) illUntil = host.clock.now() + C.illMs;
+    return host.clock.now() < illUntil ? 'ill' : 'ready';
+  };
+  kernel.keep(loop(host.clock, 200, host.rnd, async () => { if (kernel.phase === 'running') board.say({ condition: condition() }); }));
   return { kernel, edge: kernel.use('edge') };
 }
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,5 +1,5 @@
 import { C, Failure, Holding, Kernel, faultOf, gather, loop, register, retryAfter, shardOf, sleep, within } from '@harecross/kernel';
-import { matchOwners, type Board, type KeyRec, type Register } from '@harecross/control';
+import { matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Base, type Entry, type Fence } from '@harecross/state';
 import { packBase, packEntry, type Appended, type Copies, type Fetched, type Promised, type WireEntry } from './copies.js';
@@ -40,6 +40,8 @@
   said = '';
   saidN = 0;
   triedAt = -Infinity;
+  /** Disks that asked for the key and could not take it, and until when they need not ask again. */
+  vain = new Map<string, number>();
   takenAt = -Infinity;
   constructor(readonly shard: number) {}
 
@@ -201,19 +203,31 @@
     const key = this.keys.get(shard)!;
     if (key.state !== 'owner') throw new Failure({ tag: 'not_owner', step: 'Yield', peer: this.k.self });
     if (!key.copies.includes(disk) || (key.match.get(disk) ?? 0) < key.last() - C.appendN) return false;
-    await this.quiesce(key);
+    if ((key.vain.get(disk) ?? 0) > this.k.host.clock.now()) return false;
+    await this.quiesce(key, disk);
     return true;
   }
 
   /** Stops accepting and waits until what was begun is on a majority. */
-  private async quiesce(key: Key): Promise<void> {
+  private async quiesce(key: Key, asker?: string): Promise<void> {
     this.turn(key, 'yielding');
     const { clock } = this.k.host;
     const fence = key.fence;
     const until = clock.now() + 600;
     while (key.commit < key.last() && clock.now() < until && key.state === 'yielding') { this.kick(key, false); await sleep(clock, 10); }
-    // If nobody takes it, we serve on.
-    clock.after(1_500, () => { if (key.state === 'yielding' && key.fence === fence && this.k.phase === 'running') this.turn(key, 'owner'); });
+    // If nobody takes it, we serve on, and who asked for it in vain has to wait before it may ask again.
+    clock.after(C.yieldMs, () => {
+      if (key.state !== 'yielding' || key.fence !== fence || this.k.phase !== 'running') return;
+      if (asker) key.vain.set(asker, clock.now() + C.yieldVainMs);
+      this.k.count('key.yielded_in_vain');
+      this.turn(key, 'owner');
+    });
+  }
+
+  /** Owner of keys whose copies we can't reach, for so long that others should have them: their links may be whole. */
+  forlorn(): boolean {
+    const now = this.k.host.clock.now();
+    return [...this.keys.values()].some((key) => key.state === 'owner' && now - Math.max(key.heardAt(), key.takenAt) > C.forlornMs);
   }
 
   private async leave(): Promise<void> {
@@ -460,7 +474,7 @@
   // --- visits of relays ---
 
   private family(topic: string, step: string): Family {
-    if (!this.reg.fresh() || this.k.phase === 'stopped') throw new Failure({ tag: 'not_ready', step, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+    if (!this.reg.fresh() || this.k.phase === 'stopped') throw notReady(this.k, step);
     const f = familyOf(this.reg.value!.config, topic);
     if (!f) throw new Failure({ tag: 'unknown_topic', step, peer: this.k.self, topic });
     return f;
@@ -585,7 +599,7 @@
   }
 
   private history(b: { topic: string; from: number }): HistoryAnswer {
-    if (!this.reg.fresh()) throw new Failure({ tag: 'not_ready', step: 'History', peer: this.k.self, retryAfterMs: C.retryMs });
+    if (!this.reg.fresh()) throw notReady(this.k, 'History');
     if (!familyOf(this.reg.value!.config, b.topic)) return { tag: 'gone' };
     const key = this.serving(b.topic, 'History');
     const v = this.view(key, b.topic);
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -66,6 +66,14 @@
   beatMs: 400,
   /** Without a majority's answer for this long an owner holds its duty in doubt and rejects visits. */
   doubtMs: 1_600,
+  /** An owner that yielded serves on when nobody took the key for this long. */
+  yieldMs: 1_500,
+  /** Who asked for a key in vain may ask again after this long: each time costs callers a yield. */
+  yieldVainMs: 30_000,
+  /** An owner in doubt this long calls itself ill, so that others take its keys ... */
+  forlornMs: 3_000,
+  /** ... and stays so this long: links that broke seldom mend in seconds. */
+  illMs: 20_000,
   /** Time limit of one Append; a slow disk may take a while, and the others make the majority. */
   appendMs: 1_500,
   /** Entries in one Append. */
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,6 +1,10 @@
-import type { Db, Sql } from '@harecross/kernel';
+import { register, type Db, type Sql } from '@harecross/kernel';
 import type { Statement } from 'better-sqlite3';
 
+declare module '@harecross/kernel' {
+  interface Faces { state: Store }
+}
+
 /** Fences compare as strings: generation of the placement, then number, then the owner that took it. */
 export type Fence = string;
 export const NO_FENCE: Fence = '';
@@ -72,7 +76,8 @@
  * lastFence(a) > lastFence(b)
  */
 export const lastFence = (c: Copy): Fence => (c.entries.length ? c.entries[c.entries.length - 1]!.fence : c.base.fence);
-/** The fence of the entry at idx; undefined when it is not held.
+/**
+ * The fence of the entry at idx; undefined when it is not held.
  * @example
  * fenceAt(copy, prevIdx) === prevFence // histories agree up to prevIdx
  */
@@ -229,3 +234,19 @@
   b.topics.set(e.topic, { head: e.off, since: old && old.era === e.era ? old.since : e.off, era: e.era });
   b.senders.set(`${e.topic}\n${e.sender}`, { seq: e.seq, off: e.off, at: e.at });
 }
+
+register({
+  name: 'state',
+  needs: [],
+  setup: async (k) => {
+    if (!k.host.db) throw new Error('state needs a data folder');
+    const st = new Store(k.host.db);
+    st.init();
+    // A disk names itself once; an emptied one is another disk.
+    if (!st.get('disk')) {
+      const id = `d${Math.floor(k.host.rnd.next() * 2 ** 48).toString(36)}`;
+      await st.db.commit(() => st.set('disk', id));
+    }
+    return st;
+  },
+});
--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -17,7 +17,8 @@
   return sample(w.rnd, near.length ? near : w.way.nodes(), 1)[0];
 };
 
-/** A consumer: attaches, subscribes from where it left off, probes every two seconds, drops off often.
+/**
+ * A consumer: attaches, subscribes from where it left off, probes every two seconds, drops off often.
  * @example
  * const c = new Consumer(world, 'phone-7', 'kaolack', ['feed/7']); c.start();
  */
@@ -155,7 +156,9 @@
     while (this.life === life) {
       await sleep(clock, (this.opts.pingS ?? 2) * (900 + 200 * rnd.next()));
       if (this.life !== life) return;
+      const asked = clock.now();
       const r = await way.visit(this.nodeFor(node), 'Probe', { conn }, 2_000);
+      if (r?.status !== 200) this.w.journal.add({ k: 'probe.lost', consumer: this.name, conn, asked });
       if (this.life === life && r?.status === 410) { this.end('unknown_conn'); }
     }
   }
@@ -181,7 +184,8 @@
   }
 }
 
-/** A sender: one message at a time per topic, the same seq again until it is told or gives up.
+/**
+ * A sender: one message at a time per topic, the same seq again until it is told or gives up.
  * @example
  * new Sender(world, 'desk', 'kaolack', ['warn/1'], 500).start();
  */
@@ -251,7 +255,8 @@
   }
 }
 
-/** An operator: sends whole configurations, the same changeId until answered; reads back; looks at nodes.
+/**
+ * An operator: sends whole configurations, the same changeId until answered; reads back; looks at nodes.
  * @example
  * await new Operator(world, 'op').submit('c1', config, true);
  */
--- a/packages/trial/src/faults.ts
+++ b/packages/trial/src/faults.ts
@@ -3,6 +3,7 @@
 import { configOf, SMALL, type Scenario, type Site, type Stage } from './scenario.js';
 
 const SIX_DISKS: Site = { ...SMALL, name: 'six-disks', relayDisks: 3 };
+const EIGHT_DISKS: Site = { ...SMALL, name: 'eight-disks', stores: 4, relayDisks: 4 };
 const any = <T>(s: Stage, xs: T[]): T => xs[Math.floor(s.rnd.next() * xs.length)]!;
 const pause = (s: Stage, ms: number): Promise<void> => sleep(s.sim.clock, ms);
 
@@ -113,6 +114,23 @@
     s.note('healed');
     await pause(s, 4_000);
   } }],
+  ['link-cut', { site: EIGHT_DISKS, forMs: 30_000, faults: async (s) => {
+    // Some links of one machine break: it keeps its majority of seats, but not that of every shard's copies.
+    const n = any(s, s.stores);
+    const far = [...s.disks.filter((x) => x !== n)].sort(() => s.rnd.next() - 0.5).slice(0, 3);
+    s.note(`${n.name} loses its links to ${far.map((x) => x.name).join(' ')}`);
+    for (const o of far) s.sim.cut(n.name, o.name);
+    await pause(s, 8_000);
+    const seen = s.world.journal.seen;
+    const from = seen.length;
+    await pause(s, 8_000);
+    const a = seen.slice(from).filter((x) => x.k === 'pub.answer');
+    const ok = a.filter((x) => x.k === 'pub.answer' && x.out === 'accepted').length;
+    s.note(`accepted ${ok} of ${a.length} while the links were cut`);
+    if (ok < a.length * 0.9) throw new Error(`only ${ok} of ${a.length} publishes were accepted while the links of ${n.name} were cut`);
+    s.sim.heal();
+    await pause(s, 5_000);
+  } }],
   ['split', { faults: async (s) => {
     const side = new Set([...s.sim.nodes.values()].filter(() => s.rnd.next() < 0.4).map((n) => n.name));
     s.note(`split off ${[...side].join(' ')}`);
@@ -272,6 +290,14 @@
     const before = least();
     const r = await op.ask('EmptyDisk', { disk });
     if (r.status !== 200) throw new Error(`EmptyDisk: ${JSON.stringify(r.body)}`);
+    // Begun, taken back half-way, and begun again.
+    await pause(s, 1_200);
+    const back = await op.ask('CancelEmpty', { disk });
+    if (back.body.state !== 'active') throw new Error(`CancelEmpty: ${JSON.stringify(back.body)}`);
+    await pause(s, 5_000);
+    const whole = (await op.ask('EmptyStatus', { disk })).body.copies as number;
+    if (whole < 20) throw new Error(`only ${whole} copies came back to ${d.name}`);
+    await op.ask('EmptyDisk', { disk });
     const n = any(s, s.disks.filter((x) => x !== d));
     await pause(s, 1_000);
     s.note(`kill ${n.name} while ${d.name} is emptied`);
--- a/packages/trial/src/fleet.ts
+++ b/packages/trial/src/fleet.ts
@@ -15,7 +15,8 @@
 
 const program = (role: Role): string => fileURLToPath(new URL(`../../${role}/dist/main.js`, import.meta.url));
 
-/** Ports the OS says are free; held until all are known so that none comes twice.
+/**
+ * Ports the OS says are free; held until all are known so that none comes twice.
  * @example
  * const [a, b] = await freePorts(2);
  */
--- a/packages/trial/src/journal.ts
+++ b/packages/trial/src/journal.ts
@@ -3,6 +3,7 @@
   | { k: 'pub.try'; t: number; try: number; sender: string; topic: string; seq: number; body: string }
   | { k: 'pub.answer'; t: number; try: number; sender: string; topic: string; seq: number; out: 'accepted' | 'rejected' | 'unknown'; offset?: number; tag?: string; node: string }
   | { k: 'conn.open'; t: number; consumer: string; conn: string; node: string }
+  | { k: 'probe.lost'; t: number; consumer: string; conn: string; asked: number }
   | { k: 'conn.end'; t: number; consumer: string; conn: string; why: string }
   | { k: 'sub.ask'; t: number; consumer: string; conn: string; topic: string; cursor?: number }
   | { k: 'sub.ok'; t: number; consumer: string; conn: string; topic: string; sub: string; cursor?: number; next: number }
--- a/packages/trial/src/scenario.ts
+++ b/packages/trial/src/scenario.ts
@@ -95,7 +95,8 @@
   forMs?: number;
 }
 
-/** Builds a site's machines in a simulator and starts them.
+/**
+ * Builds a site's machines in a simulator and starts them.
  * @example
  * const { stores, relays, disks } = await build(sim, SMALL);
  */
--- a/packages/trial/src/test/fault-tests.ts
+++ b/packages/trial/src/test/fault-tests.ts
@@ -11,6 +11,8 @@
   ['churn', [4]],
   ['cut-config', [400]],
   ['join', [400]],
+  ['split', [1019]],
+  ['link-cut', [3]],
 ]);
 
 /** Runs every n-th scenario; each test file is a process of its own. */
