--- a/packages/kernel/src/fault.ts
+++ b/packages/kernel/src/fault.ts
@@ -24,8 +24,6 @@
   | { tag: 'disk_ill'; step: string; peer: string; detail: string }
   | { tag: 'internal'; step: string; peer: string; detail: string };
 
-export type FaultTag = Fault['tag'];
-
 /**
  * The one Error class; the matter is in `fault`.
  * @example
--- a/packages/trial/src/test/schema.test.ts
+++ b/packages/trial/src/test/schema.test.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import { configFaults, emit, visitFault } from '@harecross/schema';
+import { configFaults, emit, FaultShape, visitFault } from '@harecross/schema';
 import { faultInConfig } from '@harecross/kernel';
 import test from 'ava';
 
@@ -9,6 +9,14 @@
   t.is(readFileSync(new URL('../../../schema/harecross.schema.json', import.meta.url), 'utf8'), emit(), 'run `npm run schema`');
 });
 
+test('the schema names the same faults as the code', (t) => {
+  const source = readFileSync(new URL('../../../kernel/src/fault.ts', import.meta.url), 'utf8');
+  const code = [...source.matchAll(/\| \{ tag: '(\w+)'/g)].map((m) => m[1]).sort();
+  const schema = (JSON.parse(JSON.stringify(FaultShape)).properties.tag.anyOf as { const: string }[]).map((x) => x.const).sort();
+  t.true(code.length > 20);
+  t.deepEqual(schema, code as string[]);
+});
+
 test('visits and configurations are checked, each fault with its path', (t) => {
   t.is(visitFault('Probe', { conn: 'a' }), undefined);
   t.snapshot({
