--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -288,7 +288,13 @@
     const raw = reply.raw;
     const sink: Sink = {
       write: (s) => over || raw.write(s),
-      close: () => { if (!over) { over = true; raw.end(); } },
+      close: () => {
+        if (over) return;
+        over = true;
+        raw.end();
+        // A consumer that reads no more would keep the socket and what waits in it for many minutes.
+        setTimeout(() => raw.destroy(), C.closeGraceMs).unref();
+      },
     };
     const head = (): void => { raw.writeHead(200, { 'content-type': 'application/x-ndjson', 'cache-control': 'no-store' }); raw.flushHeaders(); };
     const r = edge.attach(req.body, sink);
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -164,6 +164,8 @@
   commitMs: 2,
   /** Settings files are compared this often, for changes without a signal. */
   rereadMs: 1_000,
+  /** A closed conn's last words have this long to get out before its socket is destroyed. */
+  closeGraceMs: 5_000,
   /** Time limit for connecting to a peer; loopback and site links answer far sooner. */
   connectMs: 1_000,
   /** Sockets to one peer. */
--- a/packages/trial/src/test/process.test.ts
+++ b/packages/trial/src/test/process.test.ts
@@ -1,5 +1,6 @@
 import { spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { request as httpRequest } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -90,6 +91,23 @@
     const read = await run('harecross', ['read', ...at]);
     t.is(JSON.parse(read.out).version, 1);
 
+    // A consumer that reads no more is retired, and holds up nobody else.
+    const deaf = httpRequest(`http://${r1.config.client}/rpc/Attach`, { method: 'POST', headers: { 'content-type': 'application/json' } });
+    deaf.on('error', () => undefined);
+    let deafConn = '';
+    deaf.on('response', (res) => res.once('data', (d: Buffer) => { deafConn = /"conn":"([^"]+)"/.exec(d.toString())![1]!; res.pause(); }));
+    deaf.end(JSON.stringify({ consumer: 'deaf', pingS: 60 }));
+    await eventually('the deaf one is attached', () => deafConn !== '');
+    t.is((await visit(r1, 'Subscribe', { conn: deafConn, topic: 'r/2' }))?.status, 200);
+    let seq = 0;
+    await eventually('the deaf one is retired', async () => {
+      for (let i = 0; i < 40; i++) await visit(r2, 'Publish', { sender: 'loud', topic: 'r/2', seq: ++seq, body: 'x'.repeat(60_000) });
+      return ((await visit(r1, 'Node', {}))?.body.counters['conn.closed.saturated'] ?? 0) > 0;
+    });
+    t.is(await publish(3), 3);
+    await eventually('the other got its message', () => got().length === 3);
+    deaf.destroy();
+
     // HTTP's own ways to be wrong.
     const raw = async (path: string, body: string, type = 'application/json', method: 'POST' | 'GET' = 'POST') => {
       const r = await request(`http://${r1.config.client}${path}`, { method, ...(method === 'POST' ? { body, headers: { 'content-type': type } } : {}) });
