One piece each for what was written twice: calendar, bare disks, CLI visits, time limits

Found in a reading of the whole change; behaviour is meant to stay as it was. - `Moves` built its own move key in the edge; the operators' plug-in answers it by moveKey. - Whether anything is left on a disk was asked in two ways; isBare answers both. - Listener counts put a second time limit round a call that has the same one itself. - matchOwners asked whether a disk is able once per copy; now once per disk. - The CLI had two ways to post a visit and three to name a change; one each. - Board.refresh only called sayMine; sayMine is what rereads call.

Two twins were left: the node's condition and the edge's serving() agree on when a node is away, but differ on `ill` on purpose, which a merge would change.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -91,12 +91,8 @@
     this.sayMine();
   }
 
-  /** Says our record anew, after our config was reread. */
-  refresh(): void {
-    this.sayMine();
-  }
-
-  private sayMine(): void {
+  /** Says our record anew; also for who changed our config. */
+  sayMine(): void {
     const { config } = this.k.host;
     const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, inst: this.k.inst, ...this.mine };
     this.saidWeight = rec.weight;
--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -74,7 +74,7 @@
           switch (m.kind) {
             case 'empty':
               if (!disk || disk.state !== 'emptying') return turn(m, 'refused', 'the emptying was taken back');
-              if (copiesOn(v, disk.id) === 0 && !v.seats.includes(disk.id)) return turn(m, 'done', '');
+              if (isBare(v, disk.id)) return turn(m, 'done', '');
               if (r.state === 'running' && now >= m.until) return turn(m, 'late', `${copiesOn(v, disk.id)} copies are still there`);
               break;
             case 'restart':
@@ -187,6 +187,8 @@
  * copiesOn(value, 'd1k'); // 12
  */
 export const copiesOn = (v: Value, disk: string): number => [...v.shards.values()].filter((p) => p.copies.includes(disk)).length;
+/** Whether nothing of the fleet is left on a disk. */
+const isBare = (v: Value, disk: string): boolean => copiesOn(v, disk) === 0 && !v.seats.includes(disk);
 /** A machine that the calendar adds later is not let in before. */
 const waitsFor = (v: Value, peer: string): number =>
   Math.max(0, ...(v.config.moves ?? []).filter((m) => m.kind === 'add' && m.node === peer && !v.moves.has(moveKey(m)) && ![...v.disks.values()].some((d) => d.peer === peer)).map((m) => m.from));
@@ -314,9 +316,13 @@
     if (!v) throw notReady(this.k, 'EmptyStatus');
     const d = v.disks.get(disk);
     if (!d) throw new Failure({ tag: 'unknown_disk', step: 'EmptyStatus', peer: this.k.self, disk });
-    const copies = copiesOn(v, disk);
-    const seat = v.seats.includes(disk);
-    return { disk, state: d.state === 'emptying' && !copies && !seat ? 'emptied' : d.state, copies, seat };
+    return { disk, state: d.state === 'emptying' && isBare(v, disk) ? 'emptied' : d.state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
+  }
+
+  /** The calendar in force, with how far each move has come. */
+  moves(): { version: number; moves: (Move & { state: MoveState | 'planned'; why: string })[] } {
+    const v = this.reg.value;
+    return { version: v?.version ?? 0, moves: (v?.config.moves ?? []).map((m) => ({ ...m, ...(v!.moves.get(moveKey(m)) ?? { state: 'planned', why: '' }) })) };
   }
 }
 
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -49,7 +49,7 @@
  * matchOwners(value.shards, (d) => live.has(d)).get(3); // 'disk-f'
  */
 export function matchOwners(shards: Map<number, Placement>, able: (disk: string) => boolean): Map<number, string> {
-  const disks = new Set([...shards.values()].flatMap((p) => p.copies).filter(able));
+  const disks = new Set([...new Set([...shards.values()].flatMap((p) => p.copies))].filter(able));
   const cap = Math.ceil((shards.size / Math.max(1, disks.size)) * C.ownersSlack);
   const weight = new Map<string, number>();
   const out = new Map<number, string>();
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -195,10 +195,8 @@
         return this.ops.emptyStatus(body.disk);
       case 'PlanMoves':
         return this.ops.planMoves(body);
-      case 'Moves': {
-        const v = this.reg.value;
-        return { version: v?.version ?? 0, moves: (v?.config.moves ?? []).map((x) => ({ ...x, ...(v!.moves.get(`${x.id}@${x.from}`) ?? { state: 'planned', why: '' }) })) };
-      }
+      case 'Moves':
+        return this.ops.moves();
       case 'CancelEmpty':
         return this.ops.setDisk(body.disk, 'active', m);
       case 'Fleet':
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Holding, Kernel, faultOf, gather, loop, register, retryAfter, shardOf, sleep, within } from '@harecross/kernel';
+import { C, Failure, Holding, Kernel, faultOf, gather, loop, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
 import { matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Base, type Entry, type Fence } from '@harecross/state';
@@ -632,7 +632,7 @@
     if (this.k.host.clock.now() - key.takenAt < C.countAllMs) for (const m of this.board.members.values()) if (m.role === 'relay' && m.state !== 'left') asked.add(m.peer);
     const got = await Promise.all([...asked].map(async (relay) => {
       try {
-        return (await within(this.k.host.clock, C.countWaitMs, this.k.call<number>(relay, 'CountHolds', { topic }, C.countWaitMs))) ?? 'silent';
+        return await this.k.call<number>(relay, 'CountHolds', { topic }, C.countWaitMs);
       } catch (e) {
         // No process there: it has no listeners any more. One that is there and silent makes the answer partial.
         return faultOf(e).tag === 'unreachable' ? 0 : 'silent';
--- a/packages/data/src/run.ts
+++ b/packages/data/src/run.ts
@@ -42,7 +42,7 @@
       const changed = next.domain !== config.domain || next.seeds.join() !== config.seeds.join();
       // The host's config object is what every plug-in reads.
       Object.assign(config, next);
-      if (changed) kernel.use('board').refresh();
+      if (changed) kernel.use('board').sayMine();
       host.log.info(changed ? 'config reread' : 'config reread, nothing changed', { why });
       kernel.count('config.reread');
     } catch (e) {
--- a/packages/harecross/src/main.ts
+++ b/packages/harecross/src/main.ts
@@ -14,6 +14,15 @@
 const out = (x: unknown): void => { process.stdout.write(JSON.stringify(x, null, 2) + '\n'); };
 const fail = (code: number, line: string): never => { process.stderr.write(`harecross: ${line}\n`); process.exit(code); };
 
+/** A name for a change that was given none. */
+const newChangeId = (what: string): string => `${what}-${Date.now().toString(36)}-${process.pid}`;
+
+/** One visit over HTTP. */
+async function post(client: string, method: string, body: unknown, limitMs: number): Promise<{ status: number; body: any }> {
+  const r = await request(`http://${client}/rpc/${method}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), headersTimeout: limitMs, bodyTimeout: limitMs });
+  return { status: r.statusCode, body: await r.body.json() };
+}
+
 /** A visit at the first node that serves. While all say 'come back', or none answers, tries again until the wait is over. */
 async function rpc(at: string[], method: string, body: unknown): Promise<any> {
   let last = 'no address given';
@@ -22,13 +31,12 @@
     let pauseMs = 500;
     for (const a of at) {
       try {
-        const r = await request(`http://${a}/rpc/${method}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), headersTimeout: 10_000, bodyTimeout: 10_000 });
-        const b = (await r.body.json()) as any;
-        if (r.statusCode === 200) return b;
+        const { status, body: b } = await post(a, method, body, 10_000);
+        if (status === 200) return b;
         const e = b.error ?? {};
-        if (r.statusCode === 503) { last = `${a}: ${e.tag ?? r.statusCode}`; pauseMs = Math.min(pauseMs, e.retryAfterMs ?? pauseMs); continue; }
+        if (status === 503) { last = `${a}: ${e.tag ?? status}`; pauseMs = Math.min(pauseMs, e.retryAfterMs ?? pauseMs); continue; }
         if (e.tag === 'invalid_config') { for (const f of e.faults) process.stderr.write(`  ${f.path}: ${f.fault}\n`); }
-        return fail(1, `${e.tag ?? r.statusCode} at ${e.step} (${e.peer})${e.detail ? `: ${e.detail}` : ''}${e.version !== undefined ? `: version ${e.version} is in force` : ''}`);
+        return fail(1, `${e.tag ?? status} at ${e.step} (${e.peer})${e.detail ? `: ${e.detail}` : ''}${e.version !== undefined ? `: version ${e.version} is in force` : ''}`);
       } catch (e) {
         last = `${a}: ${e instanceof Error ? e.message : e}`;
       }
@@ -49,9 +57,8 @@
 /** One visit that may fail without ending us. */
 async function quiet(client: string, method: string, body: unknown): Promise<any | undefined> {
   try {
-    const r = await request(`http://${client}/rpc/${method}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), headersTimeout: 3_000, bodyTimeout: 3_000 });
-    const b = await r.body.json();
-    return r.statusCode === 200 ? b : undefined;
+    const r = await post(client, method, body, 3_000);
+    return r.status === 200 ? r.body : undefined;
   } catch {
     return undefined;
   }
@@ -102,7 +109,7 @@
       process.stdout.write(`against version ${now.version}; nothing was changed\n`);
       return;
     }
-    const changeId = a.changeId ?? `cli-${Date.now().toString(36)}-${process.pid}`;
+    const changeId = a.changeId ?? newChangeId('cli');
     out({ changeId, ...(await rpc(at(a), 'SubmitConfig', { changeId, config, ...(a.expect === undefined ? {} : { expect: a.expect }) })) });
   })
   .command('read', 'the configuration in force, confirmed by a majority', (y) => y, async (a) => out(await rpc(at(a), 'ReadConfig', {})))
@@ -126,7 +133,7 @@
   .command('cancel-empty <disk>', 'take an emptying back', (y) => y.positional('disk', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'CancelEmpty', { disk: a.disk })))
   .command('plan <file>', 'replace the calendar of planned moves', (y) => y.positional('file', { type: 'string', demandOption: true })
     .option('change-id', { type: 'string' }).option('expect', { type: 'number', describe: 'only if this version is in force' }), async (a) => {
-    const changeId = a.changeId ?? `cli-${Date.now().toString(36)}-${process.pid}`;
+    const changeId = a.changeId ?? newChangeId('cli');
     out({ changeId, ...(await rpc(at(a), 'PlanMoves', { changeId, moves: readJson(a.file), ...(a.expect === undefined ? {} : { expect: a.expect }) })) });
   })
   .command('place <file>', 'solve where copies go from a constraint file, show the plan, and write or apply it', (y) => y.positional('file', { type: 'string', demandOption: true })
@@ -159,7 +166,7 @@
         process.stdout.write(`${r.plan.moved} copies move; made from version ${was.version}\n`);
         const config = { ...was.config, copies: (constraints as Constraints).copies, placement: r.plan.placement };
         if (a.out) writeFileSync(a.out, JSON.stringify(config, null, 2) + '\n');
-        if (a.apply) out(await rpc(at(a), 'SubmitConfig', { changeId: `place-${Date.now().toString(36)}-${process.pid}`, expect: was.version, config }));
+        if (a.apply) out(await rpc(at(a), 'SubmitConfig', { changeId: newChangeId('place'), expect: was.version, config }));
       }
     }
   })
