The schema is an OpenAPI 3.1 document, with every fault, status and Retry-After

Cause: sites were to generate their tools from one shared file; ours was a format of our own that no generator reads. Still emitted from TypeBox, still one committed file. Answers of Fleet, Node and Moves have shapes now; a test checks what nodes answer, and their faults, against them. Tags, fields and statuses are held against the code's. Ruled out: generators that need Node 22; one that brings its own HTTP stack of no use to callers on Node 20.

--- a/packages/schema/src/emit.ts
+++ b/packages/schema/src/emit.ts
@@ -1,4 +1,4 @@
 import { writeFileSync } from 'node:fs';
-import { emit } from './index.js';
+import { emit } from './openapi.js';
 
-writeFileSync(new URL('../harecross.schema.json', import.meta.url), emit());
+writeFileSync(new URL('../harecross.openapi.json', import.meta.url), emit());
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -78,22 +78,82 @@
   | { t: 'GOAWAY'; retryAfterMs: number }
   | { t: 'CLOSED'; reason: 'replaced' | 'silent' | 'saturated' | 'stopping' | 'not_ready'; retryAfterMs: number };
 
+const Detail = { detail: Type.String() };
+const RetryOf = { retryAfterMs: Count };
+/** All of status 503 and 504 come with a time to come back. */
+const faults: [tag: string, status: number, fields: Type.TProperties][] = [
+  ['unreachable', 503, { ...Detail, ...RetryOf }],
+  ['timeout', 504, RetryOf],
+  ['cut', 504, { ...Detail, ...RetryOf }],
+  ['not_ready', 503, RetryOf],
+  ['not_owner', 503, { hint: Type.Optional(Type.String()), ...RetryOf }],
+  ['fenced', 504, { fence: Type.String(), ...RetryOf }],
+  ['overloaded', 503, RetryOf],
+  ['bad_visit', 400, Detail],
+  ['unknown_method', 404, { method: Type.String() }],
+  ['unknown_topic', 404, { topic: Type.String() }],
+  ['unknown_conn', 410, {}],
+  ['unknown_disk', 404, { disk: Type.String() }],
+  ['cursor_expired', 410, { first: Count, head: Count }],
+  ['cursor_ahead', 400, { head: Count }],
+  ['too_large', 413, { limit: Count }],
+  ['stale_seq', 409, { last: Count }],
+  ['outcome_unknown', 504, RetryOf],
+  ['conflict', 409, { version: Count }],
+  ['invalid_config', 400, { faults: Type.Array(Type.Object({ path: Type.String(), fault: Type.String() }, strict)) }],
+  ['no_majority', 503, { ...Detail, ...RetryOf }],
+  ['wont_hold', 409, Detail],
+  ['disk_ill', 503, { ...Detail, ...RetryOf }],
+  ['internal', 500, Detail],
+];
+
+/** Every fault that callers may be answered with: its status and its shape. */
+export const FAULTS = new Map(faults.map(([tag, status, fields]) => [
+  tag, { status, shape: Type.Object({ tag: Type.Literal(tag), step: Type.String(), peer: Type.String(), ...fields }, strict) },
+]));
+
 /** Any error's answer: { error: Fault }. Tags and fields as in the kernel's Fault. */
-export const FaultShape = Type.Object({
-  tag: Type.Union(
-    ['unreachable', 'timeout', 'cut', 'not_ready', 'not_owner', 'fenced', 'overloaded', 'bad_visit', 'unknown_method', 'unknown_topic', 'unknown_conn',
-      'unknown_disk', 'cursor_expired', 'cursor_ahead', 'too_large', 'stale_seq', 'outcome_unknown', 'conflict', 'invalid_config', 'no_majority', 'wont_hold', 'disk_ill', 'internal'].map((x) => Type.Literal(x)),
-  ),
-  step: Type.String(),
-  peer: Type.String(),
-  retryAfterMs: Type.Optional(Count),
-});
+export const FaultShape = Type.Union([...FAULTS.values()].map((f) => f.shape));
+
+/** A publish that surely stored nothing. */
+export const Rejected = Type.Object({ rejected: Type.Object({ reason: Type.String(), retryAfterMs: Count }, strict) }, strict);
 
 const Conn = Type.String({ minLength: 1, maxLength: 200 });
 const Sub = Type.String();
 const rpc = <A extends Type.TSchema, B extends Type.TSchema>(about: string, visit: A, answer: B) => ({ about, visit, answer });
 const obj = <P extends Type.TProperties>(p: P) => Type.Object(p, strict);
 
+const Name64 = Type.String();
+const List = Type.Array;
+const Num = Type.Number();
+const Maybe = Type.Optional;
+
+/** What a node knows of the fleet. */
+export const FleetAnswer = obj({
+  at: Name64, fresh: Type.Boolean(), rev: Count, version: Count, fleet: Maybe(Type.String()),
+  members: List(obj({
+    peer: Name64, client: Name64, domain: Type.String(), role: Type.String(), disk: Maybe(Type.String()), state: Type.String(),
+    condition: Type.String(), weight: Count, ageMs: Num,
+  })),
+  disks: List(obj({ id: Type.String(), peer: Name64, domain: Type.String(), state: Type.String(), seat: Type.Boolean(), copies: Count })),
+  keys: List(obj({
+    shard: Count, gen: Count, copies: List(Type.String()), fence: Maybe(Type.String()), peer: Maybe(Name64), inst: Maybe(Type.String()),
+    behind: Maybe(List(Type.String())),
+  })),
+});
+
+/** What a node says of itself. `version` is missing before its first confirmation. */
+export const NodeAnswer = obj({
+  peer: Name64, inst: Type.String(), phase: Type.String(), version: Maybe(Count), rev: Count, fresh: Type.Boolean(),
+  holdings: List(obj({ name: Type.String(), length: Count, most: Count, bound: Count })),
+  counters: Type.Record(Type.String(), Num),
+  keys: List(obj({ shard: Count, fence: Type.String(), last: Count, commit: Count, behind: List(Type.String()) })),
+  copies: List(obj({ shard: Count, last: Count, kept: Count, gen: Count, number: Count, by: Type.String() })),
+  interest: List(obj({ relay: Name64, topics: Count })),
+  holds: List(obj({ topic: Type.String(), shard: Count, subs: Count, gen: Type.String(), seen: Count })),
+  conns: Count,
+});
+
 const EmptyAnswer = obj({ disk: Type.String(), state: Type.String(), copies: Count, seat: Type.Boolean() });
 
 /** Every RPC: POST /rpc/<Method> with a JSON body. */
@@ -114,7 +174,7 @@
   Publish: rpc(
     'Publishes one message. seq rises per sender and topic; the same seq may be sent again and has its first outcome.',
     obj({ sender: Name(128), topic: Topic, seq: Type.Integer({ minimum: 1 }), body: Type.String({ maxLength: 1024 * 1024 }) }),
-    Type.Union([obj({ accepted: obj({ offset: Count }) }), obj({ rejected: obj({ reason: Type.String(), retryAfterMs: Count }) })]),
+    obj({ accepted: obj({ offset: Count }) }),
   ),
   Listeners: rpc('How many conns listen on a topic now.', obj({ topic: Topic }), obj({ count: Count, partial: Type.Boolean() })),
   SubmitConfig: rpc(
@@ -132,9 +192,9 @@
     obj({ changeId: Name(128), expect: Type.Optional(Count), moves: Type.Array(Move, { maxItems: 256 }) }),
     obj({ version: Count }),
   ),
-  Moves: rpc('The calendar, with how far each move has come.', obj({}), obj({ version: Count, moves: Type.Array(Type.Unknown()) })),
-  Fleet: rpc('What this node knows of the fleet.', obj({}), Type.Unknown()),
-  Node: rpc('Counters and states of this node.', obj({}), Type.Unknown()),
+  Moves: rpc('The calendar, with how far each move has come.', obj({}), obj({ version: Count, moves: List(obj({ ...Move.properties, state: Type.String(), why: Type.String() })) })),
+  Fleet: rpc('What this node knows of the fleet.', obj({}), FleetAnswer),
+  Node: rpc('Counters and states of this node.', obj({}), NodeAnswer),
 } as const;
 
 export type Method = keyof typeof Rpcs;
@@ -220,18 +280,3 @@
 export function familyOf(c: FleetConfig, topic: string): Family | undefined {
   return c.families.find((f) => f.topics.some((p) => (p.endsWith('*') ? topic.startsWith(p.slice(0, -1)) : p === topic)));
 }
-
-/**
- * The whole schema as one JSON document, as committed in harecross.schema.json.
- * @example
- * writeFileSync('harecross.schema.json', emit());
- */
-export function emit(): string {
-  const methods: Record<string, unknown> = {};
-  for (const [m, r] of Object.entries(Rpcs)) methods[m] = { about: r.about, visit: r.visit, answer: r.answer };
-  return JSON.stringify(
-    { product: 'harecross', transport: 'POST /rpc/<Method>, JSON in and out; Attach answers newline-delimited Frames; errors answer { error: Fault }; busy answers carry Retry-After', frame: Frame, fault: FaultShape, fleetConfig: FleetConfig, methods },
-    null,
-    2,
-  ) + '\n';
-}
--- a/packages/trial/src/test/schema.test.ts
+++ b/packages/trial/src/test/schema.test.ts
@@ -1,20 +1,56 @@
 import { readFileSync } from 'node:fs';
-import { configFaults, emit, FaultShape, visitFault } from '@harecross/schema';
+import { statusOf } from '@harecross/data';
+import { configFaults, FAULTS, Rpcs, visitFault, type Method } from '@harecross/schema';
+import { emit } from '@harecross/schema/openapi';
 import { faultInConfig } from '@harecross/kernel';
 import test from 'ava';
+import { Errors } from 'typebox/value';
+import type { SimNode } from '../sim.js';
+import { smallFleet } from './small-fleet.js';
 
 const fam = (name: string, topics: string[], x: object = {}) => ({ name, topics, urgency: 'routine', patienceMs: 3000, memoryS: 35, ...x });
 
 test('the committed schema is the one the code has', (t) => {
-  t.is(readFileSync(new URL('../../../schema/harecross.schema.json', import.meta.url), 'utf8'), emit(), 'run `npm run schema`');
+  t.is(readFileSync(new URL('../../../schema/harecross.openapi.json', import.meta.url), 'utf8'), emit(), 'run `npm run schema`');
 });
 
-test('the schema names the same faults as the code', (t) => {
+test('the schema has the same faults as the code, with their fields and statuses', (t) => {
   const source = readFileSync(new URL('../../../kernel/src/fault.ts', import.meta.url), 'utf8');
-  const code = [...source.matchAll(/\| \{ tag: '(\w+)'/g)].map((m) => m[1]).sort();
-  const schema = (JSON.parse(JSON.stringify(FaultShape)).properties.tag.anyOf as { const: string }[]).map((x) => x.const).sort();
+  const code = [...source.matchAll(/^  \| \{ tag: '(\w+)'; step: string; peer: string(.*)\};?$/gm)];
   t.true(code.length > 20);
-  t.deepEqual(schema, code as string[]);
+  t.deepEqual(code.map((m) => m[1]!).sort(), [...FAULTS.keys()].sort());
+  for (const [, tag, rest] of code) {
+    const { status, shape } = FAULTS.get(tag!)!;
+    t.is(status, statusOf({ tag, step: '', peer: '' } as never), tag);
+    // Callers get a time to come back with every 503 and 504, whether the fault had one by itself or not.
+    const fields = [...rest!.replace(/\{[^{}]*\}/g, '').matchAll(/(\w+)\??:/g)].map((m) => m[1]!);
+    if ((status === 503 || status === 504) && !fields.includes('retryAfterMs')) fields.push('retryAfterMs');
+    t.deepEqual(Object.keys(shape.properties).sort(), ['tag', 'step', 'peer', ...fields].sort(), tag);
+  }
+});
+
+test('what nodes answer is what the schema says', async (t) => {
+  const s = await smallFleet(31);
+  const [a, b] = s.relays as [SimNode, SimNode];
+  const { conn } = await s.attach(a, 'phone');
+  const store = s.stores[0]!;
+  const disk = store.kernel!.use('register').disk!;
+  const visits: [Method, object][] = [
+    ['Probe', { conn }], ['Subscribe', { conn, topic: 'feed/1' }], ['Publish', { sender: 's', topic: 'feed/1', seq: 1, body: 'x' }],
+    ['Listeners', { topic: 'feed/1' }], ['CheckConfig', { config: { families: 3 } }], ['ReadConfig', {}], ['EmptyStatus', { disk }],
+    ['PlanMoves', { changeId: 'p', moves: [{ id: 'm', kind: 'restart', node: a.config.peer, from: 2e12, until: 2e12 + 1 }] }], ['Moves', {}], ['Fleet', {}],
+    ['Node', {}], ['Unsubscribe', { conn, topic: 'feed/1' }], ['Detach', { conn }],
+  ];
+  for (const [m, body] of visits) for (const n of m === 'Node' ? [a, store] : [b]) {
+    const r = await s.ask(n, m, body);
+    t.is(r.status, 200, `${m}: ${JSON.stringify(r.body)}`);
+    t.deepEqual([...Errors(Rpcs[m].answer, r.body)], [], m);
+  }
+  for (const [m, body] of [['Probe', { conn: 'x' }], ['Publish', { sender: 's', topic: 'none', seq: 1, body: '' }], ['SubmitConfig', { changeId: 'bad', config: 4 }], ['EmptyDisk', { disk: 'x' }], ['EmptyDisk', { disk }], ['Dance', {}]] as [string, object][]) {
+    const { body: got } = await s.ask(a, m, body);
+    t.deepEqual([...Errors(FAULTS.get(got.error.tag)!.shape, got.error)], [], JSON.stringify(got));
+  }
+  s.sim.close();
 });
 
 test('visits and configurations are checked, each fault with its path', (t) => {
