--- a/packages/harecross/src/main.ts
+++ b/packages/harecross/src/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import { readFileSync, writeFileSync } from 'node:fs';
+import { VERSION } from '@harecross/kernel';
 import { configFaults } from '@harecross/schema';
 import { createInterface } from 'node:readline/promises';
 import { request } from 'undici';
@@ -176,6 +177,6 @@
   .command('listeners <topic>', 'how many listen on a topic', (y) => y.positional('topic', { type: 'string', demandOption: true }), async (a) => out(await rpc(at(a), 'Listeners', { topic: a.topic })))
   .demandCommand(1, 'name a command')
   .strict()
-  .version(false)
+  .version(VERSION)
   .fail((msg, err) => fail(2, (msg || err?.message || 'bad flags').split('\n')[0]!))
   .parseAsync();
--- a/packages/kernel/src/flags.ts
+++ b/packages/kernel/src/flags.ts
@@ -1,6 +1,10 @@
+import { readFileSync } from 'node:fs';
 import yargs from 'yargs';
 import type { NodeConfig, Role } from './host.js';
 
+/** The product's version, as in its packages. */
+export const VERSION: string = JSON.parse(readFileSync(new URL('../package.json', import.meta.url), 'utf8')).version;
+
 /**
  * Reads the flags of a node program; on a bad one prints a line and ends with 2.
  * @example
@@ -17,7 +21,7 @@
     .option('seeds', { type: 'string', describe: 'three ip:port, comma between; the same at every process' })
     .option('data', { type: 'string', describe: role === 'relay' ? 'data folder; with one, this relay also keeps copies' : 'data folder' })
     .strict()
-    .version(false)
+    .version(VERSION)
     .fail((msg, err) => {
       process.stderr.write(`harecross-${role}: ${(msg || err?.message || 'bad flags').split('\n')[0]}\n`);
       process.exit(2);
