Flipped bits in rows and in the log are noticed; a writer is killed 200 times and audited

Cause: the database's own check sees broken structure, not altered text, and leaves out what is behind a broken frame of its log without a word: an altered message would have been delivered, an answered commit taken back. Rows now carry a sum over their columns, asked when a database is opened; the log is read by its published format first, and two whole commits behind a broken frame mean damage (a disk begun anew), where one is a torn write (left out, as it should be). Ruled out: a counter in a second synced file (twice the syncs for the same answer); the quick check alone (test: it says ok). Databases from before are taken as they are.

--- a/packages/kernel/src/disk.ts
+++ b/packages/kernel/src/disk.ts
@@ -4,6 +4,32 @@
 
 export type Sql = Database.Database;
 
+/** Says what is wrong with the matter in an open database, if anything. */
+export type DiskCheck = (sql: Sql) => string | undefined;
+const checks: DiskCheck[] = [];
+
+/**
+ * Plug-ins that keep matter on disk call this when their module loads: an opened database is asked of each before it is used.
+ * @example
+ * checkDisk((sql) => (allSumsRight(sql) ? undefined : 'entry 7 of shard 3 was altered'));
+ */
+export function checkDisk(c: DiskCheck): void {
+  checks.push(c);
+}
+
+/**
+ * The first thing wrong with the matter in a database.
+ * @example
+ * const why = wrongOnDisk(sql); // undefined when all is well
+ */
+export function wrongOnDisk(sql: Sql): string | undefined {
+  for (const c of checks) {
+    const why = c(sql);
+    if (why !== undefined) return why;
+  }
+  return undefined;
+}
+
 /**
  * One database per node. Work given to `commit` is gathered for a moment and run in one synced
  * transaction; the promise resolves once that transaction lasts. Nothing is answered before.
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -9,3 +9,4 @@
 export * from './node-config.js';
 export { parse as unpack, stringify as pack } from 'devalue';
 export * from './flags.js';
+export * from './wal.js';
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -5,7 +5,8 @@
 import fastify from 'fastify';
 import { Pool } from 'undici';
 import { C } from './constants.js';
-import { Db, type Sql } from './disk.js';
+import { Db, wrongOnDisk, type Sql } from './disk.js';
+import { wrongInWal } from './wal.js';
 import { Failure } from './fault.js';
 import type { Clock, Host, Log, Net, NodeConfig } from './host.js';
 
@@ -104,11 +105,16 @@
 function tryOpen(file: string): { tag: 'well'; sql: Sql } | { tag: 'damaged' | 'unwritable'; why: string } {
   let sql: Sql | undefined;
   try {
+    // What the write-ahead log lost in its middle the database would leave out without a word.
+    const lost = wrongInWal(file);
+    if (lost !== undefined) return { tag: 'damaged', why: lost };
     sql = new Database(file);
     sql.pragma('journal_mode = WAL');
     sql.pragma('synchronous = FULL');
     const said = String(sql.pragma('quick_check(1)', { simple: true })).replaceAll('\n', ' ');
     if (said !== 'ok') { sql.close(); return { tag: 'damaged', why: said }; }
+    const altered = wrongOnDisk(sql);
+    if (altered !== undefined) { sql.close(); return { tag: 'damaged', why: altered }; }
     // A page that must be written and synced, and is given back.
     sql.exec('create table if not exists probe (x blob); insert into probe values (zeroblob(65536)); delete from probe;');
     return { tag: 'well', sql };
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,4 +1,5 @@
-import { register, type Db, type Sql } from '@harecross/kernel';
+import { crc32 } from 'node:zlib';
+import { checkDisk, register, type Db, type Sql } from '@harecross/kernel';
 import type { Statement } from 'better-sqlite3';
 
 declare module '@harecross/kernel' {
@@ -89,6 +90,32 @@
 /** An acceptor's state in the register. */
 export interface Seat { promised: string; ballot: string; value: string | undefined }
 
+/** Tables: name, columns, key. Every row has a sum over its columns, so that a flipped bit is no altered message. */
+const TABLES: [name: string, columns: string[], key: string][] = [
+  ['meta', ['k text', 'v text not null'], 'k'],
+  ['copy', ['shard integer', 'promised text not null', 'idx integer not null', 'fence text not null'], 'shard'],
+  ['entry', ['shard integer', 'idx integer', 'fence text', 'topic text', 'off integer', 'era integer', 'sender text', 'seq integer', 'body text', 'at real'], 'shard, idx'],
+  ['topic', ['shard integer', 'topic text', 'head integer', 'since integer', 'era integer'], 'shard, topic'],
+  ['sender', ['shard integer', 'k text', 'seq integer', 'off integer', 'at real'], 'shard, k'],
+];
+const columns = (sql: Sql, table: string): string[] => (sql.pragma(`table_info(${table})`) as { name: string }[]).map((c) => c.name);
+const sumOf = (xs: unknown[]): number => crc32(xs.join('\0'));
+
+/** Every row whose sum is not that of its columns. */
+function alteredRow(sql: Sql): string | undefined {
+  for (const [t, cols, key] of TABLES) {
+    const have = columns(sql, t);
+    if (!have.includes('sum')) continue;
+    const names = cols.map((c) => c.split(' ')[0]!);
+    for (const row of sql.prepare(`select ${names.join(', ')}, sum from ${t}`).raw().iterate() as Iterable<unknown[]>) {
+      const sum = row.pop();
+      if (sum !== null && sum !== sumOf(row)) return `a row of ${t} was altered (${key}: ${row.slice(0, key.split(', ').length).join(', ')})`;
+    }
+  }
+  return undefined;
+}
+checkDisk(alteredRow);
+
 /**
  * The node's lasting state. All writes are made inside `db.commit`, which syncs them.
  * @example
@@ -110,19 +137,22 @@
   }
 
   init(): void {
-    this.sql.exec(`
-      create table if not exists meta (k text primary key, v text not null) without rowid;
-      create table if not exists copy (shard integer primary key, promised text not null, idx integer not null, fence text not null);
-      create table if not exists entry (shard integer, idx integer, fence text, topic text, off integer, era integer, sender text, seq integer, body text, at real, primary key (shard, idx)) without rowid;
-      create table if not exists topic (shard integer, topic text, head integer, since integer, era integer, primary key (shard, topic)) without rowid;
-      create table if not exists sender (shard integer, k text, seq integer, off integer, at real, primary key (shard, k)) without rowid;`);
+    this.sql.exec(TABLES.map(([t, cols, key]) => `create table if not exists ${t} (${cols.join(', ')}, sum integer, primary key (${key}))${t === 'copy' ? '' : ' without rowid'};`).join('\n'));
+    // Made before rows had sums: theirs are missing, and they are taken as they are.
+    for (const [t] of TABLES) if (!columns(this.sql, t).includes('sum')) this.sql.exec(`alter table ${t} add column sum integer`);
+  }
+
+  /** Writes a row with its sum; columns by name, because a table that was altered has them in another order. */
+  private put(table: string, conflict: string, xs: (string | number)[]): void {
+    const names = TABLES.find(([t]) => t === table)![1].map((c) => c.split(' ')[0]!);
+    this.q(`insert into ${table} (${names.join(', ')}, sum) values (${'?, '.repeat(xs.length)}?) ${conflict}`).run(...xs, sumOf(xs));
   }
 
   get(k: string): string | undefined {
     return (this.q('select v from meta where k = ?').get(k) as { v: string } | undefined)?.v;
   }
   set(k: string, v: string): void {
-    this.q('insert into meta values (?, ?) on conflict (k) do update set v = excluded.v').run(k, v);
+    this.put('meta', 'on conflict (k) do update set v = excluded.v, sum = excluded.sum', [k, v]);
   }
 
   seat(): Seat {
@@ -146,7 +176,7 @@
     for (const r of this.q('select * from topic').all() as any[]) out.get(r.shard)?.base.topics.set(r.topic, { head: r.head, since: r.since, era: r.era });
     for (const r of this.q('select * from sender').all() as any[]) out.get(r.shard)?.base.senders.set(r.k, { seq: r.seq, off: r.off, at: now });
     for (const r of this.q('select * from entry order by shard, idx').all() as any[]) {
-      const { shard, ...e } = r;
+      const { shard, sum: _, ...e } = r;
       out.get(shard)?.entries.push({ ...e, at: now } as Entry);
     }
     return out;
@@ -157,8 +187,8 @@
     this.saveCopy(c);
   }
   private saveCopy(c: Copy): void {
-    this.q('insert into copy values (?, ?, ?, ?) on conflict (shard) do update set promised = excluded.promised, idx = excluded.idx, fence = excluded.fence')
-      .run(c.shard, c.promised, c.base.idx, c.base.fence);
+    this.put('copy', 'on conflict (shard) do update set promised = excluded.promised, idx = excluded.idx, fence = excluded.fence, sum = excluded.sum',
+      [c.shard, c.promised, c.base.idx, c.base.fence]);
   }
 
   /** Cuts everything from idx on. */
@@ -171,7 +201,7 @@
 
   add(c: Copy, e: Entry): void {
     c.entries.push(e);
-    this.q('insert into entry values (?, ?, ?, ?, ?, ?, ?, ?, ?, ?)').run(c.shard, e.idx, e.fence, e.topic, e.off, e.era, e.sender, e.seq, e.body, e.at);
+    this.put('entry', '', [c.shard, e.idx, e.fence, e.topic, e.off, e.era, e.sender, e.seq, e.body, e.at]);
   }
 
   /** Folds entries up to idx into the base. Only ever called for entries a majority holds. */
@@ -197,11 +227,11 @@
   }
   private saveTopic(c: Copy, t: string): void {
     const b = c.base.topics.get(t)!;
-    this.q('insert into topic values (?, ?, ?, ?, ?) on conflict (shard, topic) do update set head = excluded.head, since = excluded.since, era = excluded.era').run(c.shard, t, b.head, b.since, b.era);
+    this.put('topic', 'on conflict (shard, topic) do update set head = excluded.head, since = excluded.since, era = excluded.era, sum = excluded.sum', [c.shard, t, b.head, b.since, b.era]);
   }
   private saveSender(c: Copy, s: string): void {
     const b = c.base.senders.get(s)!;
-    this.q('insert into sender values (?, ?, ?, ?, ?) on conflict (shard, k) do update set seq = excluded.seq, off = excluded.off, at = excluded.at').run(c.shard, s, b.seq, b.off, b.at);
+    this.put('sender', 'on conflict (shard, k) do update set seq = excluded.seq, off = excluded.off, at = excluded.at, sum = excluded.sum', [c.shard, s, b.seq, b.off, b.at]);
   }
 
   /** Replaces a copy by a snapshot; the promise stays. */
--- a/packages/trial/src/test/disk.test.ts
+++ b/packages/trial/src/test/disk.test.ts
@@ -1,9 +1,12 @@
-import { mkdtempSync, readdirSync, rmSync, truncateSync, writeFileSync, statSync, openSync, writeSync, closeSync } from 'node:fs';
+import { spawn } from 'node:child_process';
+import { copyFileSync, mkdtempSync, readdirSync, rmSync, truncateSync, writeFileSync, statSync, openSync, writeSync, closeSync, readFileSync, readSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { openDb, realClock, type Log } from '@harecross/kernel';
 import { lastIdx, NO_FENCE, Store, type Entry } from '@harecross/state';
 import test from 'ava';
+import { seeded } from '../sim.js';
 
 const folder = (): string => mkdtempSync(join(tmpdir(), 'harecross-disk-'));
 const told: string[] = [];
@@ -88,3 +91,157 @@
   db.sql.close();
   rmSync(dir, { recursive: true });
 });
+
+/** A folder whose database was left by a kill: the log holds commits of one entry each, and the file is behind it. */
+async function killed(entries: number): Promise<string> {
+  const dir = folder();
+  const db = openDb(dir, realClock, log, () => undefined);
+  const st = new Store(db);
+  st.init();
+  const c = { shard: 3, promised: NO_FENCE, base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() }, entries: [] };
+  await db.commit(() => { st.set('disk', 'd1'); st.promise(c, '1'); });
+  for (let i = 1; i <= entries; i++) await db.commit(() => st.add(c, entry(i)));
+  const left = folder();
+  for (const x of ['', '-wal']) copyFileSync(join(dir, `state.db${x}`), join(left, `state.db${x}`));
+  db.close();
+  rmSync(dir, { recursive: true });
+  return left;
+}
+const flip = (file: string, at: number): void => {
+  const h = openSync(file, 'r+');
+  const b = Buffer.alloc(1);
+  readSync(h, b, 0, 1, at);
+  writeSync(h, Buffer.from([b[0]! ^ 0x10]), 0, 1, at);
+  closeSync(h);
+};
+const open = (dir: string): { disk: string | undefined; last: number; db: ReturnType<typeof openDb> } => {
+  told.length = 0;
+  const db = openDb(dir, realClock, log, () => undefined);
+  const st = new Store(db);
+  st.init();
+  const c = st.copies(0).get(3);
+  return { disk: st.get('disk'), last: c ? lastIdx(c) : 0, db };
+};
+
+test.serial('every commit is synced in full, through a write-ahead log', (t) => {
+  const dir = folder();
+  const { db } = open(dir);
+  t.is(db.sql.pragma('journal_mode', { simple: true }), 'wal');
+  t.is(db.sql.pragma('synchronous', { simple: true }), 2, 'FULL: NORMAL would lose answered commits with the power');
+  db.close();
+  rmSync(dir, { recursive: true });
+});
+
+test.serial('a log left by a kill is read to its end', async (t) => {
+  const dir = await killed(60);
+  const o = open(dir);
+  t.is(o.last, 60);
+  t.is(o.disk, 'd1');
+  o.db.close();
+  rmSync(dir, { recursive: true });
+});
+
+test.serial('a bit flipped in the middle of the log is noticed: the disk is begun anew, not taken back in time', async (t) => {
+  for (const share of [0.02, 0.3, 0.7]) {
+    const dir = await killed(60);
+    const wal = join(dir, 'state.db-wal');
+    flip(wal, Math.floor(statSync(wal).size * share));
+    const o = open(dir);
+    t.is(o.disk, undefined, `at ${share}`);
+    t.regex(told.join(), /log is altered, \d+ commits are behind it/);
+    o.db.close();
+    rmSync(dir, { recursive: true });
+  }
+});
+
+test.serial('a last commit that was torn is left out and nothing else', async (t) => {
+  const dir = await killed(60);
+  const wal = join(dir, 'state.db-wal');
+  truncateSync(wal, statSync(wal).size - 500);
+  const o = open(dir);
+  t.is(o.disk, 'd1');
+  t.is(o.last, 59);
+  o.db.close();
+  rmSync(dir, { recursive: true });
+});
+
+test.serial('a bit flipped inside a message is noticed, where the database itself sees nothing wrong', async (t) => {
+  const dir = folder();
+  await filled(dir);
+  const file = join(dir, 'state.db');
+  const at = readFileSync(file).indexOf('x'.repeat(400));
+  t.true(at > 0);
+  flip(file, at + 200);
+  const o = open(dir);
+  t.regex(told.join(), /a row of entry was altered/);
+  t.is(o.disk, undefined);
+  o.db.close();
+  rmSync(dir, { recursive: true });
+});
+
+test.serial('a database made before rows had sums is taken as it is', async (t) => {
+  const dir = folder();
+  await filled(dir);
+  const first = openDb(dir, realClock, log, () => undefined);
+  for (const x of ['meta', 'copy', 'entry', 'topic', 'sender']) first.sql.exec(`alter table ${x} drop column sum`);
+  first.close();
+  const o = open(dir);
+  t.is(o.disk, 'd1');
+  t.is(o.last, 390);
+  const st = new Store(o.db);
+  await o.db.commit(() => st.set('more', 'v'));
+  o.db.close();
+  const again = open(dir);
+  t.is(again.disk, 'd1');
+  t.is(told.length, 0, told.join());
+  again.db.close();
+  rmSync(dir, { recursive: true });
+});
+
+test.serial('a writer killed with -9 in mid-write, 200 times: what it said lasts is there', async (t) => {
+  const SHARDS = 3, LANES = 4, KILLS = 50;
+  t.log(`seeds 1..${LANES}`);
+  const writer = fileURLToPath(new URL('../disk-writer.js', import.meta.url));
+  await Promise.all(Array.from({ length: LANES }, async (_, lane) => {
+    const dir = folder();
+    const rnd = seeded(lane + 1);
+    const last = Array<number>(SHARDS).fill(0);
+    const promised = Array<string>(SHARDS).fill(NO_FENCE);
+    for (let i = 0; i < KILLS; i++) {
+      const after = 3 + Math.floor(rnd.next() * 60);
+      await new Promise<void>((res) => {
+        const p = spawn(process.execPath, [writer, dir, String(SHARDS)], { stdio: ['ignore', 'pipe', 'inherit'] });
+        let rest = '', n = 0;
+        p.stdout.on('data', (d: Buffer) => {
+          const lines = (rest + d.toString()).split('\n');
+          rest = lines.pop()!;
+          for (const l of lines) {
+            if (l.startsWith('!')) { t.fail(l); continue; }
+            const [s, idx, f] = l.split(' ') as [string, string, string];
+            last[Number(s)] = Number(idx);
+            if (f > promised[Number(s)]!) promised[Number(s)] = f;
+            if (++n === after) p.kill('SIGKILL');
+          }
+        });
+        p.on('close', () => res());
+      });
+    }
+    const db = openDb(dir, realClock, log, () => undefined);
+    const st = new Store(db);
+    st.init();
+    const copies = st.copies(0);
+    t.false(readdirSync(dir).some((f) => f.includes('damaged')));
+    for (let s = 0; s < SHARDS; s++) {
+      const c = copies.get(s)!;
+      t.true(last[s]! > KILLS, 'it wrote');
+      t.true(lastIdx(c) >= last[s]!, `shard ${s}: ${lastIdx(c)} is there, ${last[s]} was said to last`);
+      t.true(c.promised >= promised[s]!);
+      c.entries.forEach((e, i) => {
+        t.is(e.idx, c.base.idx + 1 + i);
+        t.is(e.body, `${s}:${e.idx}:`.padEnd(40 + (e.idx * 37) % 900, 'x'));
+      });
+    }
+    db.close();
+    rmSync(dir, { recursive: true });
+  }));
+});
