A key is taken from a holder that calls itself unable, though the link to it is broken

Cause: a node that should own a key asks the present holder to let go; when that visit timed out it asked again for ever, also where the holder had long called itself unable. Now it asks through another member, and takes the key of a holder that is not able; the fence decides, as ever. Ruled out: a shorter time limit (the link stays broken), calling the holder suspected (others reach it).

--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -194,10 +194,12 @@
   /** A better matched node asks the present owner to let go. */
   private async askFor(key: Key, holder: string): Promise<void> {
     try {
-      if (await this.k.call<boolean>(holder, 'Yield', { shard: key.shard, disk: this.copies.disk })) await this.take(key);
+      if (await this.k.reach<boolean>(holder, 'Yield', { shard: key.shard, disk: this.copies.disk })) await this.take(key);
     } catch (e) {
-      // not_owner: the board is behind; take it, the fence decides.
-      if (faultOf(e).tag === 'not_owner' || faultOf(e).tag === 'unreachable') await this.take(key);
+      // not_owner: the board is behind. A holder that calls itself unable is not waited for: it may be our link to it that is
+      // broken. We take the key, the fence decides.
+      const { tag } = faultOf(e);
+      if (tag === 'not_owner' || tag === 'unreachable' || !this.board.able(holder)) await this.take(key);
     }
   }
 
