--- a/packages/trial/src/oracle.ts
+++ b/packages/trial/src/oracle.ts
@@ -177,7 +177,7 @@
 
   /** What nodes say of themselves, and those that say nothing though they could. */
   private nodes(): void {
-    const most = new Map<string, number>();
+    const before = new Map<string, { t: number; version: number }[]>();
     for (const s of this.seen) {
       if (s.k !== 'node.says' && s.k !== 'node.silent') continue;
       const due = this.taken.filter((x) => s.asked > x.t + IN_FORCE_MS).at(-1);
@@ -186,9 +186,10 @@
         if (due && able) this.say('config_late', s.t, `${s.node} is well and says nothing; ${due.version} was taken ${Math.round(s.asked - due.t)} ms before`);
         continue;
       }
-      const was = most.get(s.node) ?? 0;
+      // Answers may overtake one another: only what was told before this was asked.
+      const was = Math.max(0, ...(before.get(s.node) ?? []).filter((x) => x.t < s.asked).map((x) => x.version));
       if (s.version !== undefined && s.version < was) this.say('fell_back', s.t, `${s.node} said ${s.version} after ${was}`);
-      most.set(s.node, Math.max(was, s.version ?? 0));
+      if (s.version !== undefined) push(before, s.node, { t: s.t, version: s.version });
       if (!due) continue;
       const late = `${due.version} was taken ${Math.round(s.asked - due.t)} ms before`;
       if (s.fresh && (s.version ?? 0) < due.version) this.say('config_late', s.t, `${s.node} served by ${s.version}; ${late}`);
