--- a/packages/trial/src/outage.ts
+++ b/packages/trial/src/outage.ts
@@ -1,3 +1,4 @@
+import { shardOf } from '@harecross/kernel';
 import yargs from 'yargs';
 import { build, configOf, SMALL } from './scenario.js';
 import { Sim, type SimNode } from './sim.js';
@@ -24,7 +25,6 @@
   const victim = kind === 'relay killed' ? m.relays[5]! : m.stores[seed % m.stores.length]!;
   const shards = new Set(victim.config.data ? owned(victim) : []);
   // A publisher for each of many topics, through a relay without a disk that lives on: a new message as soon as the last is answered.
-  const { shardOf } = await import('@harecross/kernel');
   const topics = Array.from({ length: 64 }, (_, i) => `r/${i}`).filter((t) => !victim.config.data || shards.has(shardOf(t)));
   const t0 = sim.now + 500 + 400 * sim.rnd.next();
   const first = new Map<string, number>();
--- a/packages/trial/src/scenario.ts
+++ b/packages/trial/src/scenario.ts
@@ -115,13 +115,21 @@
   return { stores, relays, disks: [...stores, ...relays.filter((r) => r.config.data)] };
 }
 
-const newer = (a: Value | undefined, b: Value | undefined): Value | undefined => (b && (!a || b.rev > a.rev) ? b : a);
+/** The newest value of the register that any machine has, or had when it went. */
+function valueOf(sim: Sim): Value | undefined {
+  let top: Value | undefined;
+  for (const n of sim.nodes.values()) {
+    const v = n.kernel?.use('register').value;
+    if (v && (!top || v.rev > top.rev)) top = v;
+  }
+  return top;
+}
 const diskOf = (n: SimNode): string | undefined => n.kernel?.use('register').disk;
 
 /** What the stage knows of its fleet, as the oracle's journal tells it. */
 function weatherOf(sim: Sim): { well: string[]; ailing: string[]; able: boolean; rough: boolean; poor: string[] } {
   const nodes = [...sim.nodes.values()];
-  const v = nodes.reduce<Value | undefined>((a, n) => newer(a, n.kernel?.use('register').value), undefined);
+  const v = valueOf(sim);
   const up = nodes.filter((n) => n.up && !n.frozen && n.edge !== undefined);
   const at = new Map(up.flatMap((n) => { const d = diskOf(n); return d === undefined ? [] : [[d, n] as const]; }));
   const linked = (a: SimNode, b: SimNode): boolean => a === b || (!sim.cuts.has(`${a.name}>${b.name}`) && !sim.cuts.has(`${b.name}>${a.name}`));
@@ -135,7 +143,7 @@
 /** A machine with a disk that may die now: every shard, and the register, keeps a majority without it. */
 function spare(sim: Sim, rnd: { next(): number }): SimNode | undefined {
   const nodes = [...sim.nodes.values()];
-  const v = nodes.reduce<Value | undefined>((a, n) => newer(a, n.kernel?.use('register').value), undefined);
+  const v = valueOf(sim);
   const at = new Map(nodes.filter((n) => n.up && !n.frozen).map((n) => [diskOf(n), n]));
   const sets = v ? [v.seats, v.prevSeats, ...[...v.shards.values()].map((p) => p.copies)] : [];
   const may = [...at].filter(([d, n]) => d !== undefined && sets.every((s) => s.filter((x) => x !== d && at.has(x)).length * 2 > s.length) && n.config.data);
@@ -191,7 +199,7 @@
   await sim.run(sim.now + 3_000);
   for (const s of cr.senders) s.stop();
   await sim.run(sim.now + 2_000);
-  const v = [...sim.nodes.values()].reduce<Value | undefined>((a, n) => newer(a, n.kernel?.use('register').value), undefined);
+  const v = valueOf(sim);
   if (v) await drive(audit(world, 'audit', v.config), 20_000);
   else notes.push('the fleet never had a value again');
   const victim = spare(sim, stage.rnd);
--- a/packages/trial/src/storm.ts
+++ b/packages/trial/src/storm.ts
@@ -19,24 +19,20 @@
 /** The configuration as the day has it: faults that change it must not undo each other's families for good. */
 const extra = (s: Stage, name: string) => configOf(s.site, [{ name, topics: [`${name}/*`], urgency: 'routine', patienceMs: 2_000, memoryS: 30 }]);
 
+/** One of these machines is killed and comes back. */
+async function killed(s: Stage, rnd: { next(): number }, ns: SimNode[]): Promise<void> {
+  const n = any(rnd, free(s, ns));
+  if (!n) return;
+  s.note(`kill ${n.name}`);
+  s.sim.kill(n);
+  await pause(s, 500 + 5_000 * rnd.next());
+  await s.sim.start(n);
+}
+
 /** Faults that may come at once; each ends by itself and leaves the fleet whole. */
 export const FAULTS = new Map<string, Fault>([
-  ['kill-store', async (s, rnd) => {
-    const n = any(rnd, free(s, s.stores));
-    if (!n) return;
-    s.note(`kill ${n.name}`);
-    s.sim.kill(n);
-    await pause(s, 500 + 5_000 * rnd.next());
-    await s.sim.start(n);
-  }],
-  ['kill-relay', async (s, rnd) => {
-    const n = any(rnd, free(s, s.relays));
-    if (!n) return;
-    s.note(`kill ${n.name}`);
-    s.sim.kill(n);
-    await pause(s, 500 + 5_000 * rnd.next());
-    await s.sim.start(n);
-  }],
+  ['kill-store', (s, rnd) => killed(s, rnd, s.stores)],
+  ['kill-relay', (s, rnd) => killed(s, rnd, s.relays)],
   ['lose-disk', async (s, rnd) => {
     const n = any(rnd, free(s, s.stores));
     if (!n) return;
