--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -1,4 +1,4 @@
-import { C, Kernel, below, hash, loop, register, sample, within, type Role } from '@harecross/kernel';
+import { C, Kernel, below, diskUsesOf, hash, loop, register, sample, within, type DiskUse, type Role } from '@harecross/kernel';
 import { Subject } from 'rxjs';
 
 export type Condition = 'joining' | 'ready' | 'draining' | 'left' | 'ill';
@@ -9,7 +9,10 @@
   client: string;
   domain: string;
   role: Role;
+  /** By which operators call the machine. */
+  name: string;
   disk?: string;
+  diskUses?: DiskUse[];
   inst: string;
   condition: Condition;
   /** Conns held. */
@@ -98,7 +101,8 @@
   /** Says our record anew; also for who changed our config. */
   sayMine(): void {
     const { config } = this.k.host;
-    const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, inst: this.k.inst, ...this.mine };
+    const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, name: config.name ?? this.k.self, inst: this.k.inst, ...this.mine };
+    if (rec.disk !== undefined) rec.diskUses = diskUsesOf(config);
     this.saidWeight = rec.weight;
     this.put(`m/${this.k.self}`, `${this.k.inst}.${String(++this.beat).padStart(10, '0')}`, rec);
   }
--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -2,7 +2,7 @@
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { copiesFor, targetsOf } from './placement.js';
-import { notReady, type DiskRec, type MoveState, type Register, type Value } from './register.js';
+import { notReady, usedFor, type DiskRec, type MoveState, type Register, type Value } from './register.js';
 
 /** What the owner of a shard says on the board under `key/<shard>`. */
 export interface KeyRec { fence: string; gen: number; peer: string; inst: string; behind: string[] }
@@ -105,7 +105,7 @@
       if (!m.disk || now - m.liveSince < C.joinAfterMs || this.k.host.clock.wall() < waitsFor(v, m.peer)) continue;
       const d = disks.get(m.disk);
       if (!d) {
-        disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active' });
+        disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses });
         said.push(`disk ${m.disk} joins at ${m.peer}`);
         for (const o of v.disks.values()) {
           if (o.peer === m.peer && o.state !== 'lost') { disks.set(o.id, { ...o, state: 'lost' }); said.push(`disk ${o.id} was replaced`); }
@@ -128,10 +128,10 @@
 
   private planSeats(v: Value): Value | undefined {
     const live = (d: string): boolean => { const m = this.board.ofDisk(d); return m !== undefined && this.board.isLive(m.peer); };
-    const fit = (d: DiskRec): boolean => d.state === 'active' && live(d.id);
+    const fit = (d: DiskRec): boolean => d.state === 'active' && usedFor(d, 'seat') && live(d.id);
     const bad = v.seats.filter((d) => v.disks.get(d)?.state !== 'active');
     const good = v.seats.length - bad.length;
-    const want = Math.min(C.seatsN, [...v.disks.values()].filter((d) => d.state === 'active').length);
+    const want = Math.min(C.seatsN, [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'seat')).length);
     const odd = want % 2 === 0 ? Math.max(1, want - 1) : want;
     const perDomain = (dom: string): number => v.seats.filter((s) => v.disks.get(s)?.domain === dom).length;
     if (good < odd) {
@@ -148,17 +148,23 @@
   }
 
   private planShards(v: Value): Value | undefined {
-    const active = [...v.disks.values()].filter((d) => d.state === 'active');
+    const active = [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'copies'));
     if (!active.length) return undefined;
     const shards = new Map(v.shards);
     let steps = 0;
     let moving = 0;
-    const targets = targetsOf(v.config, active);
+    const targets = targetsOf(v.config, active, v.copies);
     for (const [s, p] of v.shards) {
       const target = targets.get(s)!;
       const missing = target.filter((d) => !p.copies.includes(d));
       const extra = p.copies.filter((d) => !target.includes(d));
       if (!missing.length && !extra.length) continue;
+      if (!p.copies.length) {
+        // Placed when no disk for copies was known: nothing was ever kept, so there is nothing to carry over.
+        shards.set(s, { gen: p.gen + 1, copies: target });
+        steps++;
+        continue;
+      }
       if (++moving > C.movingN) break;
       // The last step must be established (an owner serves under this generation) before the next.
       const key = this.board.get(`key/${s}`) as KeyRec | undefined;
@@ -209,8 +215,8 @@
   if (short(v.seats)) return 'the register would lose its majority';
   for (const [s, p] of v.shards) if (short(p.copies)) return `shard ${s} would lose its majority`;
   if (m.kind === 'restart') return undefined;
-  const active = [...v.disks.values()].filter((d) => d.state === 'active');
-  const now = copiesFor(v.config.copies ?? C.copiesN, active.length);
+  const active = [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'copies'));
+  const now = copiesFor(v.config.copies ?? v.copies ?? C.copiesN, active.length);
   const left = active.filter((d) => d.id !== disk.id && live(d.id));
   if (left.length < now) return `${left.length} active live disks would be left for ${now} copies`;
   return undefined;
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -69,8 +69,8 @@
  * @example
  * targetsOf(value.config, activeDisks).get(3);
  */
-export function targetsOf(c: FleetConfig, active: DiskRec[]): Map<number, string[]> {
-  const out = matchCopies(active, c.copies ?? C.copiesN);
+export function targetsOf(c: FleetConfig, active: DiskRec[], copies: number = C.copiesN): Map<number, string[]> {
+  const out = matchCopies(active, c.copies ?? copies);
   const at = new Map(active.map((d) => [d.peer, d.id]));
   for (const p of c.placement ?? []) {
     const found = p.nodes.map((n) => at.get(n)).filter((d) => d !== undefined);
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, gather, loop, pack, register as plug, retryAfter, sleep, unpack } from '@harecross/kernel';
+import { C, Failure, Kernel, gather, loop, pack, register as plug, retryAfter, sleep, unpack, type DiskUse } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
 import type { Store } from '@harecross/state';
 import { BehaviorSubject } from 'rxjs';
@@ -7,7 +7,14 @@
 import { matchCopies } from './placement.js';
 
 export type DiskState = 'active' | 'emptying' | 'lost';
-export interface DiskRec { id: string; peer: string; domain: string; state: DiskState }
+/** `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
+export interface DiskRec { id: string; peer: string; domain: string; state: DiskState; uses?: DiskUse[] }
+/**
+ * Whether a disk is for this.
+ * @example
+ * usedFor(disk, 'copies') // false for a control node's
+ */
+export const usedFor = (d: DiskRec, use: DiskUse): boolean => d.uses?.includes(use) ?? true;
 export interface Placement { gen: number; copies: string[] }
 export type MoveState = 'running' | 'late' | 'done' | 'missed' | 'refused';
 /** How far a planned move has come; only moves that have begun (or never will) are here. */
@@ -27,6 +34,8 @@
   seats: string[];
   prevSeats: string[];
   shards: Map<number, Placement>;
+  /** Copies of a shard where the configuration says nothing: as many as bear the losses that the founder was told. */
+  copies: number;
   changes: Map<string, Outcome>;
   /** Key: id@from. */
   moves: Map<string, MoveRec>;
@@ -59,6 +68,7 @@
   readonly value$ = new BehaviorSubject<Value | undefined>(undefined);
   readonly disk?: string;
   private confirmedAt = -Infinity;
+  private readonly freshMs: number;
   private n = 0;
   private hint?: Value;
   private fetching = new Map<string, Promise<void>>();
@@ -66,6 +76,7 @@
 
   constructor(private k: Kernel, private board: Board) {
     const { clock, rnd, db } = k.host;
+    this.freshMs = (k.host.config.applyMs ?? C.applyMs) * C.freshShare;
     if (db) {
       this.st = k.use('state');
       this.disk = this.st.get('disk')!;
@@ -89,7 +100,7 @@
 
   /** Whether our value was confirmed by a majority so lately that we may serve by it. */
   fresh(): boolean {
-    return this.value$.value !== undefined && this.k.host.clock.now() - this.confirmedAt <= C.freshMs;
+    return this.value$.value !== undefined && this.k.host.clock.now() - this.confirmedAt <= this.freshMs;
   }
 
   /** Whether our value was ever confirmed in this life of the process. */
@@ -282,9 +293,12 @@
    * if all three seeds' disks were emptied together and none had joined since.
    */
   private async found(): Promise<void> {
-    if (this.value) return;
     const { config, clock, rnd } = this.k.host;
-    if (clock.now() - this.k.startedAt < C.foundAfterMs) return;
+    if (this.value || config.firstStart === false) return;
+    const since = clock.now() - this.k.startedAt;
+    if (since < C.foundAfterMs) return;
+    const wanted = config.losses === undefined ? C.copiesN : 2 * config.losses + 1;
+    if (since < C.foundAnywayMs && this.board.live().filter((m) => m.diskUses?.includes('copies')).length < wanted) return;
     const who = await Promise.all(config.seeds.map((s) => this.k.call<{ disk: string; fleet?: string }>(s, 'RegWho', {}).catch(() => undefined)));
     if (who.some((w) => !w || w.fleet !== undefined)) return;
     const seats = who.map((w) => w!.disk);
@@ -306,10 +320,16 @@
 
   private genesis(seats: string[], fleet: string): Value {
     const disks = new Map<string, DiskRec>();
-    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active' });
-    seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active' }); });
-    const shards = new Map([...matchCopies([...disks.values()], C.copiesN)].map(([s, copies]) => [s, { gen: 1, copies }] as [number, Placement]));
-    return { fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, born: new Map(), disks, seats, prevSeats: seats, shards, changes: new Map(), moves: new Map() };
+    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses });
+    seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active', uses: ['seat'] }); });
+    const { losses } = this.k.host.config;
+    const copies = losses === undefined ? C.copiesN : 2 * losses + 1;
+    const keepers = [...disks.values()].filter((d) => usedFor(d, 'copies'));
+    const shards = new Map([...matchCopies(keepers, copies)].map(([s, at]) => [s, { gen: 1, copies: at }] as [number, Placement]));
+    return {
+      fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, born: new Map(), disks, seats, prevSeats: seats, shards, copies,
+      changes: new Map(), moves: new Map(),
+    };
   }
 }
 
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -2,7 +2,7 @@
 import { awayNow, notReady, type Board, type Operators, type Register } from '@harecross/control';
 import { Rpcs, configFaults, familyOf, visitFault, type Method, type Visit } from '@harecross/schema';
 import fastify from 'fastify';
-import type { Holds, Sink } from './holds.js';
+import { frameLines, type Holds, type Sink } from './holds.js';
 import type { Route } from './route.js';
 
 declare module '@harecross/kernel' {
@@ -65,6 +65,11 @@
     return this.serving() && this.holds !== undefined;
   }
 
+  /** Whether a conn that comes all the same is better taken and sent on than refused. */
+  private takes(): boolean {
+    return this.ready() || (this.reg.fresh() && (this.k.phase === 'running' || this.k.phase === 'draining'));
+  }
+
   /** Whether this node truly does its work; a store has no conns but serves. */
   serving(): boolean {
     return this.k.phase === 'running' && this.reg.fresh() && !awayNow(this.reg.value, this.k.self);
@@ -76,13 +81,15 @@
       const bad = visitFault('Attach', body);
       if (bad) throw this.bad('Attach', bad);
       if (!this.holds) throw this.bad('Attach', 'this node is a store and takes no conns');
-      if (!this.ready()) throw notReady(this.k, 'Attach');
+      if (!this.takes()) throw notReady(this.k, 'Attach');
       const b = body as Visit<'Attach'>;
       return { id: this.holds.attach(b.consumer, b.pingS, sink) };
     } catch (e) {
       return this.failed('Attach', e);
     }
   }
+  /** Any word of a consumer is a sign of life of its conn. */
+  heard(id: string): void { this.holds?.sign(id); }
   gone(id: string): void { this.holds?.gone(id); }
   drained(id: string): void { this.holds?.drained(id); }
 
@@ -293,7 +300,7 @@
     let over = false;
     const raw = reply.raw;
     const sink: Sink = {
-      write: (s) => over || raw.write(s),
+      write: (frames) => over || raw.write(frameLines(frames)),
       close: () => {
         if (over) return;
         over = true;
--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, type HoldingInfo, faultOf, loop, rank, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
+import { C, Failure, Kernel, type HoldingInfo, faultOf, loop, rank, register, retryAfter, sample, shardOf, sleep } from '@harecross/kernel';
 import { awayNow, type Board, type Register } from '@harecross/control';
 import { familyOf, type Frame } from '@harecross/schema';
 import { distinctUntilChanged, map } from 'rxjs';
@@ -10,16 +10,42 @@
   interface Faces { holds: Holds }
 }
 
+/** A message as all its subscribers get it; one object for all, so that who writes it out need do so once. */
+export interface Message { topic: string; sender: string; seq: number; offset: number; body: string; bytes: number }
+/** A frame on its way to a conn. */
+export type Outgoing = { t: 'DELIVER'; sub: string; msg: Message } | Exclude<Frame, { t: 'DELIVER' }>;
+
 /** Where a conn's frames go. `write` says whether more may follow at once; `drained` is called when it may. */
 export interface Sink {
-  write(lines: string): boolean;
+  write(frames: Outgoing[]): boolean;
   close(): void;
 }
 
+const written = new WeakMap<Message, string>();
+/**
+ * Frames as the lines of the product's own stream, each ended by a newline.
+ * @example
+ * raw.write(frameLines([{ t: 'GOAWAY', retryAfterMs: 0 }]));
+ */
+export function frameLines(frames: Outgoing[]): string {
+  let out = '';
+  for (const f of frames) {
+    if (f.t !== 'DELIVER') { out += JSON.stringify(f) + '\n'; continue; }
+    let line = written.get(f.msg);
+    if (line === undefined) {
+      const { topic, sender, seq, offset, body } = f.msg;
+      line = JSON.stringify({ topic, sender, seq, offset, body }).slice(1);
+      written.set(f.msg, line);
+    }
+    out += `{"t":"DELIVER","sub":"${f.sub}",${line}\n`;
+  }
+  return out;
+}
+
 type ConnState = 'open' | 'closing' | 'closed';
 type CloseReason = Extract<Frame, { t: 'CLOSED' }>['reason'];
 
-interface Waiting { line: string; bytes: number; over: boolean; sub?: Sub; gen?: string; urgent: boolean }
+interface Waiting { frame: Outgoing; bytes: number; over: boolean; sub?: Sub; gen?: string; flushMs: number }
 
 interface Sub {
   id: string;
@@ -73,6 +99,8 @@
   private n = 0;
   /** Relays came or went: some conns have another home now. */
   private homesMoved = false;
+  /** Leaving: conns are sent elsewhere. */
+  private away = false;
   /** When we last could serve by our configuration. */
   private freshAt: number;
   private mostStd = 0;
@@ -96,7 +124,7 @@
     k.keep(k.thawed$.subscribe((ms) => { for (const c of this.conns.values()) c.heardAt += ms; }));
     k.keep(route.moved$.subscribe((s) => this.moved(s)));
     k.keep(reg.value$.subscribe(() => this.sweepFamilies()));
-    k.keep(reg.value$.pipe(map((v) => awayNow(v, k.self)), distinctUntilChanged()).subscribe((away) => { if (away) this.sendAway(C.awaySpreadMs); }));
+    k.keep(reg.value$.pipe(map((v) => awayNow(v, k.self)), distinctUntilChanged()).subscribe((away) => { if (away) this.sendAway(C.awaySpreadMs); else this.away = false; }));
     k.onStop(() => this.drain());
   }
 
@@ -116,6 +144,7 @@
     this.k.count('conn.open');
     this.put(conn, { t: 'ATTACHED', conn: conn.id, pingS: Math.min(ping, C.pingS) }, true);
     this.sayHome([conn]);
+    if (this.away) this.k.host.clock.after(C.flushUrgentMs, () => this.sendOn(conn));
     return conn.id;
   }
 
@@ -130,7 +159,7 @@
     this.conns.delete(conn.id);
     if (this.consumers.get(conn.consumer) === conn) this.consumers.delete(conn.consumer);
     this.board.say({ weight: this.conns.size });
-    if (reason !== 'gone') conn.sink.write(JSON.stringify({ t: 'CLOSED', reason, retryAfterMs: reason === 'replaced' ? 0 : retryAfter(this.k.host.rnd, C.retryMs / 2) }) + '\n');
+    if (reason !== 'gone') conn.sink.write([{ t: 'CLOSED', reason, retryAfterMs: reason === 'replaced' ? 0 : retryAfter(this.k.host.rnd, C.retryMs / 2) }]);
     conn.sink.close();
   }
 
@@ -149,8 +178,15 @@
 
   /** The conn of an id; also the sign of life that renews its holds. */
   heard(id: string, step: string): Conn {
+    const c = this.sign(id);
+    if (!c) throw new Failure({ tag: 'unknown_conn', step, peer: this.k.self });
+    return c;
+  }
+
+  /** A sign of life of a conn, if it is there. */
+  sign(id: string): Conn | undefined {
     const c = this.conns.get(id);
-    if (!c || c.state !== 'open') throw new Failure({ tag: 'unknown_conn', step, peer: this.k.self });
+    if (!c || c.state !== 'open') return undefined;
     const now = this.k.host.clock.now();
     c.heardAt = now;
     for (const s of c.subs.values()) {
@@ -262,23 +298,28 @@
   /** Gives one message to each subscription that is owed it next; says whether some subscription has a gap. */
   private offer(h: TopicHold, f: { off: number; sender: string; seq: number; body: string }, catchUp = false): boolean {
     let gap = false;
-    let line: string | undefined;
-    const urgent = this.urgent(h.topic);
+    let msg: Message | undefined;
+    const flushMs = this.flushMs(h.topic);
     for (const s of [...h.subs]) {
       if (s.next < f.off) gap = true;
       if (s.next !== f.off) continue;
       // More follows once this has gone out; see flush.
       if (catchUp && s.conn.std > C.catchUpBytes) { this.arm(s.conn, 0); continue; }
       s.next++;
-      line ??= JSON.stringify({ topic: h.topic, sender: f.sender, seq: f.seq, offset: f.off, body: f.body }).slice(1);
-      this.push(s.conn, { line: `{"t":"DELIVER","sub":"${s.id}",${line}\n`, bytes: 0, over: false, sub: s, gen: h.gen, urgent });
+      msg ??= { topic: h.topic, sender: f.sender, seq: f.seq, offset: f.off, body: f.body, bytes: Buffer.byteLength(f.body) + C.frameHeadBytes };
+      this.push(s.conn, { frame: { t: 'DELIVER', sub: s.id, msg }, bytes: msg.bytes, over: false, sub: s, gen: h.gen, flushMs });
     }
     return gap;
   }
 
-  private urgent(topic: string): boolean {
+  /** How long a frame may wait for company: a small part of the family's aim, so that the aim can be met. */
+  private flushMs(topic: string): number {
     const v = this.reg.value;
-    return v !== undefined && familyOf(v.config, topic)?.urgency === 'urgent';
+    const fam = v && familyOf(v.config, topic);
+    if (!fam) return C.flushMs;
+    const aim = (fam as { aimMs?: number }).aimMs;
+    const most = fam.urgency === 'urgent' ? C.flushUrgentMs : C.flushMs;
+    return aim === undefined ? most : Math.min(most, aim * C.flushShare);
   }
 
   /** Reads the owner's history from the least offset owed, one reader per topic. */
@@ -313,13 +354,12 @@
     }
   }
 
-  private put(conn: Conn, f: Frame, urgent: boolean): void {
-    this.push(conn, { line: JSON.stringify(f) + '\n', bytes: 0, over: false, urgent });
+  private put(conn: Conn, f: Exclude<Frame, { t: 'DELIVER' }>, urgent: boolean): void {
+    this.push(conn, { frame: f, bytes: C.frameHeadBytes, over: false, flushMs: urgent ? C.flushUrgentMs : C.flushMs });
   }
 
   private push(conn: Conn, w: Waiting): void {
     if (conn.state === 'closed') return;
-    w.bytes = Buffer.byteLength(w.line);
     w.over = w.bytes > C.oversizedFromBytes;
     if (w.over ? conn.over + w.bytes > C.oversizedLaneBytes : conn.std + w.bytes > C.laneBytes) {
       // A saturated conn is retired; the consumer comes again with its cursor instead of getting a partial stream.
@@ -330,7 +370,7 @@
     this.mostStd = Math.max(this.mostStd, conn.std);
     this.mostOver = Math.max(this.mostOver, conn.over);
     conn.buf.push(w);
-    this.arm(conn, w.urgent ? C.flushUrgentMs : C.flushMs);
+    this.arm(conn, w.flushMs);
   }
 
   private drop(conn: Conn, out: (w: Waiting) => boolean): void {
@@ -356,7 +396,7 @@
     if (conn.state === 'closed' || conn.blocked || !conn.buf.length) return;
     const now = this.k.host.clock.now();
     const fresh = this.reg.fresh();
-    let out = '';
+    const out: Outgoing[] = [];
     const keep: Waiting[] = [];
     for (const w of conn.buf) {
       const s = w.sub;
@@ -367,13 +407,13 @@
         this.k.count('deliver');
       }
       if (w.over) conn.over -= w.bytes; else conn.std -= w.bytes;
-      out += w.line;
+      out.push(w.frame);
       conn.sent++;
     }
     conn.buf = keep;
     if (keep.length) this.arm(conn, C.flushMs);
-    if (out && !conn.sink.write(out)) conn.blocked = true;
-    else if (out) this.goOn(conn);
+    if (out.length && !conn.sink.write(out)) conn.blocked = true;
+    else if (out.length) this.goOn(conn);
   }
 
   /** Catch-up that waited for room in a conn's buffer goes on. */
@@ -505,16 +545,36 @@
     return true;
   }
 
+  /**
+   * Sends every conn to a relay that can take it, one after another over a time, so that the others are not asked all at once.
+   * Conns that come meanwhile are sent on as soon as they have attached.
+   */
   private sendAway(spreadMs: number): void {
-    for (const c of this.conns.values()) this.put(c, { t: 'GOAWAY', retryAfterMs: Math.round(this.k.host.rnd.next() * spreadMs) }, true);
+    this.away = true;
+    for (const c of this.conns.values()) this.k.host.clock.after(this.k.host.rnd.next() * spreadMs, () => this.sendOn(c));
+  }
+
+  private sendOn(c: Conn): void {
+    if (c.state !== 'open') return;
+    this.put(c, { t: 'GOAWAY', to: this.refuge(), retryAfterMs: 0 }, true);
+  }
+
+  /** A relay that takes conns: in our domain if there is one, the emptier of two by chance. */
+  private refuge(): string | undefined {
+    const { rnd, config } = this.k.host;
+    const open = this.board.live().filter((m) => m.role === 'relay' && m.peer !== this.k.self && m.condition === 'ready');
+    const near = open.filter((m) => m.domain === config.domain);
+    const two = sample(rnd, near.length ? near : open, 2);
+    return two.sort((a, b) => a.weight - b.weight)[0]?.client;
   }
 
   /** Sends everyone away with times to come back that are spread out, and waits a moment for them to go. */
   private async drain(): Promise<void> {
     const { clock } = this.k.host;
     this.sendAway(C.drainSpreadMs);
-    const until = clock.now() + 1_500;
-    while (this.conns.size && clock.now() < until) await sleep(clock, 50);
+    // New conns still come until the callers' platform has seen that we leave.
+    const until = clock.now() + C.drainMs;
+    while (clock.now() < until) await sleep(clock, 50);
     for (const c of [...this.conns.values()]) { this.flush(c); this.close(c, 'stopping'); }
     await this.sayInterest().catch((e) => faultOf(e, 'Interest', this.k.self));
   }
--- a/packages/data/src/node.ts
+++ b/packages/data/src/node.ts
@@ -1,4 +1,4 @@
-import { C, Kernel, loop, type Faces, type Host } from '@harecross/kernel';
+import { C, Kernel, diskUsesOf, loop, type DiskUse, type Faces, type Host, type Role } from '@harecross/kernel';
 import { awayNow, type Condition } from '@harecross/control';
 import type { Edge } from './edge.js';
 
@@ -7,11 +7,12 @@
  * @example
  * pluginsOf('relay', false); // ['board', 'register', 'route', 'holds', 'operators', 'edge']
  */
-export function pluginsOf(role: 'relay' | 'store', disk: boolean): (keyof Faces)[] {
+export function pluginsOf(role: Role, disk: boolean, uses: DiskUse[] = ['seat', 'copies']): (keyof Faces)[] {
   return [
     ...(disk ? (['state'] as const) : []),
     'board', 'register',
-    ...(disk ? (['keeper', 'copies', 'owner'] as const) : []),
+    ...(disk && uses.includes('seat') ? (['keeper'] as const) : []),
+    ...(disk && uses.includes('copies') ? (['copies', 'owner'] as const) : []),
     'route',
     ...(role === 'relay' ? (['holds'] as const) : []),
     'operators', 'edge',
@@ -25,7 +26,7 @@
  */
 export async function startNode(host: Host): Promise<{ kernel: Kernel; edge: Edge }> {
   const kernel = new Kernel(host);
-  await kernel.boot(pluginsOf(host.config.role, host.db !== undefined));
+  await kernel.boot(pluginsOf(host.config.role, host.db !== undefined, diskUsesOf(host.config)));
   const board = kernel.use('board');
   const reg = kernel.use('register');
   kernel.onStop(() => board.say({ condition: 'draining' }));
--- a/packages/data/src/run.ts
+++ b/packages/data/src/run.ts
@@ -1,23 +1,49 @@
 import { watchFile, unwatchFile } from 'node:fs';
-import { C, readNodeConfig, realHost, within, realClock, type Host, type NodeConfig, type Role } from '@harecross/kernel';
-import { serveHttp } from './edge.js';
+import { C, readNodeConfig, realHost, within, realClock, type Host, type Kernel, type NodeConfig, type Role } from '@harecross/kernel';
+import { serveHttp, type Edge } from './edge.js';
 import { startNode } from './node.js';
 
+/** A node's process: where its config comes from, and who it listens to. */
+export interface ProcessPlan {
+  /** Named in messages. */
+  program: string;
+  /** Reread on a signal and when it changes, if there is one. */
+  file: string | undefined;
+  /** Throws an Error with one clear line. */
+  read(): NodeConfig;
+  /** Begins to serve the outside; gives what ends it. */
+  listen(k: Kernel, edge: Edge, config: NodeConfig): Promise<() => void | Promise<void>>;
+}
+
 /**
- * Runs a node as a process: config file and flags, signals, rereads.
+ * Runs a node of the product's own programs: config file and flags, HTTP for callers.
  * @example
  * await runNode('store', 'store-1.json', {});
  */
-export async function runNode(role: Role, file: string | undefined, flags: Partial<NodeConfig>): Promise<void> {
+export function runNode(role: Role, file: string | undefined, flags: Partial<NodeConfig>): Promise<void> {
+  return runProcess({
+    program: `harecross-${role}`, file,
+    read: () => readNodeConfig(role, file, flags),
+    listen: (k, edge, config) => serveHttp(k, edge, config.client),
+  });
+}
+
+/**
+ * Runs a node as a process: config, signals, rereads, a stop within its time.
+ * @example
+ * await runProcess({ program: 'harecross-store', file, read, listen });
+ */
+export async function runProcess(plan: ProcessPlan): Promise<void> {
+  const { program, file } = plan;
   let config: NodeConfig;
   try {
-    config = readNodeConfig(role, file, flags);
+    config = plan.read();
   } catch (e) {
-    process.stderr.write(`harecross-${role}: ${e instanceof Error ? e.message : e}\n`);
+    process.stderr.write(`${program}: ${e instanceof Error ? e.message : e}\n`);
     process.exit(2);
   }
   const cannot = (e: unknown): never => {
-    process.stderr.write(`harecross-${role}: cannot start: ${e instanceof Error ? e.message : e}\n`);
+    process.stderr.write(`${program}: cannot start: ${e instanceof Error ? e.message : e}\n`);
     process.exit(1);
   };
   let host: Host;
@@ -27,19 +53,19 @@
     return cannot(e);
   }
   const { kernel, edge } = await startNode(host).catch(cannot);
-  const closeHttp = await serveHttp(kernel, edge, config.client).catch((e) => {
-    process.stderr.write(`harecross-${role}: cannot listen at ${config.client}: ${e instanceof Error ? e.message : e}\n`);
+  const closeListeners = await plan.listen(kernel, edge, config).catch((e) => {
+    process.stderr.write(`${program}: cannot listen at ${config.client}: ${e instanceof Error ? e.message : e}\n`);
     process.exit(1);
   });
-  host.log.info(`${role} up`, { peer: config.peer, client: config.client, domain: config.domain, data: config.data });
+  host.log.info(`${config.role} up`, { peer: config.peer, client: config.client, domain: config.domain, data: config.data });
 
   const reread = (why: string): void => {
     if (!file) return;
     try {
-      const next = readNodeConfig(role, file, flags);
+      const next = plan.read();
       const fixed = (['peer', 'client', 'data'] as const).filter((f) => next[f] !== config[f]);
       if (fixed.length) throw new Error(`${file}: ${fixed.join(', ')} cannot change while running`);
-      const changed = next.domain !== config.domain || next.seeds.join() !== config.seeds.join();
+      const changed = JSON.stringify(next) !== JSON.stringify(config);
       // The host's config object is what every plug-in reads.
       Object.assign(config, next);
       if (changed) kernel.use('board').sayMine();
@@ -59,8 +85,8 @@
     leaving = true;
     host.log.info(`leaving on ${sig}`);
     if (file) unwatchFile(file);
-    await within(realClock, C.stopMs, kernel.stop());
-    void closeHttp();
+    await within(realClock, config.stopMs ?? C.stopMs, kernel.stop());
+    void closeListeners();
     host.log.info('left', { counters: Object.fromEntries(kernel.counters) });
     process.exit(0);
   };
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -24,6 +24,10 @@
   oversizedLaneBytes: 2 * 1024 * 1024,
   /** Flush of a conn's buffer for routine families. */
   flushMs: 250,
+  /** A family with an aim flushes after this share of it, if that is sooner. */
+  flushShare: 0.1,
+  /** What a frame takes beside its body: topic, sender, numbers. */
+  frameHeadBytes: 128,
   /** Flush when an urgent message waits: a warning must not sit a quarter second for company. */
   flushUrgentMs: 20,
   /** Catch-up from history pauses above this much buffered, so that it never saturates a lane itself. */
@@ -104,6 +108,19 @@
   noOwnerMs: 700,
   /** A link that gave no answer is tried directly this often; meanwhile visits of the data plane go round it. */
   linkTryMs: 700,
+  /** A line of a client: topic, cursor and name are far shorter. */
+  accessLineBytes: 16 * 1024,
+  /** The largest body any family may allow; larger ones are refused unread ... */
+  edgeBodyBytes: 1024 * 1024,
+  /** ... and thrown away up to this size; beyond it the connection is closed. */
+  accessSkipBytes: 16 * 1024 * 1024,
+  /** Answers and frames a client has not read yet, beyond both lanes of its buffer: it does not read. */
+  accessUnreadBytes: 4 * 1024 * 1024,
+  /** Requests of one connection in work before we read no more of them. */
+  accessRunningN: 128,
+  /** A connection that has not attached within this time is closed; looked for this often. */
+  accessOpenMs: 10_000,
+  accessSweepMs: 1_000,
   /** Default limit of a body. */
   bodyBytes: 64 * 1024,
 
@@ -140,8 +157,10 @@
   // --- register ---
   /** Every node confirms its version at a majority this often ... */
   confirmMs: 600,
-  /** ... and serves only while the last confirmation began at most this long ago; 3 s is the promise. */
-  freshMs: 2_400,
+  /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
+  applyMs: 3_000,
+  /** ... and serves only while the last confirmation began at most this share of it ago. */
+  freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
   seatsN: 7,
   /** Change attempts give up after this long, and say so. */
@@ -150,6 +169,8 @@
   changeIdsN: 4_096,
   /** Founders look around this long for other disks before they found. */
   foundAfterMs: 1_200,
+  /** ... and for as many as a shard needs copies up to this long; later ones join one step at a time. */
+  foundAnywayMs: 4_000,
   foundMs: 500,
 
   // --- keeper: disks and placement ---
@@ -164,6 +185,8 @@
   /** A planned restart sends its conns away over this long; a stop has less time. */
   awaySpreadMs: 3_000,
   drainSpreadMs: 1_000,
+  /** A stopping relay stays for late comers: the platform notices after two polls, a second apart. */
+  drainMs: 2_600,
 
   // --- process ---
   /** SIGTERM to exit; the hard kill comes at 6 s. */
--- a/packages/kernel/src/host.ts
+++ b/packages/kernel/src/host.ts
@@ -28,7 +28,10 @@
   warn(line: string, data?: Record<string, unknown>): void;
 }
 
-export type Role = 'relay' | 'store';
+export type Role = 'relay' | 'store' | 'control';
+
+/** What a node's disk may be used for: a seat of the register, copies of shards. */
+export type DiskUse = 'seat' | 'copies';
 
 /** A process's own config (its place), checked by `readNodeConfig`. */
 export interface NodeConfig {
@@ -41,6 +44,20 @@
   seeds: string[];
   /** Folder for everything lasting; a node without one keeps no copies. */
   data?: string;
+  /** The machine's name, by which operators call it; its peer address where left out. */
+  name?: string;
+  /** What the disk is for; both where left out, but a control node's is for a seat only. */
+  diskUses?: DiskUse[];
+  /** Machines with a disk that may be lost at once while nothing is lost: sets the copies of a shard where the configuration doesn't. */
+  losses?: number;
+  /** A change of configuration is in force within this time (ms) after it was acknowledged, or the node silent. */
+  applyMs?: number;
+  /** Whether this is the very first start of the whole fleet; false forbids founding. Unknown where left out. */
+  firstStart?: boolean;
+  /** Consumers that say nothing check in at least this often (s). */
+  pingS?: number;
+  /** From SIGTERM to the end (ms); the hard kill must come later. */
+  stopMs?: number;
 }
 
 export interface Host {
--- a/packages/kernel/src/node-config.ts
+++ b/packages/kernel/src/node-config.ts
@@ -1,19 +1,26 @@
 import { readFileSync } from 'node:fs';
 import Type from 'typebox';
 import { Compile } from 'typebox/compile';
-import type { NodeConfig, Role } from './host.js';
+import type { DiskUse, NodeConfig, Role } from './host.js';
 
 const Address = Type.String({ pattern: '^\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}$' });
 
 /** Schema of a process's config file. */
 export const NodeConfigSchema = Type.Object(
   {
-    role: Type.Optional(Type.Union([Type.Literal('relay'), Type.Literal('store')])),
+    role: Type.Optional(Type.Union([Type.Literal('relay'), Type.Literal('store'), Type.Literal('control')])),
     domain: Type.String({ minLength: 1, maxLength: 64 }),
     peer: Address,
     client: Address,
-    seeds: Type.Array(Address, { minItems: 3, maxItems: 3, uniqueItems: true }),
+    seeds: Type.Array(Address, { minItems: 1, maxItems: 3, uniqueItems: true }),
     data: Type.Optional(Type.String({ minLength: 1 })),
+    name: Type.Optional(Type.String({ minLength: 1, maxLength: 128 })),
+    diskUses: Type.Optional(Type.Array(Type.Union([Type.Literal('seat'), Type.Literal('copies')]), { minItems: 1, uniqueItems: true })),
+    losses: Type.Optional(Type.Integer({ minimum: 0, maximum: 4 })),
+    applyMs: Type.Optional(Type.Number({ minimum: 500, maximum: 600_000 })),
+    pingS: Type.Optional(Type.Number({ minimum: 0.2, maximum: 60 })),
+    firstStart: Type.Optional(Type.Boolean()),
+    stopMs: Type.Optional(Type.Number({ minimum: 500, maximum: 600_000 })),
   },
   { additionalProperties: false },
 );
@@ -61,10 +68,28 @@
   }
   const x: Record<string, unknown> = { ...base };
   for (const [k, v] of Object.entries(flags)) if (v !== undefined) x[k] = v;
+  return checkedNodeConfig(role, x, file);
+}
+
+/**
+ * A value as the config of a node of this role; throws an Error with one clear line. `from` names where the value came from.
+ * @example
+ * const c = checkedNodeConfig('relay', { domain: 'fatick', peer, client, seeds }, 'settings.json');
+ */
+export function checkedNodeConfig(role: Role, x: Record<string, unknown>, from?: string): NodeConfig {
   const f = faultInConfig(x);
-  if (f) throw new Error(file ? `${file}: ${f}` : f);
+  if (f) throw new Error(from ? `${from}: ${f}` : f);
   if (x.role !== undefined && x.role !== role) throw new Error(`role: '${x.role}' in the config, but this program is '${role}'`);
-  if (role === 'store' && !x.data) throw new Error('data: a store needs a data folder');
+  if (role !== 'relay' && !x.data) throw new Error(`data: a ${role} needs a data folder`);
   if ((x.seeds as string[]).includes(x.peer as string) && !x.data) throw new Error('data: this machine is a seed, and seeds need a data folder to found the fleet');
   return { ...(x as unknown as NodeConfig), role };
 }
+
+/**
+ * What a node's disk is for.
+ * @example
+ * diskUsesOf({ role: 'control', ... }); // ['seat']
+ */
+export function diskUsesOf(c: NodeConfig): DiskUse[] {
+  return c.diskUses ?? (c.role === 'control' ? ['seat'] : ['seat', 'copies']);
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -68,14 +68,15 @@
     { t: Type.Literal('LEFT'), sub: Type.String(), topic: Topic, reason: Type.Union(['unsubscribed', 'cursor_expired', 'topic_removed', 'hold_ended'].map((x) => Type.Literal(x))) },
     strict,
   ),
-  Type.Object({ t: Type.Literal('GOAWAY'), ...Retry }, strict),
+  Type.Object({ t: Type.Literal('GOAWAY'), to: Type.Optional(Type.String()), ...Retry }, strict),
   Type.Object({ t: Type.Literal('CLOSED'), reason: Type.Union(['replaced', 'silent', 'saturated', 'stopping', 'not_ready'].map((x) => Type.Literal(x))), ...Retry }, strict),
 ]);
 export type Frame =
   | { t: 'ATTACHED'; conn: string; pingS: number }
   | { t: 'DELIVER'; sub: string; topic: string; sender: string; seq: number; offset: number; body: string }
   | { t: 'LEFT'; sub: string; topic: string; reason: 'unsubscribed' | 'cursor_expired' | 'topic_removed' | 'hold_ended' }
-  | { t: 'GOAWAY'; retryAfterMs: number }
+  /** `to`: the client address of a relay that can take the consumer now. */
+  | { t: 'GOAWAY'; to?: string; retryAfterMs: number }
   | { t: 'CLOSED'; reason: 'replaced' | 'silent' | 'saturated' | 'stopping' | 'not_ready'; retryAfterMs: number };
 
 const Detail = { detail: Type.String() };
--- a/packages/trial/src/journal.ts
+++ b/packages/trial/src/journal.ts
@@ -1,3 +1,4 @@
+import type { Role } from '@harecross/kernel';
 /** A holding as a node tells it: its length now, the most it ever had, and its bound. */
 export interface HoldingSeen { name: string; length: number; most: number; bound: number }
 
@@ -33,7 +34,7 @@
   /** From now on an auditor reads back a topic behind `cursor`; at its end it must have all that was accepted by now. */
   | { k: 'audit'; t: number; consumer: string; topic: string; cursor: number }
   | { k: 'audit.end'; t: number; consumer: string }
-  | { k: 'node'; t: number; node: string; domain: string; role: 'relay' | 'store' }
+  | { k: 'node'; t: number; node: string; domain: string; role: Role }
   /**
    * What the stage does to the fleet, told when it changes. `well`: up, running, and joined to a majority of the register's
    * seats. `able`: every shard has a majority of its copies on well machines. `rough`: lossy or slow anywhere, or a link cut.
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -1,5 +1,5 @@
 import '@harecross/control';
-import { startNode, type Edge } from '@harecross/data';
+import { frameLines, startNode, type Edge } from '@harecross/data';
 import { Db, Failure, type Clock, type Host, type Kernel, type Net, type NodeConfig, type Rnd, type Role } from '@harecross/kernel';
 import type { Frame } from '@harecross/schema';
 import Database from 'better-sqlite3';
@@ -412,7 +412,8 @@
           const rate = this.thin.get(name);
           let backlog = 0;
           const r = to.edge!.attach(body, {
-            write: (s) => {
+            write: (frames) => {
+              const s = frameLines(frames);
               if (rate !== undefined) {
                 backlog += s.length;
                 last = Math.max(last, this.now) + (s.length / rate) * 1000;
