Every accepted number has its first outcome again, and the final no is one

Cause: the owner remembered only the last number of each sender and topic. With several publishes on the way a repeat of an older accepted one was answered stale_seq, a final no for a message that is delivered; and stale_seq was given under a higher number that was not committed and could be lost with its owner, and in a relay's answer after a try of unknown outcome it was called outcome_unknown though it is certain.

Now the numbers are looked up in the history itself: every accepted message stays there 30 s at least (callers repeat for 10 s), whatever its family's memory and also when the family is removed. What is in no history and below an accepted number gets the final no, once that higher number is committed. Below the last trimmed number nobody knows: outcome_unknown.

--- a/packages/data/src/key.ts
+++ b/packages/data/src/key.ts
@@ -1,7 +1,17 @@
-import { NO_FENCE, type Base, type Entry, type Fence } from '@harecross/state';
+import { NO_FENCE, senderKey, type Base, type Entry, type Fence } from '@harecross/state';
 
 export interface TopicState { head: number; pend: number; since: number; era: number; entries: Entry[] }
-export interface SenderState { seq: number; off: number; idx: number; at: number }
+
+/** What the owner knows of a sender's number on a topic. */
+export type Outcome =
+  /** Above all that is known: to be stored now. */
+  | { tag: 'new' }
+  /** Stored at this offset, by the entry `idx` (0: trimmed, so committed long ago). */
+  | { tag: 'stored'; off: number; idx: number }
+  /** Not in the history, and entry `idx` has the next higher number `above`: once that is committed, this number never can be. */
+  | { tag: 'passed'; above: number; idx: number }
+  /** Below what has been trimmed: accepted or not, nobody knows any more. */
+  | { tag: 'forgotten' };
 
 /** A key's life at a node. */
 export type KeyState = 'none' | 'taking' | 'owner' | 'yielding';
@@ -24,7 +34,8 @@
   flying = new Set<string>();
   ackAt = new Map<string, number>();
   topics = new Map<string, TopicState>();
-  senders = new Map<string, SenderState>();
+  /** The entries of the log by topic and sender, in the order of their numbers; `base.senders` has the last one trimmed. */
+  senders = new Map<string, Entry[]>();
   waits: { idx: number; res: () => void; rej: (e: unknown) => void }[] = [];
   trimTo = 0;
   said = '';
@@ -48,7 +59,40 @@
     if (!e.topic) return;
     const t = this.topicOf(e.topic, e.era);
     t.pend = e.off;
-    this.senders.set(`${e.topic}\n${e.sender}`, { seq: e.seq, off: e.off, idx: e.idx, at: e.at });
+    const k = senderKey(e.topic, e.sender);
+    const l = this.senders.get(k);
+    if (l) l.push(e);
+    else this.senders.set(k, [e]);
+  }
+
+  /** Takes an entry out that is trimmed from the log: the base knows of it now. */
+  forget(e: Entry): void {
+    if (!e.topic) return;
+    const t = this.topics.get(e.topic);
+    if (t && t.entries[0]?.idx === e.idx) t.entries.shift();
+    const k = senderKey(e.topic, e.sender);
+    const l = this.senders.get(k);
+    if (l?.[0]?.idx === e.idx) l.shift();
+    if (l?.length === 0) this.senders.delete(k);
+  }
+
+  /**
+   * What became of a sender's number on a topic. Numbers are stored in rising order, so what is neither in the log nor below
+   * the base was never stored.
+   * @example
+   * key.outcome('pay/7', 'desk', 12).tag; // 'new'
+   */
+  outcome(topic: string, sender: string, seq: number): Outcome {
+    const k = senderKey(topic, sender);
+    const l = this.senders.get(k) ?? [];
+    const base = this.base.senders.get(k);
+    let at = l.length;
+    while (at > 0 && l[at - 1]!.seq >= seq) at--;
+    const e = l[at];
+    if (e?.seq === seq) return { tag: 'stored', off: e.off, idx: e.idx };
+    if (base && base.seq === seq) return { tag: 'stored', off: base.off, idx: 0 };
+    if (base && seq < base.seq) return { tag: 'forgotten' };
+    return e ? { tag: 'passed', above: e.seq, idx: e.idx } : { tag: 'new' };
   }
 
   topicOf(topic: string, era: number): TopicState {
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
+import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, never, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
 import { matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Entry, type Fence } from '@harecross/state';
@@ -280,7 +280,6 @@
     key.topics.clear();
     key.senders.clear();
     for (const [t, b] of key.base.topics) key.topics.set(t, { head: b.head, pend: b.head, since: b.since, era: b.era, entries: [] });
-    for (const [s, b] of key.base.senders) key.senders.set(s, { ...b, idx: 0 });
     for (const e of key.log) key.note(e);
     const now = this.k.host.clock.now();
     key.log.push({ idx: key.last() + 1, fence, topic: '', off: 0, era: 0, sender: '', seq: 0, body: '', at: now });
@@ -317,7 +316,8 @@
         if (e.idx > key.commit) break;
         if (e.topic) {
           const f = familyOf(cfg, e.topic);
-          if (f && now - e.at <= f.memoryS * 1000 * C.memorySlack + C.memorySlackMs) break;
+          // Also what nobody can read any more stays while its number may be repeated.
+          if (now - e.at <= Math.max(C.repeatKeepMs, f ? f.memoryS * 1000 * C.memorySlack + C.memorySlackMs : 0)) break;
         } else if (e.idx === key.commit) break;
         to = e.idx;
       }
@@ -327,10 +327,9 @@
       const n = to - key.base.idx;
       for (const e of key.log.splice(0, n)) {
         fold(key.base, e);
-        const t = e.topic ? key.topics.get(e.topic) : undefined;
-        if (t && t.entries[0]?.idx === e.idx) t.entries.shift();
+        key.forget(e);
       }
-      for (const [s, b] of key.senders) if (now - b.at > C.dedupeKeepMs && b.idx <= key.base.idx) { key.senders.delete(s); key.base.senders.delete(s); }
+      for (const [s, b] of key.base.senders) if (now - b.at > C.dedupeKeepMs) key.base.senders.delete(s);
     }
   }
 
@@ -372,14 +371,25 @@
     const key = this.serving(b.topic, 'Publish');
     const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
     if (Buffer.byteLength(b.body) > limit) throw new Failure({ tag: 'too_large', step: 'Publish', peer: this.k.self, limit });
-    const sk = `${b.topic}\n${b.sender}`;
-    const s = key.senders.get(sk);
-    if (s && b.seq === s.seq) {
-      this.k.count('publish.again');
-      if (s.idx > key.commit) await this.wait(key, s.idx);
-      return { offset: s.off };
+    const was = key.outcome(b.topic, b.sender, b.seq);
+    switch (was.tag) {
+      case 'stored':
+        this.k.count('publish.again');
+        if (was.idx > key.commit) await this.wait(key, was.idx);
+        return { offset: was.off };
+      case 'passed':
+        // The final no holds only once the higher number is committed: then every later owner knows of it.
+        if (was.idx > key.commit) await this.wait(key, was.idx);
+        this.k.count('publish.stale');
+        throw new Failure({ tag: 'stale_seq', step: 'Publish', peer: this.k.self, last: was.above });
+      case 'forgotten':
+        this.k.count('publish.forgotten');
+        throw new Failure({ tag: 'outcome_unknown', step: 'Publish', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+      case 'new':
+        break;
+      default:
+        return never(was);
     }
-    if (s && b.seq < s.seq) throw new Failure({ tag: 'stale_seq', step: 'Publish', peer: this.k.self, last: s.seq });
     const era = this.reg.value!.born.get(fam.name)!;
     const t = key.topicOf(b.topic, era);
     const e: Entry = { idx: key.last() + 1, fence: key.fence, topic: b.topic, off: t.pend + 1, era, sender: b.sender, seq: b.seq, body: b.body, at: this.k.host.clock.now() };
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -124,6 +124,9 @@
           lostSince = undefined;
           perhaps = true;
           break;
+        case 'stale_seq':
+          // Final, also for earlier tries: a higher number is committed, and this one is not in the history.
+          throw new Failure(f);
         default:
           // Whatever the last try was told, an earlier one may have been stored.
           if (perhaps && m === 'Publish') throw new Failure({ tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) });
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -60,7 +60,11 @@
   memorySlack: 1.5,
   /** ... plus this, so that a promise of 25 s is never cut short by rounding or fail-over. */
   memorySlackMs: 15_000,
-  /** Dedupe rows outlive any memory by a wide margin. */
+  /** Every accepted message stays in the history this long, whatever its family's memory, so that a repeat of its number has its
+   * first outcome. Callers repeat for 10 s; three times that, because clocks and the way of an answer come on top. */
+  repeatKeepMs: 30_000,
+  /** The last trimmed number of a sender and topic is known this long: what is above it and not in the history was never
+   * accepted, what is below it is not known any more. Dedupe rows outlive any memory by a wide margin. */
   dedupeKeepMs: 30 * 60_000,
   /** Owner checks its keys this often. */
   keyTickMs: 250,
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -47,12 +47,19 @@
 export interface TopicBase { head: number; since: number; era: number }
 export interface SenderBase { seq: number; off: number; at: number }
 
+/**
+ * The key of `Base.senders`.
+ * @example
+ * base.senders.get(senderKey('pay/7', 'desk'))?.seq; // the highest number that was trimmed
+ */
+export const senderKey = (topic: string, sender: string): string => `${topic}\n${sender}`;
+
 /** What is known up to and including idx, once the entries themselves are trimmed. */
 export interface Base {
   idx: number;
   fence: Fence;
   topics: Map<string, TopicBase>;
-  /** Key: topic + '\n' + sender. */
+  /** By `senderKey`: the last number of each sender and topic that was trimmed. */
   senders: Map<string, SenderBase>;
 }
 
@@ -213,7 +220,7 @@
     const senders = new Set<string>();
     for (const e of gone) {
       fold(c.base, e);
-      if (e.topic) { topics.add(e.topic); senders.add(`${e.topic}\n${e.sender}`); }
+      if (e.topic) { topics.add(e.topic); senders.add(senderKey(e.topic, e.sender)); }
     }
     this.q('delete from entry where shard = ? and idx <= ?').run(c.shard, c.base.idx);
     for (const t of topics) this.saveTopic(c, t);
@@ -262,7 +269,7 @@
   if (!e.topic) return;
   const old = b.topics.get(e.topic);
   b.topics.set(e.topic, { head: e.off, since: old && old.era === e.era ? old.since : e.off, era: e.era });
-  b.senders.set(`${e.topic}\n${e.sender}`, { seq: e.seq, off: e.off, at: e.at });
+  b.senders.set(senderKey(e.topic, e.sender), { seq: e.seq, off: e.off, at: e.at });
 }
 
 register({
--- /dev/null
+++ b/packages/trial/src/test/senders.test.ts
@@ -0,0 +1,95 @@
+import test from 'ava';
+import { FAMILIES, smallFleet, type Small } from './small-fleet.js';
+import type { SimNode } from '../sim.js';
+
+const TOPIC = 'feed/7';
+const publish = (s: Small, n: SimNode, seq: number, topic = TOPIC): Promise<{ status: number; body: any }> =>
+  s.ask(n, 'Publish', { sender: 'desk', topic, seq, body: `message ${seq}` });
+
+test('every accepted number has its first outcome when it is repeated, not only the last', async (t) => {
+  const s = await smallFleet(101);
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  const seqs = [2, 3, 5, 8, 9, 14, 20, 21];
+  for (const [i, seq] of seqs.entries()) t.deepEqual((await publish(s, r1, seq)).body, { accepted: { offset: i + 1 } });
+  const all = async (why: string): Promise<void> => {
+    for (const [i, seq] of seqs.entries()) t.deepEqual((await publish(s, i % 2 ? r1 : r2, seq)).body, { accepted: { offset: i + 1 } }, `${why}, number ${seq}`);
+  };
+  await all('at another relay');
+  const owner = s.ownerOf(TOPIC);
+  s.sim.kill(owner);
+  await s.pass(3_000);
+  await all('at another owner');
+  await s.sim.start(owner);
+  await s.pass(3_000);
+  for (const n of s.sim.nodes.values()) s.sim.kill(n);
+  await s.pass(500);
+  for (const n of s.sim.nodes.values()) await s.sim.start(n);
+  await s.pass(6_000);
+  await all('after the power was lost everywhere');
+  const c = await s.attach(r1, 'phone');
+  await s.ask(r1, 'Subscribe', { conn: c.conn, topic: TOPIC, cursor: 0 });
+  await s.pass(1_000);
+  t.deepEqual(c.frames.flatMap((f) => (f.t === 'DELIVER' ? [f.seq] : [])), seqs, 'each was stored once');
+  s.sim.close();
+});
+
+test('a repeat has its first outcome though its family remembers a second, was removed and made anew', async (t) => {
+  const short = { families: [{ ...FAMILIES[0]!, memoryS: 1 }, FAMILIES[1]!] };
+  const s = await smallFleet(102, { config: short });
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  for (const seq of [1, 2, 3]) await publish(s, r1, seq);
+  await s.ask(r1, 'SubmitConfig', { changeId: 'away', config: { families: [FAMILIES[1]!] } });
+  await s.pass(6_000);
+  await s.ask(r1, 'SubmitConfig', { changeId: 'back', config: short });
+  await s.pass(4_000);
+  for (const seq of [1, 2, 3]) t.deepEqual((await publish(s, r2, seq)).body, { accepted: { offset: seq } });
+  t.deepEqual((await publish(s, r2, 4)).body, { accepted: { offset: 4 } });
+  s.sim.close();
+});
+
+test('the final no is for numbers that surely were never accepted; of those below what was trimmed nobody knows', async (t) => {
+  const s = await smallFleet(103);
+  const r = s.relays[0]!;
+  for (const seq of [10, 20]) await publish(s, r, seq);
+  await s.pass(70_000);
+  for (const seq of [30, 40]) await publish(s, r, seq);
+  const answer = async (seq: number): Promise<string> => {
+    const { body } = await publish(s, r, seq);
+    return body.accepted ? `accepted ${body.accepted.offset}` : (body.rejected?.reason ?? body.error.tag);
+  };
+  t.is(await answer(35), 'stale_seq');
+  t.is(await answer(25), 'stale_seq', 'above the last one trimmed, and not in the history');
+  t.is(await answer(20), 'accepted 2', 'the last one trimmed');
+  t.is(await answer(10), 'outcome_unknown', 'below it: it was accepted, which is not known any more');
+  t.is(await answer(15), 'outcome_unknown');
+  t.is(await answer(41), 'accepted 5');
+  s.sim.close();
+});
+
+test('no final no stands on a number that is not committed: it waits, and a new owner may take the lower one', async (t) => {
+  const s = await smallFleet(104);
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  await publish(s, r1, 1);
+  const owner = s.ownerOf(TOPIC);
+  // The owner hears its relays but not its copies: what it takes now is on no majority, and will be on none.
+  for (const o of s.stores) if (o !== owner) s.sim.cut(owner.name, o.name);
+  const high = s.sim.outside.visit(r1.config.client, 'Publish', { sender: 'desk', topic: TOPIC, seq: 9, body: 'nine' }, 6_000);
+  await s.pass(50);
+  const low = s.sim.outside.visit(r1.config.client, 'Publish', { sender: 'desk', topic: TOPIC, seq: 5, body: 'five' }, 6_000);
+  let early: unknown = 'none';
+  void low.then((x) => { early = x; });
+  await s.pass(200);
+  t.is(early, 'none', 'no answer while nine is not committed');
+  await s.pass(5_000);
+  const told = [await low, await high].map((x) => x?.body);
+  for (const b of told) t.not(b?.rejected?.reason, 'stale_seq');
+  s.sim.heal();
+  await s.pass(4_000);
+  // Whatever became of them: each number has one outcome, and a final no only under a higher one that was accepted.
+  const five = (await publish(s, r2, 5)).body;
+  const nine = (await publish(s, r2, 9)).body;
+  t.truthy(nine.accepted);
+  t.true(five.accepted?.offset < nine.accepted.offset || five.rejected?.reason === 'stale_seq');
+  t.deepEqual((await publish(s, r1, 5)).body, five);
+  s.sim.close();
+});
