Operators' own revisions and words; families inside one another, by longest prefix

SubmitConfig takes the operators' `revision` (the highest holds; one that is not above it is answered with the one in force and changes nothing) and their `document`, kept as JSON text and given back by ReadConfig. A submission goes on in the background for 10 s after it was last sent, the highest one first, and is answered as soon as a value that the fleet agreed on has settled it, whoever brought that about; so several tries at several nodes converge instead of conflicting.

Checks that were replaced, and why: patterns of two families may lie inside one another (the longest prefix wins, an exact name before any prefix), so "overlaps" became "the same pattern twice", which is the one case left without an answer. A family's name is a label, so two alike are no fault.

familyOf looks up one Map a distinct length of prefix, made once for each configuration object.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, loop, rank, register } from '@harecross/kernel';
+import { C, Failure, Kernel, faultOf, loop, rank, register } from '@harecross/kernel';
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { copiesFor, targetsOf } from './placement.js';
@@ -216,34 +216,136 @@
   return undefined;
 }
 
+/** A configuration that is to come into force, with what its sender is told. */
+interface Submission {
+  revision: number;
+  changeId: string;
+  config: FleetConfig;
+  document?: string;
+  until: number;
+  res: (a: Revised) => void;
+  rej: (e: unknown) => void;
+}
+/** What is in force after a submission with a revision: that one, or a higher one. */
+export interface Revised { version: number; revision: number }
+
 /**
  * What operators ask of the register.
  * @example
  * await k.use('operators').submit({ changeId: 'c1', expect: 3, config }); // { version: 4 }
+ * await k.use('operators').submit({ revision: 17, document, config }); // { version: 5, revision: 17 }
  */
 export class Operators {
-  constructor(private k: Kernel, private board: Board, private reg: Register) {}
+  /** Those with a revision that are not in force yet. One of them, the highest, is at work at a time: it settles the lower ones too. */
+  private submissions = new Set<Submission>();
+  private working = false;
+
+  constructor(private k: Kernel, private board: Board, private reg: Register) {
+    k.keep(reg.value$.subscribe(() => this.settle()));
+  }
 
-  /** Takes a configuration, or gives the first outcome of its changeId. */
-  submit(b: { changeId: string; expect?: number; config: unknown }): Promise<{ version: number }> {
-    return this.change('SubmitConfig', b.changeId, b.expect, () => b.config);
+  /**
+   * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force. Without one
+   * the first outcome of its changeId is given. Fails with `invalid_config`, `conflict` (without a revision), and with `not_ready` or
+   * `no_majority` after C.submitMs.
+   */
+  async submit(b: { changeId?: string; expect?: number; revision?: number; document?: unknown; config: unknown }): Promise<{ version: number; revision?: number }> {
+    const document = b.document === undefined ? undefined : JSON.stringify(b.document);
+    if (b.revision !== undefined) return this.revise(b.revision, b.changeId ?? `revision-${b.revision}`, b.config, document);
+    return this.change('SubmitConfig', b.changeId!, b.expect, () => ({ config: b.config, document }));
   }
 
   /** Takes a new calendar into the configuration in force. */
   planMoves(b: { changeId: string; expect?: number; moves: Move[] }): Promise<{ version: number }> {
-    return this.change('PlanMoves', b.changeId, b.expect, (v) => ({ ...v.config, moves: b.moves }));
+    return this.change('PlanMoves', b.changeId, b.expect, (v) => ({ config: { ...v.config, moves: b.moves }, document: v.document }));
+  }
+
+  /** The configuration, or `invalid_config`. Without a value only what can be said of it by itself. */
+  private checked(step: string, config: unknown, v?: Value): FleetConfig {
+    const faults = configFaults(config);
+    if (!faults.length && v) faults.push(...this.machineFaults(v, config as FleetConfig));
+    if (faults.length) throw new Failure({ tag: 'invalid_config', step, peer: this.k.self, faults });
+    return config as FleetConfig;
+  }
+
+  /** The value with a configuration in it. */
+  private taken(v: Value, x: { changeId: string; config: FleetConfig; document?: string; revision?: number }): Value {
+    const version = v.version + 1;
+    const born = new Map<string, number>();
+    for (const f of x.config.families) born.set(f.name, v.born.get(f.name) ?? version);
+    const keys = new Set((x.config.moves ?? []).map(moveKey));
+    const moves = new Map([...v.moves].filter(([k]) => keys.has(k)));
+    return { ...v, version, changeId: x.changeId, config: x.config, document: x.document, revision: x.revision ?? v.revision, born, moves };
+  }
+
+  // --- by revision ---
+
+  private revise(revision: number, changeId: string, config: unknown, document: string | undefined): Promise<Revised> {
+    const valid = this.checked('SubmitConfig', config);
+    return new Promise((res, rej) => {
+      this.submissions.add({ revision, changeId, config: valid, document, until: this.k.host.clock.now() + C.submitMs, res, rej });
+      this.settle();
+      void this.bringIntoForce();
+    });
+  }
+
+  private inForce(s: Submission): Revised | undefined {
+    const v = this.reg.value;
+    return v?.revision !== undefined && v.revision >= s.revision ? { version: v.version, revision: v.revision } : undefined;
   }
 
-  private async change(step: string, changeId: string, expect: number | undefined, make: (v: Value) => unknown): Promise<{ version: number }> {
+  /** Answers what a value that the fleet agreed on has settled, whoever brought it about. */
+  private settle(): void {
+    for (const s of this.submissions) {
+      const a = this.inForce(s);
+      if (a) { this.submissions.delete(s); s.res(a); }
+    }
+  }
+
+  /**
+   * Works on the highest submission until none is left, or its time has passed. Senders may have left: several tries of one revision, at
+   * several nodes, each go on until they see it in force. They do not fight for long: the register's retries are spread out at random.
+   */
+  private async bringIntoForce(): Promise<void> {
+    if (this.working) return;
+    this.working = true;
+    try {
+      for (;;) {
+        const s = [...this.submissions].reduce<Submission | undefined>((a, b) => (!a || b.revision > a.revision ? b : a), undefined);
+        if (!s) return;
+        await this.tryOnce(s);
+      }
+    } finally {
+      this.working = false;
+    }
+  }
+
+  private async tryOnce(s: Submission): Promise<void> {
+    const { clock } = this.k.host;
+    try {
+      const a = await this.reg.change((v): { next?: Value; out: Revised } => {
+        if (v.revision !== undefined && v.revision >= s.revision) return { out: { version: v.version, revision: v.revision } };
+        this.checked('SubmitConfig', s.config, v);
+        const next = this.taken(v, s);
+        return { next, out: { version: next.version, revision: s.revision } };
+      }, Math.min(C.submitTryMs, s.until - clock.now()), () => this.submissions.has(s));
+      this.submissions.delete(s);
+      s.res(a);
+    } catch (e) {
+      // No longer wanted: settled meanwhile.
+      if (!this.submissions.has(s)) return;
+      const f = faultOf(e, 'SubmitConfig', this.k.self);
+      if (f.tag === 'no_majority' && clock.now() < s.until) return;
+      this.submissions.delete(s);
+      s.rej(this.reg.value ? e : notReady(this.k, 'SubmitConfig'));
+    }
+  }
+
+  // --- by change id ---
+
+  private async change(step: string, changeId: string, expect: number | undefined, make: (v: Value) => { config: unknown; document?: string }): Promise<{ version: number }> {
     if (!this.reg.value) throw notReady(this.k, step);
-    const check = (v: Value): FleetConfig => {
-      const x = make(v);
-      const faults = configFaults(x);
-      if (!faults.length) faults.push(...this.machineFaults(v, x as FleetConfig));
-      if (faults.length) throw new Failure({ tag: 'invalid_config', step, peer: this.k.self, faults });
-      return x as FleetConfig;
-    };
-    if (!this.reg.value.changes.has(changeId)) check(this.reg.value);
+    if (!this.reg.value.changes.has(changeId)) this.checked(step, make(this.reg.value).config, this.reg.value);
     const o = await this.reg.change((v) => {
       const first = v.changes.get(changeId);
       if (first) return { out: first };
@@ -253,15 +355,11 @@
         changes.set(changeId, out);
         return { next: { ...v, changes: trimmed(changes) }, out };
       }
-      const config = check(v);
-      const version = v.version + 1;
-      const born = new Map<string, number>();
-      for (const f of config.families) born.set(f.name, v.born.get(f.name) ?? version);
-      const out = { tag: 'taken' as const, version };
+      const x = make(v);
+      const next = this.taken(v, { changeId, config: this.checked(step, x.config, v), document: x.document });
+      const out = { tag: 'taken' as const, version: next.version };
       changes.set(changeId, out);
-      const keys = new Set((config.moves ?? []).map(moveKey));
-      const moves = new Map([...v.moves].filter(([k]) => keys.has(k)));
-      return { next: { ...v, version, changeId, config, born, changes: trimmed(changes), moves }, out };
+      return { next: { ...next, changes: trimmed(changes) }, out };
     });
     switch (o.tag) {
       case 'taken': return { version: o.version };
@@ -289,10 +387,16 @@
     return out;
   }
 
-  async readConfig(): Promise<{ version: number; changeId: string; config: unknown }> {
+  /** The configuration in force, confirmed at a majority, with the operators' own number and words. */
+  async readConfig(): Promise<{ version: number; changeId: string; revision?: number; document?: unknown; config: unknown }> {
     if (!this.reg.value) throw notReady(this.k, 'ReadConfig');
     const v = (await this.reg.confirm()) ? this.reg.value! : await this.reg.read();
-    return { version: v.version, changeId: v.changeId, config: v.config };
+    return {
+      version: v.version, changeId: v.changeId,
+      ...(v.revision === undefined ? {} : { revision: v.revision }),
+      ...(v.document === undefined ? {} : { document: JSON.parse(v.document) }),
+      config: v.config,
+    };
   }
 
   /** Begins or takes back the emptying of a disk. */
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -21,6 +21,10 @@
   version: number;
   changeId: string;
   config: FleetConfig;
+  /** The operators' own number of what is in force; the highest holds. */
+  revision?: number;
+  /** The operators' own words, as JSON text: nothing in here reads them. */
+  document?: string;
   /** Family name -> version in which it was (last) born. */
   born: Map<string, number>;
   disks: Map<string, DiskRec>;
@@ -206,16 +210,16 @@
 
   /**
    * Applies a change to the latest agreed value. `fn` may run many times and must give the same outcome for the
-   * same value; without `next` it only reads. Fails with `no_majority` when it could not be told.
+   * same value; without `next` it only reads. Fails with `no_majority` when it could not be told, or when it is no longer `wanted`.
    */
-  async change<T>(fn: (v: Value) => { next?: Value; out: T }, limitMs: number = C.changeMs): Promise<T> {
+  async change<T>(fn: (v: Value) => { next?: Value; out: T }, limitMs: number = C.changeMs, wanted: () => boolean = () => true): Promise<T> {
     const { clock, rnd } = this.k.host;
     const until = clock.now() + limitMs;
     let why = 'no value known';
-    for (let tries = 0; clock.now() < until; tries++) {
+    for (let tries = 0; clock.now() < until && wanted(); tries++) {
       if (tries > 0) await sleep(clock, Math.min(600, 30 * 2 ** Math.min(tries, 4)) * (0.5 + rnd.next()));
       let h = this.value ?? this.hint;
-      if (!h) continue;
+      if (!h || !wanted()) continue;
       if (this.hint && this.hint.rev > h.rev) h = this.hint;
       const r = await this.round(h, fn);
       switch (r.tag) {
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -1,6 +1,6 @@
 import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, type Fault } from '@harecross/kernel';
 import { awayNow, notReady, type Board, type Operators, type Register } from '@harecross/control';
-import { Rpcs, configFaults, familyOf, visitFault, type Method, type Visit } from '@harecross/schema';
+import { Rpcs, configFaults, familyOf, isUrgent, visitFault, type Method, type Visit } from '@harecross/schema';
 import fastify from 'fastify';
 import type { Holds, Sink } from './holds.js';
 import type { Route } from './route.js';
@@ -101,7 +101,7 @@
   private urgent(m: Method, body: any): boolean {
     switch (m) {
       case 'Publish':
-        return this.reg.value !== undefined && familyOf(this.reg.value.config, body.topic)?.urgency === 'urgent';
+        return this.reg.value !== undefined && isUrgent(this.reg.value.config, body.topic);
       case 'Listeners':
         return false;
       default:
--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -1,6 +1,6 @@
 import { C, Failure, Kernel, type HoldingInfo, faultOf, loop, rank, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
 import { awayNow, type Board, type Register } from '@harecross/control';
-import { familyOf, type Frame } from '@harecross/schema';
+import { familyOf, isUrgent, type Frame } from '@harecross/schema';
 import { distinctUntilChanged, map } from 'rxjs';
 import type { FanFrame, InterestItem } from './interest.js';
 import type { HistoryAnswer } from './owner.js';
@@ -169,7 +169,7 @@
     const had = conn.subs.get(topic);
     // Asked again, it is the same subscription with the same beginning: frames behind that may still be on their way.
     if (had) { await had.opened; return { sub: had.id, next: had.first }; }
-    if (conn.subs.size >= C.subsPerConnN) throw new Failure({ tag: 'overloaded', step: 'Subscribe', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+    if (conn.subs.size >= (this.reg.value?.config.limits?.subscriptionsPerConn ?? C.subsPerConnN)) throw new Failure({ tag: 'overloaded', step: 'Subscribe', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
     const fam = this.reg.value && familyOf(this.reg.value.config, topic);
     if (!fam) throw new Failure({ tag: 'unknown_topic', step: 'Subscribe', peer: this.k.self, topic });
     const now = this.k.host.clock.now();
@@ -278,7 +278,7 @@
 
   private urgent(topic: string): boolean {
     const v = this.reg.value;
-    return v !== undefined && familyOf(v.config, topic)?.urgency === 'urgent';
+    return v !== undefined && isUrgent(v.config, topic);
   }
 
   /** Reads the owner's history from the least offset owed, one reader per topic. */
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,6 +1,6 @@
 import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
 import { matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
-import { familyOf, type Family } from '@harecross/schema';
+import { familyOf, urgencyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Entry, type Fence } from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
 import { Interests, type InterestItem } from './interest.js';
@@ -37,7 +37,7 @@
     this.holding = new Holding(C.ownerHoldingN, 512, (v) => this.publish(v));
     k.on('Publish', (b: { sender: string; topic: string; seq: number; body: string }) => {
       const fam = this.family(b.topic, 'Publish');
-      const p = this.holding.offer(b, fam.urgency === 'urgent');
+      const p = this.holding.offer(b, urgencyOf(this.reg.value!.config, fam) === 'urgent');
       if (!p) throw new Failure({ tag: 'overloaded', step: 'Publish', peer: k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
       return p;
     }, true);
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -146,6 +146,10 @@
   seatsN: 7,
   /** Change attempts give up after this long, and say so. */
   changeMs: 6_000,
+  /** A configuration with a revision is brought into force for this long after it was last sent, whether its sender waits or not. */
+  submitMs: 10_000,
+  /** One try at that; then the highest revision that was sent meanwhile is taken up instead. */
+  submitTryMs: 2_000,
   /** Change ids remembered with their outcome. */
   changeIdsN: 4_096,
   /** Founders look around this long for other disks before they found. */
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -5,19 +5,28 @@
 const Name = (max: number) => Type.String({ minLength: 1, maxLength: max });
 const Count = Type.Integer({ minimum: 0 });
 
-/** A topic pattern: an exact name, or a prefix that ends in `*`. */
-export const Pattern = Type.String({ minLength: 1, maxLength: 200, pattern: '^[A-Za-z0-9_./:-]+\\*?$|^\\*$' });
-export const Topic = Type.String({ minLength: 1, maxLength: 200, pattern: '^[A-Za-z0-9_./:-]+$' });
+/** Topics and patterns are any printable ASCII without a space. A pattern is an exact name, or a prefix and a `*` behind it. */
+const NAME_CHARS = '^[!-~]+$';
+export const Topic = Type.String({ minLength: 1, maxLength: 200, pattern: NAME_CHARS });
+export const Pattern = Type.String({ minLength: 1, maxLength: 201, pattern: NAME_CHARS });
 
 export const Family = Type.Object(
   {
-    name: Type.String({ minLength: 1, maxLength: 64, pattern: '^[A-Za-z0-9_.-]+$' }),
-    topics: Type.Array(Pattern, { minItems: 1, maxItems: 256 }),
-    urgency: Type.Union([Type.Literal('urgent'), Type.Literal('routine')]),
+    /** A label for people; what a family is to the fleet follows from its patterns alone. */
+    name: Type.String({ minLength: 1, maxLength: 128, pattern: '^[^\\u0000-\\u001f\\u007f]+$' }),
+    topics: Type.Array(Pattern, { minItems: 1, maxItems: 4_096 }),
+    /** May be left out where `precedence` is given; see urgencyOf. */
+    urgency: Type.Optional(Type.Union([Type.Literal('urgent'), Type.Literal('routine')])),
+    /** Higher is more urgent: what presses less is rejected first when there is too much. */
+    precedence: Type.Optional(Type.Integer()),
     /** How long a visit may wait, in ms. */
-    patienceMs: Type.Integer({ minimum: 100, maximum: 60_000 }),
+    patienceMs: Type.Number({ exclusiveMinimum: 0, maximum: 600_000 }),
+    /** The latency that is aimed at, from publish to delivery, in ms. */
+    aimMs: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
     /** How long messages stay in memory, in seconds. */
-    memoryS: Type.Integer({ minimum: 1, maximum: 3_600 }),
+    memoryS: Type.Number({ minimum: 0, maximum: 86_400 }),
+    /** What order subscribers need: per sender (default) or one for all of a topic. Every topic has one order for all, which is both. */
+    order: Type.Optional(Type.Union([Type.Literal('sender'), Type.Literal('topic')])),
     limits: Type.Optional(Type.Object({ bodyBytes: Type.Optional(Type.Integer({ minimum: 1, maximum: 1024 * 1024 })) }, strict)),
   },
   strict,
@@ -42,7 +51,8 @@
 /** A whole configuration, as operators send it. */
 export const FleetConfig = Type.Object(
   {
-    families: Type.Array(Family, { maxItems: 256 }),
+    families: Type.Array(Family, { maxItems: 4_096 }),
+    limits: Type.Optional(Type.Object({ subscriptionsPerConn: Type.Optional(Type.Integer({ minimum: 1 })) }, strict)),
     copies: Type.Optional(Type.Integer({ minimum: 1, maximum: 9 })),
     moves: Type.Optional(Type.Array(Move, { maxItems: 256 })),
     /** Shards placed by hand or by `harecross place`; the others are matched by the fleet. */
@@ -120,13 +130,13 @@
 
 const Conn = Type.String({ minLength: 1, maxLength: 200 });
 const Sub = Type.String();
+const Maybe = Type.Optional;
 const rpc = <A extends Type.TSchema, B extends Type.TSchema>(about: string, visit: A, answer: B) => ({ about, visit, answer });
 const obj = <P extends Type.TProperties>(p: P) => Type.Object(p, strict);
 
 const Name64 = Type.String();
 const List = Type.Array;
 const Num = Type.Number();
-const Maybe = Type.Optional;
 
 /** What a node knows of the fleet. */
 export const FleetAnswer = obj({
@@ -181,12 +191,22 @@
   ),
   Listeners: rpc('How many conns listen on a topic now.', obj({ topic: Topic }), obj({ count: Count, partial: Type.Boolean() })),
   SubmitConfig: rpc(
-    'Takes a whole configuration. Answered once a majority of disks holds it. The same changeId again gets its first outcome.',
-    obj({ changeId: Name(128), expect: Type.Optional(Count), config: Type.Unknown() }),
-    obj({ version: Count }),
+    'Takes a whole configuration. Answered once a majority of disks holds it. With `revision`, the operators\' own number, the highest holds: '
+    + 'one that is not above the revision in force is answered with that one and changes nothing. Without it, `changeId` names the change, '
+    + 'and the same changeId again gets its first outcome. `document` is the operators\' own words, kept whole and given back.',
+    Type.Object(
+      {
+        changeId: Maybe(Name(128)), expect: Maybe(Count), revision: Maybe(Count), document: Maybe(Type.Unknown()), config: Type.Unknown(),
+      },
+      { ...strict, anyOf: [{ required: ['changeId'] }, { required: ['revision'] }], not: { required: ['expect', 'revision'] } },
+    ),
+    obj({ version: Count, revision: Maybe(Count) }),
   ),
   CheckConfig: rpc('Checks a configuration and changes nothing.', obj({ config: Type.Unknown() }), obj({ version: Count, faults: Type.Array(obj({ path: Type.String(), fault: Type.String() })) })),
-  ReadConfig: rpc('The configuration in force, confirmed by a majority.', obj({}), obj({ version: Count, changeId: Type.String(), config: Type.Unknown() })),
+  ReadConfig: rpc(
+    'The configuration in force, confirmed by a majority.', obj({}),
+    obj({ version: Count, changeId: Type.String(), revision: Maybe(Count), document: Maybe(Type.Unknown()), config: Type.Unknown() }),
+  ),
   EmptyDisk: rpc('Begins to move copies, keys and seat off a disk. Rejected, with the reason, when what is left cannot hold them.', obj({ disk: Type.String() }), EmptyAnswer),
   EmptyStatus: rpc('How far an emptying has come: `emptied` when nothing is left on the disk.', obj({ disk: Type.String() }), EmptyAnswer),
   CancelEmpty: rpc('Takes an emptying back.', obj({ disk: Type.String() }), EmptyAnswer),
@@ -206,6 +226,8 @@
 
 const checks = new Map(Object.entries(Rpcs).map(([m, r]) => [m, Compile(r.visit)]));
 const checkConfig = Compile(FleetConfig);
+/** The fields of SubmitConfig by themselves; which may stand together is told in words. */
+const checkSubmit = Compile(Type.Object(Rpcs.SubmitConfig.visit.properties, strict));
 
 export interface PathFault { path: string; fault: string }
 
@@ -223,7 +245,10 @@
  */
 export function visitFault(m: Method, body: unknown): string | undefined {
   const c = checks.get(m)!;
-  if (c.Check(body)) return undefined;
+  if (c.Check(body as unknown)) return undefined;
+  if (m === 'SubmitConfig' && checkSubmit.Check(body)) {
+    return '/: ' + ((body as { expect?: number }).expect === undefined ? 'needs a changeId or a revision' : 'expect does not go with revision: the highest revision holds');
+  }
   const f = faultsOf(c.Errors(body))[0];
   return f ? `${f.path}: ${f.fault}` : 'invalid';
 }
@@ -237,15 +262,15 @@
   if (!checkConfig.Check(x)) return faultsOf(checkConfig.Errors(x));
   const c = x as FleetConfig;
   const out: PathFault[] = [];
-  const names = new Set<string>();
-  const seen: { p: string; path: string; family: string }[] = [];
+  const seen = new Map<string, string>();
   c.families.forEach((f, i) => {
-    if (names.has(f.name)) out.push({ path: `/families/${i}/name`, fault: `'${f.name}' is named twice` });
-    names.add(f.name);
+    if (f.urgency === undefined && f.precedence === undefined) out.push({ path: `/families/${i}`, fault: 'needs an urgency or a precedence' });
     f.topics.forEach((p, j) => {
       const path = `/families/${i}/topics/${j}`;
-      for (const o of seen) if (overlap(o.p, p)) out.push({ path, fault: `'${p}' overlaps '${o.p}' at ${o.path} (family ${o.family})` });
-      seen.push({ p, path, family: f.name });
+      const first = seen.get(p);
+      if (first !== undefined) out.push({ path, fault: `'${p}' is already at ${first}` });
+      else seen.set(p, path);
+      if (p.length > 200 && !p.endsWith('*')) out.push({ path, fault: 'no topic is that long: at most 200 characters' });
     });
   });
   const shards = new Set<number>();
@@ -266,20 +291,86 @@
   return out;
 }
 
-function overlap(a: string, b: string): boolean {
-  const sa = a.endsWith('*') ? a.slice(0, -1) : undefined;
-  const sb = b.endsWith('*') ? b.slice(0, -1) : undefined;
-  if (sa !== undefined && sb !== undefined) return sa.startsWith(sb) || sb.startsWith(sa);
-  if (sa !== undefined) return b.startsWith(sa);
-  if (sb !== undefined) return a.startsWith(sb);
-  return a === b;
+/**
+ * A table by topic patterns. An exact name goes before any prefix, and among prefixes the longest wins. Finding costs one look-up a
+ * distinct length of prefix, however many patterns there are.
+ * @example
+ * new Patterns([['a.*', 1], ['a.b.*', 2], ['a.b.c', 3]]).find('a.b.d'); // 2
+ */
+export class Patterns<T> {
+  private exact = new Map<string, T>();
+  private prefixes = new Map<number, Map<string, T>>();
+  /** Longest first. */
+  private lengths: number[];
+
+  constructor(entries: Iterable<[pattern: string, value: T]>) {
+    for (const [p, x] of entries) {
+      if (!p.endsWith('*')) { this.exact.set(p, x); continue; }
+      const n = p.length - 1;
+      const same = this.prefixes.get(n) ?? new Map<string, T>();
+      this.prefixes.set(n, same.set(p.slice(0, n), x));
+    }
+    this.lengths = [...this.prefixes.keys()].sort((a, b) => b - a);
+  }
+
+  /** What a topic belongs to. */
+  find(topic: string): T | undefined {
+    return this.exact.get(topic) ?? this.within(topic);
+  }
+
+  /** What all topics that begin so belong to, but for those of longer prefixes and exact names. */
+  within(prefix: string): T | undefined {
+    for (const n of this.lengths) {
+      if (n > prefix.length) continue;
+      const x = this.prefixes.get(n)!.get(prefix.slice(0, n));
+      if (x !== undefined) return x;
+    }
+    return undefined;
+  }
+}
+
+/** What a configuration says, laid out for looking up; made once for each, since it is looked at several times a message. */
+interface Index { families: Patterns<Family>; top: number | undefined }
+const indices = new WeakMap<FleetConfig, Index>();
+
+function indexOf(c: FleetConfig): Index {
+  let x = indices.get(c);
+  if (!x) {
+    const precedences = new Set(c.families.flatMap((f) => f.precedence ?? []));
+    x = {
+      families: new Patterns(c.families.flatMap((f) => f.topics.map((p): [string, Family] => [p, f]))),
+      // One level by itself is nothing above the others.
+      top: precedences.size > 1 ? [...precedences].reduce((a, b) => Math.max(a, b)) : undefined,
+    };
+    indices.set(c, x);
+  }
+  return x;
 }
 
 /**
- * The family a topic belongs to.
+ * The family a topic belongs to: by its exact name, else by the longest prefix. A configuration is not to be altered once it was asked.
  * @example
  * familyOf(config, 'pay/77')?.name; // 'payments'
  */
 export function familyOf(c: FleetConfig, topic: string): Family | undefined {
-  return c.families.find((f) => f.topics.some((p) => (p.endsWith('*') ? topic.startsWith(p.slice(0, -1)) : p === topic)));
+  return indexOf(c).families.find(topic);
+}
+
+/**
+ * How urgent a family is: as it says itself; else the families of the highest precedence are urgent, where there are two different ones.
+ * @example
+ * urgencyOf(config, familyOf(config, 'warn/1')!); // 'urgent'
+ */
+export function urgencyOf(c: FleetConfig, f: Family): 'urgent' | 'routine' {
+  return f.urgency ?? (f.precedence !== undefined && f.precedence === indexOf(c).top ? 'urgent' : 'routine');
+}
+
+/**
+ * Whether a topic's family is urgent.
+ * @example
+ * isUrgent(config, 'warn/1'); // true
+ */
+export function isUrgent(c: FleetConfig, topic: string): boolean {
+  const f = familyOf(c, topic);
+  return f !== undefined && urgencyOf(c, f) === 'urgent';
 }
