A topic's era follows from its being there, not from its family's name

A family's name stood for the family: renaming one, or moving its prefix to another, made its topics anew, so subscribers with a cursor lost what they were owed; and a name that stayed while its prefix went and came kept what should have been gone. Now regions of topics, by pattern, carry the version since which they have been there without a break; splitting, nesting and renaming lose nothing, and what no pattern held for one version begins anew. Ruled out: an era for each pattern, which makes a topic anew as soon as a longer prefix is put inside its own.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,4 +1,5 @@
 export * from './board.js';
+export * from './eras.js';
 export * from './register.js';
 export * from './keeper.js';
 export * from './placement.js';
--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,6 +1,7 @@
 import { C, Failure, Kernel, faultOf, loop, rank, register } from '@harecross/kernel';
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
+import { erasAfter } from './eras.js';
 import { copiesFor, targetsOf } from './placement.js';
 import { notReady, type DiskRec, type MoveState, type Register, type Value } from './register.js';
 
@@ -271,11 +272,9 @@
   /** The value with a configuration in it. */
   private taken(v: Value, x: { changeId: string; config: FleetConfig; document?: string; revision?: number }): Value {
     const version = v.version + 1;
-    const born = new Map<string, number>();
-    for (const f of x.config.families) born.set(f.name, v.born.get(f.name) ?? version);
     const keys = new Set((x.config.moves ?? []).map(moveKey));
     const moves = new Map([...v.moves].filter(([k]) => keys.has(k)));
-    return { ...v, version, changeId: x.changeId, config: x.config, document: x.document, revision: x.revision ?? v.revision, born, moves };
+    return { ...v, version, changeId: x.changeId, config: x.config, document: x.document, revision: x.revision ?? v.revision, eras: erasAfter(v.eras, x.config, version), moves };
   }
 
   // --- by revision ---
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -4,6 +4,7 @@
 import { BehaviorSubject } from 'rxjs';
 import invariant from 'tiny-invariant';
 import type { Board } from './board.js';
+import type { Eras } from './eras.js';
 import { matchCopies } from './placement.js';
 
 export type DiskState = 'active' | 'emptying' | 'lost';
@@ -25,8 +26,8 @@
   revision?: number;
   /** The operators' own words, as JSON text: nothing in here reads them. */
   document?: string;
-  /** Family name -> version in which it was (last) born. */
-  born: Map<string, number>;
+  /** Since which version the topics of a pattern have been there without a break. */
+  eras: Eras;
   disks: Map<string, DiskRec>;
   seats: string[];
   prevSeats: string[];
@@ -313,7 +314,7 @@
     for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active' });
     seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active' }); });
     const shards = new Map([...matchCopies([...disks.values()], C.copiesN)].map(([s, copies]) => [s, { gen: 1, copies }] as [number, Placement]));
-    return { fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, born: new Map(), disks, seats, prevSeats: seats, shards, changes: new Map(), moves: new Map() };
+    return { fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, eras: new Map(), disks, seats, prevSeats: seats, shards, changes: new Map(), moves: new Map() };
   }
 }
 
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,5 +1,5 @@
 import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
-import { matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
+import { eraOf, matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, urgencyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Entry, type Fence } from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
@@ -344,8 +344,8 @@
   }
 
   private visible(e: Entry): boolean {
-    const f = this.reg.value && familyOf(this.reg.value.config, e.topic);
-    return f !== undefined && this.reg.value!.born.get(f.name) === e.era;
+    const v = this.reg.value;
+    return v !== undefined && familyOf(v.config, e.topic) !== undefined && eraOf(v.eras, e.topic) === e.era;
   }
 
   // --- visits of relays ---
@@ -380,7 +380,7 @@
       return { offset: s.off };
     }
     if (s && b.seq < s.seq) throw new Failure({ tag: 'stale_seq', step: 'Publish', peer: this.k.self, last: s.seq });
-    const era = this.reg.value!.born.get(fam.name)!;
+    const era = eraOf(this.reg.value!.eras, b.topic)!;
     const t = key.topicOf(b.topic, era);
     const e: Entry = { idx: key.last() + 1, fence: key.fence, topic: b.topic, off: t.pend + 1, era, sender: b.sender, seq: b.seq, body: b.body, at: this.k.host.clock.now() };
     key.log.push(e);
@@ -396,8 +396,8 @@
   }
 
   private view(key: Key, topic: string): { head: number; first: number; since: number; entries: Entry[] } {
-    const f = this.family(topic, 'History');
-    const t = key.topicOf(topic, this.reg.value!.born.get(f.name)!);
+    this.family(topic, 'History');
+    const t = key.topicOf(topic, eraOf(this.reg.value!.eras, topic)!);
     const first = t.entries[0]?.off ?? t.head + 1;
     return { head: t.head, first, since: t.since, entries: t.entries };
   }
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -35,7 +35,7 @@
   /** Topic of a message; '' for the barrier that a new owner writes first. */
   topic: string;
   off: number;
-  /** Config version in which the topic's family was born: a family made anew shows nothing older. */
+  /** Config version since which the topic was there without a break: made anew, it shows nothing older. */
   era: number;
   sender: string;
   seq: number;
--- a/packages/trial/src/oracle.ts
+++ b/packages/trial/src/oracle.ts
@@ -1,4 +1,4 @@
-import { familyOf, type FleetConfig } from '@harecross/schema';
+import { familyOf, isUrgent, type FleetConfig } from '@harecross/schema';
 import type { Seen } from './journal.js';
 import { Sky } from './weather.js';
 
@@ -234,20 +234,19 @@
     });
   }
 
-  /** The times in which a topic's family may have been away or made anew: only then may anything of it be missing. */
+  /** The times in which no family may have held a topic: only then may anything of it be missing. */
   private away(topic: string): Away[] {
     const had = this.aways.get(topic);
     if (had) return had;
     const out: Away[] = [];
-    let name: string | undefined;
+    let there = false;
     for (const x of this.taken) {
-      const now = familyOf(x.config, topic)?.name;
+      // Whatever the family that holds it is called: what stays there keeps everything.
+      const now = familyOf(x.config, topic) !== undefined;
       const open = out.at(-1);
-      if (now === undefined) { if (name !== undefined) out.push({ from: x.submitted, to: Infinity }); }
-      else if (open && open.to === Infinity) open.to = x.t + IN_FORCE_MS;
-      else if (name !== undefined && now !== name) out.push({ from: x.submitted, to: x.t + IN_FORCE_MS });
-      name = now ?? name;
-      if (now === undefined) name = undefined;
+      if (!now && there) out.push({ from: x.submitted, to: Infinity });
+      else if (now && open?.to === Infinity) open.to = x.t + IN_FORCE_MS;
+      there = now;
     }
     for (const s of this.submits.values()) {
       if (s.valid && !this.told(s.changeId).length && !familyOf(s.config as FleetConfig, topic)) out.push({ from: s.t, to: Infinity });
@@ -261,9 +260,13 @@
     return this.away(topic).some((w) => w.from <= to && from <= w.to && at <= w.to);
   }
 
+  private configAt(t: number): FleetConfig | undefined {
+    return this.taken.filter((y) => y.t <= t).at(-1)?.config;
+  }
+
   private familyAt(topic: string, t: number) {
-    const x = this.taken.filter((y) => y.t <= t).at(-1);
-    return x && familyOf(x.config, topic);
+    const x = this.configAt(t);
+    return x && familyOf(x, topic);
   }
 
   private removedAccepts(): void {
@@ -442,7 +445,8 @@
         if (!this.b.timed || p.offset! < l.start) continue;
         // In time, to a conn that was well all the while.
         const from = Math.max(p.acceptedAt!, l.okAt);
-        const urgent = this.familyAt(l.topic, from)?.urgency === 'urgent';
+        const config = this.configAt(from);
+        const urgent = config !== undefined && isUrgent(config, l.topic);
         for (const [limit, ok] of [
           [urgent ? REACH_MS.urgent : REACH_MS.routine, (to: number) => this.sky.calm(from - CALM_MS, to)],
           [REACH_MS.fault, (to: number) => this.sky.well(node, from, to) && this.sky.able(from, to)],
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -1,7 +1,101 @@
+import { eraOf, erasAfter, type Eras } from '@harecross/control';
+import { familyOf, isUrgent, Patterns, urgencyOf, type Family, type FleetConfig } from '@harecross/schema';
 import test from 'ava';
+import fc from 'fast-check';
 import type { SimNode } from '../sim.js';
 import { FAMILIES, smallFleet } from './small-fleet.js';
 
+const SEED = 20_262;
+
+/** Short topics of few letters, so that patterns often meet. */
+const topic = fc.stringMatching(/^[ab*]{1,4}$/);
+const pattern = fc.oneof(topic, fc.stringMatching(/^[ab*]{0,3}$/).map((p) => `${p}*`));
+const holds = (p: string, t: string): boolean => (p.endsWith('*') ? t.startsWith(p.slice(0, -1)) : p === t);
+/** The rule in its plainest words: an exact name, else the longest prefix. */
+const naive = (patterns: string[], t: string): string | undefined =>
+  patterns.find((p) => p === t && !p.endsWith('*')) ?? patterns.filter((p) => p.endsWith('*') && holds(p, t)).sort((a, b) => b.length - a.length)[0];
+const family = (name: string, topics: string[], x: Partial<Family> = {}): Family => ({ name, topics, urgency: 'routine', patienceMs: 2_000, memoryS: 30, ...x });
+/** Patterns dealt out to families. */
+const families = fc.uniqueArray(pattern, { maxLength: 8 }).chain((ps) =>
+  fc.array(fc.nat({ max: 2 }), { minLength: ps.length, maxLength: ps.length }).map((of) => [0, 1, 2].flatMap((n) => {
+    const topics = ps.filter((_, i) => of[i] === n);
+    return topics.length ? [family(`f${n}`, topics)] : [];
+  })));
+
+test('the family of a topic is that of its exact name, else of the longest prefix, as a plain model has it', (t) => {
+  let found = 0;
+  fc.assert(fc.property(families, fc.array(topic, { minLength: 1, maxLength: 20 }), (fs, topics) => {
+    const config: FleetConfig = { families: fs };
+    for (const x of topics) {
+      const want = naive(fs.flatMap((f) => f.topics), x);
+      const got = familyOf(config, x);
+      if (got) found++;
+      if (got !== (want === undefined ? undefined : fs.find((f) => f.topics.includes(want)))) return false;
+    }
+    return true;
+  }), { seed: SEED, numRuns: 2_000 });
+  t.true(found > 1_000, `${found} were found`);
+});
+
+test('a table of patterns also says what begins alike', (t) => {
+  const x = new Patterns([['*', 0], ['a.*', 1], ['a.b.*', 2], ['a.b.c', 3], ['a.b.c*', 4]]);
+  t.deepEqual(['', 'b', 'a.', 'a.b', 'a.b.c', 'a.b.cc'].map((p) => x.within(p)), [0, 0, 1, 1, 4, 4]);
+  t.deepEqual(['b', 'a.', 'a.b.', 'a.b.c', 'a.b.cc'].map((p) => x.find(p)), [0, 1, 2, 3, 4]);
+});
+
+test('urgency is as the family says, else of the highest precedence where there are two', (t) => {
+  const fs = [family('a', ['a'], { urgency: undefined, precedence: 1 }), family('b', ['b'], { urgency: undefined, precedence: 2 }), family('c', ['c'], { precedence: 2 })];
+  const of = (families: Family[]): string => families.map((f) => urgencyOf({ families }, f)[0]).join('');
+  t.is(of(fs), 'rur');
+  t.is(of([fs[0]!]), 'r', 'one level by itself is above nothing');
+  t.is(of([fs[1]!, fs[1]!]), 'rr');
+  t.is(of([{ ...fs[0]!, urgency: 'urgent' }, fs[1]!]), 'uu');
+  t.true(isUrgent({ families: fs }, 'b'));
+  t.false(isUrgent({ families: fs }, 'd'));
+});
+
+test('a topic has its era from when it was last missing, whatever families and patterns held it, as a plain model has it', (t) => {
+  const all = ['a', 'b', '*'].flatMap((x) => ['', 'a', 'b', '*'].flatMap((y) => ['', 'a', 'b', '*'].map((z) => x + y + z)));
+  let kept = 0;
+  let anew = 0;
+  let most = 0;
+  fc.assert(fc.property(fc.array(families, { minLength: 2, maxLength: 8 }), (configs) => {
+    let eras: Eras = new Map();
+    let want = new Map<string, number>();
+    const ever = new Set<string>();
+    for (const [i, fs] of configs.entries()) {
+      const before = want;
+      want = new Map();
+      for (const x of all) if (familyOf({ families: fs }, x)) want.set(x, before.get(x) ?? i + 1);
+      eras = erasAfter(eras, { families: fs }, i + 1);
+      for (const [x, era] of want) {
+        if (eraOf(eras, x) !== era) return false;
+        if (era <= i) kept++;
+        else if (ever.has(x)) anew++;
+        ever.add(x);
+      }
+      most = Math.max(most, eras.size);
+    }
+    return true;
+  }), { seed: SEED, numRuns: 2_000 });
+  t.true(kept > 1_000 && anew > 1_000, `${kept} kept, ${anew} made anew`);
+  t.log(`at most ${most} regions for at most 8 patterns`);
+});
+
+test('regions that nothing needs any more are let go', (t) => {
+  const after = (eras: Eras, version: number, ...patterns: string[]): Eras => erasAfter(eras, { families: patterns.length ? [family('f', patterns)] : [] }, version);
+  let e = after(new Map(), 1, 'a.*', 'b');
+  t.deepEqual([...e], [['a.*', 1], ['b', 1]]);
+  e = after(e, 2, '*');
+  t.deepEqual([...e].sort(), [['*', 2], ['a.*', 1], ['b', 1]], 'what was there is older than what now holds it');
+  e = after(e, 3, '*', 'a.c.*', 'c');
+  t.deepEqual([...e].sort(), [['*', 2], ['a.*', 1], ['b', 1]], 'what is cut off from another is as old as that');
+  e = after(e, 4, 'a.c.*', 'c');
+  t.deepEqual([...e].sort(), [['a.c.*', 1], ['c', 2]]);
+  e = after(e, 5);
+  t.deepEqual([...e], []);
+});
+
 test('by revision: the highest holds, a lower or equal one is answered with it and changes nothing, and all is read back', async (t) => {
   const s = await smallFleet(101);
   const [r1, r2] = s.relays as [SimNode, SimNode];
