--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -4,6 +4,7 @@
 import { BehaviorSubject } from 'rxjs';
 import invariant from 'tiny-invariant';
 import type { Board } from './board.js';
+import type { Eras } from './eras.js';
 import { matchCopies } from './placement.js';
 
 export type DiskState = 'active' | 'emptying' | 'lost';
@@ -28,8 +29,12 @@
   version: number;
   changeId: string;
   config: FleetConfig;
-  /** Family name -> version in which it was (last) born. */
-  born: Map<string, number>;
+  /** The operators' own number of what is in force; the highest holds. */
+  revision?: number;
+  /** The operators' own words, as JSON text: nothing in here reads them. */
+  document?: string;
+  /** Since which version the topics of a pattern have been there without a break. */
+  eras: Eras;
   disks: Map<string, DiskRec>;
   seats: string[];
   prevSeats: string[];
@@ -217,16 +222,16 @@
 
   /**
    * Applies a change to the latest agreed value. `fn` may run many times and must give the same outcome for the
-   * same value; without `next` it only reads. Fails with `no_majority` when it could not be told.
+   * same value; without `next` it only reads. Fails with `no_majority` when it could not be told, or when it is no longer `wanted`.
    */
-  async change<T>(fn: (v: Value) => { next?: Value; out: T }, limitMs: number = C.changeMs): Promise<T> {
+  async change<T>(fn: (v: Value) => { next?: Value; out: T }, limitMs: number = C.changeMs, wanted: () => boolean = () => true): Promise<T> {
     const { clock, rnd } = this.k.host;
     const until = clock.now() + limitMs;
     let why = 'no value known';
-    for (let tries = 0; clock.now() < until; tries++) {
+    for (let tries = 0; clock.now() < until && wanted(); tries++) {
       if (tries > 0) await sleep(clock, Math.min(600, 30 * 2 ** Math.min(tries, 4)) * (0.5 + rnd.next()));
       let h = this.value ?? this.hint;
-      if (!h) continue;
+      if (!h || !wanted()) continue;
       if (this.hint && this.hint.rev > h.rev) h = this.hint;
       const r = await this.round(h, fn);
       switch (r.tag) {
@@ -327,7 +332,7 @@
     const keepers = [...disks.values()].filter((d) => usedFor(d, 'copies'));
     const shards = new Map([...matchCopies(keepers, copies)].map(([s, at]) => [s, { gen: 1, copies: at }] as [number, Placement]));
     return {
-      fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, born: new Map(), disks, seats, prevSeats: seats, shards, copies,
+      fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, eras: new Map(), disks, seats, prevSeats: seats, shards, copies,
       changes: new Map(), moves: new Map(),
     };
   }
--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -1,6 +1,6 @@
 import { C, Failure, Kernel, type HoldingInfo, faultOf, loop, rank, register, retryAfter, sample, shardOf, sleep } from '@harecross/kernel';
 import { awayNow, type Board, type Register } from '@harecross/control';
-import { familyOf, type Frame } from '@harecross/schema';
+import { familyOf, urgencyOf, type Frame } from '@harecross/schema';
 import { distinctUntilChanged, map } from 'rxjs';
 import type { FanFrame, InterestItem } from './interest.js';
 import type { HistoryAnswer } from './owner.js';
@@ -205,7 +205,7 @@
     const had = conn.subs.get(topic);
     // Asked again, it is the same subscription with the same beginning: frames behind that may still be on their way.
     if (had) { await had.opened; return { sub: had.id, next: had.first }; }
-    if (conn.subs.size >= C.subsPerConnN) throw new Failure({ tag: 'overloaded', step: 'Subscribe', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+    if (conn.subs.size >= (this.reg.value?.config.limits?.subscriptionsPerConn ?? C.subsPerConnN)) throw new Failure({ tag: 'overloaded', step: 'Subscribe', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
     const fam = this.reg.value && familyOf(this.reg.value.config, topic);
     if (!fam) throw new Failure({ tag: 'unknown_topic', step: 'Subscribe', peer: this.k.self, topic });
     const now = this.k.host.clock.now();
@@ -317,9 +317,8 @@
     const v = this.reg.value;
     const fam = v && familyOf(v.config, topic);
     if (!fam) return C.flushMs;
-    const aim = (fam as { aimMs?: number }).aimMs;
-    const most = fam.urgency === 'urgent' ? C.flushUrgentMs : C.flushMs;
-    return aim === undefined ? most : Math.min(most, aim * C.flushShare);
+    const most = urgencyOf(v.config, fam) === 'urgent' ? C.flushUrgentMs : C.flushMs;
+    return fam.aimMs === undefined ? most : Math.min(most, fam.aimMs * C.flushShare);
   }
 
   /** Reads the owner's history from the least offset owed, one reader per topic. */
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,6 +1,6 @@
 import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, never, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
-import { matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
-import { familyOf, type Family } from '@harecross/schema';
+import { eraOf, matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
+import { familyOf, urgencyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Entry, type Fence } from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
 import { Interests, type InterestItem } from './interest.js';
@@ -37,7 +37,7 @@
     this.holding = new Holding(C.ownerHoldingN, 512, (v) => this.publish(v));
     k.on('Publish', (b: { sender: string; topic: string; seq: number; body: string }) => {
       const fam = this.family(b.topic, 'Publish');
-      const p = this.holding.offer(b, fam.urgency === 'urgent');
+      const p = this.holding.offer(b, urgencyOf(this.reg.value!.config, fam) === 'urgent');
       if (!p) throw new Failure({ tag: 'overloaded', step: 'Publish', peer: k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
       return p;
     }, true);
@@ -343,8 +343,8 @@
   }
 
   private visible(e: Entry): boolean {
-    const f = this.reg.value && familyOf(this.reg.value.config, e.topic);
-    return f !== undefined && this.reg.value!.born.get(f.name) === e.era;
+    const v = this.reg.value;
+    return v !== undefined && familyOf(v.config, e.topic) !== undefined && eraOf(v.eras, e.topic) === e.era;
   }
 
   // --- visits of relays ---
@@ -390,7 +390,7 @@
       default:
         return never(was);
     }
-    const era = this.reg.value!.born.get(fam.name)!;
+    const era = eraOf(this.reg.value!.eras, b.topic)!;
     const t = key.topicOf(b.topic, era);
     const e: Entry = { idx: key.last() + 1, fence: key.fence, topic: b.topic, off: t.pend + 1, era, sender: b.sender, seq: b.seq, body: b.body, at: this.k.host.clock.now() };
     key.log.push(e);
@@ -406,8 +406,8 @@
   }
 
   private view(key: Key, topic: string): { head: number; first: number; since: number; entries: Entry[] } {
-    const f = this.family(topic, 'History');
-    const t = key.topicOf(topic, this.reg.value!.born.get(f.name)!);
+    this.family(topic, 'History');
+    const t = key.topicOf(topic, eraOf(this.reg.value!.eras, topic)!);
     const first = t.entries[0]?.off ?? t.head + 1;
     return { head: t.head, first, since: t.since, entries: t.entries };
   }
