After a start nodes confirm often, and a fleet that comes back together recalls its value without a ballot

What a majority of seats has accepted under one ballot is agreed; asking is enough. The condition is said as soon as a node is confirmed, not at the next 200 ms.

--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,7 +1,7 @@
-import { C, Failure, Kernel, gather, loop, pack, register as plug, retryAfter, sleep, unpack, type DiskUse } from '@harecross/kernel';
+import { C, Failure, Kernel, every, gather, loop, pack, register as plug, retryAfter, sleep, unpack, type DiskUse } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
 import type { Store } from '@harecross/state';
-import { BehaviorSubject } from 'rxjs';
+import { BehaviorSubject, Subject } from 'rxjs';
 import invariant from 'tiny-invariant';
 import type { Board } from './board.js';
 import type { Eras } from './eras.js';
@@ -48,7 +48,7 @@
 
 interface Prepared { disk: string; ok: boolean; promised: string; ballot: string; value?: string }
 interface Accepted { disk: string; ok: boolean; promised: string }
-interface ReadBack { disk: string; rev: number; known: number }
+interface ReadBack { disk: string; rev: number; known: number; ballot: string }
 
 declare module '@harecross/kernel' {
   interface Faces { register: Register }
@@ -71,11 +71,15 @@
  */
 export class Register {
   readonly value$ = new BehaviorSubject<Value | undefined>(undefined);
+  /** From not being confirmed lately to being it. */
+  readonly fresh$ = new Subject<void>();
   readonly disk?: string;
   private confirmedAt = -Infinity;
   private readonly freshMs: number;
   private n = 0;
+  /** What our own seat has accepted, agreed or not, and under which ballot. */
   private hint?: Value;
+  private hintBallot = '';
   private fetching = new Map<string, Promise<void>>();
   private st?: Store;
 
@@ -86,7 +90,7 @@
       this.st = k.use('state');
       this.disk = this.st.get('disk')!;
       const s = this.st.seat();
-      if (s.value) this.hint = unpack(s.value) as Value;
+      if (s.value) { this.hint = unpack(s.value) as Value; this.hintBallot = s.ballot; }
       board.say({ disk: this.disk });
       this.serveSeat(this.st, this.disk);
     }
@@ -96,6 +100,15 @@
       return v ? pack(v) : undefined;
     });
     k.keep(loop(clock, C.confirmMs, rnd, () => this.confirm()));
+    // Until the first one, often, and not one after another: whom we ask may itself not be there yet.
+    let tries = 0;
+    const first = every(clock, C.firstConfirmMs, rnd).subscribe(() => {
+      if (this.confirmed()) { first.unsubscribe(); return; }
+      if (tries >= C.firstConfirmN) return;
+      tries++;
+      void this.confirm().catch(() => undefined).finally(() => { tries--; });
+    });
+    k.keep(first);
     if (db && k.host.config.seeds[0] === k.self) k.keep(loop(clock, C.foundMs, rnd, () => this.found()));
   }
 
@@ -108,6 +121,13 @@
     return this.value$.value !== undefined && this.k.host.clock.now() - this.confirmedAt <= this.freshMs;
   }
 
+  /** The one function that notes a confirmation. */
+  private confirmedSince(t0: number): void {
+    const was = this.fresh();
+    this.confirmedAt = Math.max(this.confirmedAt, t0);
+    if (!was && this.fresh()) this.fresh$.next();
+  }
+
   /** Whether our value was ever confirmed in this life of the process. */
   confirmed(): boolean {
     return this.value$.value !== undefined && this.confirmedAt > -Infinity;
@@ -137,12 +157,13 @@
         if (b.ballot < s.promised) return { disk, ok: false, promised: s.promised };
         st.saveSeat({ promised: b.ballot, ballot: b.ballot, value: b.value });
         this.hint = unpack(b.value) as Value;
+        this.hintBallot = b.ballot;
         return { disk, ok: true, promised: b.ballot };
       });
     });
     this.k.on('RegRead', (b: { disk: string }): ReadBack => {
       mine(b.disk, 'RegRead');
-      return { disk, rev: this.hint?.rev ?? 0, known: this.value?.rev ?? 0 };
+      return { disk, rev: this.hint?.rev ?? 0, known: this.value?.rev ?? 0, ballot: this.hintBallot };
     });
     this.k.on('RegWho', () => ({ disk, fleet: st.get('fleet') }));
   }
@@ -185,7 +206,7 @@
     if (!this.value) {
       const from = this.board.somePeers(1).concat(config.seeds.filter((s) => s !== this.k.self));
       await this.fetch(from[Math.floor(rnd.next() * from.length)]!);
-      if (!this.value && this.hint && this.hint.rev > 0) await this.read().catch(() => undefined);
+      if (!this.value && this.hint && this.hint.rev > 0) await this.recall(this.hint, this.hintBallot);
       if (!this.value) return false;
     }
     for (let i = 0; i < 3; i++) {
@@ -200,7 +221,7 @@
       const top = got.reduce((a, b) => (b.rev > a.rev ? b : a));
       if (top.rev <= v.rev) {
         if (this.value!.rev > v.rev) continue;
-        this.confirmedAt = Math.max(this.confirmedAt, t0);
+        this.confirmedSince(t0);
         return true;
       }
       const knows = got.find((r) => r.known >= top.rev);
@@ -212,11 +233,35 @@
     return false;
   }
 
+  /**
+   * After a restart: what our own disk accepted is agreed, and nothing newer is, if a majority of the seats has accepted it under
+   * the same ballot: a newer value would be on one of them. So a fleet that comes back together needs no new ballot.
+   */
+  private async recall(hint: Value, ballot: string): Promise<void> {
+    const t0 = this.k.host.clock.now();
+    const heard = new Set<string>();
+    const other = { is: false };
+    await gather(
+      this.ask<ReadBack>(union(hint), 'RegRead', {}).map((p) => p.then((r) => {
+        if (r.ballot === ballot) heard.add(r.disk); else other.is = true;
+        return r;
+      })),
+      () => majority(bothSets(hint), heard),
+    );
+    if (majority(bothSets(hint), heard)) {
+      this.k.count('register.recalled');
+      this.learn(hint);
+      this.confirmedSince(t0);
+    } else if (other.is && !this.value) {
+      await this.read().catch(() => undefined);
+    }
+  }
+
   /** The value as a majority has it now. */
   async read(): Promise<Value> {
     const t0 = this.k.host.clock.now();
     const v = await this.change((x) => ({ out: x }));
-    this.confirmedAt = Math.max(this.confirmedAt, t0);
+    this.confirmedSince(t0);
     return v;
   }
 
--- a/packages/data/src/node.ts
+++ b/packages/data/src/node.ts
@@ -38,6 +38,8 @@
     if (owner?.forlorn()) illUntil = host.clock.now() + C.illMs;
     return host.clock.now() < illUntil ? 'ill' : 'ready';
   };
-  kernel.keep(loop(host.clock, 200, host.rnd, async () => { if (kernel.phase === 'running') board.say({ condition: condition() }); }));
+  const say = (): void => { if (kernel.phase === 'running') board.say({ condition: condition() }); };
+  kernel.keep(loop(host.clock, 200, host.rnd, async () => say()));
+  kernel.keep(reg.fresh$.subscribe(say));
   return { kernel, edge: kernel.use('edge') };
 }
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -161,6 +161,9 @@
   // --- register ---
   /** Every node confirms its version at a majority this often ... */
   confirmMs: 600,
+  /** Before the first confirmation after a start a node tries this often, this many at once: traffic waits for it. */
+  firstConfirmMs: 60,
+  firstConfirmN: 4,
   /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
   applyMs: 3_000,
   /** ... and serves only while the last confirmation began at most this share of it ago. */
