A node that is behind answers nobody who knows more: it waits, and then says that it cannot tell

Now it fetches again while there is time, and answers not_ready, which the asker takes as an owner that can't serve. The other way round: a relay told by an owner that a topic is gone, which its own configuration still has, passed that on after half of the family's patience, and the next owner, as far behind as the relay, could have taken it back; it now says not_ready until it has that configuration itself. What an earlier try may have stored is no longer called unknown_topic but outcome_unknown. A subscription whose family went while it was being opened is told unknown_topic, not unknown_conn.

--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -195,7 +195,11 @@
       }
       const next = cursor === undefined ? o.head + 1 : Math.max(cursor + 1, o.since);
       if (next < o.first) throw new Failure({ tag: 'cursor_expired', step: 'Subscribe', peer: this.k.self, first: o.first, head: o.head });
-      if (!sub.live) throw new Failure({ tag: 'unknown_conn', step: 'Subscribe', peer: this.k.self });
+      if (!sub.live) {
+        // Its family went meanwhile, or its conn, or the consumer left it.
+        const removed = this.reg.value !== undefined && !familyOf(this.reg.value.config, topic);
+        throw new Failure(removed ? { tag: 'unknown_topic', step: 'Subscribe', peer: this.k.self, topic } : { tag: 'unknown_conn', step: 'Subscribe', peer: this.k.self });
+      }
       sub.first = sub.next = next;
       h.seen = Math.max(h.seen, o.head);
       if (next <= h.seen) this.pull(h);
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -103,7 +103,15 @@
       } catch (e) {
         f = faultOf(e, m, peer);
       }
+      // Whatever the last try was told, an earlier one may have been stored.
+      const end = (): Failure => new Failure(perhaps && m === 'Publish' ? { tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) } : f);
       switch (f.tag) {
+        case 'unknown_topic':
+          // An owner answers by a configuration that is at least as new as ours. Where ours still has the topic, we do not say that it is
+          // gone before we have that one too: another owner, as far behind as we are, would take it back.
+          if (!familyOf(this.reg.value!.config, topic)) throw end();
+          lostSince ??= clock.now();
+          break;
         case 'unreachable':
         case 'not_ready':
           lostSince ??= clock.now();
@@ -112,10 +120,6 @@
           lostSince ??= clock.now();
           if (f.hint) this.hint(shard, f.hint, readFence(f.hint).peer);
           break;
-        case 'unknown_topic':
-          // The owner's configuration may be behind ours; frames bring it up.
-          if (until - clock.now() < patienceMs / 2 || !familyOf(this.reg.value!.config, topic)) throw new Failure(f);
-          break;
         case 'timeout':
         case 'cut':
         case 'fenced':
@@ -125,9 +129,7 @@
           perhaps = true;
           break;
         default:
-          // Whatever the last try was told, an earlier one may have been stored.
-          if (perhaps && m === 'Publish') throw new Failure({ tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) });
-          throw new Failure(f);
+          throw end();
       }
       if (until - clock.now() <= C.ownerRetryMs) break;
       await sleep(clock, C.ownerRetryMs);
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -144,6 +144,8 @@
   freshMs: 2_400,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
   seatsN: 7,
+  /** A visit from a peer that knows a newer value waits for it; what could not be fetched is fetched again after this long. */
+  behindRetryMs: 40,
   /** Change attempts give up after this long, and say so. */
   changeMs: 6_000,
   /** A configuration with a revision is brought into force for this long after it was last sent, whether its sender waits or not. */
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -240,6 +240,19 @@
     return a.ok as T;
   }
 
+  /** Waits, for half of a call, until we have what a peer has; says whether we do. */
+  private async catchUp(rev: number, peer: string): Promise<boolean> {
+    const { clock } = this.host;
+    const until = clock.now() + C.callMs / 2;
+    for (;;) {
+      await within(clock, until - clock.now(), this.onNewer(rev, peer));
+      if (this.rev >= rev) return true;
+      if (clock.now() + C.behindRetryMs >= until) return false;
+      // The fetch failed, or one that was begun earlier brought less.
+      await sleep(clock, C.behindRetryMs);
+    }
+  }
+
   private async answer(frame: string): Promise<string> {
     const now = this.host.clock.now();
     this.count('peer.in');
@@ -250,8 +263,12 @@
       stringify({ rev: this.rev, now: this.host.clock.now(), ...x });
     const h = this.handlers.get(a.m);
     if (a.rev > this.rev) {
-      const newer = this.onNewer(a.rev, a.from);
-      if (h?.current) await within(this.host.clock, C.callMs / 2, newer);
+      if (!h?.current) void this.onNewer(a.rev, a.from);
+      else if (!(await this.catchUp(a.rev, a.from))) {
+        // Who asks knows more than we do: an answer by what we have could take back what its callers were told already.
+        this.count('peer.behind');
+        return out({ err: { tag: 'not_ready', step: a.m, peer: this.self, retryAfterMs: retryAfter(this.host.rnd, C.retryMs) } });
+      }
     }
     if (!h) return out({ err: { tag: 'unknown_method', step: a.m, peer: this.self, method: a.m } });
     if (this.phase === 'stopped') {
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -1,9 +1,9 @@
 import { eraOf, erasAfter, type Eras } from '@harecross/control';
-import { familyOf, isUrgent, Patterns, urgencyOf, type Family, type FleetConfig } from '@harecross/schema';
+import { familyOf, isUrgent, Patterns, urgencyOf, type Family, type FleetConfig, type Frame } from '@harecross/schema';
 import test from 'ava';
 import fc from 'fast-check';
 import type { SimNode } from '../sim.js';
-import { FAMILIES, smallFleet } from './small-fleet.js';
+import { FAMILIES, smallFleet, type Small } from './small-fleet.js';
 
 const SEED = 20_262;
 
@@ -123,3 +123,117 @@
   t.deepEqual((await s.ask(r1, 'ReadConfig', {})).body, { version: 6, changeId: 'plan', revision: 20, document: 'words', config: { families: FAMILIES, moves: [] } });
   s.sim.close();
 });
+
+/** Publishes bodies on a topic, with rising seqs of one sender. */
+async function say(s: Small, n: SimNode, topicName: string, ...bodies: string[]): Promise<void> {
+  for (const body of bodies) {
+    const r = await s.ask(n, 'Publish', { sender: 'desk', topic: topicName, seq: ++seqs, body });
+    if (r.status !== 200) throw new Error(JSON.stringify(r));
+  }
+}
+let seqs = 0;
+const bodiesOf = (frames: Frame[]): string[] => frames.flatMap((f) => (f.t === 'DELIVER' ? [f.body] : []));
+
+test('a family may be renamed, cut in two, or lie inside another: its topics keep their history, cursors and subscriptions', async (t) => {
+  const s = await smallFleet(102);
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  const live = await s.attach(r1, 'live', 60);
+  t.is((await s.ask(r1, 'Subscribe', { conn: live.conn, topic: 'feed/1' })).status, 200);
+  const steps: Family[][] = [
+    [family('other name', ['feed/*'])],
+    [family('feeds', ['alarm/*']), family('alarms', ['feed/*'])],
+    [family('feeds', ['feed/*']), family('inner', ['feed/1*'])],
+    [family('inner', ['feed/1*'])],
+    [family('one', ['feed/1'])],
+    [family('all', ['*'])],
+    [family('all', ['*']), family('back', ['feed/*', 'feed/1'])],
+  ];
+  await say(s, r2, 'feed/1', 'first');
+  for (const [i, families] of steps.entries()) {
+    t.is((await s.ask(r2, 'SubmitConfig', { revision: i + 1, config: { families } })).status, 200);
+    await say(s, r2, 'feed/1', `after ${i}`);
+    await s.pass(500);
+    const late = await s.attach(r2, `late${i}`);
+    t.deepEqual((await s.ask(r2, 'Subscribe', { conn: late.conn, topic: 'feed/1', cursor: 0 })).body.next, 1, `step ${i}`);
+    await s.pass(1_000);
+    t.deepEqual(bodiesOf(late.frames), ['first', ...steps.slice(0, i + 1).map((_, j) => `after ${j}`)], `step ${i}`);
+  }
+  t.deepEqual(bodiesOf(live.frames), ['first', ...steps.map((_, j) => `after ${j}`)]);
+  t.false(live.frames.some((f) => f.t === 'LEFT'));
+  s.sim.close();
+});
+
+test('a topic that no family held for one version shows nothing older, whatever its family is called then', async (t) => {
+  const s = await smallFleet(103);
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  const live = await s.attach(r1, 'live', 60);
+  await s.ask(r1, 'Subscribe', { conn: live.conn, topic: 'feed/1' });
+  await say(s, r2, 'feed/1', 'old 1', 'old 2');
+  await s.pass(500);
+  const all = [family('feeds', ['feed/*'])];
+  t.is((await s.ask(r2, 'SubmitConfig', { revision: 1, config: { families: [family('feeds', ['food/*'])] } })).status, 200);
+  await s.pass(3_000);
+  t.deepEqual(live.frames.filter((f) => f.t === 'LEFT').map((f) => f.reason), ['topic_removed']);
+  t.is((await s.ask(r1, 'Publish', { sender: 'desk', topic: 'feed/1', seq: ++seqs, body: 'gone' })).body.error.tag, 'unknown_topic');
+  t.is((await s.ask(r1, 'Subscribe', { conn: live.conn, topic: 'feed/1' })).body.error.tag, 'unknown_topic');
+  t.is((await s.ask(r2, 'SubmitConfig', { revision: 2, config: { families: all } })).status, 200);
+  await s.pass(500);
+  t.is((await s.ask(r1, 'Subscribe', { conn: live.conn, topic: 'feed/1', cursor: 0 })).body.next, 3);
+  await say(s, r2, 'feed/1', 'new');
+  await s.pass(1_000);
+  t.deepEqual(bodiesOf(live.frames), ['old 1', 'old 2', 'new']);
+  s.sim.close();
+});
+
+/** A store that learns of newer values from nobody: its fetches hang, and it is cut off from the other stores. */
+function holdBack(s: Small, n: SimNode): () => void {
+  const k = n.kernel!;
+  const { onNewer } = k;
+  k.onNewer = () => new Promise(() => undefined);
+  for (const o of s.stores) if (o !== n) s.sim.cut(o.name, n.name);
+  return () => { k.onNewer = onNewer; s.sim.heal(); };
+}
+
+test('an owner that is behind does not refuse what is there: it waits for the newer configuration, and says that it cannot tell', async (t) => {
+  const s = await smallFleet(104);
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  const owner = s.ownerOf('new/1');
+  const config = { families: [...FAMILIES, family('new', ['new/*'])] };
+  const free = holdBack(s, owner);
+  const taken = await s.ask(r2, 'SubmitConfig', { revision: 1, config });
+  t.is(taken.status, 200);
+  await s.pass(300);
+  const value = (n: SimNode) => n.kernel!.use('register').value!;
+  t.is(value(r1).version, 2);
+  t.is(value(owner).version, 1);
+  t.true(owner.kernel!.use('register').fresh(), 'it may still serve by what it has');
+  const conn = (await s.attach(r1, 'phone')).conn;
+  const got = await Promise.all([
+    s.ask(r1, 'Publish', { sender: 'desk', topic: 'new/1', seq: 1, body: 'x' }),
+    s.ask(r1, 'Subscribe', { conn, topic: 'new/1' }),
+    s.ask(r1, 'Listeners', { topic: 'new/1' }),
+  ]);
+  t.deepEqual(got.map((r) => r.body.rejected?.reason ?? r.body.error?.tag), ['not_ready', 'not_ready', 'not_ready']);
+  free();
+  await s.pass(1_500);
+  t.is((await s.ask(r1, 'Publish', { sender: 'desk', topic: 'new/1', seq: 1, body: 'x' })).status, 200);
+  t.is((await s.ask(r1, 'Subscribe', { conn, topic: 'new/1' })).status, 200);
+  t.is((await s.ask(r1, 'Listeners', { topic: 'new/1' })).body.count, 1);
+  s.sim.close();
+});
+
+test('an owner that is behind does not take what is gone: it accepts nothing for a node that has the newer configuration', async (t) => {
+  const s = await smallFleet(105);
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  const owner = s.ownerOf('feed/1');
+  const free = holdBack(s, owner);
+  // Removed and made anew: at r1 the topic is there in both, and what the owner would accept now nobody would ever see.
+  t.is((await s.ask(r2, 'SubmitConfig', { revision: 1, config: { families: [] } })).status, 200);
+  t.is((await s.ask(r2, 'SubmitConfig', { revision: 2, config: { families: FAMILIES } })).status, 200);
+  await s.pass(200);
+  t.true(owner.kernel!.use('register').fresh());
+  t.is(owner.kernel!.use('register').value!.version, 1);
+  t.is((await s.ask(r1, 'Publish', { sender: 'desk', topic: 'feed/1', seq: 1, body: 'x' })).body.rejected?.reason, 'not_ready');
+  free();
+  s.sim.close();
+});
