Two operators by revision, tried at random: order, resends, late old ones, machines in trouble

The first try showed that a node which is behind answered an old revision with the one it knew, though a higher one was in force: what a submission is answered with is now confirmed at a majority first, for at most 400 ms.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, faultOf, loop, rank, register } from '@harecross/kernel';
+import { C, Failure, Kernel, faultOf, loop, rank, register, within } from '@harecross/kernel';
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { erasAfter } from './eras.js';
@@ -295,10 +295,13 @@
 
   /** Answers what a value that the fleet agreed on has settled, whoever brought it about. */
   private settle(): void {
-    for (const s of this.submissions) {
-      const a = this.inForce(s);
-      if (a) { this.submissions.delete(s); s.res(a); }
-    }
+    for (const s of this.submissions) if (this.inForce(s)) { this.submissions.delete(s); void this.tell(s); }
+  }
+
+  /** That it is settled is certain. What is in force by now a majority tells; without one, it is what we know. */
+  private async tell(s: Submission): Promise<void> {
+    await within(this.k.host.clock, C.callMs / 2, this.reg.confirm().catch(() => false));
+    s.res(this.inForce(s)!);
   }
 
   /**
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -1,8 +1,9 @@
 import { eraOf, erasAfter, type Eras } from '@harecross/control';
+import { sleep, type Kernel } from '@harecross/kernel';
 import { familyOf, isUrgent, Patterns, urgencyOf, type Family, type FleetConfig, type Frame } from '@harecross/schema';
 import test from 'ava';
 import fc from 'fast-check';
-import type { SimNode } from '../sim.js';
+import { seeded, type SimNode } from '../sim.js';
 import { FAMILIES, smallFleet, type Small } from './small-fleet.js';
 
 const SEED = 20_262;
@@ -237,3 +238,156 @@
   free();
   s.sim.close();
 });
+
+/** One configuration of an operator, and when it is sent for the first time and, perhaps, once more. */
+interface Order { revision: number; at: number; again?: number; valid: boolean; config: unknown; document: unknown }
+interface Trouble { at: number; forMs: number; node: number; kind: 'kill' | 'freeze' | 'cut' }
+
+/** Two operators, one with even and one with odd numbers, that rise by uneven steps; not every number is sent in its turn. */
+const orders: fc.Arbitrary<Order[]> = fc.array(fc.record({
+  step: fc.integer({ min: 1, max: 4 }), at: fc.nat({ max: 9_000 }), again: fc.option(fc.nat({ max: 14_000 }), { nil: undefined }),
+  valid: fc.integer({ min: 0, max: 3 }).map((n) => n > 0), families, document: fc.jsonValue(),
+}), { minLength: 5, maxLength: 12 }).map((xs) => {
+  const next = [0, 1];
+  return xs.map(({ step, at, again, valid, families: fs, document }, i) => {
+    const revision = (next[i % 2]! += 2 * step);
+    return { revision, at, again, valid, config: valid ? { families: fs } : { families: [...fs, family('spoilt', [])] }, document };
+  });
+});
+const troubles: fc.Arbitrary<Trouble[]> = fc.array(fc.record({
+  at: fc.nat({ max: 9_000 }), forMs: fc.integer({ min: 200, max: 4_000 }), node: fc.nat({ max: 4 }), kind: fc.constantFrom('kill', 'freeze', 'cut'),
+}), { maxLength: 3 });
+
+test('two operators, any order, resends, late old ones, and machines in trouble: the highest revision holds and is read back whole', async (t) => {
+  let overtaken = 0;
+  let tries = 0;
+  let checked = 0;
+  for (const [i, [os, ts]] of fc.sample(fc.tuple(orders, troubles), { seed: SEED, numRuns: 24 }).entries()) {
+    const s = await smallFleet(200 + i);
+    const { sim } = s;
+    const nodes = [...s.stores, ...s.relays];
+    const rnd = seeded(i);
+    const what = (x: unknown): string => `run ${i}: ${JSON.stringify(x)}`;
+    const sent = new Map(os.map((o) => [o.revision, o]));
+    const told: { t: number; revision: number }[] = [];
+    let left = 0;
+    const from = sim.now;
+    const send = async (o: Order): Promise<void> => {
+      for (let pause = 100; ; pause = Math.min(1_600, pause * 2)) {
+        const asked = sim.now;
+        tries++;
+        const r = await sim.outside.visit(nodes[Math.floor(rnd.next() * nodes.length)]!.config.client, 'SubmitConfig', { revision: o.revision, document: o.document, config: o.config }, 1_000);
+        if (r && r.status < 500) {
+          t.is(r.status, o.valid ? 200 : 400, what(r));
+          if (!o.valid) { t.is(r.body.error.tag, 'invalid_config'); return; }
+          t.true(r.body.revision >= o.revision && sent.get(r.body.revision)?.valid, what([o.revision, r.body]));
+          // Nothing that was told before this was asked is taken back, while there is a majority to ask.
+          const calm = !ts.some((x) => from + x.at <= sim.now && asked <= from + x.at + x.forMs + 2_500);
+          if (calm) for (const x of told) if (x.t < asked) t.true(r.body.revision >= x.revision, what([r.body, x]));
+          if (calm) checked++;
+          told.push({ t: sim.now, revision: r.body.revision });
+          if (r.body.revision > o.revision) overtaken++;
+          return;
+        }
+        await sleep(sim.clock, pause * (0.5 + rnd.next()));
+      }
+    };
+    for (const o of os) {
+      for (const at of [o.at, o.again]) if (at !== undefined) { left++; sim.clock.after(at, () => void send(o).then(() => { left--; }, (e) => { t.fail(String(e)); })); }
+    }
+    for (const x of ts) {
+      const n = nodes[x.node]!;
+      sim.clock.after(x.at, () => {
+        switch (x.kind) {
+          case 'kill': sim.kill(n); sim.clock.after(x.forMs, () => void sim.start(n)); break;
+          case 'freeze': sim.freeze(n); sim.clock.after(x.forMs, () => sim.thaw(n)); break;
+          case 'cut': for (const o of nodes) if (o !== n) sim.cut(o.name, n.name); sim.clock.after(x.forMs, () => sim.heal()); break;
+        }
+      });
+    }
+    // What each life of a process has in force never goes back, and is what was sent under its number.
+    const seen = new Map<Kernel, { rev: number; revision: number }>();
+    const look = (): void => {
+      for (const n of nodes) {
+        const v = n.up ? n.kernel?.use('register').value : undefined;
+        if (!v || v.version < 2) continue;
+        const was = seen.get(n.kernel!);
+        if (was?.rev === v.rev) continue;
+        const o = sent.get(v.revision!);
+        t.true(o?.valid && v.revision! >= (was?.revision ?? 0), what([n.name, v.revision, was]));
+        t.is(JSON.stringify(v.config), JSON.stringify(o!.config));
+        seen.set(n.kernel!, { rev: v.rev, revision: v.revision! });
+      }
+    };
+    for (let ms = 0; ms < 60_000 && (ms < 16_000 || left); ms += 20) { await sim.run(sim.now + 20); look(); }
+    t.is(left, 0, what('every call was answered'));
+    await s.pass(3_000);
+    const top = Math.max(...os.filter((o) => o.valid).map((o) => o.revision));
+    for (const n of nodes) {
+      const { body } = await s.ask(n, 'ReadConfig', {});
+      t.is(body.revision, top, what(n.name));
+      t.is(JSON.stringify(body.config), JSON.stringify(sent.get(top)!.config));
+      t.is(JSON.stringify(body.document), JSON.stringify(sent.get(top)!.document));
+    }
+    sim.close();
+  }
+  t.log(`${tries} tries, ${overtaken} answered with a higher revision, ${checked} while all was calm`);
+  t.true(overtaken > 50 && checked > 100);
+});
+
+test('one revision sent to every node at once, and then a different one to each: nobody is kept waiting for a second', async (t) => {
+  const s = await smallFleet(106);
+  const nodes = [...s.stores, ...s.relays];
+  const submit = async (n: SimNode, revision: number): Promise<{ ms: number; revision: number }> => {
+    const from = s.sim.now;
+    const r = await s.sim.outside.visit(n.config.client, 'SubmitConfig', { revision, config: { families: FAMILIES } }, 10_000);
+    return { ms: s.sim.now - from, revision: r!.body.revision };
+  };
+  const all = async (of: (i: number) => number): Promise<{ ms: number; revision: number }[]> => {
+    let got: { ms: number; revision: number }[] | undefined;
+    void Promise.all(nodes.map((n, i) => submit(n, of(i)))).then((x) => { got = x; });
+    while (!got) await s.pass(10);
+    return got;
+  };
+  const took: number[] = [];
+  for (let i = 1; i <= 40; i++) {
+    const same = await all(() => i * 10);
+    t.true(same.every((x) => x.revision === i * 10));
+    const apart = await all((n) => i * 10 + 1 + n);
+    t.true(apart.every((x, n) => x.revision > i * 10 + n));
+    t.is(Math.max(...apart.map((x) => x.revision)), i * 10 + nodes.length);
+    took.push(...same.map((x) => x.ms), ...apart.map((x) => x.ms));
+  }
+  took.sort((a, b) => a - b);
+  t.log(`${took.length} answers, ms of virtual time: half within ${took[took.length >> 1]}, 99 in 100 within ${took[Math.floor(took.length * 0.99)]}, all within ${took.at(-1)}`);
+  t.true(took[Math.floor(took.length * 0.99)]! < 1_000);
+  s.sim.close();
+});
+
+test('a submission goes on when its sender has left, and is given up in time when no majority comes', async (t) => {
+  const s = await smallFleet(107);
+  const [r1] = s.relays as [SimNode];
+  const [a, b, c] = s.stores as [SimNode, SimNode, SimNode];
+  sendOff(s, r1, 5);
+  sendOff(s, r1, 4);
+  s.sim.kill(a);
+  s.sim.kill(b);
+  await s.pass(6_000);
+  t.is(r1.kernel!.use('register').value!.revision, undefined);
+  void s.sim.start(a);
+  await s.pass(3_000);
+  t.is(r1.kernel!.use('register').value!.revision, 5, 'its senders had gone 5 s before');
+  s.sim.kill(a);
+  const late = await s.ask(r1, 'SubmitConfig', { revision: 9, config: { families: [] } });
+  t.is(late.body.error.tag, 'no_majority');
+  t.is(late.status, 503);
+  t.true(late.body.error.retryAfterMs > 0);
+  // One that is not above the revision in force is answered without asking anybody.
+  t.deepEqual((await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: [] } })).body, { version: 2, revision: 5 });
+  s.sim.close();
+});
+
+/** Sends a revision and hangs up after 100 ms. */
+function sendOff(s: Small, n: SimNode, revision: number): void {
+  void s.sim.outside.visit(n.config.client, 'SubmitConfig', { revision, config: { families: FAMILIES } }, 100);
+}
