--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -106,7 +106,7 @@
       if (!m.disk || now - m.liveSince < C.joinAfterMs || this.k.host.clock.wall() < waitsFor(v, m.peer)) continue;
       const d = disks.get(m.disk);
       if (!d) {
-        disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses });
+        disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name });
         said.push(`disk ${m.disk} joins at ${m.peer}`);
         for (const o of v.disks.values()) {
           if (o.peer === m.peer && o.state !== 'lost') { disks.set(o.id, { ...o, state: 'lost' }); said.push(`disk ${o.id} was replaced`); }
@@ -187,6 +187,11 @@
   }
 }
 
+/** A disk by its id, or by the name of the machine it is in. */
+const diskNamed = (v: Value, x: string): DiskRec | undefined => {
+  const there = [...v.disks.values()].filter((d) => d.name === x);
+  return v.disks.get(x) ?? there.find((d) => d.state !== 'lost') ?? there[0];
+};
 const moveKey = (m: Move): string => `${m.id}@${m.from}`;
 /**
  * Copies that a disk still has.
@@ -411,14 +416,14 @@
   async setDisk(disk: string, state: 'active' | 'emptying', step: string): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
     if (!this.reg.value) throw notReady(this.k, step);
     return this.reg.change((v) => {
-      const d = v.disks.get(disk);
+      const d = diskNamed(v, disk);
       if (!d) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
-      const told = { disk, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
+      const told = { disk: d.id, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
       if (d.state === state) return { out: told };
       if (d.state === 'lost') throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: `disk ${disk} is lost` });
       const bar = state === 'emptying' ? barTo(v, { kind: 'empty' }, d, this.board) : undefined;
       if (bar) throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: bar });
-      return { next: { ...v, disks: new Map(v.disks).set(disk, { ...d, state }) }, out: told };
+      return { next: { ...v, disks: new Map(v.disks).set(d.id, { ...d, state }) }, out: told };
     });
   }
 
@@ -426,9 +431,10 @@
   emptyStatus(disk: string): { disk: string; state: string; copies: number; seat: boolean } {
     const v = this.reg.value;
     if (!v) throw notReady(this.k, 'EmptyStatus');
-    const d = v.disks.get(disk);
+    const d = diskNamed(v, disk);
     if (!d) throw new Failure({ tag: 'unknown_disk', step: 'EmptyStatus', peer: this.k.self, disk });
-    return { disk, state: d.state === 'emptying' && isBare(v, disk) ? 'emptied' : d.state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
+    const { id } = d;
+    return { disk: id, state: d.state === 'emptying' && isBare(v, id) ? 'emptied' : d.state, copies: copiesOn(v, id), seat: v.seats.includes(id) };
   }
 
   /** The calendar in force, with how far each move has come. */
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -9,7 +9,7 @@
 
 export type DiskState = 'active' | 'emptying' | 'lost';
 /** `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
-export interface DiskRec { id: string; peer: string; domain: string; state: DiskState; uses?: DiskUse[] }
+export interface DiskRec { id: string; peer: string; domain: string; state: DiskState; uses?: DiskUse[]; name?: string }
 /**
  * Whether a disk is for this.
  * @example
@@ -370,7 +370,7 @@
 
   private genesis(seats: string[], fleet: string): Value {
     const disks = new Map<string, DiskRec>();
-    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses });
+    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name });
     seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active', uses: ['seat'] }); });
     const { losses } = this.k.host.config;
     const copies = losses === undefined ? C.copiesN : 2 * losses + 1;
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -1,7 +1,6 @@
 import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, type Fault } from '@harecross/kernel';
 import { awayNow, notReady, type Board, type Operators, type Register } from '@harecross/control';
 import { Rpcs, configFaults, familyOf, isUrgent, visitFault, type Method, type Visit } from '@harecross/schema';
-import fastify from 'fastify';
 import { frameLines, type Holds, type Sink } from './holds.js';
 import type { Route } from './route.js';
 
@@ -277,6 +276,8 @@
  * const close = await serveHttp(edge, '127.0.0.1:7001');
  */
 export async function serveHttp(k: Kernel, edge: Edge, at: string): Promise<() => Promise<void>> {
+  // Loaded only where it serves: a node that is reached otherwise starts without it.
+  const { default: fastify } = await import('fastify');
   const app = fastify({ bodyLimit: 2 * 1024 * 1024, keepAliveTimeout: 30_000 });
   const send = (reply: any, r: Reply): unknown => {
     const ms = r.body?.error?.retryAfterMs ?? r.body?.rejected?.retryAfterMs;
