--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, faultOf, loop, rank, register, within } from '@harecross/kernel';
+import { C, Failure, Kernel, faultOf, loop, rank, register, sleep } from '@harecross/kernel';
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { erasAfter } from './eras.js';
@@ -298,9 +298,10 @@
     for (const s of this.submissions) if (this.inForce(s)) { this.submissions.delete(s); void this.tell(s); }
   }
 
-  /** That it is settled is certain. What is in force by now a majority tells; without one, it is what we know. */
+  /** It is settled, but something higher may be in force by now: a majority tells. Without one, in the end, it is what we know. */
   private async tell(s: Submission): Promise<void> {
-    await within(this.k.host.clock, C.callMs / 2, this.reg.confirm().catch(() => false));
+    const { clock, rnd } = this.k.host;
+    while (!(await this.reg.confirm().catch(() => false)) && clock.now() < s.until) await sleep(clock, C.submitAskMs * (0.5 + rnd.next()));
     s.res(this.inForce(s)!);
   }
 
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -152,6 +152,8 @@
   submitMs: 10_000,
   /** One try at that; then the highest revision that was sent meanwhile is taken up instead. */
   submitTryMs: 2_000,
+  /** What is in force is asked of a majority again after about this long, before an old revision is answered. */
+  submitAskMs: 200,
   /** Change ids remembered with their outcome. */
   changeIdsN: 4_096,
   /** Founders look around this long for other disks before they found. */
--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -311,13 +311,38 @@
     return { out: 'unanswered' };
   }
 
+  /**
+   * Sends a configuration with a revision, the same one to any node until it has a clear answer; a second of silence is none. Callers
+   * of this kind may be several: the highest revision holds.
+   */
+  async revise(revision: number, config: unknown, valid: boolean, document: unknown): Promise<{ out: string; version?: number }> {
+    const { clock, journal, way, rnd } = this.w;
+    const changeId = `revision-${revision}`;
+    for (let i = 0; i < 60; i++) {
+      const node = sample(rnd, way.nodes(), 1)[0];
+      if (!node) { await sleep(clock, 400); continue; }
+      const asked = clock.now();
+      journal.add({ k: 'cfg.submit', changeId, revision, document, config, valid });
+      const r = await way.visit(node, 'SubmitConfig', { revision, document, config }, 1_000);
+      if (r?.status === 200) {
+        const out = r.body.revision === revision ? 'taken' as const : 'overtaken' as const;
+        journal.add({ k: 'cfg.answer', changeId, out, version: r.body.version, revision: r.body.revision, asked });
+        return { out, version: r.body.version };
+      }
+      if (r?.body?.error?.tag === 'invalid_config') { journal.add({ k: 'cfg.answer', changeId, out: 'invalid' }); return { out: 'invalid' }; }
+      journal.add({ k: 'cfg.answer', changeId, out: 'unanswered' });
+      await sleep(clock, Math.min(1_600, 100 * 2 ** i) * (0.5 + rnd.next()));
+    }
+    return { out: 'unanswered' };
+  }
+
   async read(last = false): Promise<number | undefined> {
     const { clock, journal, way, rnd } = this.w;
     for (let i = 0; i < 20; i++) {
       const node = sample(rnd, way.nodes(), 1)[0];
       const asked = clock.now();
       const r = node ? await way.visit(node, 'ReadConfig', {}, 8_000) : undefined;
-      if (r?.status === 200) { journal.add({ k: 'cfg.read', asked, version: r.body.version, config: r.body.config, last }); return r.body.version; }
+      if (r?.status === 200) { journal.add({ k: 'cfg.read', asked, version: r.body.version, revision: r.body.revision, document: r.body.document, config: r.body.config, last }); return r.body.version; }
       await sleep(clock, 400);
     }
     return undefined;
--- a/packages/trial/src/faults.ts
+++ b/packages/trial/src/faults.ts
@@ -1,5 +1,6 @@
 import { C, sleep } from '@harecross/kernel';
-import { Consumer, Marker, Sender } from './actors.js';
+import type { FleetConfig } from '@harecross/schema';
+import { Consumer, Marker, Operator, Sender } from './actors.js';
 import { configOf, SMALL, type Scenario, type Site, type Stage } from './scenario.js';
 
 const SIX_DISKS: Site = { ...SMALL, name: 'six-disks', relayDisks: 3 };
@@ -259,6 +260,55 @@
     s.note(`${asked} answers on markers`);
     if (asked < 4_000) throw new Error(`only ${asked} answers on markers: too few to see a quarter of a second`);
   } }],
+  ['revisions', { forMs: 50_000, faults: async (s) => {
+    // Two operators at once, each with revisions of its own, resent and late, some invalid; families are renamed, cut in two and put
+    // inside one another under traffic. Markers show by which configuration every access node serves, while machines have trouble.
+    const m = new Marker(s.world);
+    const base = configOf(s.site).families;
+    const [r, u] = [base[0]!, base[1]!];
+    const shapes: FleetConfig['families'][] = [
+      base,
+      [{ ...r, name: u.name }, { ...u, name: r.name }],
+      [{ ...r, topics: ['r/*', 'r/1*'] }, u],
+      [r, { ...r, name: 'inner', topics: ['r/1*', 'r/2'] }, u],
+      [{ ...r, topics: ['r*'] }, { ...u, topics: ['u*', 'u/0'] }],
+    ];
+    let n = 0;
+    const operators = [s.crowd.operator, new Operator(s.world, 'other')];
+    const order = (i: number): Promise<unknown> => {
+      const mark = ++n;
+      const revision = mark * 3 + i;
+      const families = [...shapes[Math.floor(s.rnd.next() * shapes.length)]!, { name: 'mark', topics: [`mark/${mark}`], precedence: mark, patienceMs: 1_000, memoryS: 5, order: 'topic' as const }];
+      const document = { revision, words: ['any', { of: null }], limits: { header: 1 } };
+      const done = operators[i]!.revise(revision, { families }, true, document);
+      if (s.rnd.next() < 0.4) void pause(s, 9_000 * s.rnd.next()).then(() => operators[1 - i]!.revise(revision, { families }, true, document));
+      if (s.rnd.next() < 0.4) void operators[i]!.revise(1_000 + mark * 2 + i, { families: [...families, { name: 'mark', topics: [`mark/${mark}`] }] }, false, document);
+      m.at = mark;
+      return done;
+    };
+    await Promise.all([order(0), order(1)]);
+    m.start(s.relays.map((x) => x.config.client));
+    for (let round = 0; round < 6; round++) {
+      const v = any(s, [...s.relays, ...s.stores]);
+      const x = s.rnd.next();
+      if (x < 0.3) { s.note(`restart ${v.name}`); s.sim.kill(v); void pause(s, 900).then(() => s.sim.start(v)); }
+      else if (x < 0.6) { s.note(`freeze ${v.name}`); s.sim.freeze(v); void pause(s, 2_800).then(() => s.sim.thaw(v)); }
+      else if (x < 0.9) {
+        s.note(`cut off ${v.name}`);
+        for (const o of s.sim.nodes.values()) if (o !== v) s.sim.cut(v.name, o.name, s.rnd.next() < 0.7);
+        void pause(s, 3_500).then(() => s.sim.heal());
+      }
+      await pause(s, 300 * s.rnd.next());
+      await Promise.all([order(0), pause(s, 600 * s.rnd.next()).then(() => order(1))]);
+      await pause(s, 4_500);
+    }
+    m.stop();
+    await pause(s, 4_000);
+    const told = s.world.journal.seen.filter((x) => x.k === 'cfg.answer');
+    const of = (out: string): number => told.filter((x) => x.k === 'cfg.answer' && x.out === out).length;
+    s.note(`${of('taken')} taken, ${of('overtaken')} overtaken, ${of('invalid')} invalid`);
+    if (of('taken') < 8 || of('overtaken') + of('invalid') < 3) throw new Error('too few of each kind');
+  } }],
   ['link', { forMs: 30_000, faults: async (s) => {
     // The links between one relay and two machines with disks break and nothing else: what goes that way must go round.
     const r = any(s, s.relays.filter((x) => !x.config.data));
--- a/packages/trial/src/journal.ts
+++ b/packages/trial/src/journal.ts
@@ -21,9 +21,13 @@
   | { k: 'left'; t: number; consumer: string; conn: string; topic: string; sub: string; reason: string; cursor?: number }
   | { k: 'deliver'; t: number; consumer: string; conn: string; topic: string; sub: string; sender: string; seq: number; offset: number; body: string }
   | { k: 'count'; t: number; asked: number; topic: string; count: number; partial: boolean }
-  | { k: 'cfg.submit'; t: number; changeId: string; expect?: number; config: unknown; valid: boolean }
-  | { k: 'cfg.answer'; t: number; changeId: string; out: 'taken' | 'conflict' | 'invalid' | 'unanswered'; version?: number }
-  | { k: 'cfg.read'; t: number; asked: number; version: number; config: unknown; last?: boolean }
+  | { k: 'cfg.submit'; t: number; changeId: string; expect?: number; revision?: number; document?: unknown; config: unknown; valid: boolean }
+  /** `overtaken`: a higher revision is in force; this one may have been before, or never. */
+  | {
+    k: 'cfg.answer'; t: number; changeId: string; out: 'taken' | 'overtaken' | 'conflict' | 'invalid' | 'unanswered';
+    version?: number; revision?: number; asked?: number;
+  }
+  | { k: 'cfg.read'; t: number; asked: number; version: number; revision?: number; document?: unknown; config: unknown; last?: boolean }
   /** `version` is missing where the node says none. */
   | { k: 'node.says'; t: number; asked: number; node: string; version?: number; fresh: boolean; holdings?: HoldingSeen[]; kept?: number }
   /** A node that did not answer a look. */
--- a/packages/trial/src/oracle.ts
+++ b/packages/trial/src/oracle.ts
@@ -48,7 +48,7 @@
   consumer: string; topic: string; conn: string; start: number; asked: number; okAt: number; cursor?: number; got: Of<'deliver'>[];
   endAt?: number; endWhy?: string; leftAt?: number;
 }
-interface Taken { version: number; t: number; submitted: number; changeId: string; config: FleetConfig }
+interface Taken { version: number; t: number; submitted: number; changeId: string; revision?: number; document?: unknown; config: FleetConfig }
 /** A time in which a topic's family may have been away, or another one; `to` is when it was surely back. */
 interface Away { from: number; to: number }
 
@@ -72,6 +72,8 @@
   private taken: Taken[] = [];
   private submits = new Map<string, Of<'cfg.submit'>>();
   private answers = new Map<string, Of<'cfg.answer'>[]>();
+  /** What was told to be in force, by time. */
+  private revisions: { t: number; version: number; revision: number }[] = [];
   private lines: Line[] = [];
   private aways = new Map<string, Away[]>();
   private nodeOf = new Map<string, string>();
@@ -142,20 +144,23 @@
       if (s.k === 'cfg.submit') { if (!this.submits.has(s.changeId)) this.submits.set(s.changeId, s); }
       else if (s.k === 'cfg.answer') push(this.answers, s.changeId, s);
     }
+    for (const as of this.answers.values()) for (const { t, version, revision } of as) if (revision !== undefined) this.revisions.push({ t, version: version!, revision });
+    this.revisions.sort((a, b) => a.t - b.t);
     for (const [id, sub] of this.submits) {
       const as = this.told(id);
       const a = as[0];
       if (!a) { this.say('unanswered', sub.t, `${id} never got an answer`); continue; }
       if (!sub.valid && as.some((x) => x.out !== 'invalid')) this.say('invalid_taken', a.t, `${id} is invalid and was answered ${a.out}`);
       if (sub.valid && as.some((x) => x.out === 'invalid')) this.say('unanswered', a.t, `${id} is valid and was called invalid`);
-      for (const x of as) {
+      if (sub.revision !== undefined) this.revised(id, sub, as);
+      else for (const x of as) {
         if (x.out !== a.out || x.version !== a.version) this.say('config_lost', x.t, `${id} was answered ${a.out} ${a.version}, then ${x.out} ${x.version}`);
       }
       if (a.out !== 'taken' || !sub.valid) continue;
       if (sub.expect !== undefined && a.version !== sub.expect + 1) this.say('config_lost', a.t, `${id} expected ${sub.expect} and became ${a.version}`);
       const twin = this.taken.find((x) => x.version === a.version);
       if (twin) this.say('config_lost', a.t, `version ${a.version} given to ${twin.changeId} and ${id}`);
-      this.taken.push({ version: a.version!, t: a.t, submitted: sub.t, changeId: id, config: sub.config as FleetConfig });
+      this.taken.push({ version: a.version!, t: a.t, submitted: sub.t, changeId: id, revision: sub.revision, document: sub.document, config: sub.config as FleetConfig });
     }
     this.taken.sort((a, b) => a.version - b.version);
     const unsure = [...this.submits.keys()].some((id) => !this.told(id).length);
@@ -164,13 +169,29 @@
       const least = this.taken.filter((x) => x.t <= s.asked).at(-1)?.version ?? 0;
       if (s.version < least) this.say(s.last ? 'read_back' : 'config_lost', s.t, `read version ${s.version}, but ${least} was taken before`);
       const of = this.taken.find((x) => x.version === s.version);
-      if (of && JSON.stringify(of.config) !== JSON.stringify(s.config)) {
+      const differs = of && (JSON.stringify([of.config, of.document]) !== JSON.stringify([s.config, s.document]) || (of.revision !== undefined && s.revision !== of.revision));
+      if (differs) {
         this.say('read_back', s.t, `version ${s.version} reads differently from what ${of.changeId} sent`);
       }
       if (s.last && !unsure && !of && s.version > 0) this.say('read_back', s.t, `version ${s.version} was never sent`);
     }
   }
 
+  /** By revision the highest holds: an answer tells of the one sent or of a higher one, and of nothing lower than what was told before. */
+  private revised(id: string, sub: Of<'cfg.submit'>, as: Of<'cfg.answer'>[]): void {
+    if (!sub.valid) return;
+    for (const x of as) {
+      if (x.revision! < sub.revision! || (x.out === 'taken') !== (x.revision === sub.revision)) this.say('config_lost', x.t, `${id} was answered with revision ${x.revision}`);
+      const of = this.submits.get(`revision-${x.revision}`);
+      if (!of) this.say('config_lost', x.t, `${id} was answered with revision ${x.revision}, which nobody sent`);
+      else if (!of.valid) this.say('invalid_taken', x.t, `${id} was answered with revision ${x.revision}, which is invalid`);
+      const before = this.revisions.find((y) => y.t < x.asked! && y.revision > x.revision!);
+      if (before) this.say('config_lost', x.t, `${id} was answered with revision ${x.revision}; ${before.revision} was told before`);
+      const twin = this.revisions.find((y) => (y.version === x.version) !== (y.revision === x.revision));
+      if (twin) this.say('config_lost', x.t, `revision ${x.revision} is version ${x.version}, and ${twin.revision} is ${twin.version}`);
+    }
+  }
+
   private told(changeId: string): Of<'cfg.answer'>[] {
     return (this.answers.get(changeId) ?? []).filter((a) => a.out !== 'unanswered');
   }
@@ -217,19 +238,27 @@
         if (next && s.asked > next.t + IN_FORCE_MS) this.say('config_late', s.t, `${s.node}: ${how} ${Math.round(s.asked - next.t)} ms after ${next.version} was taken`);
         const l = shown.get(s.node) ?? [];
         if (!l.some((e) => e.version >= x.version)) { l.push({ version: x.version, t: s.t }); shown.set(s.node, l); }
-      } else if (s.asked > x.t + IN_FORCE_MS && (!next || s.t < next.submitted)) {
+      } else if (s.asked > x.t + IN_FORCE_MS && s.t < Math.min(next?.submitted ?? Infinity, this.revisedAfter(x))) {
         this.say('config_late', s.t, `${s.node}: no marker of version ${x.version}, taken ${Math.round(s.asked - x.t)} ms before`);
       }
     }
   }
 
+  /** When a revision above this one was first sent: one that was overtaken before it was answered may have been in force. */
+  private revisedAfter(x: Taken): number {
+    const of = x.revision;
+    if (of === undefined) return Infinity;
+    return Math.min(Infinity, ...[...this.submits.values()].filter((s) => s.valid && s.revision !== undefined && s.revision > of).map((s) => s.t));
+  }
+
   /** Whether the family of a topic was surely not in force: 3 s after the answer, up to the next submit that brings it back. */
   private removed(topic: string, t: number): boolean {
     const last = this.taken.filter((x) => x.t + IN_FORCE_MS + this.b.wayMs < t).at(-1);
     if (!last || familyOf(last.config, topic)) return false;
     return ![...this.submits.values()].some((s) => {
       const a = this.told(s.changeId)[0];
-      const v = a?.out === 'taken' ? a.version! : a ? 0 : Infinity;
+      // One that was overtaken may have been in force before.
+      const v = a?.out === 'taken' ? a.version! : a && a.out !== 'overtaken' ? 0 : Infinity;
       return s.valid && s.t <= t && v > last.version && familyOf(s.config as FleetConfig, topic);
     });
   }
@@ -249,7 +278,10 @@
       there = now;
     }
     for (const s of this.submits.values()) {
-      if (s.valid && !this.told(s.changeId).length && !familyOf(s.config as FleetConfig, topic)) out.push({ from: s.t, to: Infinity });
+      if (!s.valid || familyOf(s.config as FleetConfig, topic)) continue;
+      const a = this.told(s.changeId)[0];
+      if (!a) out.push({ from: s.t, to: Infinity });
+      else if (a.out === 'overtaken') out.push({ from: s.t, to: a.t + IN_FORCE_MS });
     }
     this.aways.set(topic, out);
     return out;
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -261,7 +261,6 @@
 test('two operators, any order, resends, late old ones, and machines in trouble: the highest revision holds and is read back whole', async (t) => {
   let overtaken = 0;
   let tries = 0;
-  let checked = 0;
   for (const [i, [os, ts]] of fc.sample(fc.tuple(orders, troubles), { seed: SEED, numRuns: 24 }).entries()) {
     const s = await smallFleet(200 + i);
     const { sim } = s;
@@ -271,7 +270,6 @@
     const sent = new Map(os.map((o) => [o.revision, o]));
     const told: { t: number; revision: number }[] = [];
     let left = 0;
-    const from = sim.now;
     const send = async (o: Order): Promise<void> => {
       for (let pause = 100; ; pause = Math.min(1_600, pause * 2)) {
         const asked = sim.now;
@@ -281,10 +279,8 @@
           t.is(r.status, o.valid ? 200 : 400, what(r));
           if (!o.valid) { t.is(r.body.error.tag, 'invalid_config'); return; }
           t.true(r.body.revision >= o.revision && sent.get(r.body.revision)?.valid, what([o.revision, r.body]));
-          // Nothing that was told before this was asked is taken back, while there is a majority to ask.
-          const calm = !ts.some((x) => from + x.at <= sim.now && asked <= from + x.at + x.forMs + 2_500);
-          if (calm) for (const x of told) if (x.t < asked) t.true(r.body.revision >= x.revision, what([r.body, x]));
-          if (calm) checked++;
+          // Nothing that was told before this was asked is taken back.
+          for (const x of told) if (x.t < asked) t.true(r.body.revision >= x.revision, what([r.body, x]));
           told.push({ t: sim.now, revision: r.body.revision });
           if (r.body.revision > o.revision) overtaken++;
           return;
@@ -331,8 +327,8 @@
     }
     sim.close();
   }
-  t.log(`${tries} tries, ${overtaken} answered with a higher revision, ${checked} while all was calm`);
-  t.true(overtaken > 50 && checked > 100);
+  t.log(`${tries} tries, ${overtaken} answered with a higher revision`);
+  t.true(overtaken > 50);
 });
 
 test('one revision sent to every node at once, and then a different one to each: nobody is kept waiting for a second', async (t) => {
@@ -382,8 +378,10 @@
   t.is(late.body.error.tag, 'no_majority');
   t.is(late.status, 503);
   t.true(late.body.error.retryAfterMs > 0);
-  // One that is not above the revision in force is answered without asking anybody.
+  // One that is not above the revision in force is acknowledged, if late: whether something higher is in force nobody can tell.
+  const from = s.sim.now;
   t.deepEqual((await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: [] } })).body, { version: 2, revision: 5 });
+  t.true(s.sim.now - from > 9_000);
   s.sim.close();
 });
 
--- a/packages/trial/src/test/oracle.test.ts
+++ b/packages/trial/src/test/oracle.test.ts
@@ -139,8 +139,55 @@
     let n = 0;
     return l.map((s) => (s.k === 'pub.answer' && s.t > 24_000 && ++n <= 60 ? { ...s, t: 24_500, node: 'n', out: 'rejected', offset: undefined, status: 503, tag: 'not_ready', retryMs: 500 } as Seen : s));
   }],
+  ['an old revision is answered with less than was told to be in force', 'config_lost', (l) => [
+    ...l.slice(0, -1), ...revised([[7, 10_001, 41_000], [9, 10_002, 42_000]]),
+    { k: 'cfg.answer', t: 43_000, asked: 42_900, changeId: 'revision-7', out: 'taken', version: 10_001, revision: 7 },
+    l.at(-1)!,
+  ]],
+  ['a revision that nobody sent is told to be in force', 'config_lost', (l) => [
+    ...l.slice(0, -1), ...revised([[7, 10_001, 41_000]]),
+    { k: 'cfg.answer', t: 43_000, asked: 42_900, changeId: 'revision-7', out: 'overtaken', version: 10_002, revision: 8 },
+    l.at(-1)!,
+  ]],
+  ['one revision is two versions', 'config_lost', (l) => [
+    ...l.slice(0, -1), ...revised([[7, 10_001, 41_000]]),
+    { k: 'cfg.answer', t: 43_000, asked: 42_900, changeId: 'revision-7', out: 'taken', version: 10_002, revision: 7 },
+    l.at(-1)!,
+  ]],
+  ['an invalid revision is told to be in force', 'invalid_taken', (l) => [
+    ...l.slice(0, -1), ...revised([[7, 10_001, 41_000]]),
+    { k: 'cfg.submit', t: 42_000, changeId: 'revision-8', revision: 8, config: { families: 3 }, valid: false },
+    { k: 'cfg.answer', t: 42_100, changeId: 'revision-8', out: 'invalid' },
+    { k: 'cfg.answer', t: 43_000, asked: 42_900, changeId: 'revision-7', out: 'overtaken', version: 10_002, revision: 8 },
+    l.at(-1)!,
+  ]],
+  ['the operators\' own words are read back altered', 'read_back', (l) => {
+    const xs = revised([[7, 10_001, 41_000]]);
+    const config = (xs[0] as Of<'cfg.submit'>).config;
+    return [...l.slice(0, -1), ...xs, { k: 'cfg.read', t: 42_000, asked: 41_900, version: 10_001, revision: 7, document: { n: 8 }, config }, l.at(-1)!];
+  }],
+  ['a configuration is read back under another revision', 'read_back', (l) => {
+    const xs = revised([[7, 10_001, 41_000]]);
+    const config = (xs[0] as Of<'cfg.submit'>).config;
+    return [...l.slice(0, -1), ...xs, { k: 'cfg.read', t: 42_000, asked: 41_900, version: 10_001, revision: 6, document: { n: 7 }, config }, l.at(-1)!];
+  }],
+  ['messages are skipped while a family gets another name', 'skipped', (l) => {
+    const d = middle(l);
+    const families = configOf(SMALL).families.map((f) => ({ ...f, name: `${f.name} anew` }));
+    return l.flatMap((s): Seen[] => (s !== d ? [s] : [
+      { k: 'cfg.submit', t: d.t, changeId: 'renamed', config: { families }, valid: true },
+      { k: 'cfg.answer', t: d.t, changeId: 'renamed', out: 'taken', version: 10_000 },
+    ]));
+  }],
   ['a node keeps far more than was accepted', 'bounds', (l) => { const s = find(l, 'node.says', (x) => x.kept !== undefined); return change(l, s, { kept: 50_000 }); }],
 ];
+/** Configurations by revision, taken at these times. */
+function revised(xs: [revision: number, version: number, t: number][]): Seen[] {
+  return xs.flatMap(([revision, version, t]): Seen[] => [
+    { k: 'cfg.submit', t: t - 100, changeId: `revision-${revision}`, revision, document: { n: revision }, config: configOf(SMALL), valid: true },
+    { k: 'cfg.answer', t, asked: t - 100, changeId: `revision-${revision}`, out: 'taken', version, revision },
+  ]);
+}
 /** Configurations with a marker each, taken at these times. */
 function marked(xs: [mark: number, version: number, t: number][]): Seen[] {
   return xs.flatMap(([mark, version, t]): Seen[] => [
