--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -240,7 +240,7 @@
       rev: v?.rev ?? 0,
       version: v?.version ?? 0,
       fleet: v?.fleet,
-      members: [...this.board.members.values()].map((m) => ({ peer: m.peer, client: m.client, domain: m.domain, role: m.role, disk: m.disk, state: m.state, condition: m.condition, weight: m.weight, ageMs: m.peer === this.k.self ? 0 : Math.round(now - m.seenAt) })),
+      members: [...this.board.members.values()].map((m) => ({ peer: m.peer, name: m.name, client: m.client, domain: m.domain, role: m.role, disk: m.disk, state: m.state, condition: m.condition, weight: m.weight, ageMs: m.peer === this.k.self ? 0 : Math.round(now - m.seenAt) })),
       disks: v ? [...v.disks.values()].map((d) => ({ ...d, seat: v.seats.includes(d.id), copies: [...v.shards.values()].filter((p) => p.copies.includes(d.id)).length })) : [],
       keys: v ? [...v.shards].map(([s, p]) => ({ shard: s, gen: p.gen, copies: p.copies, ...(this.board.get(`key/${s}`) as object | undefined) })) : [],
     };
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -143,10 +143,11 @@
 export const FleetAnswer = obj({
   at: Name64, fresh: Type.Boolean(), rev: Count, version: Count, fleet: Maybe(Type.String()),
   members: List(obj({
-    peer: Name64, client: Name64, domain: Type.String(), role: Type.String(), disk: Maybe(Type.String()), state: Type.String(),
+    peer: Name64, name: Type.String(), client: Name64, domain: Type.String(), role: Type.String(), disk: Maybe(Type.String()), state: Type.String(),
     condition: Type.String(), weight: Count, ageMs: Num,
   })),
-  disks: List(obj({ id: Type.String(), peer: Name64, domain: Type.String(), state: Type.String(), seat: Type.Boolean(), copies: Count })),
+  disks: List(obj({ id: Type.String(), peer: Name64, domain: Type.String(), state: Type.String(), seat: Type.Boolean(), copies: Count,
+    name: Maybe(Type.String()), uses: Maybe(List(Type.String())) })),
   keys: List(obj({
     shard: Count, gen: Count, copies: List(Type.String()), fence: Maybe(Type.String()), peer: Maybe(Name64), inst: Maybe(Type.String()),
     behind: Maybe(List(Type.String())),
@@ -167,6 +168,9 @@
 
 const EmptyAnswer = obj({ disk: Type.String(), state: Type.String(), copies: Count, seat: Type.Boolean() });
 
+/** A disk by its id, or by the name of the machine it is in. */
+const DiskName = Type.String();
+
 /** Every RPC: POST /rpc/<Method> with a JSON body. */
 export const Rpcs = {
   Attach: rpc(
@@ -208,7 +212,7 @@
     'The configuration in force, confirmed by a majority.', obj({}),
     obj({ version: Count, changeId: Type.String(), revision: Maybe(Count), document: Maybe(Type.Unknown()), config: Type.Unknown() }),
   ),
-  EmptyDisk: rpc('Begins to move copies, keys and seat off a disk. Rejected, with the reason, when what is left cannot hold them.', obj({ disk: Type.String() }), EmptyAnswer),
+  EmptyDisk: rpc('Begins to move copies, keys and seat off a disk. Rejected, with the reason, when what is left cannot hold them.', obj({ disk: DiskName }), EmptyAnswer),
   EmptyStatus: rpc('How far an emptying has come: `emptied` when nothing is left on the disk.', obj({ disk: Type.String() }), EmptyAnswer),
   CancelEmpty: rpc('Takes an emptying back.', obj({ disk: Type.String() }), EmptyAnswer),
   PlanMoves: rpc(
