Peer frames over one long TCP connection for each ordered pair of nodes

Cause: a peer call went through undici and fastify, HTTP/1.1 with a pool of six sockets, for frames of some hundred bytes. Ruled out: HTTP/2 (heavier frames, one more parser), UDP (loss and order would be ours to mend), a library (they bring discovery or agreement along, which the project builds itself). unreachable is said only of calls that were never written, cut of those whose connection broke, timeout of the rest; a quiet connection that owes answers is pinged and then left, so a machine that lost power holds nothing up and slow work is waited for. A connection that breaks makes the board probe its peer. A relay that no way leads to no longer counts as one without listeners. Frames that are no peer's end their connection; the kernel checks an ask's and an answer's shape.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -66,6 +66,7 @@
     k.on('Ping', () => this.beat);
     k.on('PingFor', (b: { peer: string }) => this.ping(b.peer));
     k.onUnreachable = (p) => this.doubt(p);
+    k.onBroken = (p) => this.doubt(p);
     k.helpersTo = (peer) => {
       const m = this.members.get(peer);
       return m && (m.state === 'dead' || m.state === 'left') ? [] : this.live().map((x) => x.peer).filter((p) => p !== peer && p !== k.self);
@@ -274,7 +275,7 @@
     } catch { /* gone from the view until someone names it again */ }
   }
 
-  /** A visit surely did not reach this peer: ask it once more at once. */
+  /** A visit surely did not reach this peer, or a connection to it broke: ask it once more at once. */
   private doubt(peer: string): void {
     const m = this.members.get(peer);
     if (m && m.state === 'live') void this.probe(m);
--- a/packages/data/src/interest.ts
+++ b/packages/data/src/interest.ts
@@ -108,8 +108,9 @@
       try {
         return await this.k.reach<number>(relay, 'CountHolds', { topic }, C.countWaitMs);
       } catch (e) {
-        // No process there: it has no listeners any more. One that is there and silent makes the answer partial.
-        return faultOf(e, 'CountHolds', relay).tag === 'unreachable' ? 0 : 'silent';
+        // No process there: it has no listeners any more. One that is there and silent, or to which no way leads, makes the answer partial.
+        const f = faultOf(e, 'CountHolds', relay);
+        return f.tag === 'unreachable' && f.detail !== 'ETIMEDOUT' ? 0 : 'silent';
       }
     }));
     return { count: got.reduce<number>((a, n) => a + (n === 'silent' ? 0 : n), 0), partial: got.includes('silent') };
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -174,8 +174,22 @@
   rereadMs: 1_000,
   /** A closed conn's last words have this long to get out before its socket is destroyed. */
   closeGraceMs: 5_000,
-  /** Time limit for connecting to a peer; loopback and site links answer far sooner. */
+  /** Time limit for connecting to a peer; site links answer far sooner. */
   connectMs: 1_000,
-  /** Sockets to one peer. */
-  peerSocketsN: 6,
+  /** A connection that owes answers and is quiet for this long is pinged, and given up after as long again: 1.4 to 2.1 s in all. */
+  peerQuietMs: 700,
+  /** Largest peer frame: a shard's whole snapshot. */
+  peerFrameBytes: 64 * 1024 * 1024,
+  /** Bytes waiting for one peer, each way; room for one snapshot beside what else there is. */
+  peerWaitingBytes: 80 * 1024 * 1024,
+  /** Calls under way to one peer, and from one. */
+  peerCallsN: 8_192,
+  /** Connections that peers may have to us: one each, and a few more while one is replaced. */
+  peerConnsN: 2_048,
+  /** A connection to a peer that nothing was said on for this long is closed. */
+  peerIdleMs: 30_000,
+  /** Keep-alive of connections from peers: one whose machine lost power is let go of some 15 s later. */
+  peerKeepAliveMs: 5_000,
+  /** At a stop, last words have this long to get out. */
+  peerCloseMs: 300,
 } as const;
--- a/packages/kernel/src/host.ts
+++ b/packages/kernel/src/host.ts
@@ -15,9 +15,26 @@
   next(): number;
 }
 
+/** What the net tells of itself beside answers. */
+export interface NetNews {
+  /** A connection to this peer broke that was whole: its process may have ended. */
+  broken(peer: string): void;
+  count(name: string): void;
+}
+
+/**
+ * Splits an address; the caller has checked it.
+ * @example
+ * addr('127.0.0.1:7101'); // { host: '127.0.0.1', port: 7101 }
+ */
+export function addr(a: string): { host: string; port: number } {
+  const i = a.lastIndexOf(':');
+  return { host: a.slice(0, i), port: Number(a.slice(i + 1)) };
+}
+
 export interface Net {
-  /** Serves peer frames at our address. */
-  serve(handle: (frame: string) => Promise<string>): Promise<void>;
+  /** Serves peer frames at our address. A handler that rejects ends the connection: the frame was not a peer's. */
+  serve(handle: (frame: string) => Promise<string>, news?: NetNews): Promise<void>;
   /** One visit to a peer. Fails with `unreachable` only if the peer surely never saw it. */
   call(peer: string, frame: string, timeoutMs: number): Promise<string>;
   close(): Promise<void>;
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -30,6 +30,20 @@
 interface Ask { m: string; from: string; inst: string; rev: number; now: number; body: unknown }
 type Answer = { rev: number; now: number } & ({ ok: unknown } | { err: Fault });
 
+/** A peer's ask; throws when the frame is none. */
+function readAsk(frame: string): Ask {
+  const a = parse(frame) as Ask | undefined;
+  if (typeof a?.m !== 'string' || typeof a.from !== 'string' || typeof a.inst !== 'string' || typeof a.rev !== 'number' || typeof a.now !== 'number') throw new Error('not an ask');
+  return a;
+}
+/** A peer's answer; undefined when the frame is none. */
+function readAnswer(raw: string): Answer | undefined {
+  try {
+    const a = parse(raw) as Answer | undefined;
+    return typeof a?.rev === 'number' && typeof a.now === 'number' && ('ok' in a || typeof (a.err as Fault | undefined)?.tag === 'string') ? a : undefined;
+  } catch { return undefined; }
+}
+
 /** What a handler learns of the sender. `ageOf` turns the sender's clock into ours. */
 export interface From { peer: string; inst: string; toLocal(t: number): number }
 export type Handler = (body: any, from: From) => unknown;
@@ -54,6 +68,8 @@
   onHeard: (peer: string, inst?: string) => void = () => {};
   /** Called when a peer surely did not get a visit; speeds up suspicion. */
   onUnreachable: (peer: string) => void = () => {};
+  /** Called when a whole connection to a peer broke; its process may have ended. */
+  onBroken: (peer: string) => void = () => {};
   /** Live members that may carry a visit to a peer in our place. */
   helpersTo: (peer: string) => string[] = () => [];
   phase: Phase = 'starting';
@@ -94,7 +110,7 @@
 
   async boot(names: (keyof Faces)[]): Promise<void> {
     for (const n of names) await this.load(n);
-    await this.host.net.serve((f) => this.answer(f));
+    await this.host.net.serve((f) => this.answer(f), { broken: (p) => this.onBroken(p), count: (n) => this.count(n) });
     let last = this.host.clock.now();
     this.keep(every(this.host.clock, C.loopTickMs).subscribe(() => {
       const now = this.host.clock.now();
@@ -233,7 +249,8 @@
       if (f.tag === 'unreachable') this.onUnreachable(peer);
       throw new Failure({ ...f, step: m });
     }
-    const a = parse(raw) as Answer;
+    const a = readAnswer(raw);
+    if (!a) throw new Failure({ tag: 'cut', step: m, peer, detail: 'not an answer' });
     this.onHeard(peer);
     if (a.rev > this.rev) void this.onNewer(a.rev, peer);
     if ('err' in a) throw new Failure(a.err);
@@ -243,7 +260,7 @@
   private async answer(frame: string): Promise<string> {
     const now = this.host.clock.now();
     this.count('peer.in');
-    const a = parse(frame) as Ask;
+    const a = readAsk(frame);
     const shift = now - a.now;
     this.onHeard(a.from, a.inst);
     const out = (x: { ok: unknown } | { err: Fault }): string =>
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -2,13 +2,11 @@
 import { join } from 'node:path';
 import Database from 'better-sqlite3';
 import { createConsola } from 'consola/basic';
-import fastify from 'fastify';
-import { Pool } from 'undici';
 import { C } from './constants.js';
 import { Db, wrongOnDisk, type Sql } from './disk.js';
 import { wrongInWal } from './wal.js';
-import { Failure } from './fault.js';
-import type { Clock, Host, Log, Net, NodeConfig } from './host.js';
+import type { Clock, Host, Log, NodeConfig } from './host.js';
+import { peerNet } from './peer-net.js';
 
 /** The machine's own clock: a wall-clock start, then monotonic. */
 export const realClock: Clock = {
@@ -20,70 +18,6 @@
   },
 };
 
-/**
- * Splits an address; the caller has checked it.
- * @example
- * addr('127.0.0.1:7101'); // { host: '127.0.0.1', port: 7101 }
- */
-export function addr(a: string): { host: string; port: number } {
-  const i = a.lastIndexOf(':');
-  return { host: a.slice(0, i), port: Number(a.slice(i + 1)) };
-}
-
-/**
- * Peer frames over HTTP/1.1 by fastify and undici.
- * @example
- * const net = realNet('127.0.0.1:7101');
- */
-export function realNet(self: string): Net {
-  const pools = new Map<string, Pool>();
-  const app = fastify({ bodyLimit: 64 * 1024 * 1024, keepAliveTimeout: 30_000 });
-  app.addContentTypeParser('application/x-devalue', { parseAs: 'string' }, (_r, body, done) => done(null, body));
-  const poolOf = (peer: string): Pool => {
-    let p = pools.get(peer);
-    if (!p) {
-      p = new Pool(`http://${peer}`, { connections: C.peerSocketsN, pipelining: 1, connect: { timeout: C.connectMs }, keepAliveTimeout: 20_000 });
-      pools.set(peer, p);
-    }
-    return p;
-  };
-  return {
-    async serve(handle) {
-      app.post('/peer', async (r, reply) => {
-        const out = await handle(r.body as string);
-        reply.header('content-type', 'application/x-devalue');
-        return out;
-      });
-      await app.listen(addr(self));
-    },
-    call(peer, frame, timeoutMs) {
-      return new Promise((res, rej) => {
-        const ac = new AbortController();
-        let over = false;
-        const end = (f: () => void) => { if (!over) { over = true; clearTimeout(t); f(); } };
-        const t = setTimeout(() => end(() => { ac.abort(); rej(new Failure({ tag: 'timeout', step: 'call', peer })); }), timeoutMs);
-        poolOf(peer)
-          .request({ path: '/peer', method: 'POST', body: frame, headers: { 'content-type': 'application/x-devalue' }, signal: ac.signal })
-          .then(async (r) => {
-            const s = await r.body.text();
-            end(() => (r.statusCode === 200 ? res(s) : rej(new Failure({ tag: 'cut', step: 'call', peer, detail: `status ${r.statusCode}` }))));
-          })
-          .catch((e: Error & { code?: string }) => end(() => {
-            const unsent = e.code === 'ECONNREFUSED' || e.code === 'UND_ERR_CONNECT_TIMEOUT' || e.code === 'EHOSTUNREACH' || e.code === 'ENETUNREACH';
-            rej(new Failure(unsent
-              ? { tag: 'unreachable', step: 'call', peer, detail: e.code ?? e.message }
-              : { tag: 'cut', step: 'call', peer, detail: e.code ?? e.message }));
-          }));
-      });
-    },
-    async close() {
-      for (const p of pools.values()) void p.destroy();
-      app.server.closeAllConnections();
-      await app.close();
-    },
-  };
-}
-
 /**
  * Counters first: a line only for a change of state.
  * @example
@@ -154,7 +88,7 @@
 export function realHost(config: NodeConfig): Host {
   const log = consolaLog(config.peer);
   const die = (reason: string): void => { log.warn(`stopping: ${reason}`); process.exit(3); };
-  const host: Host = { clock: realClock, rnd: { next: Math.random }, net: realNet(config.peer), log, config, die };
+  const host: Host = { clock: realClock, rnd: { next: Math.random }, net: peerNet(config.peer), log, config, die };
   if (config.data) {
     try {
       host.db = openDb(config.data, realClock, log, (e) => die(`disk fault: ${e.message}`), config.peer);
