--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,8 +1,9 @@
-import { C, Failure, Kernel, loop, rank, register } from '@harecross/kernel';
+import { C, Failure, Kernel, faultOf, loop, rank, register, sleep } from '@harecross/kernel';
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
+import { erasAfter } from './eras.js';
 import { copiesFor, targetsOf } from './placement.js';
-import { notReady, type DiskRec, type MoveState, type Register, type Value } from './register.js';
+import { notReady, usedFor, type DiskRec, type MoveState, type Register, type Value } from './register.js';
 
 /** What the owner of a shard says on the board under `key/<shard>`. */
 export interface KeyRec { fence: string; gen: number; peer: string; inst: string; behind: string[] }
@@ -105,7 +106,7 @@
       if (!m.disk || now - m.liveSince < C.joinAfterMs || this.k.host.clock.wall() < waitsFor(v, m.peer)) continue;
       const d = disks.get(m.disk);
       if (!d) {
-        disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active' });
+        disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name });
         said.push(`disk ${m.disk} joins at ${m.peer}`);
         for (const o of v.disks.values()) {
           if (o.peer === m.peer && o.state !== 'lost') { disks.set(o.id, { ...o, state: 'lost' }); said.push(`disk ${o.id} was replaced`); }
@@ -128,10 +129,10 @@
 
   private planSeats(v: Value): Value | undefined {
     const live = (d: string): boolean => { const m = this.board.ofDisk(d); return m !== undefined && this.board.isLive(m.peer); };
-    const fit = (d: DiskRec): boolean => d.state === 'active' && live(d.id);
+    const fit = (d: DiskRec): boolean => d.state === 'active' && usedFor(d, 'seat') && live(d.id);
     const bad = v.seats.filter((d) => v.disks.get(d)?.state !== 'active');
     const good = v.seats.length - bad.length;
-    const want = Math.min(C.seatsN, [...v.disks.values()].filter((d) => d.state === 'active').length);
+    const want = Math.min(C.seatsN, [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'seat')).length);
     const odd = want % 2 === 0 ? Math.max(1, want - 1) : want;
     const perDomain = (dom: string): number => v.seats.filter((s) => v.disks.get(s)?.domain === dom).length;
     if (good < odd) {
@@ -148,17 +149,23 @@
   }
 
   private planShards(v: Value): Value | undefined {
-    const active = [...v.disks.values()].filter((d) => d.state === 'active');
+    const active = [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'copies'));
     if (!active.length) return undefined;
     const shards = new Map(v.shards);
     let steps = 0;
     let moving = 0;
-    const targets = targetsOf(v.config, active);
+    const targets = targetsOf(v.config, active, v.copies);
     for (const [s, p] of v.shards) {
       const target = targets.get(s)!;
       const missing = target.filter((d) => !p.copies.includes(d));
       const extra = p.copies.filter((d) => !target.includes(d));
       if (!missing.length && !extra.length) continue;
+      if (!p.copies.length) {
+        // Placed when no disk for copies was known: nothing was ever kept, so there is nothing to carry over.
+        shards.set(s, { gen: p.gen + 1, copies: target });
+        steps++;
+        continue;
+      }
       if (++moving > C.movingN) break;
       // The last step must be established (an owner serves under this generation) before the next.
       const key = this.board.get(`key/${s}`) as KeyRec | undefined;
@@ -180,6 +187,11 @@
   }
 }
 
+/** A disk by its id, or by the name of the machine it is in. */
+const diskNamed = (v: Value, x: string): DiskRec | undefined => {
+  const there = [...v.disks.values()].filter((d) => d.name === x);
+  return v.disks.get(x) ?? there.find((d) => d.state !== 'lost') ?? there[0];
+};
 const moveKey = (m: Move): string => `${m.id}@${m.from}`;
 /**
  * Copies that a disk still has.
@@ -209,41 +221,145 @@
   if (short(v.seats)) return 'the register would lose its majority';
   for (const [s, p] of v.shards) if (short(p.copies)) return `shard ${s} would lose its majority`;
   if (m.kind === 'restart') return undefined;
-  const active = [...v.disks.values()].filter((d) => d.state === 'active');
-  const now = copiesFor(v.config.copies ?? C.copiesN, active.length);
+  const active = [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'copies'));
+  const now = copiesFor(v.config.copies ?? v.copies ?? C.copiesN, active.length);
   const left = active.filter((d) => d.id !== disk.id && live(d.id));
   if (left.length < now) return `${left.length} active live disks would be left for ${now} copies`;
   return undefined;
 }
 
+/** A configuration that is to come into force, with what its sender is told. */
+interface Submission {
+  revision: number;
+  changeId: string;
+  config: FleetConfig;
+  document?: string;
+  until: number;
+  res: (a: Revised) => void;
+  rej: (e: unknown) => void;
+}
+/** What is in force after a submission with a revision: that one, or a higher one. */
+export interface Revised { version: number; revision: number }
+
 /**
  * What operators ask of the register.
  * @example
  * await k.use('operators').submit({ changeId: 'c1', expect: 3, config }); // { version: 4 }
+ * await k.use('operators').submit({ revision: 17, document, config }); // { version: 5, revision: 17 }
  */
 export class Operators {
-  constructor(private k: Kernel, private board: Board, private reg: Register) {}
+  /** Those with a revision that are not in force yet. One of them, the highest, is at work at a time: it settles the lower ones too. */
+  private submissions = new Set<Submission>();
+  private working = false;
 
-  /** Takes a configuration, or gives the first outcome of its changeId. */
-  submit(b: { changeId: string; expect?: number; config: unknown }): Promise<{ version: number }> {
-    return this.change('SubmitConfig', b.changeId, b.expect, () => b.config);
+  constructor(private k: Kernel, private board: Board, private reg: Register) {
+    k.keep(reg.value$.subscribe(() => this.settle()));
+  }
+
+  /**
+   * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force. Without one
+   * the first outcome of its changeId is given. Fails with `invalid_config`, `conflict` (without a revision), and with `not_ready` or
+   * `no_majority` after C.submitMs.
+   */
+  async submit(b: { changeId?: string; expect?: number; revision?: number; document?: unknown; config: unknown }): Promise<{ version: number; revision?: number }> {
+    const document = b.document === undefined ? undefined : JSON.stringify(b.document);
+    if (b.revision !== undefined) return this.revise(b.revision, b.changeId ?? `revision-${b.revision}`, b.config, document);
+    return this.change('SubmitConfig', b.changeId!, b.expect, () => ({ config: b.config, document }));
   }
 
   /** Takes a new calendar into the configuration in force. */
   planMoves(b: { changeId: string; expect?: number; moves: Move[] }): Promise<{ version: number }> {
-    return this.change('PlanMoves', b.changeId, b.expect, (v) => ({ ...v.config, moves: b.moves }));
+    return this.change('PlanMoves', b.changeId, b.expect, (v) => ({ config: { ...v.config, moves: b.moves }, document: v.document }));
+  }
+
+  /** The configuration, or `invalid_config`. Without a value only what can be said of it by itself. */
+  private checked(step: string, config: unknown, v?: Value): FleetConfig {
+    const faults = configFaults(config);
+    if (!faults.length && v) faults.push(...this.machineFaults(v, config as FleetConfig));
+    if (faults.length) throw new Failure({ tag: 'invalid_config', step, peer: this.k.self, faults });
+    return config as FleetConfig;
+  }
+
+  /** The value with a configuration in it. */
+  private taken(v: Value, x: { changeId: string; config: FleetConfig; document?: string; revision?: number }): Value {
+    const version = v.version + 1;
+    const keys = new Set((x.config.moves ?? []).map(moveKey));
+    const moves = new Map([...v.moves].filter(([k]) => keys.has(k)));
+    return { ...v, version, changeId: x.changeId, config: x.config, document: x.document, revision: x.revision ?? v.revision, eras: erasAfter(v.eras, x.config, version), moves };
+  }
+
+  // --- by revision ---
+
+  private revise(revision: number, changeId: string, config: unknown, document: string | undefined): Promise<Revised> {
+    const valid = this.checked('SubmitConfig', config);
+    return new Promise((res, rej) => {
+      this.submissions.add({ revision, changeId, config: valid, document, until: this.k.host.clock.now() + C.submitMs, res, rej });
+      this.settle();
+      void this.bringIntoForce();
+    });
+  }
+
+  private inForce(s: Submission): Revised | undefined {
+    const v = this.reg.value;
+    return v?.revision !== undefined && v.revision >= s.revision ? { version: v.version, revision: v.revision } : undefined;
+  }
+
+  /** Answers what a value that the fleet agreed on has settled, whoever brought it about. */
+  private settle(): void {
+    for (const s of this.submissions) if (this.inForce(s)) { this.submissions.delete(s); void this.tell(s); }
+  }
+
+  /** It is settled, but something higher may be in force by now: a majority tells. Without one, in the end, it is what we know. */
+  private async tell(s: Submission): Promise<void> {
+    const { clock, rnd } = this.k.host;
+    while (!(await this.reg.confirm().catch(() => false)) && clock.now() < s.until) await sleep(clock, C.submitAskMs * (0.5 + rnd.next()));
+    s.res(this.inForce(s)!);
+  }
+
+  /**
+   * Works on the highest submission until none is left, or its time has passed. Senders may have left: several tries of one revision, at
+   * several nodes, each go on until they see it in force. They do not fight for long: the register's retries are spread out at random.
+   */
+  private async bringIntoForce(): Promise<void> {
+    if (this.working) return;
+    this.working = true;
+    try {
+      for (;;) {
+        const s = [...this.submissions].reduce<Submission | undefined>((a, b) => (!a || b.revision > a.revision ? b : a), undefined);
+        if (!s) return;
+        await this.tryOnce(s);
+      }
+    } finally {
+      this.working = false;
+    }
   }
 
-  private async change(step: string, changeId: string, expect: number | undefined, make: (v: Value) => unknown): Promise<{ version: number }> {
+  private async tryOnce(s: Submission): Promise<void> {
+    const { clock } = this.k.host;
+    try {
+      const a = await this.reg.change((v): { next?: Value; out: Revised } => {
+        if (v.revision !== undefined && v.revision >= s.revision) return { out: { version: v.version, revision: v.revision } };
+        this.checked('SubmitConfig', s.config, v);
+        const next = this.taken(v, s);
+        return { next, out: { version: next.version, revision: s.revision } };
+      }, Math.min(C.submitTryMs, s.until - clock.now()), () => this.submissions.has(s));
+      this.submissions.delete(s);
+      s.res(a);
+    } catch (e) {
+      // No longer wanted: settled meanwhile.
+      if (!this.submissions.has(s)) return;
+      const f = faultOf(e, 'SubmitConfig', this.k.self);
+      if (f.tag === 'no_majority' && clock.now() < s.until) return;
+      this.submissions.delete(s);
+      s.rej(this.reg.value ? e : notReady(this.k, 'SubmitConfig'));
+    }
+  }
+
+  // --- by change id ---
+
+  private async change(step: string, changeId: string, expect: number | undefined, make: (v: Value) => { config: unknown; document?: string }): Promise<{ version: number }> {
     if (!this.reg.value) throw notReady(this.k, step);
-    const check = (v: Value): FleetConfig => {
-      const x = make(v);
-      const faults = configFaults(x);
-      if (!faults.length) faults.push(...this.machineFaults(v, x as FleetConfig));
-      if (faults.length) throw new Failure({ tag: 'invalid_config', step, peer: this.k.self, faults });
-      return x as FleetConfig;
-    };
-    if (!this.reg.value.changes.has(changeId)) check(this.reg.value);
+    if (!this.reg.value.changes.has(changeId)) this.checked(step, make(this.reg.value).config, this.reg.value);
     const o = await this.reg.change((v) => {
       const first = v.changes.get(changeId);
       if (first) return { out: first };
@@ -253,15 +369,11 @@
         changes.set(changeId, out);
         return { next: { ...v, changes: trimmed(changes) }, out };
       }
-      const config = check(v);
-      const version = v.version + 1;
-      const born = new Map<string, number>();
-      for (const f of config.families) born.set(f.name, v.born.get(f.name) ?? version);
-      const out = { tag: 'taken' as const, version };
+      const x = make(v);
+      const next = this.taken(v, { changeId, config: this.checked(step, x.config, v), document: x.document });
+      const out = { tag: 'taken' as const, version: next.version };
       changes.set(changeId, out);
-      const keys = new Set((config.moves ?? []).map(moveKey));
-      const moves = new Map([...v.moves].filter(([k]) => keys.has(k)));
-      return { next: { ...v, version, changeId, config, born, changes: trimmed(changes), moves }, out };
+      return { next: { ...next, changes: trimmed(changes) }, out };
     });
     switch (o.tag) {
       case 'taken': return { version: o.version };
@@ -289,24 +401,30 @@
     return out;
   }
 
-  async readConfig(): Promise<{ version: number; changeId: string; config: unknown }> {
+  /** The configuration in force, confirmed at a majority, with the operators' own number and words. */
+  async readConfig(): Promise<{ version: number; changeId: string; revision?: number; document?: unknown; config: unknown }> {
     if (!this.reg.value) throw notReady(this.k, 'ReadConfig');
     const v = (await this.reg.confirm()) ? this.reg.value! : await this.reg.read();
-    return { version: v.version, changeId: v.changeId, config: v.config };
+    return {
+      version: v.version, changeId: v.changeId,
+      ...(v.revision === undefined ? {} : { revision: v.revision }),
+      ...(v.document === undefined ? {} : { document: JSON.parse(v.document) }),
+      config: v.config,
+    };
   }
 
   /** Begins or takes back the emptying of a disk. */
   async setDisk(disk: string, state: 'active' | 'emptying', step: string): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
     if (!this.reg.value) throw notReady(this.k, step);
     return this.reg.change((v) => {
-      const d = v.disks.get(disk);
+      const d = diskNamed(v, disk);
       if (!d) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
-      const told = { disk, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
+      const told = { disk: d.id, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
       if (d.state === state) return { out: told };
       if (d.state === 'lost') throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: `disk ${disk} is lost` });
       const bar = state === 'emptying' ? barTo(v, { kind: 'empty' }, d, this.board) : undefined;
       if (bar) throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: bar });
-      return { next: { ...v, disks: new Map(v.disks).set(disk, { ...d, state }) }, out: told };
+      return { next: { ...v, disks: new Map(v.disks).set(d.id, { ...d, state }) }, out: told };
     });
   }
 
@@ -314,9 +432,10 @@
   emptyStatus(disk: string): { disk: string; state: string; copies: number; seat: boolean } {
     const v = this.reg.value;
     if (!v) throw notReady(this.k, 'EmptyStatus');
-    const d = v.disks.get(disk);
+    const d = diskNamed(v, disk);
     if (!d) throw new Failure({ tag: 'unknown_disk', step: 'EmptyStatus', peer: this.k.self, disk });
-    return { disk, state: d.state === 'emptying' && isBare(v, disk) ? 'emptied' : d.state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
+    const { id } = d;
+    return { disk: id, state: d.state === 'emptying' && isBare(v, id) ? 'emptied' : d.state, copies: copiesOn(v, id), seat: v.seats.includes(id) };
   }
 
   /** The calendar in force, with how far each move has come. */
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -1,8 +1,7 @@
 import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, type Fault } from '@harecross/kernel';
 import { awayNow, notReady, type Board, type Operators, type Register } from '@harecross/control';
-import { Rpcs, configFaults, familyOf, visitFault, type Method, type Visit } from '@harecross/schema';
-import fastify from 'fastify';
-import type { Holds, Sink } from './holds.js';
+import { Rpcs, configFaults, familyOf, isUrgent, visitFault, type Method, type Visit } from '@harecross/schema';
+import { frameLines, type Holds, type Sink } from './holds.js';
 import type { Route } from './route.js';
 
 declare module '@harecross/kernel' {
@@ -65,6 +64,11 @@
     return this.serving() && this.holds !== undefined;
   }
 
+  /** Whether a conn that comes all the same is better taken and sent on than refused. */
+  private takes(): boolean {
+    return this.ready() || (this.reg.fresh() && (this.k.phase === 'running' || this.k.phase === 'draining'));
+  }
+
   /** Whether this node truly does its work; a store has no conns but serves. */
   serving(): boolean {
     return this.k.phase === 'running' && this.reg.fresh() && !awayNow(this.reg.value, this.k.self);
@@ -76,13 +80,15 @@
       const bad = visitFault('Attach', body);
       if (bad) throw this.bad('Attach', bad);
       if (!this.holds) throw this.bad('Attach', 'this node is a store and takes no conns');
-      if (!this.ready()) throw notReady(this.k, 'Attach');
+      if (!this.takes()) throw notReady(this.k, 'Attach');
       const b = body as Visit<'Attach'>;
       return { id: this.holds.attach(b.consumer, b.pingS, sink) };
     } catch (e) {
       return this.failed('Attach', e);
     }
   }
+  /** Any word of a consumer is a sign of life of its conn. */
+  heard(id: string): void { this.holds?.sign(id); }
   gone(id: string): void { this.holds?.gone(id); }
   drained(id: string): void { this.holds?.drained(id); }
 
@@ -101,7 +107,7 @@
   private urgent(m: Method, body: any): boolean {
     switch (m) {
       case 'Publish':
-        return this.reg.value !== undefined && familyOf(this.reg.value.config, body.topic)?.urgency === 'urgent';
+        return this.reg.value !== undefined && isUrgent(this.reg.value.config, body.topic);
       case 'Listeners':
         return false;
       default:
@@ -270,6 +276,8 @@
  * const close = await serveHttp(edge, '127.0.0.1:7001');
  */
 export async function serveHttp(k: Kernel, edge: Edge, at: string): Promise<() => Promise<void>> {
+  // Loaded only where it serves: a node that is reached otherwise starts without it.
+  const { default: fastify } = await import('fastify');
   const app = fastify({ bodyLimit: 2 * 1024 * 1024, keepAliveTimeout: 30_000 });
   const send = (reply: any, r: Reply): unknown => {
     const ms = r.body?.error?.retryAfterMs ?? r.body?.rejected?.retryAfterMs;
@@ -293,7 +301,7 @@
     let over = false;
     const raw = reply.raw;
     const sink: Sink = {
-      write: (s) => over || raw.write(s),
+      write: (frames) => over || raw.write(frameLines(frames)),
       close: () => {
         if (over) return;
         over = true;
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,6 +1,6 @@
-import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
-import { matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
-import { familyOf, type Family } from '@harecross/schema';
+import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, never, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
+import { eraOf, matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
+import { familyOf, urgencyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Entry, type Fence } from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
 import { Interests, type InterestItem } from './interest.js';
@@ -37,7 +37,7 @@
     this.holding = new Holding(C.ownerHoldingN, 512, (v) => this.publish(v));
     k.on('Publish', (b: { sender: string; topic: string; seq: number; body: string }) => {
       const fam = this.family(b.topic, 'Publish');
-      const p = this.holding.offer(b, fam.urgency === 'urgent');
+      const p = this.holding.offer(b, urgencyOf(this.reg.value!.config, fam) === 'urgent');
       if (!p) throw new Failure({ tag: 'overloaded', step: 'Publish', peer: k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
       return p;
     }, true);
@@ -280,7 +280,6 @@
     key.topics.clear();
     key.senders.clear();
     for (const [t, b] of key.base.topics) key.topics.set(t, { head: b.head, pend: b.head, since: b.since, era: b.era, entries: [] });
-    for (const [s, b] of key.base.senders) key.senders.set(s, { ...b, idx: 0 });
     for (const e of key.log) key.note(e);
     const now = this.k.host.clock.now();
     key.log.push({ idx: key.last() + 1, fence, topic: '', off: 0, era: 0, sender: '', seq: 0, body: '', at: now });
@@ -317,7 +316,8 @@
         if (e.idx > key.commit) break;
         if (e.topic) {
           const f = familyOf(cfg, e.topic);
-          if (f && now - e.at <= f.memoryS * 1000 * C.memorySlack + C.memorySlackMs) break;
+          // Also what nobody can read any more stays while its number may be repeated.
+          if (now - e.at <= Math.max(C.repeatKeepMs, f ? f.memoryS * 1000 * C.memorySlack + C.memorySlackMs : 0)) break;
         } else if (e.idx === key.commit) break;
         to = e.idx;
       }
@@ -327,10 +327,9 @@
       const n = to - key.base.idx;
       for (const e of key.log.splice(0, n)) {
         fold(key.base, e);
-        const t = e.topic ? key.topics.get(e.topic) : undefined;
-        if (t && t.entries[0]?.idx === e.idx) t.entries.shift();
+        key.forget(e);
       }
-      for (const [s, b] of key.senders) if (now - b.at > C.dedupeKeepMs && b.idx <= key.base.idx) { key.senders.delete(s); key.base.senders.delete(s); }
+      for (const [s, b] of key.base.senders) if (now - b.at > C.dedupeKeepMs) key.base.senders.delete(s);
     }
   }
 
@@ -344,8 +343,8 @@
   }
 
   private visible(e: Entry): boolean {
-    const f = this.reg.value && familyOf(this.reg.value.config, e.topic);
-    return f !== undefined && this.reg.value!.born.get(f.name) === e.era;
+    const v = this.reg.value;
+    return v !== undefined && familyOf(v.config, e.topic) !== undefined && eraOf(v.eras, e.topic) === e.era;
   }
 
   // --- visits of relays ---
@@ -372,15 +371,26 @@
     const key = this.serving(b.topic, 'Publish');
     const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
     if (Buffer.byteLength(b.body) > limit) throw new Failure({ tag: 'too_large', step: 'Publish', peer: this.k.self, limit });
-    const sk = `${b.topic}\n${b.sender}`;
-    const s = key.senders.get(sk);
-    if (s && b.seq === s.seq) {
-      this.k.count('publish.again');
-      if (s.idx > key.commit) await this.wait(key, s.idx);
-      return { offset: s.off };
+    const was = key.outcome(b.topic, b.sender, b.seq);
+    switch (was.tag) {
+      case 'stored':
+        this.k.count('publish.again');
+        if (was.idx > key.commit) await this.wait(key, was.idx);
+        return { offset: was.off };
+      case 'passed':
+        // The final no holds only once the higher number is committed: then every later owner knows of it.
+        if (was.idx > key.commit) await this.wait(key, was.idx);
+        this.k.count('publish.stale');
+        throw new Failure({ tag: 'stale_seq', step: 'Publish', peer: this.k.self, last: was.above });
+      case 'forgotten':
+        this.k.count('publish.forgotten');
+        throw new Failure({ tag: 'outcome_unknown', step: 'Publish', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+      case 'new':
+        break;
+      default:
+        return never(was);
     }
-    if (s && b.seq < s.seq) throw new Failure({ tag: 'stale_seq', step: 'Publish', peer: this.k.self, last: s.seq });
-    const era = this.reg.value!.born.get(fam.name)!;
+    const era = eraOf(this.reg.value!.eras, b.topic)!;
     const t = key.topicOf(b.topic, era);
     const e: Entry = { idx: key.last() + 1, fence: key.fence, topic: b.topic, off: t.pend + 1, era, sender: b.sender, seq: b.seq, body: b.body, at: this.k.host.clock.now() };
     key.log.push(e);
@@ -396,8 +406,8 @@
   }
 
   private view(key: Key, topic: string): { head: number; first: number; since: number; entries: Entry[] } {
-    const f = this.family(topic, 'History');
-    const t = key.topicOf(topic, this.reg.value!.born.get(f.name)!);
+    this.family(topic, 'History');
+    const t = key.topicOf(topic, eraOf(this.reg.value!.eras, topic)!);
     const first = t.entries[0]?.off ?? t.head + 1;
     return { head: t.head, first, since: t.since, entries: t.entries };
   }
--- a/packages/trial/src/journal.ts
+++ b/packages/trial/src/journal.ts
@@ -1,3 +1,4 @@
+import type { Role } from '@harecross/kernel';
 /** A holding as a node tells it: its length now, the most it ever had, and its bound. */
 export interface HoldingSeen { name: string; length: number; most: number; bound: number }
 
@@ -21,9 +22,13 @@
   | { k: 'left'; t: number; consumer: string; conn: string; topic: string; sub: string; reason: string; cursor?: number }
   | { k: 'deliver'; t: number; consumer: string; conn: string; topic: string; sub: string; sender: string; seq: number; offset: number; body: string }
   | { k: 'count'; t: number; asked: number; topic: string; count: number; partial: boolean }
-  | { k: 'cfg.submit'; t: number; changeId: string; expect?: number; config: unknown; valid: boolean }
-  | { k: 'cfg.answer'; t: number; changeId: string; out: 'taken' | 'conflict' | 'invalid' | 'unanswered'; version?: number }
-  | { k: 'cfg.read'; t: number; asked: number; version: number; config: unknown; last?: boolean }
+  | { k: 'cfg.submit'; t: number; changeId: string; expect?: number; revision?: number; document?: unknown; config: unknown; valid: boolean }
+  /** `overtaken`: a higher revision is in force; this one may have been before, or never. */
+  | {
+    k: 'cfg.answer'; t: number; changeId: string; out: 'taken' | 'overtaken' | 'conflict' | 'invalid' | 'unanswered';
+    version?: number; revision?: number; asked?: number;
+  }
+  | { k: 'cfg.read'; t: number; asked: number; version: number; revision?: number; document?: unknown; config: unknown; last?: boolean }
   /** `version` is missing where the node says none. */
   | { k: 'node.says'; t: number; asked: number; node: string; version?: number; fresh: boolean; holdings?: HoldingSeen[]; kept?: number }
   /** A node that did not answer a look. */
@@ -33,7 +38,7 @@
   /** From now on an auditor reads back a topic behind `cursor`; at its end it must have all that was accepted by now. */
   | { k: 'audit'; t: number; consumer: string; topic: string; cursor: number }
   | { k: 'audit.end'; t: number; consumer: string }
-  | { k: 'node'; t: number; node: string; domain: string; role: 'relay' | 'store' }
+  | { k: 'node'; t: number; node: string; domain: string; role: Role }
   /**
    * What the stage does to the fleet, told when it changes. `well`: up, running, and joined to a majority of the register's
    * seats. `able`: every shard has a majority of its copies on well machines. `rough`: lossy or slow anywhere, or a link cut.
