A dead machine's seat and copies go to one that holds nothing after 3 s; all shards repaired at once

A machine that is replaced by an empty one elsewhere kept its seat and copies for 45 s, while the next loss may come 4 s after the new machine is there. Now a disk whose machine is dead for 3 s gives its place to a live one of the same uses that holds nothing; a restart is shorter.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -35,13 +35,18 @@
   }
 
   private async round(): Promise<void> {
-    if (!this.reg.fresh() || this.k.phase !== 'running' || !this.mine()) return;
-    if (!this.plan(this.reg.value!)) return;
-    const said = await this.reg.change((v) => {
-      const next = this.plan(v);
-      return { next, out: next ? this.lastPlan : '' };
-    }, C.callMs * 3);
-    if (said) { this.k.count('keeper.steps'); this.k.host.log.info(`keeper: ${said}`); }
+    // Steps that follow from one another are made in one go: a second loss may be near.
+    for (let i = 0; i < C.keeperStepsN; i++) {
+      if (!this.reg.fresh() || this.k.phase !== 'running' || !this.mine()) return;
+      if (!this.plan(this.reg.value!)) return;
+      const said = await this.reg.change((v) => {
+        const next = this.plan(v);
+        return { next, out: next ? this.lastPlan : '' };
+      }, C.callMs * 3);
+      if (!said) return;
+      this.k.count('keeper.steps');
+      this.k.host.log.info(`keeper: ${said}`);
+    }
   }
 
   /** The next step from this value, if one is due. */
@@ -120,13 +125,23 @@
       if (d.state !== 'active' || disks.get(d.id)!.state === 'lost') continue;
       const m = this.board.ofDisk(d.id);
       const gone = m ? (m.state === 'live' ? 0 : now - m.seenAt) : now - this.k.startedAt;
-      if (gone > C.replaceAfterMs) { disks.set(d.id, { ...d, state: 'lost' }); said.push(`disk ${d.id} is lost`); }
+      const spare = gone > C.spareAfterMs && !isBare(v, d.id) ? this.spareFor(v, d, disks) : undefined;
+      if (spare !== undefined) { disks.set(d.id, { ...d, state: 'lost' }); said.push(`disk ${d.id} gives its place to ${spare}`); }
+      else if (gone > C.replaceAfterMs) { disks.set(d.id, { ...d, state: 'lost' }); said.push(`disk ${d.id} is lost`); }
     }
     if (!said.length) return undefined;
     this.lastPlan = said.join(', ');
     return { ...v, disks };
   }
 
+  /** A live disk of the same uses that holds nothing, and that no lost one waits for. */
+  private spareFor(v: Value, gone: DiskRec, disks: Map<string, DiskRec>): string | undefined {
+    const same = (d: DiskRec): boolean => (['seat', 'copies'] as const).every((use) => usedFor(d, use) === usedFor(gone, use));
+    const bare = [...disks.values()].filter((d) => d.state === 'active' && same(d) && v.disks.has(d.id) && isBare(v, d.id) && this.board.ofDisk(d.id)?.state === 'live');
+    const waiting = [...disks.values()].filter((d) => d.state === 'lost' && same(d) && !isBare(v, d.id));
+    return bare[waiting.length]?.id;
+  }
+
   private planSeats(v: Value): Value | undefined {
     const live = (d: string): boolean => { const m = this.board.ofDisk(d); return m !== undefined && this.board.isLive(m.peer); };
     const fit = (d: DiskRec): boolean => d.state === 'active' && usedFor(d, 'seat') && live(d.id);
@@ -141,7 +156,12 @@
       if (cand) { this.lastPlan = `seat for ${cand.id}`; return { ...v, seats: [...v.seats, cand.id] }; }
     }
     const drop = bad[0] ?? (v.seats.length > odd ? [...v.seats].sort((a, b) => Number(live(a)) - Number(live(b)))[0] : undefined);
-    if (drop === undefined || (good < odd && bad.length === 0)) return undefined;
+    if (drop === undefined || (good < odd && bad.length === 0)) {
+      // Until the next change a majority of the seats before is needed too: that change is made now.
+      if (v.seats.join() === v.prevSeats.join()) return undefined;
+      this.lastPlan = 'seats are settled';
+      return { ...v };
+    }
     const left = v.seats.filter((d) => d !== drop);
     if (left.filter(live).length * 2 <= left.length) return undefined;
     this.lastPlan = `seat of ${drop} is given up`;
@@ -166,7 +186,8 @@
         steps++;
         continue;
       }
-      if (++moving > C.movingN) break;
+      const repair = extra.some((d) => v.disks.get(d)?.state === 'lost');
+      if (++moving > (repair ? C.repairingN : C.movingN)) continue;
       // The last step must be established (an owner serves under this generation) before the next.
       const key = this.board.get(`key/${s}`) as KeyRec | undefined;
       if (!key || key.gen !== p.gen || !this.board.isLive(key.peer)) continue;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -190,10 +190,17 @@
 
   // --- keeper: disks and placement ---
   keeperMs: 500,
-  /** A disk seen live this long is let into the disk set. */
-  joinAfterMs: 1_000,
+  /** Steps of the keeper that follow from one another at once; then it looks again after its period. */
+  keeperStepsN: 8,
+  /** A disk seen live this long is let into the disk set: a process that ends right after its start is not. */
+  joinAfterMs: 500,
   /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
   replaceAfterMs: 45_000,
+  /** A disk dead this long gives its place to one that holds nothing, if there is one: longer than a process takes to start anew. A
+   * machine that was replaced is known by that, and the next loss may come a few seconds after. */
+  spareAfterMs: 3_000,
+  /** Shards whose copies on a lost disk are made anew at once: until then the next loss costs a majority. */
+  repairingN: 32,
   /** Shards in motion at once; keeps repair from taking traffic's share. */
   movingN: 8,
 
--- /dev/null
+++ b/packages/trial/src/test/control-fleet.ts
@@ -0,0 +1,60 @@
+import { sleep } from '@harecross/kernel';
+import { Sim, type SimNode } from '../sim.js';
+import { FAMILIES } from './small-fleet.js';
+
+/** Control nodes with the seats, stores with the copies, relays without a disk, in virtual time; one loss is to be borne. */
+export interface ControlFleet {
+  sim: Sim;
+  controls: SimNode[];
+  stores: SimNode[];
+  relays: SimNode[];
+  /** A machine with an empty disk at an address that was never used; not started. Its seeds are the controls as listed now. */
+  spare(role: 'control' | 'store', domain: string): SimNode;
+  /** A visit at a node; virtual time passes until it is answered. Status 0: no answer. */
+  ask(n: SimNode, method: string, body: unknown): Promise<{ status: number; body: any }>;
+  pass(ms: number): Promise<void>;
+}
+
+export const seatsOf = (n: SimNode): string[] => n.kernel!.use('register').value!.seats;
+export const diskOf = (n: SimNode): string => n.kernel!.use('register').disk!;
+export const copiesAt = (n: SimNode): string[][] => [...n.kernel!.use('register').value!.shards.values()].map((p) => p.copies);
+
+export async function controlFleet(seed: number, x: { controls?: number; stores?: number; relays?: number; log?: boolean } = {}): Promise<ControlFleet> {
+  const sim = new Sim(seed, { log: x.log, delayMs: [0.5, 2] });
+  let n = 0;
+  const add = (role: 'control' | 'store' | 'relay', domain: string): SimNode => {
+    const m = sim.add(`${role}${++n}`, { role, domain, disk: role !== 'relay' });
+    Object.assign(m.config, { losses: 1, name: m.name, ...(role === 'relay' ? {} : { diskUses: role === 'store' ? ['copies'] : ['seat'] }) });
+    return m;
+  };
+  const several = (role: 'control' | 'store' | 'relay', count: number): SimNode[] => Array.from({ length: count }, (_, i) => add(role, 'abcd'[i % 4]!));
+  const controls = several('control', x.controls ?? 3);
+  const stores = several('store', x.stores ?? 3);
+  const relays = several('relay', x.relays ?? 3);
+  const seeds = controls.slice(0, 3).map((c) => c.config.peer);
+  for (const m of sim.nodes.values()) { m.config.seeds = seeds; m.config.firstStart = true; void sim.start(m); }
+  await sim.run(8_000);
+  for (const m of sim.nodes.values()) m.config.firstStart = false;
+  const until = async <T>(p: Promise<T>): Promise<T> => {
+    let kept = false;
+    const q = p.finally(() => { kept = true; });
+    q.catch(() => undefined);
+    for (let i = 0; i < 4_000 && !kept; i++) await sim.run(sim.now + 10);
+    return q;
+  };
+  const f: ControlFleet = {
+    sim, controls, stores, relays,
+    spare: (role, domain) => {
+      const m = add(role, domain);
+      m.config.seeds = controls.slice(0, 3).map((c) => c.config.peer);
+      m.config.firstStart = false;
+      return m;
+    },
+    ask: async (m, method, body) => (await until(sim.outside.visit(m.config.client, method, body, 6_000))) ?? { status: 0, body: undefined },
+    pass: async (ms) => { const p = sleep(sim.clock, ms); await sim.run(sim.now + ms); await p; },
+  };
+  const r = await f.ask(controls[0]!, 'SubmitConfig', { revision: 1, document: { n: 1 }, config: { families: FAMILIES } });
+  if (r.status !== 200) throw new Error(JSON.stringify(r.body));
+  await f.pass(1_000);
+  return f;
+}
