Relays and owners compare one sum a shard; topics are told one by one only where it differs

Once a second each relay named all its topics to their owners and got all heads back. Now a sum over topics and places goes to and fro; where the two differ the shard's topics are told, and interest the owner has too much or too little is said again. Homes are renewed every 15 s, not 5 s: they change by events.

--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -1,9 +1,9 @@
-import { C, Failure, Kernel, type HoldingInfo, faultOf, loop, rank, register, retryAfter, sample, shardOf, sleep } from '@harecross/kernel';
+import { C, Failure, Kernel, type HoldingInfo, faultOf, hash, loop, rank, register, retryAfter, sample, shardOf, sleep } from '@harecross/kernel';
 import { awayNow, type Board, type Register } from '@harecross/control';
 import { familyOf, urgencyOf, type Frame } from '@harecross/schema';
 import { distinctUntilChanged, map } from 'rxjs';
-import type { FanFrame, InterestItem } from './interest.js';
-import type { HistoryAnswer } from './owner.js';
+import { placeSum, type FanFrame, type InterestItem } from './interest.js';
+import type { HeadsAnswer, HistoryAnswer } from './owner.js';
 import type { Route } from './route.js';
 
 declare module '@harecross/kernel' {
@@ -81,7 +81,7 @@
 }
 
 /** The holds of all our subscribers on one topic; the owner learns only the latest deadline. */
-interface TopicHold { topic: string; shard: number; subs: Set<Sub>; gen: string; saidUntil: number; seen: number; pulling: boolean; again: boolean }
+interface TopicHold { topic: string; shard: number; mark: number; subs: Set<Sub>; gen: string; saidUntil: number; seen: number; pulling: boolean; again: boolean }
 
 /**
  * The relay's side of interest holds (the paper's design). One hold per subscription, renewed by this node from
@@ -277,7 +277,7 @@
     if (!h || h.subs.size === 0) {
       const gen = `${this.k.inst}.${++this.n}`;
       if (h) { h.gen = gen; h.saidUntil = 0; }
-      else { h = { topic, shard: shardOf(topic), subs: new Set(), gen, saidUntil: 0, seen: 0, pulling: false, again: false }; this.topics.set(topic, h); }
+      else { h = { topic, shard: shardOf(topic), mark: hash(topic), subs: new Set(), gen, saidUntil: 0, seen: 0, pulling: false, again: false }; this.topics.set(topic, h); }
     }
     return h;
   }
@@ -450,7 +450,7 @@
     const byOwner = new Map<string, InterestItem[]>();
     for (const t of [...this.dirty]) {
       const h = this.topics.get(t);
-      if (!h) { this.dirty.delete(t); continue; }
+      if (!h) { this.sayEnded(t, byOwner); continue; }
       const until = Math.max(0, ...[...h.subs].map((s) => s.expiresAt));
       if (until === h.saidUntil) { this.dirty.delete(t); if (!h.subs.size) this.topics.delete(t); continue; }
       const owner = this.route.owner(h.shard);
@@ -472,6 +472,16 @@
     }));
   }
 
+  /** A topic without any hold: its interest has ended, in case the owner believes otherwise. */
+  private sayEnded(topic: string, byOwner: Map<string, InterestItem[]>): void {
+    this.dirty.delete(topic);
+    const owner = this.route.owner(shardOf(topic));
+    if (!owner) return;
+    const items = byOwner.get(owner) ?? [];
+    items.push({ topic, rev: ++this.rev, expiresAt: 0, gen: '' });
+    byOwner.set(owner, items);
+  }
+
   private moved(shard: number): void {
     const mine = [...this.topics.values()].filter((h) => h.shard === shard && h.subs.size);
     for (const h of mine) { h.saidUntil = -1; this.dirty.add(h.topic); }
@@ -482,29 +492,43 @@
     await this.headsOf([...this.topics.values()].filter((h) => h.subs.size));
   }
 
+  /** One sum a shard goes to its owner; only where the owner's differs are topics told one by one. */
   private async headsOf(hs: TopicHold[]): Promise<void> {
-    const byOwner = new Map<string, TopicHold[]>();
+    const byShard = new Map<number, TopicHold[]>();
     for (const h of hs) {
-      const o = this.route.owner(h.shard);
-      if (!o) { this.route.seek(h.shard); continue; }
-      const l = byOwner.get(o) ?? [];
-      l.push(h);
-      byOwner.set(o, l);
+      const l = byShard.get(h.shard);
+      if (l) l.push(h); else byShard.set(h.shard, [h]);
+    }
+    const byOwner = new Map<string, [number, number][]>();
+    for (const [shard, l] of byShard) {
+      const o = this.route.owner(shard);
+      if (!o) { this.route.seek(shard); continue; }
+      const sums = byOwner.get(o) ?? [];
+      sums.push([shard, l.reduce((x, h) => (x + placeSum(h.mark, h.seen)) | 0, 0)]);
+      byOwner.set(o, sums);
     }
-    await Promise.all([...byOwner].map(async ([o, l]) => {
+    await Promise.all([...byOwner].map(async ([o, sums]) => {
       try {
-        const r = await this.k.reach<{ heads: Map<string, number>; missing: string[] }>(o, 'Heads', { topics: l.map((h) => h.topic) });
-        for (const h of l) {
-          const head = r.heads.get(h.topic);
-          if (head === undefined) { this.route.seek(h.shard); continue; }
-          h.seen = Math.max(h.seen, head);
-          if ([...h.subs].some((s) => s.next <= h.seen)) this.pull(h);
-        }
-        for (const t of r.missing) { const h = this.topics.get(t); if (h?.subs.size) { h.saidUntil = -1; this.dirty.add(t); } }
-      } catch { for (const h of l) this.route.seek(h.shard); }
+        const r = await this.k.reach<HeadsAnswer>(o, 'Heads', { sums });
+        for (const s of r.elsewhere) this.route.seek(s);
+        for (const [shard, told] of r.heads) this.compareHeads(byShard.get(shard) ?? [], new Map(told));
+      } catch { for (const [s] of sums) this.route.seek(s); }
     }));
   }
 
+  private compareHeads(mine: TopicHold[], theirs: Map<string, number>): void {
+    this.k.count('heads.differ');
+    for (const h of mine) {
+      const head = theirs.get(h.topic);
+      // The owner does not know that we listen: it is told again.
+      if (head === undefined) { if (h.subs.size) { h.saidUntil = -1; this.dirty.add(h.topic); } continue; }
+      h.seen = Math.max(h.seen, head);
+      if ([...h.subs].some((s) => s.next <= h.seen)) this.pull(h);
+    }
+    // It believes that we listen where we do not.
+    for (const t of theirs.keys()) if (!this.topics.get(t)?.subs.size) this.dirty.add(t);
+  }
+
   private sweepFamilies(): void {
     const v = this.reg.value;
     if (!v) return;
--- a/packages/data/src/interest.ts
+++ b/packages/data/src/interest.ts
@@ -1,11 +1,21 @@
 import type { Board } from '@harecross/control';
-import { C, type HoldingInfo, type Kernel, faultOf } from '@harecross/kernel';
+import { C, type HoldingInfo, type Kernel, faultOf, hash, shardOf } from '@harecross/kernel';
 import type { Entry } from '@harecross/state';
 
 /** What a relay tells the owner of a topic: a deadline, never who or how many. */
 export interface InterestItem { topic: string; rev: number; expiresAt: number; gen: string }
 export interface FanFrame { topic: string; gen: string; off: number; sender: string; seq: number; body: string }
-interface Interest { rev: number; deadline: number; gen: string }
+interface Interest { rev: number; deadline: number; gen: string; shard: number; mark: number }
+
+/**
+ * What a topic and a place in it add to the sum by which a relay and an owner see that they know the same of a shard.
+ * @example
+ * sum = (sum + placeSum(hash('pay/7'), 41)) | 0
+ */
+export function placeSum(mark: number, off: number): number {
+  const x = Math.imul(mark ^ Math.imul(off, 0x9e3779b1), 0x85ebca6b);
+  return Math.imul(x ^ (x >>> 15), 0xc2b2ae35);
+}
 
 /**
  * What the owner knows of relays' interest, and what follows from it: whom a frame goes to, and who is asked how many listen.
@@ -37,11 +47,6 @@
     }
   }
 
-  /** Whether a relay's interest in a topic is live. */
-  has(relay: string, topic: string): boolean {
-    return (this.interest.get(relay)?.topics.get(topic)?.deadline ?? 0) > this.k.host.clock.now();
-  }
-
   hear(relay: string, inst: string, items: InterestItem[], toLocal: (t: number) => number): true {
     let r = this.interest.get(relay);
     if (r && inst < r.inst) return true;
@@ -49,11 +54,17 @@
     for (const i of items) {
       const old = r.topics.get(i.topic);
       if (old && old.rev >= i.rev) { this.k.count('interest.stale'); continue; }
-      r.topics.set(i.topic, { rev: i.rev, gen: i.gen, deadline: i.expiresAt === 0 ? this.k.host.clock.now() : toLocal(i.expiresAt) + C.holdSkewMs });
+      r.topics.set(i.topic, { rev: i.rev, gen: i.gen, shard: old?.shard ?? shardOf(i.topic), mark: old?.mark ?? hash(i.topic), deadline: i.expiresAt === 0 ? this.k.host.clock.now() : toLocal(i.expiresAt) + C.holdSkewMs });
     }
     return true;
   }
 
+  /** The topics of a shard in which a relay's interest is live, each with its mark. */
+  *liveIn(relay: string, shard: number): Generator<[string, number]> {
+    const now = this.k.host.clock.now();
+    for (const [t, i] of this.interest.get(relay)?.topics ?? []) if (i.shard === shard && i.deadline > now) yield [t, i.mark];
+  }
+
   interested(topic: string): [string, Interest][] {
     const now = this.k.host.clock.now();
     const out: [string, Interest][] = [];
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -3,7 +3,7 @@
 import { familyOf, urgencyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Entry, type Fence } from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
-import { Interests, type InterestItem } from './interest.js';
+import { Interests, placeSum, type InterestItem } from './interest.js';
 import { Key, type KeyState } from './key.js';
 import { Replication } from './replication.js';
 
@@ -13,6 +13,8 @@
 
 export interface HistoryPage { tag: 'page'; head: number; first: number; since: number; entries: { off: number; sender: string; seq: number; body: string }[] }
 export type HistoryAnswer = HistoryPage | { tag: 'gone' };
+/** `heads`: all topics in which the owner knows interest, for the shards where relay and owner differ. */
+export interface HeadsAnswer { heads: Map<number, [topic: string, head: number][]>; elsewhere: number[] }
 
 /**
  * The owner's side of topics: takes keys under a fence, accepts messages once a majority of the copies has them
@@ -44,7 +46,7 @@
     k.on('Interest', (b: { items: InterestItem[] }, f) => this.interests.hear(f.peer, f.inst, b.items, f.toLocal));
     k.on('Open', (b: { topic: string; confirm: boolean }) => this.open(b), true);
     k.on('History', (b: { topic: string; from: number }): HistoryAnswer => this.history(b), true);
-    k.on('Heads', (b: { topics: string[] }, f) => this.heads(b.topics, f.peer));
+    k.on('Heads', (b: { sums: [number, number][] }, f) => this.heads(b.sums, f.peer));
     k.on('Count', (b: { topic: string }) => {
       this.family(b.topic, 'Count');
       return this.interests.countListeners(b.topic, this.serving(b.topic, 'Count').takenAt);
@@ -444,19 +446,25 @@
     return { tag: 'page', head: v.head, first: v.first, since: v.since, entries };
   }
 
-  private heads(topics: string[], relay: string): { heads: Map<string, number>; missing: string[] } {
-    const heads = new Map<string, number>();
-    const missing: string[] = [];
-    for (const t of topics) {
-      const f = this.reg.fresh() ? familyOf(this.reg.value!.config, t) : undefined;
-      const key = this.keys.get(shardOf(t))!;
-      if (!f || key.state !== 'owner') continue;
-      heads.set(t, this.view(key, t).head);
-      if (!this.interests.has(relay, t)) missing.push(t);
+  /** Compares what a relay knows of shards with what we do; tells the heads of a shard where the two differ. */
+  private heads(sums: [shard: number, sum: number][], relay: string): HeadsAnswer {
+    const heads = new Map<number, [topic: string, head: number][]>();
+    const elsewhere: number[] = [];
+    for (const [shard, sum] of sums) {
+      const key = this.keys.get(shard);
+      if (!key || key.state !== 'owner' || !this.reg.fresh()) { elsewhere.push(shard); continue; }
+      const mine: [string, number][] = [];
+      let total = 0;
+      for (const [t, mark] of this.interests.liveIn(relay, shard)) {
+        if (!familyOf(this.reg.value!.config, t)) continue;
+        const { head } = this.view(key, t);
+        mine.push([t, head]);
+        total = (total + placeSum(mark, head)) | 0;
+      }
+      if (total !== sum) heads.set(shard, mine);
     }
-    return { heads, missing };
+    return { heads, elsewhere };
   }
-
 }
 
 register({
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -45,11 +45,11 @@
   /** Subscriptions a conn may have. */
   subsPerConnN: 256,
   /** A consumer's home forgets a conn not re-registered for this long. */
-  homeForgetMs: 15_000,
+  homeForgetMs: 40_000,
   /** Unable to serve for this long a relay sends its conns elsewhere: before the others call it dead and count them no more. */
   unfreshMs: 4_000,
   /** Relay re-registers its conns at their homes this often. */
-  homeRenewMs: 5_000,
+  homeRenewMs: 15_000,
 
   // --- data: shards, copies ---
   /** Shards of the topic space: several per disk at today's 8 disks, so that duty evens out. */
