Members known are kept on disk; who calls us is a contact: a fleet finds itself when every seed is gone

After a loss of all power with settings whose seeds are dead machines, controls found each other by the register's disks, stores and relays nobody. Nodes with a disk now keep the members they knew (64 at most, when that changes, every 5 s), begin from them beside the seeds, and call those that are no members yet, so that a relay without a disk learns of its caller. Seen failing with nothing kept.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -1,4 +1,5 @@
 import { C, Kernel, below, diskUsesOf, hash, loop, register, sample, within, type DiskUse, type Role } from '@harecross/kernel';
+import type { Store } from '@harecross/state';
 import { Subject } from 'rxjs';
 
 export type Condition = 'joining' | 'ready' | 'draining' | 'left' | 'ill';
@@ -52,6 +53,10 @@
   /** Sum over all facts, for digests that are equal to be seen as equal at once. */
   private sums: [number, number] = [0, 0];
   private beat = 0;
+  /** Members that a former life of this machine knew, from its disk. */
+  private kept: string[] = [];
+  /** Who called us and is no member yet: some member knows us from before. */
+  private callers = new Set<string>();
   private mine: Pick<MemberRec, 'condition' | 'weight' | 'disk'> = { condition: 'joining', weight: 0 };
   private saidWeight = 0;
 
@@ -80,6 +85,7 @@
       for (const m of this.members.values()) m.seenAt = clock.now();
     }));
     for (const s of k.host.config.seeds) if (s !== k.self) this.view.set(s, 0);
+    if (k.host.db) this.remember(k.use('state'));
     this.sayMine();
     k.keep(loop(clock, C.gossipMs, rnd, () => this.gossip()));
     k.keep(loop(clock, C.shuffleMs, rnd, () => this.shuffle()));
@@ -134,14 +140,35 @@
     return undefined;
   }
 
-  /** A random live peer other than us, or a seed when we know nobody. */
+  /** Keeps the members we know on our disk: the seeds of the next start may all be gone by then. */
+  private remember(st: Store): void {
+    this.kept = JSON.parse(st.get('members') ?? '[]') as string[];
+    let saved = this.kept.join();
+    this.k.keep(loop(this.k.host.clock, C.rememberMs, this.k.host.rnd, async () => {
+      const now = [...this.members.values()].filter((m) => m.state !== 'left' && m.peer !== this.k.self).map((m) => m.peer).sort().slice(0, C.rememberN);
+      if (!now.length || now.join() === saved) return;
+      await st.db.commit(() => st.set('members', JSON.stringify(now)));
+      saved = now.join();
+    }));
+  }
+
+  /**
+   * Addresses to begin from when nobody is known: the seeds, who was a member when we were last here, and who called us.
+   * @example
+   * board.contacts(); // ['10.0.0.1:7101', '10.0.0.2:7101']
+   */
+  contacts(): string[] {
+    return [...new Set([...this.k.host.config.seeds, ...this.kept, ...this.callers])].filter((p) => p !== this.k.self);
+  }
+
+  /** A random live peer other than us, or a contact when we know nobody. */
   somePeers(n: number): string[] {
     const { rnd, config } = this.k.host;
     const viewed = [...this.view.keys()].filter((p) => this.members.get(p)?.state === 'live');
     const all = this.live().map((m) => m.peer).filter((p) => p !== this.k.self);
     const base = viewed.length >= n ? viewed : all;
     const got = sample(rnd, base, n);
-    const seeds = config.seeds.filter((s) => s !== this.k.self && !got.includes(s));
+    const seeds = (got.length < n ? this.contacts() : config.seeds.filter((s) => s !== this.k.self)).filter((s) => !got.includes(s));
     // Now and then a seed that is not live to us: heals a fleet that fell in two.
     if (seeds.length && (got.length < n || rnd.next() < 0.05)) got.push(seeds[below(rnd, seeds.length)]!);
     return got;
@@ -191,6 +218,7 @@
   /** A sign of life. */
   private heard(peer: string, inst?: string): void {
     const m = this.members.get(peer);
+    if (!m && this.callers.size < C.viewN) this.callers.add(peer);
     if (!m || m.state === 'left' || (inst !== undefined && inst !== m.inst)) return;
     m.seenAt = this.k.host.clock.now();
     if (m.state !== 'live') this.turn(m, 'live');
@@ -233,6 +261,8 @@
   }
 
   private async gossip(): Promise<void> {
+    // Who was a member once may not find us: its seeds may be gone, and it may have no disk. Our call tells it of us.
+    for (const p of sample(this.k.host.rnd, this.kept.filter((x) => !this.members.has(x)), C.gossipPeersN)) void this.ping(p);
     await Promise.all(this.somePeers(C.gossipPeersN).map(async (p) => {
       try {
         type Answer = 'same' | 'differs' | { newer: Wire[]; want: string[] };
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -202,9 +202,9 @@
 
   /** Confirms at a majority that no newer value than ours is agreed. */
   async confirm(): Promise<boolean> {
-    const { clock, rnd, config } = this.k.host;
+    const { clock, rnd } = this.k.host;
     if (!this.value) {
-      const from = this.board.somePeers(1).concat(config.seeds.filter((s) => s !== this.k.self));
+      const from = this.board.somePeers(1).concat(this.board.contacts());
       await this.fetch(from[Math.floor(rnd.next() * from.length)]!);
       if (!this.value && this.hint && this.hint.rev > 0) await this.recall(this.hint, this.hintBallot);
       if (!this.value) return false;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -152,6 +152,9 @@
   deadMs: 8_000,
   /** A dead member's record is forgotten after this long. */
   forgetMs: 120_000,
+  /** Members known are kept on disk, where that changed, this often; and so many of them: a start needs one that is there. */
+  rememberMs: 5_000,
+  rememberN: 64,
   /** Time limit of small control calls. */
   callMs: 800,
   /** A gap in our own loop this long means we were frozen: duties are in doubt until confirmed. */
--- a/packages/trial/src/test/turnover.test.ts
+++ b/packages/trial/src/test/turnover.test.ts
@@ -95,3 +95,36 @@
   t.false(f.sim.lines.some((l) => l.includes(`disk ${disk} gives its place`)));
   f.sim.close();
 });
+
+test('all power is lost, and every seed in the files is a machine that is gone: who has a disk knows the others, and calls those without', async (t) => {
+  const f = await controlFleet(8);
+  await f.pass(6_000);
+  t.is((await submit(f, f.controls[0]!, 5)).status, 200);
+  const all = [...f.sim.nodes.values()];
+  for (const n of all) f.sim.kill(n);
+  for (const n of all) n.config.seeds = ['10.9.9.1:7100', '10.9.9.2:7100'];
+  await f.pass(1_500);
+  for (const n of all) void f.sim.start(n);
+  await f.pass(5_000);
+  for (const n of all) t.is(n.kernel!.use('register').value?.revision, 5, n.name);
+  t.true(all.every((n) => n.kernel!.use('register').fresh()));
+  t.is((await publish(f, f.relays[2]!, 'feed/1', 1)).status, 200);
+  f.sim.close();
+});
+
+test('the seeds in the files are exchanged while all run: nothing changes, and who starts anew finds the fleet', async (t) => {
+  const f = await controlFleet(9, { controls: 4 });
+  for (const n of f.sim.nodes.values()) n.config.seeds = [f.controls[3]!.config.peer];
+  await f.pass(3_000);
+  const fleets = () => new Set([...f.sim.nodes.values()].map((n) => n.kernel!.use('register').value?.fleet));
+  t.is(fleets().size, 1);
+  for (const n of [f.relays[0]!, f.stores[1]!, f.controls[3]!]) {
+    f.sim.kill(n);
+    await f.pass(1_000);
+    void f.sim.start(n);
+    await f.pass(3_000);
+    t.true(n.kernel!.use('register').fresh(), n.name);
+  }
+  t.is(fleets().size, 1);
+  f.sim.close();
+});
