--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -1,6 +1,6 @@
-import { C, Failure, Kernel, faultOf, register, retryAfter, shardOf, sleep, within, type Fault } from '@harecross/kernel';
+import { C, Failure, Kernel, RetryBudget, faultOf, register, retryAfter, shardOf, sleep, within, type Fault } from '@harecross/kernel';
 import type { Board, KeyRec, Register } from '@harecross/control';
-import { familyOf } from '@harecross/schema';
+import { familyOf, urgencyOf } from '@harecross/schema';
 import { readFence, type Fence } from '@harecross/state';
 import { Subject } from 'rxjs';
 
@@ -16,10 +16,12 @@
 export class Route {
   private hints = new Map<number, { fence: Fence; peer: string }>();
   private asking = new Map<number, Promise<void>>();
+  private budget: RetryBudget;
   /** A shard whose owner changed, as far as we know. */
   readonly moved$ = new Subject<number>();
 
   constructor(private k: Kernel, private board: Board, private reg: Register) {
+    this.budget = new RetryBudget(k.host.clock, { perS: C.retriesPerS, share: C.retriesShare, burst: C.retriesBurstN });
     k.keep(board.changed$.subscribe((key) => {
       if (!key.startsWith('key/')) return;
       const r = board.get(key) as KeyRec;
@@ -85,6 +87,14 @@
     const until = clock.now() + patienceMs;
     let lostSince: number | undefined;
     let perhaps = false;
+    const family = this.reg.value && familyOf(this.reg.value.config, topic);
+    const urgent = family !== undefined && urgencyOf(this.reg.value!.config, family) === 'urgent';
+    this.budget.first();
+    const again = (): boolean => {
+      const may = this.budget.retry(urgent);
+      if (!may) this.k.count('route.budget');
+      return may;
+    };
     for (;;) {
       const left = until - clock.now();
       if (left <= 0) break;
@@ -93,6 +103,7 @@
       if (lostSince !== undefined && clock.now() - lostSince > C.noOwnerMs) break;
       if (!peer) {
         lostSince ??= clock.now();
+        if (!again()) break;
         await within(clock, left, this.who(shard));
         if (!this.owner(shard)) await sleep(clock, C.ownerRetryMs);
         continue;
@@ -134,7 +145,7 @@
         default:
           throw end();
       }
-      if (until - clock.now() <= C.ownerRetryMs) break;
+      if (until - clock.now() <= C.ownerRetryMs || !again()) break;
       await sleep(clock, C.ownerRetryMs);
       if (f.tag !== 'unknown_topic') await within(clock, until - clock.now(), this.who(shard));
     }
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -110,6 +110,12 @@
   ownerRetryMs: 60,
   /** A publish whose key has no owner in sight is given up after this long, well below any patience. */
   noOwnerMs: 700,
+  /** Tries at owners after a visit's first, of one node: this many a second ... */
+  retriesPerS: 40,
+  /** ... and this share of the first tries ... */
+  retriesShare: 0.2,
+  /** ... of which so many may be saved: a key that changes hands is asked for a few times by each visit under way. */
+  retriesBurstN: 400,
   /** A link that gave no answer is tried directly this often; meanwhile visits of the data plane go round it. */
   linkTryMs: 700,
   /** A line of a client: topic, cursor and name are far shorter. */
--- a/packages/kernel/src/flow.ts
+++ b/packages/kernel/src/flow.ts
@@ -141,3 +141,36 @@
     }
   }
 }
+
+/**
+ * A budget for tries after the first: a share of the first tries, and a little by time. While what they ask for is away, tries after
+ * the first would only add to what it finds when it is back. Urgent ones may spend all of it, routine ones the upper half.
+ * @example
+ * const b = new RetryBudget(clock, { perS: 60, share: 0.5, burst: 240 });
+ * b.first(); if (!b.retry(urgent)) give up;
+ */
+export class RetryBudget {
+  private tokens: number;
+  private at: number;
+  refused = 0;
+
+  constructor(private clock: Clock, private x: { perS: number; share: number; burst: number }) {
+    this.tokens = x.burst;
+    this.at = clock.now();
+  }
+
+  /** Notes a first try. */
+  first(): void {
+    this.tokens = Math.min(this.x.burst, this.tokens + this.x.share);
+  }
+
+  /** Whether one more try may be made. */
+  retry(urgent: boolean): boolean {
+    const now = this.clock.now();
+    this.tokens = Math.min(this.x.burst, this.tokens + ((now - this.at) / 1000) * this.x.perS);
+    this.at = now;
+    if (this.tokens < 1 + (urgent ? 0 : this.x.burst / 2)) { this.refused++; return false; }
+    this.tokens--;
+    return true;
+  }
+}
