--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -1,4 +1,4 @@
-import { C, Kernel, below, hash, loop, register, sample, within, type Role } from '@harecross/kernel';
+import { C, Kernel, below, gather, hash, loop, register, sample, within, type Role } from '@harecross/kernel';
 import { Subject } from 'rxjs';
 
 export type Condition = 'joining' | 'ready' | 'draining' | 'left' | 'ill';
@@ -274,8 +274,8 @@
     } catch { /* gone from the view until someone names it again */ }
   }
 
-  /** A visit surely did not reach this peer: ask it once more at once. */
-  private doubt(peer: string): void {
+  /** A visit surely did not reach this peer, or its answer is overdue: ask it once more at once. */
+  doubt(peer: string): void {
     const m = this.members.get(peer);
     if (m && m.state === 'live') void this.probe(m);
   }
@@ -294,12 +294,18 @@
       const mine = this.ping(m.peer);
       if (await within(clock, C.probeAloneMs, mine)) return; // the answer itself was the sign of life
       const helpers = sample(rnd, this.live().map((x) => x.peer).filter((p) => p !== this.k.self && p !== m.peer), C.probeHelpersN);
-      const got = await Promise.all([mine, ...helpers.map((h) => this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeMs * 2).catch(() => false))]);
+      const others = helpers.map((h) => this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeHelpMs).catch(() => false));
+      const got = await within(clock, C.probeHelpMs, gather([mine, ...others], (xs) => xs.includes(true)));
       const now = this.members.get(m.peer);
       if (!now || now.inst !== m.inst) return;
-      if (got.includes(true)) { this.heard(m.peer, m.inst); return; }
-      // Frozen ourselves meanwhile? Then the silence was ours.
-      if (clock.now() - t0 > C.probeMs * 4 || now.seenAt > t0 || now.state !== 'live') return;
+      if (got?.includes(true)) {
+        // Others reach it: if it did not answer us, it is our own link that broke.
+        if (now.seenAt < t0) this.k.breaks(m.peer);
+        this.heard(m.peer, m.inst);
+        return;
+      }
+      // Stood our own loop still meanwhile? Then the silence was ours.
+      if (clock.now() - t0 > C.probeAloneMs + C.probeHelpMs + C.probeLateMs || now.seenAt > t0 || now.state !== 'live') return;
       this.turn(now, 'suspect');
       this.put(`s/${m.peer}`, this.items.get(`m/${m.peer}`)!.ver, { by: this.k.self });
     } finally {
--- a/packages/data/src/copies.ts
+++ b/packages/data/src/copies.ts
@@ -1,5 +1,6 @@
 import { C, Failure, Kernel, register } from '@harecross/kernel';
 import { fenceAt, lastFence, lastIdx, NO_FENCE, readFence, type Base, type Copy, type Entry, type Fence, type Store } from '@harecross/state';
+import { Subject } from 'rxjs';
 
 /** Entries travel with their age, not their time: clocks differ. */
 export type WireEntry = Omit<Entry, 'at'> & { age: number };
@@ -56,15 +57,17 @@
 export class Copies {
   readonly all: Map<number, Copy>;
   readonly disk: string;
+  /** A shard whose copy here has promised a higher fence, asked for by its taker. */
+  readonly promised$ = new Subject<number>();
 
   constructor(private k: Kernel, private st: Store) {
     this.all = st.copies(k.host.clock.now());
     this.disk = st.get('disk')!;
-    k.on('Fence', (b: { disk: string; shard: number; fence: Fence }) => this.fence(b));
+    k.on('Fence', (b: { disk: string; items: { shard: number; fence: Fence }[] }) => this.fence(b));
     k.on('Append', (b: Append) => this.append(b));
     k.on('Install', (b: Install) => this.install(b));
     k.on('Fetch', (b: { disk: string; shard: number; from: number; fromFence: Fence }) => this.fetch(b));
-    k.on('Who', (b: { shard: number }) => this.all.get(b.shard)?.promised ?? NO_FENCE);
+    k.on('Who', (b: { shards: number[] }) => b.shards.map((s) => this.all.get(s)?.promised ?? NO_FENCE));
   }
 
   get(shard: number): Copy {
@@ -87,14 +90,17 @@
     if (disk !== this.disk) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
   }
 
-  private fence(b: { disk: string; shard: number; fence: Fence }): Promise<Promised> {
+  /** Promises many fences in one synced step; in the order they were asked for. */
+  private async fence(b: { disk: string; items: { shard: number; fence: Fence }[] }): Promise<Promised[]> {
     this.mine(b.disk, 'Fence');
-    return this.st.db.commit((): Promised => {
-      const c = this.get(b.shard);
-      if (b.fence <= c.promised) return { ok: false, disk: this.disk, promised: c.promised };
-      this.st.promise(c, b.fence);
+    const out = await this.st.db.commit(() => b.items.map(({ shard, fence }): Promised => {
+      const c = this.get(shard);
+      if (fence <= c.promised) return { ok: false, disk: this.disk, promised: c.promised };
+      this.st.promise(c, fence);
       return { ok: true, disk: this.disk, lastIdx: lastIdx(c), lastFence: lastFence(c), baseIdx: c.base.idx };
-    });
+    }));
+    out.forEach((p, i) => { if (p.ok) this.promised$.next(b.items[i]!.shard); });
+    return out;
   }
 
   private append(b: Append): Promise<Appended> {
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -94,6 +94,7 @@
     if (this.k.phase === 'stopped') return this.failed(m, notReady(this.k, m));
     this.k.count(`visit.${m}`);
     const p = this.holding.offer({ m: method, body }, this.urgent(method, body));
+    if (!p && m === 'Publish') this.route.turnAway(body as Visit<'Publish'>);
     if (!p) return this.failed(m, new Failure({ tag: 'overloaded', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
     return p;
   }
@@ -173,17 +174,17 @@
       case 'Unsubscribe':
         return { left: this.conns(m).unsubscribe(body.conn, body.topic) };
       case 'Publish': {
+        if (!this.reg.fresh()) this.route.turnAway(body);
         this.mustServe(m);
         const fam = this.family(m, body.topic);
         const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
         if (Buffer.byteLength(body.body) > limit) throw new Failure({ tag: 'too_large', step: m, peer: this.k.self, limit });
-        const r = await this.route.atOwner<{ offset: number }>(body.topic, 'Publish', body, fam.patienceMs);
-        return { accepted: r };
+        return { accepted: await this.route.publish(body, fam.patienceMs) };
       }
       case 'Listeners': {
         this.mustServe(m);
         const fam = this.family(m, body.topic);
-        return this.route.atOwner(body.topic, 'Count', { topic: body.topic }, fam.patienceMs);
+        return this.route.atOwner(body.topic, 'Count', () => ({ topic: body.topic }), fam.patienceMs);
       }
       case 'SubmitConfig':
         return this.ops.submit(body);
--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -188,9 +188,9 @@
   private async open(sub: Sub, h: TopicHold, cursor: number | undefined, patienceMs: number): Promise<void> {
     const { topic } = sub;
     try {
-      let o = await this.route.atOwner<{ head: number; first: number; since: number }>(topic, 'Open', { topic, confirm: cursor === undefined }, patienceMs);
+      let o = await this.route.atOwner<{ head: number; first: number; since: number }>(topic, 'Open', () => ({ topic, confirm: cursor === undefined }), patienceMs);
       if (cursor !== undefined && cursor > o.head) {
-        o = await this.route.atOwner(topic, 'Open', { topic, confirm: true }, patienceMs);
+        o = await this.route.atOwner(topic, 'Open', () => ({ topic, confirm: true }), patienceMs);
         if (cursor > o.head) throw new Failure({ tag: 'cursor_ahead', step: 'Subscribe', peer: this.k.self, head: o.head });
       }
       const next = cursor === undefined ? o.head + 1 : Math.max(cursor + 1, o.since);
@@ -296,7 +296,7 @@
       const from = Math.min(...waiting.map((s) => s.next));
       let a: HistoryAnswer;
       try {
-        a = await this.route.atOwner<HistoryAnswer>(h.topic, 'History', { topic: h.topic, from }, C.ownerTryMs * 2);
+        a = await this.route.atOwner<HistoryAnswer>(h.topic, 'History', () => ({ topic: h.topic, from }), C.ownerTryMs * 2);
       } catch {
         this.k.count('pull.fail');
         return; // heads ask again within a second
--- a/packages/data/src/key.ts
+++ b/packages/data/src/key.ts
@@ -2,6 +2,9 @@
 
 export interface TopicState { head: number; pend: number; since: number; era: number; entries: Entry[] }
 
+/** The step of a fault that says: this number is older than what anybody remembers. */
+export const FORGOTTEN = 'forgotten';
+
 /** What the owner knows of a sender's number on a topic. */
 export type Outcome =
   /** Above all that is known: to be stored now. */
@@ -13,8 +16,11 @@
   /** Below what has been trimmed: accepted or not, nobody knows any more. */
   | { tag: 'forgotten' };
 
-/** A key's life at a node. */
-export type KeyState = 'none' | 'taking' | 'owner' | 'yielding';
+/**
+ * A key's life at a node: `taking` while it asks for the fence and for what it lacks, `confirming` while the barrier is on its way to a
+ * majority (publishes are taken behind it, nothing is shown yet), `owner` once it is there.
+ */
+export type KeyState = 'none' | 'taking' | 'confirming' | 'owner';
 
 /**
  * A shard's key at this node: its state, its fence, the log of entries, and what they add up to.
@@ -41,6 +47,12 @@
   said = '';
   saidN = 0;
   triedAt = -Infinity;
+  /** Since when it is matched to us while another, who can serve, has it; undefined when it is not. */
+  wantedAt?: number;
+  /** Called at the next change of state. */
+  turned: (() => void)[] = [];
+  /** Publishes that came before one they must follow: by `senderKey`, the number to follow and what to do once it is here. */
+  early = new Map<string, { after: number; go: () => void }[]>();
   /** Disks that asked for the key and could not take it, and until when they need not ask again. */
   vain = new Map<string, number>();
   takenAt = -Infinity;
@@ -63,6 +75,8 @@
     const l = this.senders.get(k);
     if (l) l.push(e);
     else this.senders.set(k, [e]);
+    const early = this.early.get(k);
+    if (early) for (const x of early.filter((y) => y.after <= e.seq)) x.go();
   }
 
   /** Takes an entry out that is trimmed from the log: the base knows of it now. */
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,10 +1,10 @@
-import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, never, register, retryAfter, shardOf, sleep } from '@harecross/kernel';
+import { C, Failure, Holding, Kernel, type HoldingInfo, faultOf, gather, loop, never, register, retryAfter, shardOf, sleep, within } from '@harecross/kernel';
 import { matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, type Family } from '@harecross/schema';
-import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, type Entry, type Fence } from '@harecross/state';
+import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, senderKey, type Entry, type Fence } from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
 import { Interests, type InterestItem } from './interest.js';
-import { Key, type KeyState } from './key.js';
+import { FORGOTTEN, Key, type KeyState } from './key.js';
 import { Replication } from './replication.js';
 
 declare module '@harecross/kernel' {
@@ -14,6 +14,9 @@
 export interface HistoryPage { tag: 'page'; head: number; first: number; since: number; entries: { off: number; sender: string; seq: number; body: string }[] }
 export type HistoryAnswer = HistoryPage | { tag: 'gone' };
 
+/** A relay's publish. `after` is a number of the same sender and topic that must be stored first: it went out before this one. */
+export interface Publish { sender: string; topic: string; seq: number; body: string; after?: number }
+
 /**
  * The owner's side of topics: takes keys under a fence, accepts messages once a majority of the copies has them
  * synced, fans frames to relays whose interest has not ended on our own clock, and serves history.
@@ -24,7 +27,12 @@
   private keys = new Map<number, Key>();
   private interests: Interests;
   private replication: Replication;
-  private holding: Holding<{ sender: string; topic: string; seq: number; body: string }, { offset: number }>;
+  private holding: Holding<Publish, { offset: number }>;
+  /** Fences that were asked for in one moment go to a disk in one visit. */
+  private fences = new Map<string, { items: { shard: number; fence: Fence }[]; answers: Promise<Promised[]> }>();
+  /** Whether each member could take duties when we last looked. */
+  private ableThen = new Map<string, boolean>();
+  private looking = false;
 
   constructor(private k: Kernel, private board: Board, private reg: Register, private copies: Copies) {
     const { clock, rnd } = k.host;
@@ -35,7 +43,7 @@
       fenced: (key) => this.turn(key, 'none'),
     });
     this.holding = new Holding(C.ownerHoldingN, 512, (v) => this.publish(v));
-    k.on('Publish', (b: { sender: string; topic: string; seq: number; body: string }) => {
+    k.on('Publish', (b: Publish) => {
       const fam = this.family(b.topic, 'Publish');
       const p = this.holding.offer(b, fam.urgency === 'urgent');
       if (!p) throw new Failure({ tag: 'overloaded', step: 'Publish', peer: k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
@@ -43,15 +51,20 @@
     }, true);
     k.on('Interest', (b: { items: InterestItem[] }, f) => this.interests.hear(f.peer, f.inst, b.items, f.toLocal));
     k.on('Open', (b: { topic: string; confirm: boolean }) => this.open(b), true);
-    k.on('History', (b: { topic: string; from: number }): HistoryAnswer => this.history(b), true);
+    k.on('History', (b: { topic: string; from: number }): Promise<HistoryAnswer> => this.history(b), true);
     k.on('Heads', (b: { topics: string[] }, f) => this.heads(b.topics, f.peer));
-    k.on('Count', (b: { topic: string }) => {
+    k.on('Count', async (b: { topic: string }) => {
       this.family(b.topic, 'Count');
+      await this.settled(b.topic, ['owner']);
       return this.interests.countListeners(b.topic, this.serving(b.topic, 'Count').takenAt);
     }, true);
     k.on('Yield', (b: { shard: number; disk: string }) => this.yieldTo(b.shard, b.disk));
-    k.on('TakeKey', (b: { shard: number }) => { void this.take(this.keys.get(b.shard)!); return true; });
+    k.on('TakeKey', async (b: { shard: number }) => { await this.take(this.keys.get(b.shard)!); return this.keys.get(b.shard)!.state === 'owner'; });
     k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
+    k.keep(board.changed$.subscribe((key) => { if (key.startsWith('m/')) this.look(key.slice(2)); }));
+    k.keep(board.state$.subscribe((m) => this.look(m.peer)));
+    // Whoever takes a key asks our copy too: we need not wait for an append to be refused.
+    k.keep(copies.promised$.subscribe((s) => { const key = this.keys.get(s)!; if (key.fence !== NO_FENCE && copies.get(s).promised > key.fence) this.turn(key, 'none'); }));
     k.keep(loop(clock, C.beatMs, rnd, async () => { for (const key of this.keys.values()) this.replication.beat(key); }));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
     k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
@@ -85,23 +98,25 @@
     key.state = s;
     switch (s) {
       case 'owner':
-        if (was === 'taking') key.takenAt = this.k.host.clock.now();
+        key.takenAt = this.k.host.clock.now();
         this.k.count('key.taken');
         this.k.host.log.info(`owner of shard ${key.shard}`, { fence: key.fence });
         break;
       case 'none':
-        if (was === 'owner' || was === 'yielding') { this.k.count('key.given'); this.k.host.log.info(`no longer owner of shard ${key.shard}`); }
+        if (was === 'owner') { this.k.count('key.given'); this.k.host.log.info(`no longer owner of shard ${key.shard}`); }
         for (const w of key.waits.splice(0)) w.rej(new Failure({ tag: 'fenced', step: 'Publish', peer: this.k.self, fence: this.copies.get(key.shard).promised }));
         // Without a fence nothing is sent: a key that is being taken anew must not speak in its old owner's name.
         key.fence = NO_FENCE;
         key.topics.clear();
         key.senders.clear();
         key.log = [];
+        for (const l of [...key.early.values()]) for (const x of l) x.go();
         break;
       case 'taking':
-      case 'yielding':
+      case 'confirming':
         break;
     }
+    for (const f of key.turned.splice(0)) f();
   }
 
   /** Which disk should own each shard now; with `not`, as if that disk were gone. */
@@ -115,6 +130,17 @@
     return this.board.able(m.peer) ? m.peer : undefined;
   }
 
+  /** Looks at the keys at once when a member became able or unable to have them. */
+  private look(peer: string): void {
+    const able = this.board.able(peer);
+    if (this.ableThen.get(peer) === able) return;
+    this.ableThen.set(peer, able);
+    if (!able) for (const key of this.keys.values()) if ((this.board.get(`key/${key.shard}`) as KeyRec | undefined)?.peer === peer) key.triedAt = -Infinity;
+    if (this.looking) return;
+    this.looking = true;
+    this.k.host.clock.after(0, () => { this.looking = false; void this.tick(); });
+  }
+
   private async tick(): Promise<void> {
     if (!this.reg.fresh() || this.k.phase !== 'running') return;
     const now = this.k.host.clock.now();
@@ -139,26 +165,35 @@
       }
       switch (key.state) {
         case 'owner':
+          key.wantedAt = undefined;
           if (key.gen !== p.gen) void this.take(key);
           else this.announce(key);
           break;
         case 'none': {
-          if (wanted.get(key.shard) !== this.copies.disk || now - key.triedAt < 600) break;
-          key.triedAt = now;
+          if (wanted.get(key.shard) !== this.copies.disk) { key.wantedAt = undefined; break; }
           const holder = rec && rec.peer !== this.k.self && this.board.isLive(rec.peer) && this.board.members.get(rec.peer)?.inst === rec.inst ? rec.peer : undefined;
-          void (holder ? this.askFor(key, holder) : this.take(key));
+          // A holder that serves is asked only once it is sure that the key stays matched to us: each change costs callers a moment.
+          if (holder && this.board.able(holder)) { key.wantedAt ??= now; if (now - key.wantedAt < C.steadyMs) break; }
+          if (now - key.triedAt < C.takeRetryMs) break;
+          key.triedAt = now;
+          void (holder ? this.askFor(key, holder, p.copies) : this.take(key));
           break;
         }
         case 'taking':
-        case 'yielding':
+        case 'confirming':
           break;
       }
     }
     if (gone.length) await this.copies.release(gone);
   }
 
-  /** A better matched node asks the present owner to let go. */
-  private async askFor(key: Key, holder: string): Promise<void> {
+  /** A better matched node asks the present owner whether it may take the key: only once it knows that it can. */
+  private async askFor(key: Key, holder: string, copies: string[]): Promise<void> {
+    const reached = await gather(copies.map((d) => {
+      const peer = this.reg.peerOf(d);
+      return peer ? this.k.call(peer, 'Who', { shards: [key.shard] }) : Promise.reject(new Error('no address'));
+    }), (got) => got.length * 2 > copies.length);
+    if (reached.length * 2 <= copies.length) return;
     try {
       if (await this.k.reach<boolean>(holder, 'Yield', { shard: key.shard, disk: this.copies.disk })) await this.take(key);
     } catch (e) {
@@ -169,29 +204,26 @@
     }
   }
 
-  private async yieldTo(shard: number, disk: string): Promise<boolean> {
+  /** Whether another may take the key from us now. We serve until its fence reaches us. */
+  private yieldTo(shard: number, disk: string): boolean {
     const key = this.keys.get(shard)!;
     if (key.state !== 'owner') throw new Failure({ tag: 'not_owner', step: 'Yield', peer: this.k.self });
-    if (!key.copies.includes(disk) || (key.match.get(disk) ?? 0) < key.last() - C.appendN) return false;
-    if ((key.vain.get(disk) ?? 0) > this.k.host.clock.now()) return false;
-    await this.quiesce(key, disk);
-    return true;
-  }
-
-  /** Stops accepting and waits until what was begun is on a majority. */
-  private async quiesce(key: Key, asker?: string): Promise<void> {
-    this.turn(key, 'yielding');
+    if (!key.copies.includes(disk) || !this.current(key, disk)) return false;
     const { clock } = this.k.host;
+    if ((key.vain.get(disk) ?? 0) > clock.now()) return false;
     const fence = key.fence;
-    const until = clock.now() + 600;
-    while (key.commit < key.last() && clock.now() < until && key.state === 'yielding') { this.replication.kick(key, false); await sleep(clock, 10); }
-    // If nobody takes it, we serve on, and who asked for it in vain has to wait before it may ask again.
+    // Who asked for it in vain has to wait before it may ask again.
     clock.after(C.yieldMs, () => {
-      if (key.state !== 'yielding' || key.fence !== fence || this.k.phase !== 'running') return;
-      if (asker) key.vain.set(asker, clock.now() + C.yieldVainMs);
+      if (key.state !== 'owner' || key.fence !== fence) return;
+      key.vain.set(disk, clock.now() + C.yieldVainMs);
       this.k.count('key.yielded_in_vain');
-      this.turn(key, 'owner');
     });
+    return true;
+  }
+
+  /** Whether a copy has (nearly) all that we have: taking the key costs its disk no long fetch. */
+  private current(key: Key, disk: string): boolean {
+    return (key.match.get(disk) ?? 0) >= key.last() - C.appendN;
   }
 
   /** Owner of keys whose copies we can't reach, for so long that others should have them: their links may be whole. */
@@ -202,18 +234,29 @@
 
   private async leave(): Promise<void> {
     const mine = [...this.keys.values()].filter((x) => x.state === 'owner');
-    const wanted = mine.length ? this.wanted(this.copies.disk) : new Map<number, string>();
-    await Promise.all(mine.map(async (key) => {
-      await this.quiesce(key);
-      const next = this.peerAble(wanted.get(key.shard) ?? '');
-      if (next) await this.k.call(next, 'TakeKey', { shard: key.shard }).catch(() => undefined);
-    }));
-    await sleep(this.k.host.clock, mine.length ? 400 : 0);
+    if (!mine.length) return;
+    const wanted = this.wanted(this.copies.disk);
+    await Promise.all(mine.map((key) => this.handOver(key, wanted.get(key.shard))));
+    // Who still comes is told where to go.
+    await sleep(this.k.host.clock, C.leaveMs);
+  }
+
+  /** Has another take a key. We serve until its fence reaches us, so that nobody waits longer than the taking itself. */
+  private async handOver(key: Key, first: string | undefined): Promise<void> {
+    const { clock } = this.k.host;
+    const until = clock.now() + C.handOverMs;
+    const able = key.copies.filter((d) => d !== this.copies.disk && this.peerAble(d) !== undefined);
+    const rank = (d: string): number => (this.current(key, d) ? 0 : 2) + (d === first ? 0 : 1);
+    const next = able.sort((a, b) => rank(a) - rank(b));
+    for (let i = 0; next.length && key.state === 'owner' && clock.now() < until; i++) {
+      const took = await this.k.call<boolean>(this.peerAble(next[i % next.length]!) ?? '', 'TakeKey', { shard: key.shard }, C.callMs).catch(() => false);
+      if (!took && key.state === 'owner') await sleep(clock, C.ownerRetryMs);
+    }
   }
 
   /** Takes the key under a higher fence, with the longest valid history, and completes it to a majority. */
   private async take(key: Key): Promise<void> {
-    if (key.state === 'taking') return;
+    if (key.state === 'taking' || key.state === 'confirming') return;
     const p = this.reg.value?.shards.get(key.shard);
     if (!p || !p.copies.includes(this.copies.disk)) return;
     const { clock } = this.k.host;
@@ -240,21 +283,36 @@
       const f = faultOf(e, 'take', this.k.self);
       if (f.tag === 'internal') this.k.host.log.warn('take failed', { fault: f });
     } finally {
-      if ((key.state as KeyState) === 'taking') this.turn(key, 'none');
+      if ((key.state as KeyState) === 'taking' || (key.state as KeyState) === 'confirming') this.turn(key, 'none');
     }
   }
 
   private async askFence(shard: number, copies: string[], fence: Fence): Promise<Promised[]> {
-    const calls = copies.map((disk) => {
-      const peer = this.reg.peerOf(disk);
-      return peer ? this.k.call<Promised>(peer, 'Fence', { disk, shard, fence }) : Promise.reject(new Error('no address'));
-    });
+    const calls = copies.map((disk) => this.fenceAt(disk, shard, fence));
     return gather(calls, (got) => {
       const ok = got.filter((g) => g.ok);
       return ok.length * 2 > copies.length && ok.some((g) => g.disk === this.copies.disk);
     });
   }
 
+  private async fenceAt(disk: string, shard: number, fence: Fence): Promise<Promised> {
+    let b = this.fences.get(disk);
+    if (!b) {
+      const items: { shard: number; fence: Fence }[] = [];
+      b = {
+        items,
+        answers: Promise.resolve().then(() => {
+          this.fences.delete(disk);
+          const peer = this.reg.peerOf(disk);
+          return peer ? this.k.call<Promised[]>(peer, 'Fence', { disk, items }) : Promise.reject(new Error('no address'));
+        }),
+      };
+      this.fences.set(disk, b);
+    }
+    const i = b.items.push({ shard, fence }) - 1;
+    return (await b.answers)[i]!;
+  }
+
   private async complete(key: Key, fence: Fence, gen: number, copies: string[], ok: Extract<Promised, { ok: true }>[]): Promise<void> {
     const mine = this.copies.get(key.shard);
     const best = ok.reduce((a, b) => (b.lastFence > a.lastFence || (b.lastFence === a.lastFence && b.lastIdx > a.lastIdx) ? b : a));
@@ -284,10 +342,10 @@
     const now = this.k.host.clock.now();
     key.log.push({ idx: key.last() + 1, fence, topic: '', off: 0, era: 0, sender: '', seq: 0, body: '', at: now });
     const barrier = key.last();
+    this.turn(key, 'confirming');
     this.replication.kick(key, true);
-    const until = now + C.appendMs * 2;
-    while (key.commit < barrier && key.fence === fence && key.state === 'taking' && this.k.host.clock.now() < until) await sleep(this.k.host.clock, 5);
-    if (key.state !== 'taking' || key.fence !== fence || key.commit < barrier) return;
+    await within(this.k.host.clock, C.appendMs, this.wait(key, barrier));
+    if ((key.state as KeyState) !== 'confirming' || key.fence !== fence || key.commit < barrier) return;
     this.turn(key, 'owner');
     this.announce(key);
   }
@@ -356,21 +414,58 @@
     return f;
   }
 
-  private serving(topic: string, step: string): Key {
+  /** Waits while the topic's key is being taken: who comes early need not come again. */
+  private async settled(topic: string, enough: KeyState[]): Promise<void> {
+    const key = this.keys.get(shardOf(topic))!;
+    const { clock } = this.k.host;
+    const until = clock.now() + C.settleMs;
+    while ((key.state === 'taking' || key.state === 'confirming') && !enough.includes(key.state) && clock.now() < until) {
+      await within(clock, until - clock.now(), new Promise<void>((res) => { key.turned.push(res); }));
+    }
+  }
+
+  private serving(topic: string, step: string, enough: KeyState[] = ['owner']): Key {
     const key = this.keys.get(shardOf(topic))!;
     const doubt = key.state === 'owner' && this.k.host.clock.now() - key.heardAt() > C.doubtMs;
-    if (key.state !== 'owner' || doubt) {
+    if (!enough.includes(key.state) || doubt) {
       const f = doubt ? NO_FENCE : this.copies.get(key.shard).promised;
       throw new Failure({ tag: 'not_owner', step, peer: this.k.self, hint: f });
     }
     return key;
   }
 
-  private async publish(b: { sender: string; topic: string; seq: number; body: string }): Promise<{ offset: number }> {
+  /** Waits until the number that a publish must follow is here; for a moment only, because it may have been given up. */
+  private follow(key: Key, b: Publish, after: number): Promise<void> {
+    const k = senderKey(b.topic, b.sender);
+    return new Promise((res, rej) => {
+      const l = key.early.get(k) ?? [];
+      key.early.set(k, l);
+      const x = { after, go: (): void => { cancel(); over(); res(); } };
+      const over = (): void => {
+        l.splice(l.indexOf(x), 1);
+        if (!l.length && key.early.get(k) === l) key.early.delete(k);
+      };
+      const cancel = this.k.host.clock.after(C.followMs, () => {
+        over();
+        this.k.count('publish.early');
+        rej(new Failure({ tag: 'not_ready', step: 'follow', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
+      });
+      l.push(x);
+    });
+  }
+
+  private async publish(b: Publish): Promise<{ offset: number }> {
+    const takes: KeyState[] = ['confirming', 'owner'];
+    if (this.keys.get(shardOf(b.topic))!.state === 'taking') await this.settled(b.topic, takes);
     const fam = this.family(b.topic, 'Publish');
-    const key = this.serving(b.topic, 'Publish');
+    let key = this.serving(b.topic, 'Publish', takes);
     const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
     if (Buffer.byteLength(b.body) > limit) throw new Failure({ tag: 'too_large', step: 'Publish', peer: this.k.self, limit });
+    if (b.after !== undefined && key.outcome(b.topic, b.sender, b.after).tag === 'new') {
+      this.k.count('publish.followed');
+      await this.follow(key, b, b.after);
+      key = this.serving(b.topic, 'Publish', takes);
+    }
     const was = key.outcome(b.topic, b.sender, b.seq);
     switch (was.tag) {
       case 'stored':
@@ -384,7 +479,7 @@
         throw new Failure({ tag: 'stale_seq', step: 'Publish', peer: this.k.self, last: was.above });
       case 'forgotten':
         this.k.count('publish.forgotten');
-        throw new Failure({ tag: 'outcome_unknown', step: 'Publish', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+        throw new Failure({ tag: 'outcome_unknown', step: FORGOTTEN, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
       case 'new':
         break;
       default:
@@ -414,6 +509,7 @@
 
   private async open(b: { topic: string; confirm: boolean }): Promise<{ head: number; first: number; since: number }> {
     this.family(b.topic, 'Open');
+    await this.settled(b.topic, ['owner']);
     const key = this.serving(b.topic, 'Open');
     if (b.confirm) await this.confirm(key);
     const { head, first, since } = this.view(key, b.topic);
@@ -433,7 +529,8 @@
     }
   }
 
-  private history(b: { topic: string; from: number }): HistoryAnswer {
+  private async history(b: { topic: string; from: number }): Promise<HistoryAnswer> {
+    await this.settled(b.topic, ['owner']);
     if (!this.reg.fresh()) throw notReady(this.k, 'History');
     if (!familyOf(this.reg.value!.config, b.topic)) return { tag: 'gone' };
     const key = this.serving(b.topic, 'History');
@@ -444,7 +541,9 @@
     return { tag: 'page', head: v.head, first: v.first, since: v.since, entries };
   }
 
-  private heads(topics: string[], relay: string): { heads: Map<string, number>; missing: string[] } {
+  private async heads(topics: string[], relay: string): Promise<{ heads: Map<string, number>; missing: string[] }> {
+    // A relay that hears of a new owner asks at once, and perhaps before it is one.
+    await Promise.all(topics.map((t) => this.settled(t, ['owner'])));
     const heads = new Map<string, number>();
     const missing: string[] = [];
     for (const t of topics) {
--- a/packages/data/src/replication.ts
+++ b/packages/data/src/replication.ts
@@ -83,9 +83,8 @@
     const n = ms[Math.floor(key.copies.length / 2)]!;
     if (n <= key.commit || n <= key.base.idx || key.fenceAt(n) !== key.fence) return;
     const from = Math.max(key.commit, key.base.idx);
-    const was = key.commit;
     key.commit = n;
-    for (const e of key.log.slice(from - key.base.idx, n - key.base.idx)) this.hooks.agreed(key, e, was > 0);
+    for (const e of key.log.slice(from - key.base.idx, n - key.base.idx)) this.hooks.agreed(key, e, e.fence === key.fence);
     const left: typeof key.waits = [];
     for (const w of key.waits) { if (w.idx <= n) w.res(); else left.push(w); }
     key.waits = left;
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -1,21 +1,35 @@
-import { C, Failure, Kernel, faultOf, register, retryAfter, shardOf, sleep, within, type Fault } from '@harecross/kernel';
-import type { Board, KeyRec, Register } from '@harecross/control';
+import { C, Failure, Kernel, faultOf, register, retryAfter, shardOf, within, type Fault } from '@harecross/kernel';
+import { notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf } from '@harecross/schema';
-import { readFence, type Fence } from '@harecross/state';
+import { readFence, senderKey, type Fence } from '@harecross/state';
 import { Subject } from 'rxjs';
+import { FORGOTTEN } from './key.js';
 
 declare module '@harecross/kernel' {
   interface Faces { route: Route }
 }
 
+/** A publish on its way; `dropped` once one before it was given up and will be sent again by its caller. */
+interface Sent { seq: number; dropped: boolean; over: Promise<void> }
+
 /**
  * Finds the owner of a topic's shard, and passes visits to it while keys change hands.
  * @example
- * await k.use('route').atOwner('pay/7', 'Publish', visit, 2000);
+ * await k.use('route').publish({ sender: 'desk', topic: 'pay/7', seq: 12, body: 'paid' }, 2_000); // { offset: 41 }
+ * await k.use('route').atOwner('pay/7', 'Open', visit, 2_000);
  */
 export class Route {
   private hints = new Map<number, { fence: Fence; peer: string }>();
-  private asking = new Map<number, Promise<void>>();
+  /** Shards whose copies are asked in the next round. */
+  private sought = new Set<number>();
+  private soughtAt = -Infinity;
+  private seeking = false;
+  /** Publishes on their way, by sender and topic. */
+  private sent = new Map<string, Set<Sent>>();
+  /** Publishes that were turned away, by sender and topic, and until when later ones were on their way before that was known. */
+  private turned = new Map<string, { seq: number; until: number }>();
+  /** When a slow owner was last looked at. */
+  private doubted = new Map<string, number>();
   /** A shard whose owner changed, as far as we know. */
   readonly moved$ = new Subject<number>();
 
@@ -39,47 +53,134 @@
     return h && this.board.isLive(h.peer) ? h.peer : undefined;
   }
 
-  /** Looks for an owner in the background. */
+  /** Looks for an owner in the background: one round for all shards that are sought in one moment. */
   seek(shard: number): void {
-    void this.who(shard);
+    this.sought.add(shard);
+    if (this.seeking) return;
+    this.seeking = true;
+    const { clock } = this.k.host;
+    clock.after(Math.max(0, this.soughtAt + C.ownerRetryMs - clock.now()), () => { this.seeking = false; this.soughtAt = clock.now(); this.ask(); });
   }
 
-  /** Asks the shard's copies whom they promised the highest fence. */
-  private who(shard: number): Promise<void> {
-    let p = this.asking.get(shard);
-    if (!p) {
-      const disks = this.reg.value?.shards.get(shard)?.copies ?? [];
-      p = Promise.all(disks.map(async (d) => {
+  /** Asks the copies of all shards sought whom they promised the highest fence. */
+  private ask(): void {
+    const byPeer = new Map<string, number[]>();
+    for (const shard of this.sought) {
+      for (const d of this.reg.value?.shards.get(shard)?.copies ?? []) {
         const peer = this.reg.peerOf(d);
-        if (!peer || !this.board.isLive(peer)) return;
-        try {
-          const f = await this.k.call<Fence>(peer, 'Who', { shard }, 300);
-          this.hint(shard, f, readFence(f).peer);
-        } catch { /* others answer */ }
-      })).then(() => undefined).finally(() => this.asking.delete(shard));
-      this.asking.set(shard, p);
+        if (!peer || !this.board.isLive(peer)) continue;
+        const l = byPeer.get(peer);
+        if (l) l.push(shard);
+        else byPeer.set(peer, [shard]);
+      }
+    }
+    this.sought.clear();
+    for (const [peer, shards] of byPeer) {
+      this.k.call<Fence[]>(peer, 'Who', { shards }, C.whoMs).then(
+        (fs) => fs.forEach((f, i) => this.hint(shards[i]!, f, readFence(f).peer)),
+        () => undefined, // others answer
+      );
     }
-    return p;
+  }
+
+  /** Until a shard is known to have another owner, or for so long. */
+  private news(shard: number, ms: number): Promise<void> {
+    return new Promise((res) => {
+      const over = (): void => { cancel(); sub.unsubscribe(); res(); };
+      const cancel = this.k.host.clock.after(ms, over);
+      const sub = this.moved$.subscribe((s) => { if (s === shard) over(); });
+    });
   }
 
   /** A visit at an owner, given up as soon as another is known to have the key: what became of it is then not known. */
   private unlessMoved<T>(shard: number, peer: string, step: string, visit: Promise<T>): Promise<T> {
+    const { clock } = this.k.host;
     return new Promise((res, rej) => {
-      const sub = this.moved$.subscribe((s) => {
-        if (s !== shard || this.hints.get(shard)?.peer === peer) return;
+      let left = false;
+      const leave = (): void => {
+        if (left) return;
+        left = true;
         this.k.count('route.left');
         // What was answered before the news stands.
-        this.k.host.clock.after(C.movedGraceMs, () => rej(new Failure({ tag: 'timeout', step, peer })));
-      });
-      visit.then(res, rej).finally(() => sub.unsubscribe());
+        clock.after(C.movedGraceMs, () => rej(new Failure({ tag: 'timeout', step, peer })));
+      };
+      const sub = this.moved$.subscribe((s) => { if (s === shard && this.hints.get(shard)?.peer !== peer) leave(); });
+      sub.add(this.k.broken$.subscribe((p) => { if (p === peer) leave(); }));
+      const slow = clock.after(C.slowVisitMs, () => this.doubt(peer));
+      visit.then(res, rej).finally(() => { slow(); sub.unsubscribe(); });
     });
   }
 
+  /** An owner that takes long to answer: others should have its keys soon if it is gone. */
+  private doubt(peer: string): void {
+    const now = this.k.host.clock.now();
+    if (peer === this.k.self || now - (this.doubted.get(peer) ?? -Infinity) < C.slowAgainMs) return;
+    this.doubted.set(peer, now);
+    this.k.count('route.slow');
+    this.board.doubt(peer);
+  }
+
+  /**
+   * A publish at the owner of its topic. Those of one sender on one topic stay in the order of their numbers, though several are on
+   * their way and some have to be tried again: each try names the highest number before it that is still on its way, and an owner
+   * stores it only behind that one. When one is given up, those behind it are too, so that its caller can bring it again.
+   */
+  async publish(b: { sender: string; topic: string; seq: number; body: string }, patienceMs: number): Promise<{ offset: number }> {
+    const k = senderKey(b.topic, b.sender);
+    const turned = this.turned.get(k);
+    if (turned && b.seq <= turned.seq) this.turned.delete(k);
+    else if (turned && this.k.host.clock.now() < turned.until) throw notReady(this.k, 'Publish');
+    const { clock } = this.k.host;
+    const until = clock.now() + patienceMs;
+    const all = this.sent.get(k) ?? new Set();
+    this.sent.set(k, all);
+    let over = (): void => {};
+    const mine: Sent = { seq: b.seq, dropped: false, over: new Promise((res) => { over = res; }) };
+    all.add(mine);
+    try {
+      return await this.atOwner<{ offset: number }>(b.topic, 'Publish', () => {
+        let after: number | undefined;
+        for (const s of all) if (s.seq < b.seq && (after === undefined || s.seq > after)) after = s.seq;
+        return after === undefined ? b : { ...b, after };
+      }, patienceMs, mine);
+    } catch (e) {
+      const f = faultOf(e, 'Publish', this.k.self);
+      switch (f.tag) {
+        case 'not_ready':
+        case 'overloaded':
+        case 'outcome_unknown':
+          // What is so old that nobody knows of it stands in nobody's way.
+          if (f.step === FORGOTTEN) break;
+          this.turnAway(b);
+          // Told in order, so that they come again in order.
+          await within(clock, Math.max(0, Math.min(C.inOrderMs, until - clock.now())), Promise.all([...all].filter((s) => s.seq < b.seq).map((s) => s.over)));
+          break;
+        default:
+          break; // it will not come again
+      }
+      throw e;
+    } finally {
+      all.delete(mine);
+      over();
+      if (!all.size && this.sent.get(k) === all) this.sent.delete(k);
+    }
+  }
+
+  /** A publish that is not stored, and that its caller will bring again: what is behind it must not overtake it. */
+  turnAway(b: { sender: string; topic: string; seq: number }): void {
+    const k = senderKey(b.topic, b.sender);
+    for (const s of this.sent.get(k) ?? []) if (s.seq > b.seq) s.dropped = true;
+    const { clock } = this.k.host;
+    const x = { seq: Math.min(b.seq, this.turned.get(k)?.seq ?? Infinity), until: clock.now() + C.onTheWayMs };
+    this.turned.set(k, x);
+    clock.after(C.onTheWayMs, () => { if (this.turned.get(k) === x) this.turned.delete(k); });
+  }
+
   /**
    * One visit at the owner, tried again while the key changes hands. Gives up, at once, when nobody owns the key
    * or the patience is over. `outcome_unknown` when some try may have been stored.
    */
-  async atOwner<T>(topic: string, m: string, body: unknown, patienceMs: number): Promise<T> {
+  async atOwner<T>(topic: string, m: string, body: () => unknown, patienceMs: number, sent?: Sent): Promise<T> {
     const { clock, rnd } = this.k.host;
     const shard = shardOf(topic);
     const until = clock.now() + patienceMs;
@@ -91,34 +192,39 @@
       const peer = this.owner(shard);
       // Nobody owned the key for a while: give up now rather than hold the caller to its deadline.
       if (lostSince !== undefined && clock.now() - lostSince > C.noOwnerMs) break;
+      if (sent?.dropped) break;
       if (!peer) {
         lostSince ??= clock.now();
-        await within(clock, left, this.who(shard));
-        if (!this.owner(shard)) await sleep(clock, C.ownerRetryMs);
+        this.seek(shard);
+        await this.news(shard, Math.min(left, C.ownerRetryMs));
         continue;
       }
+      const { fence } = this.hints.get(shard)!;
       let f: Fault;
       try {
-        return await this.unlessMoved(shard, peer, m, this.k.reach<T>(peer, m, body, Math.min(C.ownerTryMs, left)));
+        return await this.unlessMoved(shard, peer, m, this.k.reach<T>(peer, m, body(), Math.min(C.ownerTryMs, left)));
       } catch (e) {
         f = faultOf(e, m, peer);
       }
-      switch (f.tag) {
+      // An owner answers by a configuration that is at least as new as ours. Where ours still has the topic, we do not say that it is
+      // gone before we have that one too: another owner, as far as we are, would take it back.
+      const newer = f.tag === 'unknown_topic' && familyOf(this.reg.value!.config, topic) !== undefined;
+      switch (newer ? 'not_ready' : f.tag) {
         case 'unreachable':
         case 'not_ready':
           lostSince ??= clock.now();
           break;
         case 'not_owner':
           lostSince ??= clock.now();
-          if (f.hint) this.hint(shard, f.hint, readFence(f.hint).peer);
+          if (f.tag === 'not_owner' && f.hint) this.hint(shard, f.hint, readFence(f.hint).peer);
           break;
-        case 'unknown_topic':
-          // The owner's configuration may be behind ours; frames bring it up.
-          if (until - clock.now() < patienceMs / 2 || !familyOf(this.reg.value!.config, topic)) throw new Failure(f);
+        case 'fenced':
+          if (f.tag === 'fenced') this.hint(shard, f.fence, readFence(f.fence).peer);
+          lostSince = undefined;
+          perhaps = true;
           break;
         case 'timeout':
         case 'cut':
-        case 'fenced':
         case 'disk_ill':
         case 'internal':
           lostSince = undefined;
@@ -132,9 +238,11 @@
           if (perhaps && m === 'Publish') throw new Failure({ tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) });
           throw new Failure(f);
       }
+      // Another is known to have the key: there at once.
+      if (this.hints.get(shard)!.fence !== fence) continue;
       if (until - clock.now() <= C.ownerRetryMs) break;
-      await sleep(clock, C.ownerRetryMs);
-      if (f.tag !== 'unknown_topic') await within(clock, until - clock.now(), this.who(shard));
+      if (!newer) this.seek(shard);
+      await this.news(shard, C.ownerRetryMs);
     }
     const retryAfterMs = retryAfter(rnd, C.retryMs);
     throw new Failure(perhaps
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -72,9 +72,21 @@
   beatMs: 400,
   /** Without a majority's answer for this long an owner holds its duty in doubt and rejects visits. */
   doubtMs: 1_600,
-  /** An owner that yielded serves on when nobody took the key for this long. */
+  /** A take that failed is tried again after this long. */
+  takeRetryMs: 600,
+  /** A key is asked from an owner that serves once it was matched to another for this long: machines come and go in less. */
+  steadyMs: 4_000,
+  /** A visit waits this long at a node that is just taking its key; a take is two rounds to a majority. */
+  settleMs: 400,
+  /** A publish that must follow another waits this long for it at the owner; the relay brings both again if need be. */
+  followMs: 100,
+  /** An owner that leaves tries this long to have its keys taken; all of a stop has `stopMs`. */
+  handOverMs: 1_500,
+  /** After the hand-over, callers that still come are told where to go for this long. */
+  leaveMs: 100,
+  /** Who was allowed to take a key and did not within this long asked in vain. */
   yieldMs: 1_500,
-  /** Who asked for a key in vain may ask again after this long: each time costs callers a yield. */
+  /** Who asked for a key in vain may ask again after this long. */
   yieldVainMs: 30_000,
   /** An owner in doubt this long calls itself ill, so that others take its keys ... */
   forlornMs: 3_000,
@@ -102,10 +114,20 @@
   ownerTryMs: 900,
   /** A visit at an owner that lost its key is waited for this long: its answer may be on the way. */
   movedGraceMs: 20,
-  /** Pause between two tries at owners while a key changes hands. */
-  ownerRetryMs: 60,
+  /** Pause between two tries at owners while a key changes hands, unless there is news of it. */
+  ownerRetryMs: 40,
+  /** Time limit for asking a copy whom it promised its key. */
+  whoMs: 300,
+  /** An owner that takes this long for a visit is looked at by the board: ordinary ones take a tenth of it. */
+  slowVisitMs: 150,
+  /** ... and again after this long at most. */
+  slowAgainMs: 1_000,
   /** A publish whose key has no owner in sight is given up after this long, well below any patience. */
   noOwnerMs: 700,
+  /** What a sender had on the way when an earlier publish of it was turned away arrives within this long: a round trip to callers. */
+  onTheWayMs: 100,
+  /** Publishes of a sender that are given up together are answered in order, but none waits longer than this for those before it. */
+  inOrderMs: 250,
   /** A link that gave no answer is tried directly this often; meanwhile visits of the data plane go round it. */
   linkTryMs: 700,
   /** Default limit of a body. */
@@ -125,10 +147,14 @@
   /** One member not heard of for this long is asked directly every period, in shuffled turn. */
   probeAfterMs: 800,
   probeEveryMs: 250,
-  /** Time limit of a probe; a lost packet is sent again after about 200 ms. */
+  /** Time limit of a ping. */
   probeMs: 500,
-  /** A member that did not answer our own probe after this long is asked through others beside it. */
-  probeAloneMs: 250,
+  /** A member that did not answer our own probe after this long is asked through others beside it ... */
+  probeAloneMs: 120,
+  /** ... and suspected when none of them had an answer after this long; a lost packet is sent again after about 200 ms. */
+  probeHelpMs: 300,
+  /** A probe that took this much longer than it may says that our own loop stood still, and nothing of the member. */
+  probeLateMs: 100,
   /** Members asked to try in our place before we suspect one: they may have a better link to it. */
   probeHelpersN: 3,
   /** A suspected member is dead after this long. */
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -46,6 +46,8 @@
   readonly phase$ = new Subject<Phase>();
   /** Fires when our own loop stood still for long: duties are in doubt until confirmed. */
   readonly thawed$ = new Subject<number>();
+  /** A peer to which our own link was just found broken: visits under way there get no answer. */
+  readonly broken$ = new Subject<string>();
   /** Highest register revision we have in force; goes with every frame. */
   rev = 0;
   /** Called with every revision seen on a peer's frame that is above ours. */
@@ -208,10 +210,11 @@
   }
 
   /** The one function that calls a link broken; it is tried directly until it is whole or the peer no longer there. */
-  private breaks(peer: string): void {
+  breaks(peer: string): void {
     if (this.broken.has(peer)) return;
     this.broken.set(peer, '');
     this.count('detour.links');
+    this.broken$.next(peer);
     void (async () => {
       while (this.phase === 'running' && this.helpersTo(peer).length) {
         try { await this.call(peer, 'Ping', {}, C.probeMs); break; } catch { await sleep(this.host.clock, C.linkTryMs); }
--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -2,9 +2,16 @@
 import { familyOf, type FleetConfig, type Frame } from '@harecross/schema';
 import type { Journal } from './journal.js';
 
+/**
+ * A connection on which several visits may be on their way: when the last of them arrives, and those that arrived and were not read.
+ * Answers come back in the order in which they were given.
+ */
+export interface Line { name: string; at: number; waiting: (() => void)[] }
+
 /** The outside's way to a fleet; the simulator's and the real one stand behind it. Nodes are client addresses. */
 export interface Way {
-  visit(node: string, method: string, body: unknown, timeoutMs: number): Promise<{ status: number; body: any } | undefined>;
+  /** With a `line`, visits to one node arrive in the order in which they were made; real ones may not. */
+  visit(node: string, method: string, body: unknown, timeoutMs: number, line?: Line): Promise<{ status: number; body: any } | undefined>;
   attach(node: string, body: unknown, onFrame: (f: Frame) => void, onEnd: () => void): () => void;
   /** What a platform knows: nodes that take conns and call themselves well, in a domain or anywhere. */
   nodes(domain?: string): string[];
@@ -224,7 +231,7 @@
   private seqs = new Map<string, number>();
   private busy = new Set<string>();
   private running = false;
-  constructor(private w: World, readonly name: string, public domain: string, private topics: string[], private everyMs: number, private opts: { triesN?: number; bodyBytes?: number } = {}) {}
+  constructor(private w: World, readonly name: string, public domain: string, private topics: string[], private everyMs: number, private opts: { triesN?: number; bodyBytes?: number; repeats?: number } = {}) {}
 
   start(): void {
     this.running = true;
@@ -259,7 +266,11 @@
         const retryMs: number | undefined = r?.body?.rejected?.retryAfterMs ?? r?.body?.error?.retryAfterMs;
         const say = (out: 'accepted' | 'rejected' | 'unknown', x: { offset?: number; tag?: string } = {}): void =>
           journal.add({ k: 'pub.answer', try: n, sender: this.name, topic, seq, out, node, ...x, ...(r ? { status: r.status } : {}), ...(retryMs === undefined ? {} : { retryMs }) });
-        if (r?.status === 200 && r.body.accepted) { say('accepted', { offset: r.body.accepted.offset }); return; }
+        if (r?.status === 200 && r.body.accepted) {
+          say('accepted', { offset: r.body.accepted.offset });
+          if (rnd.next() < (this.opts.repeats ?? 0)) void this.repeat(topic, seq, body);
+          return;
+        }
         if (r?.body?.rejected) {
           say('rejected', { tag: r.body.rejected.reason });
           if (r.body.rejected.reason === 'stale_seq') return;
@@ -284,6 +295,93 @@
       this.busy.delete(topic);
     }
   }
+
+  /** Sends an accepted number once more, while later ones are on their way, at any node: an answer may have got lost to others. */
+  private async repeat(topic: string, seq: number, body: string): Promise<void> {
+    const { clock, rnd } = this.w;
+    await sleep(clock, 9_000 * rnd.next());
+    const node = this.running ? pick(this.w) : undefined;
+    if (node) await publishOnce(this.w, { sender: this.name, topic, seq, body, node, domain: this.domain });
+  }
+}
+
+type Told = { out: 'accepted' | 'rejected' | 'unknown'; tag: string; answered: boolean };
+/** One try to publish, written down. */
+async function publishOnce(w: World, p: { sender: string; topic: string; seq: number; body: string; node: string; domain: string; line?: string }, line?: Line): Promise<Told> {
+  const n = ++tries;
+  const { sender, topic, seq, body, node } = p;
+  w.journal.add({ k: 'pub.try', try: n, ...p });
+  const r = await w.way.visit(node, 'Publish', { sender, topic, seq, body }, 5_000, line);
+  const retryMs: number | undefined = r?.body?.rejected?.retryAfterMs ?? r?.body?.error?.retryAfterMs;
+  const offset: number | undefined = r?.body?.accepted?.offset;
+  const tag: string = offset !== undefined ? '' : (r?.body?.rejected?.reason ?? r?.body?.error?.tag ?? 'no answer');
+  const out = offset !== undefined ? 'accepted' : r?.body?.rejected || ['unknown_topic', 'too_large', 'bad_visit'].includes(tag) ? 'rejected' : 'unknown';
+  w.journal.add({
+    k: 'pub.answer', try: n, sender, topic, seq, out, node, ...(offset === undefined ? { tag } : { offset }),
+    ...(r ? { status: r.status } : {}), ...(retryMs === undefined ? {} : { retryMs }),
+  });
+  return { out, tag, answered: r !== undefined };
+}
+
+/**
+ * A sender with up to eight publishes on the way at once on one topic, on one connection. What was given up it sends again, in
+ * order and before anything new; when the connection breaks it takes another, elsewhere.
+ * @example
+ * new Pipeliner(world, 'pipe', 'kaolack', 'warn/1', 80).start();
+ */
+export class Pipeliner {
+  private seq = 0;
+  private running = false;
+  /** Numbers without a final answer, in order; `again` when they must be sent anew. */
+  private open = new Map<number, { body: string; again: boolean; tries: number }>();
+  private node?: string;
+  private line: Line;
+  private lines = 0;
+  constructor(private w: World, readonly name: string, public domain: string, readonly topic: string, private everyMs: number, private windowN = 8) {
+    this.line = this.connection();
+  }
+  private connection(): Line {
+    return { name: `${this.name}/${++this.lines}`, at: 0, waiting: [] };
+  }
+
+  start(): void {
+    if (this.running) return;
+    this.running = true;
+    void this.live();
+  }
+  stop(): void { this.running = false; }
+
+  private async live(): Promise<void> {
+    const { clock, rnd } = this.w;
+    while (this.running) {
+      await sleep(clock, this.everyMs * (0.2 + 1.6 * rnd.next()));
+      this.node ??= pick(this.w, this.domain);
+      if (!this.node) continue;
+      const again = [...this.open].filter(([, x]) => x.again);
+      if (again.length) { for (const [seq] of again) void this.send(seq); continue; }
+      // Now and then several at once.
+      for (let n = rnd.next() < 0.3 ? 5 : 1; n > 0 && this.open.size < this.windowN; n--) {
+        const seq = ++this.seq;
+        this.open.set(seq, { body: `${this.name}:${seq}:${Math.floor(rnd.next() * 1e6)}`, again: false, tries: 0 });
+        void this.send(seq);
+      }
+    }
+  }
+
+  private async send(seq: number): Promise<void> {
+    const x = this.open.get(seq)!;
+    x.again = false;
+    x.tries++;
+    const { node, line } = this;
+    const told = await publishOnce(this.w, { sender: this.name, topic: this.topic, seq, body: x.body, node: node!, domain: this.domain, line: line.name }, line);
+    if (told.out === 'accepted' || ['stale_seq', 'unknown_topic', 'too_large', 'bad_visit'].includes(told.tag) || x.tries >= 20) { this.open.delete(seq); return; }
+    if (this.open.get(seq) === x) x.again = true;
+    if (told.answered || this.line !== line) return;
+    // The connection broke: all that was on it is sent again on another.
+    this.line = this.connection();
+    this.node = undefined;
+    for (const y of this.open.values()) y.again = true;
+  }
 }
 
 /**
--- a/packages/trial/src/journal.ts
+++ b/packages/trial/src/journal.ts
@@ -6,7 +6,8 @@
  * Times are ms of one true clock; nodes are named by their client address.
  */
 export type Seen =
-  | { k: 'pub.try'; t: number; try: number; sender: string; topic: string; seq: number; body: string; node: string; domain: string }
+  /** `line`: the connection of a sender that has several on the way at once, on which visits arrive in order. */
+  | { k: 'pub.try'; t: number; try: number; sender: string; topic: string; seq: number; body: string; node: string; domain: string; line?: string }
   | {
     k: 'pub.answer'; t: number; try: number; sender: string; topic: string; seq: number; out: 'accepted' | 'rejected' | 'unknown';
     offset?: number; tag?: string; node: string; status?: number; retryMs?: number;
--- a/packages/trial/src/oracle.ts
+++ b/packages/trial/src/oracle.ts
@@ -5,7 +5,7 @@
 /** The rules of the brief's "What must never happen", each a named check; behind the dash what follows from its other sentences. */
 export const RULES = [
   'once', 'order', 'skipped', 'turned_away', 'invented', 'unasked', 'left', 'resume', 'lost', 'config_lost', 'config_late', 'fell_back',
-  'removed_flow', 'invalid_taken', 'unanswered', 'read_back', 'served', 'counts',
+  'final', 'repeat', 'overtaken', 'removed_flow', 'invalid_taken', 'unanswered', 'read_back', 'served', 'counts',
   // -
   'held', 'come_back', 'late', 'bounds',
 ] as const;
@@ -38,11 +38,20 @@
 const HOLDINGS = new Map([['edge', 3_000], ['publish', 2_000], ['fan', 1_000], ['conn', 512 * 1024], ['conn.oversized', 2 * 1024 * 1024]]);
 
 /** Answers to Subscribe after which nothing may come of it; after the others something may. */
+/** The one answer that a number was never accepted and never will be. */
+const FINAL = 'stale_seq';
+/** An accepted number may be sent again for so long. */
+const REPEAT_MS = 10_000;
 const SURELY_NOT = new Set(['unknown_topic', 'cursor_expired', 'cursor_ahead']);
 
 type Of<K extends Seen['k']> = Extract<Seen, { k: K }>;
 interface Pub {
   topic: string; sender: string; seq: number; body: string; firstTry: number; outs: string[]; offset?: number; acceptedAt?: number; tries: number;
+  /** When it was told that it was never accepted and never will be. */
+  finalAt?: number;
+  /** Sent on a line, with others on the way; `refused` once a node was too full for it. */
+  line: boolean;
+  refused: boolean;
 }
 interface Line {
   consumer: string; topic: string; conn: string; start: number; asked: number; okAt: number; cursor?: number; got: Of<'deliver'>[];
@@ -85,8 +94,8 @@
   }
 
   all(): Violation[] {
-    this.publishes();
     this.operators();
+    this.publishes();
     this.nodes();
     this.marks();
     this.removedAccepts();
@@ -108,17 +117,29 @@
   // --- what was published ---
 
   private publishes(): void {
+    const tried = new Map<number, number>();
     for (const s of this.seen) {
       if (s.k === 'pub.try') {
         const id = idOf(s);
-        const p = this.pubs.get(id) ?? { topic: s.topic, sender: s.sender, seq: s.seq, body: s.body, firstTry: s.t, outs: [], tries: 0 };
+        const p = this.pubs.get(id) ?? { topic: s.topic, sender: s.sender, seq: s.seq, body: s.body, firstTry: s.t, outs: [], tries: 0, line: false, refused: false };
         p.tries++;
+        p.line ||= s.line !== undefined;
+        tried.set(s.try, s.t);
         this.pubs.set(id, p);
       } else if (s.k === 'pub.answer') {
         const p = this.pubs.get(idOf(s))!;
         p.outs.push(s.out);
-        if (s.out !== 'accepted') continue;
         const what = `${s.topic} ${s.sender}#${s.seq}`;
+        if (s.tag === FINAL) p.finalAt ??= s.t;
+        if (s.out !== 'accepted') {
+          const asked = tried.get(s.try)!;
+          p.refused ||= s.tag === 'overloaded' || s.tag === 'unknown_topic';
+          // A final no after a first outcome is judged as one; any other answer will do while something is wrong.
+          if (s.tag !== FINAL && p.acceptedAt !== undefined && asked >= p.acceptedAt && asked < p.acceptedAt + REPEAT_MS
+            && this.sky.calm(asked - CALM_MS, s.t) && !this.away(s.topic).length) this.say('repeat', s.t, `${what}, accepted at ${Math.round(p.acceptedAt)}, was answered ${s.tag} when it came again`);
+          if (s.tag === FINAL && p.line && !p.refused) this.say('overtaken', s.t, `${what} was on the way before a later one of its sender that was stored`);
+          continue;
+        }
         if (p.offset !== undefined && p.offset !== s.offset) this.say('once', s.t, `${what} accepted at ${p.offset} and at ${s.offset}`);
         p.offset = s.offset!;
         p.acceptedAt ??= s.t;
@@ -129,6 +150,11 @@
         this.byOffset.set(s.topic, m);
       }
     }
+    const shown = new Set(this.seen.flatMap((s) => (s.k === 'deliver' ? [idOf(s)] : [])));
+    for (const [id, p] of this.pubs) {
+      const how = p.acceptedAt !== undefined ? 'accepted' : shown.has(id) ? 'delivered' : undefined;
+      if (p.finalAt !== undefined && how) this.say('final', p.finalAt, `${p.topic} ${p.sender}#${p.seq} was told that it was never accepted and never will be, and was ${how}`);
+    }
   }
 
   private accepted(topic: string): Iterable<Pub> {
--- a/packages/trial/src/scenario.ts
+++ b/packages/trial/src/scenario.ts
@@ -1,7 +1,7 @@
 import type { Value } from '@harecross/control';
 import { sample, sleep } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
-import { audit, Consumer, Operator, Sender, type World } from './actors.js';
+import { audit, Consumer, Operator, Pipeliner, Sender, type World } from './actors.js';
 import { Journal, type Seen } from './journal.js';
 import { judge, SETTLE_MS, type Violation } from './oracle.js';
 import { seeded, Sim, type SimNode, type SimOpts } from './sim.js';
@@ -54,7 +54,7 @@
 const followed = (topics: number): number => Math.max(1, topics - Math.ceil(topics / 10));
 
 /** Stand-ins for a site's callers. */
-export interface Crowd { consumers: Consumer[]; senders: Sender[]; operator: Operator; topics: string[] }
+export interface Crowd { consumers: Consumer[]; senders: (Sender | Pipeliner)[]; operator: Operator; topics: string[] }
 
 /**
  * The stand-ins of a site: consumers by domain, senders at the site's rates, an operator.
@@ -63,7 +63,7 @@
  */
 export function crowd(w: World, site: Site): Crowd {
   const consumers: Consumer[] = [];
-  const senders: Sender[] = [];
+  const senders: (Sender | Pipeliner)[] = [];
   const topics = site.families.flatMap((f) => Array.from({ length: f.topics }, (_, i) => `${f.prefix}${i}`));
   for (let i = 0; i < site.consumers; i++) {
     const mine = new Set<string>();
@@ -80,8 +80,10 @@
     for (let i = 0; i < n; i++) {
       // Two senders share a topic here and there; each still numbers its own messages.
       const own = Array.from({ length: f.topics }, (_, t) => t).filter((t) => t % n === i || (t % 7 === 0 && t % n === (i + 1) % n)).map((t) => `${f.prefix}${t}`);
-      senders.push(new Sender(w, `${f.name}-${i}`, site.domains[i % site.domains.length]!, own, (1000 * n) / f.perS, { triesN: 8 }));
+      senders.push(new Sender(w, `${f.name}-${i}`, site.domains[i % site.domains.length]!, own, (1000 * n) / f.perS, { triesN: 8, repeats: 0.15 }));
     }
+    // Some have several on the way at once on one topic.
+    for (const i of [0, 1]) senders.push(new Pipeliner(w, `${f.name}-pipe${i}`, site.domains[i % site.domains.length]!, `${f.prefix}${i}`, 200));
   }
   return { consumers, senders, operator: new Operator(w, 'op'), topics };
 }
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -191,6 +191,14 @@
     return d;
   }
 
+  /** When the last frame on each connection arrives: peers have one to each other each way, and what is written to it keeps its order. */
+  private arrivals = new Map<string, number>();
+  private inOrder(conn: string, way: number): number {
+    const at = Math.max(this.now + way, this.arrivals.get(conn) ?? 0);
+    this.arrivals.set(conn, at);
+    return at - this.now;
+  }
+
   private isCut(a: string, b: string): boolean {
     return this.cuts.has(`${a}>${b}`);
   }
@@ -345,7 +353,8 @@
       };
       const stop = this.at(timeoutMs, () => end(() => rej(new Failure({ tag: 'timeout', step: 'call', peer }))));
       if (!to) { this.at(1, () => end(() => rej(new Failure({ tag: 'unreachable', step: 'call', peer, detail: 'no route' })))); return; }
-      this.at(this.way(from.slowMs + to.slowMs), () => {
+      const conn = `${from.name}/${life}>${to.name}/${to.life}`;
+      this.at(this.inOrder(conn, this.way(from.slowMs + to.slowMs)), () => {
         if (this.isCut(from.name, to.name)) return; // silence until the time limit
         if (!to.up || !to.handle) { this.at(this.way(), () => end(() => rej(new Failure({ tag: 'unreachable', step: 'call', peer, detail: 'refused' })))); return; }
         const toLife = to.life;
@@ -355,7 +364,7 @@
           to.handle!(frame).then(
             (s) => {
               if (!to.up || to.life !== toLife) return;
-              this.at(this.way(from.slowMs + to.slowMs), () => { if (!this.isCut(to.name, from.name)) end(() => res(s)); });
+              this.at(this.inOrder(`${conn} back`, this.way(from.slowMs + to.slowMs)), () => { if (!this.isCut(to.name, from.name)) end(() => res(s)); });
             },
             (e) => { this.errors.push(`${to.name} handler: ${e}`); },
           );
@@ -367,7 +376,7 @@
   /** The outside's way in. `outside` is the name cuts use for it. */
   readonly outside: Way = {
     nodes: (domain) => [...this.nodes.values()].filter((n) => n.up && !n.frozen && n.config.role === 'relay' && n.edge?.ready() && (domain === undefined || n.config.domain === domain)).map((n) => n.config.client),
-    visit: (node, method, body, timeoutMs) => new Promise((res) => {
+    visit: (node, method, body, timeoutMs, line) => new Promise((res) => {
       const to = this.byClient.get(node)!;
       const life = to.life;
       let over = false;
@@ -375,16 +384,23 @@
       const broken = (): void => { this.at(this.way(), () => end(undefined)); };
       const stop = this.at(timeoutMs, () => end(undefined));
       const sent = JSON.stringify(body);
-      this.at(this.way(to.slowMs), () => {
+      let way = this.way(to.slowMs);
+      // What is written to one connection arrives in order.
+      if (line) { way = Math.max(way, line.at - this.now); line.at = this.now + way; }
+      const back = (w: number): number => (line ? this.inOrder(`${node} ${line.name} back`, w) : w);
+      this.at(way, () => {
         if (!to.up || to.life !== life || !to.edge) { end(undefined); return; }
         to.calls.add(broken);
-        this.work(to, life, () => {
+        const taken = (): void => {
           void to.edge!.visit(method, JSON.parse(sent)).then((r) => {
             if (!to.up || to.life !== life) return;
             const raw = JSON.stringify(r.body);
-            this.at(this.way(to.slowMs), () => end({ status: r.status, body: JSON.parse(raw) }));
+            this.at(back(this.way(to.slowMs)), () => end({ status: r.status, body: JSON.parse(raw) }));
           });
-        });
+        };
+        line?.waiting.push(taken);
+        // Work of a node that stood still is done in any order, but a connection is read from its beginning.
+        this.work(to, life, () => { (line ? line.waiting.shift()! : taken)(); });
       });
     }),
     attach: (node, body, onFrame, onEnd) => {
--- a/packages/trial/src/test/oracle.test.ts
+++ b/packages/trial/src/test/oracle.test.ts
@@ -60,6 +60,17 @@
   config_lost: (l) => { const a = taken(l); return after(l, a, { ...a, version: a.version! + 5 }); },
   config_late: (l) => { const a = taken(l); return after(l, a, { k: 'node.says', t: a.t + 3_500, asked: a.t + 3_200, node: 'n', version: a.version! - 1, fresh: true }); },
   fell_back: (l) => { const s = find(l, 'node.says', (x) => x.version! > 2); return after(l, s, { ...s, t: s.t + 2, asked: s.t + 1, version: s.version! - 1 }); },
+  final: (l) => { const d = middle(l); const a = find(l, 'pub.answer', (s) => s.topic === d.topic && s.sender === d.sender && s.seq === d.seq); return change(l, a, { out: 'rejected', tag: 'stale_seq', offset: undefined, status: 409 }); },
+  repeat: (l) => {
+    const a = find(l, 'pub.answer', (s) => s.out === 'accepted' && s.t > 24_000 && s.t < 26_000);
+    const p = find(l, 'pub.try', (s) => s.try === a.try);
+    return after(l, a, { ...p, try: -1, t: a.t + 900 }, { ...a, try: -1, t: a.t + 950, out: 'unknown', tag: 'outcome_unknown', status: 504, retryMs: 300, offset: undefined });
+  },
+  overtaken: (l) => {
+    const p = find(l, 'pub.try', (s) => s.line !== undefined);
+    const a = find(l, 'pub.answer', (s) => s.try === p.try);
+    return change(l, a, { out: 'rejected', tag: 'stale_seq', offset: undefined, status: 409 });
+  },
   removed_flow: (l) => {
     // The whole day's families are said to have been removed early on.
     const p = find(l, 'pub.answer', (s) => s.out === 'accepted' && s.t > 25_000);
--- a/packages/trial/src/test/senders.test.ts
+++ b/packages/trial/src/test/senders.test.ts
@@ -1,3 +1,4 @@
+import { shardOf } from '@harecross/kernel';
 import test from 'ava';
 import { FAMILIES, smallFleet, type Small } from './small-fleet.js';
 import type { SimNode } from '../sim.js';
@@ -93,3 +94,58 @@
   t.deepEqual((await publish(s, r1, 5)).body, five);
   s.sim.close();
 });
+
+interface Sent { seq: number; asked: number; told: number; answer: string }
+/** Publishes a number every 5 ms on one connection, up to eight on the way, while something happens to the topic's owner at 300 ms. */
+async function pipelined(seed: number, happen: (s: Small, owner: SimNode) => void, forMs = 2_500): Promise<{ sent: Sent[]; delivered: number[]; most: number }> {
+  const s = await smallFleet(seed);
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  const c = await s.attach(r2, 'phone');
+  await s.ask(r2, 'Subscribe', { conn: c.conn, topic: TOPIC });
+  await publish(s, r1, 1);
+  const owner = s.ownerOf(TOPIC);
+  const line = { name: 'one', at: 0, waiting: [] };
+  const sent: Sent[] = [];
+  const t0 = s.sim.now;
+  let open = 0;
+  let seq = 1;
+  const one = (): void => {
+    if (s.sim.now > t0 + forMs) return;
+    if (open < 8) {
+      const x: Sent = { seq: ++seq, asked: s.sim.now, told: Infinity, answer: 'none' };
+      sent.push(x);
+      open++;
+      void s.sim.outside.visit(r1.config.client, 'Publish', { sender: 'desk', topic: TOPIC, seq: x.seq, body: `message ${x.seq}` }, 6_000, line).then((r) => {
+        open--;
+        x.told = s.sim.now;
+        x.answer = r?.body?.accepted ? 'accepted' : (r?.body?.rejected?.reason ?? r?.body?.error?.tag ?? 'no answer');
+      });
+    }
+    s.sim.clock.after(5, one);
+  };
+  one();
+  s.sim.clock.after(300, () => happen(s, owner));
+  await s.pass(forMs + 3_000);
+  const delivered = c.frames.flatMap((f) => (f.t === 'DELIVER' ? [f.seq] : []));
+  s.sim.close();
+  return { sent, delivered, most: Math.max(...sent.map((x) => x.told - x.asked)) };
+}
+
+const happenings: [what: string, mostMs: number, happen: (s: Small, owner: SimNode) => void][] = [
+  ['is killed', 200, (s, o) => s.sim.kill(o)],
+  ['falls silent', 800, (s, o) => { for (const n of s.sim.nodes.values()) if (n !== o) s.sim.cut(o.name, n.name); }],
+  ['is frozen', 800, (s, o) => s.sim.freeze(o)],
+  ['is stopped', 80, (s, o) => { void s.sim.stop(o); }],
+  ['hands its key to another', 80, (s, o) => { void s.stores.find((n) => n !== o)!.kernel!.call(s.stores.find((n) => n !== o)!.config.peer, 'TakeKey', { shard: shardOf(TOPIC) }); }],
+];
+for (const [what, mostMs, happen] of happenings) {
+  test(`eight publishes on the way keep their order when the owner ${what}; none is refused or waits longer than ${mostMs} ms`, async (t) => {
+    for (const seed of [111, 112, 113]) {
+      const { sent, delivered, most } = await pipelined(seed, happen);
+      t.true(sent.length > 100, `${sent.length} publishes`);
+      t.deepEqual([...new Set(sent.map((x) => x.answer))], ['accepted']);
+      t.deepEqual(delivered, [1, ...sent.map((x) => x.seq)]);
+      t.true(most <= mostMs, `virtual time: one waited ${Math.round(most)} ms`);
+    }
+  });
+}
