--- a/packages/trial/src/test/transcripts.test.ts
+++ b/packages/trial/src/test/transcripts.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { C } from '@harecross/kernel';
 import { FAMILIES, smallFleet, type Small } from './small-fleet.js';
 import type { SimNode } from '../sim.js';
 
@@ -134,7 +135,10 @@
   const s = await smallFleet(46, { relayDisk: true });
   const r = s.relays[0]!;
   const owner = r.kernel!.use('owner');
+  // Its keys come to it once they have been matched to it for a while.
+  await s.pass(C.steadyMs * 2);
   const topic = Array.from({ length: 200 }, (_, i) => `feed/${i}`).find((x) => owner.owns(x))!;
+  t.truthy(topic, 'it owns a key');
   for (const o of s.sim.nodes.values()) if (o !== r) s.sim.cut(r.name, o.name);
   const t0 = s.sim.now;
   const got = await s.ask(r, 'Publish', { sender: 'desk', topic, seq: 1, body: 'one' });
