--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -1,6 +1,7 @@
-import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, type Fault } from '@harecross/kernel';
+import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, within, type Fault } from '@harecross/kernel';
 import { awayNow, notReady, type Board, type Operators, type Register } from '@harecross/control';
 import { Rpcs, configFaults, familyOf, isUrgent, visitFault, type Method, type Visit } from '@harecross/schema';
+import { firstValueFrom } from 'rxjs';
 import { frameLines, type Holds, type Sink } from './holds.js';
 import type { Route } from './route.js';
 
@@ -87,6 +88,15 @@
       return this.failed('Attach', e);
     }
   }
+  /**
+   * A node that has just begun and will serve in a moment lets an Attach wait for that, briefly, rather than turn the consumer away.
+   * Undefined when there is nothing to wait for.
+   */
+  starting(): Promise<void> | undefined {
+    const left = this.k.startedAt + C.startWaitMs - this.k.host.clock.now();
+    if (this.takes() || left <= 0 || !this.holds || this.k.phase === 'draining' || this.k.phase === 'stopped') return undefined;
+    return within(this.k.host.clock, left, firstValueFrom(this.reg.fresh$, { defaultValue: undefined })).then(() => undefined);
+  }
   /** Any word of a consumer is a sign of life of its conn. */
   heard(id: string): void { this.holds?.sign(id); }
   gone(id: string): void { this.holds?.gone(id); }
@@ -297,7 +307,8 @@
     const ok = edge.serving();
     return reply.code(ok ? 200 : 503).send({ condition: ok ? 'ready' : k.phase !== 'running' ? k.phase : awayNow(k.use('register').value, k.self) ? 'away' : 'joining' });
   });
-  app.post('/rpc/Attach', (req, reply) => {
+  app.post('/rpc/Attach', async (req, reply) => {
+    await edge.starting();
     let id = '';
     let over = false;
     const raw = reply.raw;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -230,6 +230,8 @@
   drainMs: 2_600,
 
   // --- process ---
+  /** A node this young lets an Attach wait until it serves: turned away, a consumer would stay away for longer than that. */
+  startWaitMs: 1_500,
   /** SIGTERM to exit; the hard kill comes at 6 s. */
   stopMs: 4_500,
   /** Commits gather this long into one synced transaction. */
