A fleet that comes back together shares its keys at once

Cause: after power came back everywhere the first store that could serve saw nobody else able and took all 32 keys; the others asked for theirs only 4 s later.

--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -31,6 +31,8 @@
   private keys = new Map<number, Key>();
   private interests: Interests;
   private replication: Replication;
+  /** When this process could first serve. */
+  private freshSince = Infinity;
   private holding: Holding<Publish, { offset: number }>;
   /** Fences that were asked for in one moment go to a disk in one visit. */
   private fences = new Map<string, { items: { shard: number; fence: Fence }[]; answers: Promise<Promised[]> }>();
@@ -72,6 +74,7 @@
     k.keep(loop(clock, C.beatMs, rnd, async () => { for (const key of this.keys.values()) this.replication.beat(key); }));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
     k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
+    k.keep(reg.fresh$.subscribe(() => { this.freshSince = Math.min(this.freshSince, clock.now()); }));
     k.onStop(() => this.leave());
   }
 
@@ -123,9 +126,17 @@
     for (const f of key.turned.splice(0)) f();
   }
 
-  /** Which disk should own each shard now; with `not`, as if that disk were gone. */
-  private wanted(not?: string): Map<number, string> {
-    return matchOwners(this.reg.value!.shards, (d) => d !== not && this.peerAble(d) !== undefined);
+  /**
+   * Which disk should own each shard now; with `not`, as if that disk were gone. With `coming`, also disks whose machines may be about
+   * to serve: a fleet that comes back together shares its keys at once, rather than the first one up having them all.
+   */
+  private wanted(not?: string, coming = false): Map<number, string> {
+    return matchOwners(this.reg.value!.shards, (d) => d !== not && (this.peerAble(d) !== undefined || (coming && this.isComing(d))));
+  }
+
+  private isComing(disk: string): boolean {
+    const m = this.board.ofDisk(disk);
+    return this.reg.value?.disks.get(disk)?.state === 'active' && (!m || (m.state === 'live' && m.condition === 'joining'));
   }
 
   private peerAble(disk: string): string | undefined {
@@ -150,7 +161,7 @@
     const now = this.k.host.clock.now();
     const v = this.reg.value!;
     const gone: number[] = [];
-    const wanted = this.wanted();
+    const wanted = this.wanted(undefined, now - this.freshSince < C.comingMs);
     for (const key of this.keys.values()) {
       const p = v.shards.get(key.shard);
       if (!p) continue;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -78,6 +78,8 @@
   doubtMs: 1_600,
   /** A take that failed is tried again after this long. */
   takeRetryMs: 600,
+  /** After its start a node leaves keys to others who may be coming up too for this long: a fleet comes back within it. */
+  comingMs: 300,
   /** A key is asked from an owner that serves once it was matched to another for this long: machines come and go in less. */
   steadyMs: 4_000,
   /** A visit waits this long at a node that is just taking its key; a take is two rounds to a majority. */
