--- a/packages/harecross/src/index.ts
+++ b/packages/harecross/src/index.ts
@@ -1,3 +1,4 @@
 export * from './query.js';
 export * from './view.js';
 export * from './place.js';
+export * from './diff.js';
--- a/packages/harecross/src/main.ts
+++ b/packages/harecross/src/main.ts
@@ -5,6 +5,7 @@
 import { createInterface } from 'node:readline/promises';
 import { request } from 'undici';
 import yargs from 'yargs';
+import { diff } from './diff.js';
 import { place, planFaults, type Constraints } from './place.js';
 import { answer, parse, table, type Row } from './query.js';
 import { look, TABLES, trust, type View } from './view.js';
@@ -25,14 +26,14 @@
 }
 
 /** A visit at the first node that serves. While all say 'come back', or none answers, tries again until the wait is over. */
-async function rpc(at: string[], method: string, body: unknown): Promise<any> {
+async function rpc(at: string[], method: string, body: unknown, limitMs = 10_000): Promise<any> {
   let last = 'no address given';
   const until = performance.now() + waitS * 1000;
   for (;;) {
     let pauseMs = 500;
     for (const a of at) {
       try {
-        const { status, body: b } = await post(a, method, body, 10_000);
+        const { status, body: b } = await post(a, method, body, limitMs);
         if (status === 200) return b;
         const e = b.error ?? {};
         if (status === 503) { last = `${a}: ${e.tag ?? status}`; pauseMs = Math.min(pauseMs, e.retryAfterMs ?? pauseMs); continue; }
@@ -96,22 +97,33 @@
   .middleware((a) => { waitS = a.wait; })
   .command('submit <file>', 'take a configuration', (y) => y.positional('file', { type: 'string', demandOption: true })
     .option('change-id', { type: 'string', describe: 'name of this change; sending it again changes nothing' })
-    .option('expect', { type: 'number', describe: 'only if this version is in force' })
+    .option('expect', { type: 'number', describe: 'only if this version is in force', conflicts: 'revision' })
+    .option('revision', { type: 'number', describe: 'your own number of it: the highest that anybody sent holds' })
+    .option('document', { type: 'string', describe: 'JSON file with your own words for it, kept and given back by read' })
     .option('dry-run', { type: 'boolean', default: false, describe: 'check it and show what would change' }), async (a) => {
     const config = readJson(a.file) as any;
     const faults = configFaults(config);
     if (faults.length) { for (const f of faults) process.stderr.write(`  ${f.path}: ${f.fault}\n`); fail(1, `${a.file}: invalid configuration`); }
     if (a.dryRun) {
       const now = await rpc(at(a), 'ReadConfig', {});
-      const names = (c: any): Map<string, string> => new Map(c.families.map((f: any) => [f.name, JSON.stringify(f)]));
-      const [o, n] = [names(now.config), names(config)];
-      for (const [k, v] of n) if (!o.has(k)) process.stdout.write(`+ ${k}\n`); else if (o.get(k) !== v) process.stdout.write(`~ ${k}\n  - ${o.get(k)}\n  + ${v}\n`);
-      for (const k of o.keys()) if (!n.has(k)) process.stdout.write(`- ${k}\n`);
-      process.stdout.write(`against version ${now.version}; nothing was changed\n`);
+      const told = now.revision === undefined ? '' : `, revision ${now.revision}`;
+      if (a.revision !== undefined && a.revision <= (now.revision ?? -1)) process.stdout.write(`revision ${a.revision} is not above the one in force: it would change nothing\n`);
+      else for (const line of diff(now.config, config)) process.stdout.write(`${line}\n`);
+      process.stdout.write(`against version ${now.version}${told}; nothing was changed\n`);
+      return;
+    }
+    if (a.revision !== undefined && !(Number.isSafeInteger(a.revision) && a.revision >= 0)) fail(2, '--revision: must be an integer of 0 or more');
+    const document = a.document === undefined ? {} : { document: readJson(a.document) };
+    if (a.revision !== undefined) {
+      // The same revision may be sent again at any node: a silent one is left soon.
+      const b = { revision: a.revision, ...document, config, ...(a.changeId === undefined ? {} : { changeId: a.changeId }) };
+      const r = await rpc(at(a), 'SubmitConfig', b, 2_000);
+      if (r.revision > a.revision) process.stderr.write(`harecross: revision ${r.revision} is in force; ${a.revision} is below it and changes nothing\n`);
+      out(r);
       return;
     }
     const changeId = a.changeId ?? newChangeId('cli');
-    out({ changeId, ...(await rpc(at(a), 'SubmitConfig', { changeId, config, ...(a.expect === undefined ? {} : { expect: a.expect }) })) });
+    out({ changeId, ...(await rpc(at(a), 'SubmitConfig', { changeId, config, ...document, ...(a.expect === undefined ? {} : { expect: a.expect }) })) });
   })
   .command('read', 'the configuration in force, confirmed by a majority', (y) => y, async (a) => out(await rpc(at(a), 'ReadConfig', {})))
   .command('query <words..>', 'one query on the state of the fleet', (y) => y.positional('words', { type: 'string', array: true, demandOption: true }).option('json', { type: 'boolean', default: false })
@@ -167,7 +179,9 @@
         process.stdout.write(`${r.plan.moved} copies move; made from version ${was.version}\n`);
         const config = { ...was.config, copies: (constraints as Constraints).copies, placement: r.plan.placement };
         if (a.out) writeFileSync(a.out, JSON.stringify(config, null, 2) + '\n');
-        if (a.apply) out(await rpc(at(a), 'SubmitConfig', { changeId: newChangeId('place'), expect: was.version, config }));
+        // The operators' own words stay: only where copies lie is changed.
+        const document = was.document === undefined ? {} : { document: was.document };
+        if (a.apply) out(await rpc(at(a), 'SubmitConfig', { changeId: newChangeId('place'), expect: was.version, config, ...document }));
       }
     }
   })
--- a/packages/trial/src/scale.ts
+++ b/packages/trial/src/scale.ts
@@ -1,3 +1,5 @@
+import { pack, unpack } from '@harecross/kernel';
+import { configFaults, familyOf, type FleetConfig } from '@harecross/schema';
 import yargs from 'yargs';
 import { build, configOf, SMALL, type Site } from './scenario.js';
 import { Sim } from './sim.js';
@@ -8,8 +10,68 @@
   .option('sizes', { type: 'string', default: '15,60,200' })
   .option('seed', { type: 'number', default: 1 })
   .option('methods', { type: 'boolean', default: false, describe: 'visits per node and second, by method' })
+  .option('families', { type: 'string', describe: 'instead, what a configuration of so many families costs a fleet of 15; comma between' })
   .strict().parseSync();
 
+/** A configuration with the operators' own words for it, about as long. */
+function large(n: number): { config: FleetConfig; document: unknown } {
+  const of = [...Array(n).keys()];
+  return {
+    config: { families: of.map((i) => ({ name: `r-${i}`, topics: [`kafi${i}.*`], precedence: i % 2, patienceMs: 1_500, aimMs: 150, memoryS: 35, order: 'sender' })) },
+    document: { routes: of.map((i) => ({ name: `r-${i}`, prefix: `kafi${i}.`, kind: 'kept', expires: 1_500, target: 150, precedence: i % 2, seconds: 35, order: 'sender' })) },
+  };
+}
+
+/** The mean time of some work on this machine, in ms; the first runs are left out. */
+function took(f: () => unknown): number {
+  for (let i = 0; i < 5; i++) f();
+  const t0 = performance.now();
+  for (let i = 0; i < 20; i++) f();
+  return (performance.now() - t0) / 20;
+}
+
+async function families(n: number): Promise<void> {
+  const sim = new Sim(a.seed);
+  await build(sim, { ...SMALL, domains: ['a', 'b', 'c'], stores: 4, relays: 11, relayDisks: 4, consumers: 0 });
+  await sim.run(15_000);
+  const ups = [...sim.nodes.values()];
+  const { config, document } = large(n);
+  const told: number[] = [], all: number[] = [], kib: number[] = [];
+  for (let i = 1; i <= 5; i++) {
+    sim.traffic.clear();
+    sim.answers.clear();
+    sim.measure = true;
+    const from = sim.now;
+    let answered = 0, everywhere = 0;
+    const at = ups[Math.floor(sim.rnd.next() * ups.length)]!;
+    void sim.outside.visit(at.config.client, 'SubmitConfig', { revision: i, config, document }, 10_000).then(() => { answered = sim.now; });
+    while (!answered || !everywhere) {
+      await sim.run(sim.now + 5);
+      if (!everywhere && ups.every((x) => (x.kernel!.use('register').value?.revision ?? 0) >= i)) everywhere = sim.now;
+      if (sim.now - from > 30_000) throw new Error('never in force');
+    }
+    sim.measure = false;
+    told.push(answered - from);
+    all.push(everywhere - from);
+    const bytes = [...[...sim.traffic].map(([m, t]): [string, number] => [m, t.bytes]), ...sim.answers];
+    kib.push(bytes.filter(([m]) => m.startsWith('Reg')).reduce((x, [, b]) => x + b, 0) / 1024);
+    await sim.run(sim.now + 1_000);
+  }
+  const v = ups[0]!.kernel!.use('register').value!;
+  const text = pack(v);
+  const ms = (xs: number[]): string => `${Math.round(Math.min(...xs))} to ${Math.round(Math.max(...xs))} ms`;
+  process.stdout.write(`${n} families: value ${(text.length / 1024).toFixed(1)} KiB; a change answered after ${ms(told)}, at all 15 nodes after ${ms(all)}, `
+    + `${Math.round(Math.min(...kib))} KiB sent for it; to text ${took(() => pack(v)).toFixed(2)} ms, from text ${took(() => unpack(text)).toFixed(2)} ms, `
+    + `checked in ${took(() => configFaults(config)).toFixed(2)} ms, laid out in ${took(() => familyOf(structuredClone(v.config), 'kafi7.1')).toFixed(2)} ms, `
+    + `a topic's family in ${(took(() => { for (let i = 0; i < 10_000; i++) familyOf(v.config, 'kafi7.1'); }) / 10).toFixed(3)} us\n`);
+  sim.close();
+}
+
+if (a.families) {
+  for (const n of a.families.split(',').map(Number)) await families(n);
+  process.exit(0);
+}
+
 for (const size of a.sizes.split(',').map(Number)) {
   const stores = Math.max(3, Math.round(size / 5));
   const site: Site = { ...SMALL, domains: ['a', 'b', 'c', 'd', 'e'], stores, relays: size - stores, relayDisks: Math.round(size / 15), consumers: 0 };
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -125,6 +125,8 @@
   private byClient = new Map<string, SimNode>();
   /** Peer visits and their bytes, by method; filled when `measure` is set. */
   readonly traffic = new Map<string, { n: number; bytes: number }>();
+  /** Bytes of the answers to them. */
+  readonly answers = new Map<string, number>();
   measure = false;
   /** Unexpected errors of node code. */
   readonly errors: string[] = [];
@@ -328,8 +330,9 @@
 
   private call(from: SimNode, life: number, peer: string, frame: string, timeoutMs: number): Promise<string> {
     const to = this.byPeer.get(peer);
+    let m = '';
     if (this.measure) {
-      const m = /^\[\{[^}]*\},"(\w+)"/.exec(frame)?.[1] ?? '?';
+      m = /^\[\{[^}]*\},"(\w+)"/.exec(frame)?.[1] ?? '?';
       const t = this.traffic.get(m) ?? { n: 0, bytes: 0 };
       this.traffic.set(m, { n: t.n + 1, bytes: t.bytes + frame.length });
     }
@@ -354,6 +357,7 @@
         this.work(to, toLife, () => {
           to.handle!(frame).then(
             (s) => {
+              if (m) this.answers.set(m, (this.answers.get(m) ?? 0) + s.length);
               if (!to.up || to.life !== toLife) return;
               this.at(this.way(from.slowMs + to.slowMs), () => { if (!this.isCut(to.name, from.name)) end(() => res(s)); });
             },
--- a/packages/trial/src/test/process.test.ts
+++ b/packages/trial/src/test/process.test.ts
@@ -48,6 +48,22 @@
     t.is(submit.code, 0, submit.err);
     t.deepEqual(JSON.parse(submit.out), { changeId: 'one', version: 1 });
     t.is((await run('harecross', ['submit', file, '--expect', '7', ...at])).code, 1);
+
+    // By revision, with the operators' own words.
+    const words = join(folder, 'words.json');
+    writeFileSync(words, '{"any": ["words", null]}');
+    const revised = await run('harecross', ['submit', file, '--revision', '30', '--document', words, ...at]);
+    t.is(revised.code, 0, revised.err);
+    t.deepEqual(JSON.parse(revised.out), { version: 2, revision: 30 });
+    const old = await run('harecross', ['submit', file, '--revision', '29', ...at]);
+    t.deepEqual([old.code, JSON.parse(old.out)], [0, { version: 2, revision: 30 }]);
+    t.regex(old.err, /revision 30 is in force; 29 is below it and changes nothing/);
+    const dry = await run('harecross', ['submit', file, '--revision', '30', '--dry-run', ...at]);
+    t.is(dry.out, 'revision 30 is not above the one in force: it would change nothing\nagainst version 2, revision 30; nothing was changed\n');
+    t.is((await run('harecross', ['submit', file, '--revision', '1.5', ...at])).code, 2);
+    t.is((await run('harecross', ['submit', file, '--revision', '31', '--expect', '2', ...at])).code, 2);
+    const mine = JSON.parse((await run('harecross', ['read', ...at])).out);
+    t.deepEqual([mine.version, mine.revision, mine.document, mine.config], [2, 30, { any: ['words', null] }, configOf(SITE)]);
     writeFileSync(file, '{"families": 5}');
     const bad = await run('harecross', ['submit', file, ...at]);
     t.is(bad.code, 1);
@@ -89,7 +105,8 @@
     await eventually('resumed', () => got().length === 2);
     t.deepEqual(got(), [1, 2]);
     const read = await run('harecross', ['read', ...at]);
-    t.is(JSON.parse(read.out).version, 1);
+    const back = JSON.parse(read.out);
+    t.deepEqual([back.version, back.revision, back.document], [2, 30, { any: ['words', null] }], 'as it was before the power failed');
 
     // A consumer that reads no more is retired, and holds up nobody else.
     const deaf = httpRequest(`http://${r1.config.client}/rpc/Attach`, { method: 'POST', headers: { 'content-type': 'application/json' } });
--- a/packages/trial/src/test/tools.test.ts
+++ b/packages/trial/src/test/tools.test.ts
@@ -1,6 +1,6 @@
 import { C, shardOf } from '@harecross/kernel';
 import test from 'ava';
-import { answer, look, parse, place, planFaults, table, trust, type Constraints, type Disk, type Row } from 'harecross';
+import { answer, diff, look, parse, place, planFaults, table, trust, type Constraints, type Disk, type Row } from 'harecross';
 
 const row = (x: object): Row => new Map(Object.entries(x));
 const disks: Disk[] = ['a', 'b', 'c'].flatMap((domain, z) => [1, 2].map((i) => ({ peer: `10.0.${z}.${i}:7100`, domain })));
@@ -17,6 +17,13 @@
   t.snapshot(['keys', 'keys where behind > 0 sort shard', 'keys sort behind desc show owner, behind limit 2', 'keys where owner = "a"', 'keys where owner ~ z', 'keys where', 'keys where behind >', 'keys sort', 'keys limit x', 'keys then', '', 'keys where colour = red'].map((q) => `${q}\n${run(q)}`));
 });
 
+test('what a configuration would change, by pattern', (t) => {
+  const f = (name: string, topics: string[], memoryS = 30) => ({ name, topics, urgency: 'routine' as const, patienceMs: 1_000, memoryS });
+  const now = { families: [f('a', ['a/*', 'b']), f('c', ['c/*'])], copies: 3 };
+  t.deepEqual(diff(now, now), []);
+  t.snapshot(diff(now, { families: [f('a', ['a/*'], 40), f('a', ['b']), f('d', ['c/d/*'])], limits: { subscriptionsPerConn: 9 } }));
+});
+
 test('a look at the fleet says who did not answer', async (t) => {
   const fleet = { at: 'p1', members: [{ peer: 'p1', client: 'c1', state: 'live', ageMs: 10 }, { peer: 'p2', client: 'c2', state: 'suspect', ageMs: 900 }, { peer: 'p3', client: 'c3', state: 'dead', ageMs: 9_000 }], disks: [], keys: [{ shard: 0, gen: 1, copies: ['d'] }] };
   const node = { peer: 'p1', phase: 'running', version: 1, rev: 3, fresh: true, conns: 0, keys: [], copies: [], holds: [], interest: [], holdings: [], counters: { x: 1 } };
