What operators' submissions hold at a node is bounded; one revision sent again and again is one

Each resent submission kept its configuration until it was answered, up to 10 s. Resent ones now share one, a node works on 32 different ones at most and tells others to come back, and what is settled keeps nothing but who is to be told.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, faultOf, loop, rank, register, sleep } from '@harecross/kernel';
+import { C, Failure, Kernel, faultOf, loop, rank, register, retryAfter, sleep } from '@harecross/kernel';
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { erasAfter } from './eras.js';
@@ -217,15 +217,15 @@
   return undefined;
 }
 
-/** A configuration that is to come into force, with what its sender is told. */
+/** A configuration that is to come into force, with all who wait for it: it may be sent again and again. */
 interface Submission {
+  key: string;
   revision: number;
   changeId: string;
   config: FleetConfig;
   document?: string;
   until: number;
-  res: (a: Revised) => void;
-  rej: (e: unknown) => void;
+  waits: { res: (a: Revised) => void; rej: (e: unknown) => void }[];
 }
 /** What is in force after a submission with a revision: that one, or a higher one. */
 export interface Revised { version: number; revision: number }
@@ -238,7 +238,7 @@
  */
 export class Operators {
   /** Those with a revision that are not in force yet. One of them, the highest, is at work at a time: it settles the lower ones too. */
-  private submissions = new Set<Submission>();
+  private submissions = new Map<string, Submission>();
   private working = false;
 
   constructor(private k: Kernel, private board: Board, private reg: Register) {
@@ -247,8 +247,8 @@
 
   /**
    * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force. Without one
-   * the first outcome of its changeId is given. Fails with `invalid_config`, `conflict` (without a revision), and with `not_ready` or
-   * `no_majority` after C.submitMs.
+   * the first outcome of its changeId is given. Fails with `invalid_config`, `conflict` (without a revision), `overloaded` (beyond
+   * C.submissionsN at once), and with `not_ready` or `no_majority` after C.submitMs.
    */
   async submit(b: { changeId?: string; expect?: number; revision?: number; document?: unknown; config: unknown }): Promise<{ version: number; revision?: number }> {
     const document = b.document === undefined ? undefined : JSON.stringify(b.document);
@@ -281,28 +281,49 @@
 
   private revise(revision: number, changeId: string, config: unknown, document: string | undefined): Promise<Revised> {
     const valid = this.checked('SubmitConfig', config);
-    return new Promise((res, rej) => {
-      this.submissions.add({ revision, changeId, config: valid, document, until: this.k.host.clock.now() + C.submitMs, res, rej });
-      this.settle();
-      void this.bringIntoForce();
-    });
+    const key = `${revision}\n${JSON.stringify(config)}`;
+    let s = this.submissions.get(key);
+    if (!s) {
+      if (this.submissions.size >= C.submissionsN) {
+        throw new Failure({ tag: 'overloaded', step: 'SubmitConfig', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+      }
+      s = { key, revision, changeId, config: valid, document, until: 0, waits: [] };
+      this.submissions.set(key, s);
+    }
+    const { waits } = s;
+    s.until = this.k.host.clock.now() + C.submitMs;
+    const answer = new Promise<Revised>((res, rej) => { waits.push({ res, rej }); });
+    this.settle();
+    void this.bringIntoForce();
+    return answer;
+  }
+
+  /** Whether it is still one to work on; one that was sent again later is another. */
+  private wanted(s: Submission): boolean {
+    return this.submissions.get(s.key) === s;
+  }
+
+  /** The one function that takes a submission out; gives who is to be told. */
+  private takeOut(s: Submission): Submission['waits'] {
+    if (this.wanted(s)) this.submissions.delete(s.key);
+    return s.waits.splice(0);
   }
 
-  private inForce(s: Submission): Revised | undefined {
+  private inForce(revision: number): Revised | undefined {
     const v = this.reg.value;
-    return v?.revision !== undefined && v.revision >= s.revision ? { version: v.version, revision: v.revision } : undefined;
+    return v?.revision !== undefined && v.revision >= revision ? { version: v.version, revision: v.revision } : undefined;
   }
 
   /** Answers what a value that the fleet agreed on has settled, whoever brought it about. */
   private settle(): void {
-    for (const s of this.submissions) if (this.inForce(s)) { this.submissions.delete(s); void this.tell(s); }
+    for (const s of this.submissions.values()) if (this.inForce(s.revision)) void this.tell(s.revision, s.until, this.takeOut(s));
   }
 
   /** It is settled, but something higher may be in force by now: a majority tells. Without one, in the end, it is what we know. */
-  private async tell(s: Submission): Promise<void> {
+  private async tell(revision: number, until: number, waits: Submission['waits']): Promise<void> {
     const { clock, rnd } = this.k.host;
-    while (!(await this.reg.confirm().catch(() => false)) && clock.now() < s.until) await sleep(clock, C.submitAskMs * (0.5 + rnd.next()));
-    s.res(this.inForce(s)!);
+    while (!(await this.reg.confirm().catch(() => false)) && clock.now() < until) await sleep(clock, C.submitAskMs * (0.5 + rnd.next()));
+    for (const w of waits) w.res(this.inForce(revision)!);
   }
 
   /**
@@ -314,7 +335,7 @@
     this.working = true;
     try {
       for (;;) {
-        const s = [...this.submissions].reduce<Submission | undefined>((a, b) => (!a || b.revision > a.revision ? b : a), undefined);
+        const s = [...this.submissions.values()].reduce<Submission | undefined>((a, b) => (!a || b.revision > a.revision ? b : a), undefined);
         if (!s) return;
         await this.tryOnce(s);
       }
@@ -331,16 +352,14 @@
         this.checked('SubmitConfig', s.config, v);
         const next = this.taken(v, s);
         return { next, out: { version: next.version, revision: s.revision } };
-      }, Math.min(C.submitTryMs, s.until - clock.now()), () => this.submissions.has(s));
-      this.submissions.delete(s);
-      s.res(a);
+      }, Math.min(C.submitTryMs, s.until - clock.now()), () => this.wanted(s));
+      for (const w of this.takeOut(s)) w.res(a);
     } catch (e) {
       // No longer wanted: settled meanwhile.
-      if (!this.submissions.has(s)) return;
+      if (!this.wanted(s)) return;
       const f = faultOf(e, 'SubmitConfig', this.k.self);
       if (f.tag === 'no_majority' && clock.now() < s.until) return;
-      this.submissions.delete(s);
-      s.rej(this.reg.value ? e : notReady(this.k, 'SubmitConfig'));
+      for (const w of this.takeOut(s)) w.rej(this.reg.value ? e : notReady(this.k, 'SubmitConfig'));
     }
   }
 
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -150,6 +150,8 @@
   changeMs: 6_000,
   /** A configuration with a revision is brought into force for this long after it was last sent, whether its sender waits or not. */
   submitMs: 10_000,
+  /** Different submissions that one node works on; resent ones share one, and few operators are at work at a time. */
+  submissionsN: 32,
   /** One try at that; then the highest revision that was sent meanwhile is taken up instead. */
   submitTryMs: 2_000,
   /** What is in force is asked of a majority again after about this long, before an old revision is answered. */
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -1,9 +1,9 @@
 import { eraOf, erasAfter, type Eras } from '@harecross/control';
-import { sleep, type Kernel } from '@harecross/kernel';
+import { C, sleep, type Kernel } from '@harecross/kernel';
 import { familyOf, isUrgent, Patterns, urgencyOf, type Family, type FleetConfig, type Frame } from '@harecross/schema';
 import test from 'ava';
 import fc from 'fast-check';
-import { seeded, type SimNode } from '../sim.js';
+import { seeded, Sim, type SimNode } from '../sim.js';
 import { FAMILIES, smallFleet, type Small } from './small-fleet.js';
 
 const SEED = 20_262;
@@ -385,6 +385,42 @@
   s.sim.close();
 });
 
+test('a configuration that was sent before the fleet was founded comes into force once it is', async (t) => {
+  const sim = new Sim(108);
+  const nodes = [0, 1, 2].map((i) => sim.add(`store${i + 1}`, { role: 'store', domain: 'abc'[i]!, disk: true }));
+  for (const n of nodes) n.config.seeds = nodes.map((x) => x.config.peer);
+  for (const n of nodes) void sim.start(n);
+  await sim.run(100);
+  let told: { status: number; body: unknown } | undefined;
+  void sim.outside.visit(nodes[2]!.config.client, 'SubmitConfig', { revision: 2, config: { families: FAMILIES } }, 9_000).then((r) => { told = r; });
+  await sim.run(900);
+  t.is(told, undefined);
+  await sim.run(4_000);
+  t.deepEqual(told, { status: 200, body: { version: 1, revision: 2 } });
+  sim.close();
+});
+
+test('what waits at one node is bounded: one revision sent again and again is one, and beyond the bound others are told to come back', async (t) => {
+  const s = await smallFleet(109);
+  const [r1] = s.relays as [SimNode];
+  for (const n of s.stores) s.sim.kill(n);
+  const got: string[] = [];
+  const send = (revision: number): void => {
+    void s.sim.outside.visit(r1.config.client, 'SubmitConfig', { revision, config: { families: FAMILIES } }, 30_000).then((r) => got.push(`${r!.status} ${r!.body.error?.tag ?? r!.body.revision}`));
+  };
+  for (let i = 0; i < 100; i++) send(3);
+  for (let i = 0; i < C.submissionsN + 2; i++) { await s.pass(10); send(4 + i); }
+  // Longer than one try, so that the highest is at work.
+  await s.pass(C.submitTryMs + 500);
+  t.deepEqual(got, ['503 overloaded', '503 overloaded', '503 overloaded']);
+  for (const n of s.stores) void s.sim.start(n);
+  await s.pass(6_000);
+  const top = 4 + C.submissionsN - 2;
+  t.deepEqual(new Set(got.slice(3)), new Set([`200 ${top}`]));
+  t.is(got.length, 100 + C.submissionsN + 2);
+  s.sim.close();
+});
+
 /** Sends a revision and hangs up after 100 ms. */
 function sendOff(s: Small, n: SimNode, revision: number): void {
   void s.sim.outside.visit(n.config.client, 'SubmitConfig', { revision, config: { families: FAMILIES } }, 100);
