--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -232,7 +232,14 @@
 export interface PathFault { path: string; fault: string }
 
 function faultsOf(es: unknown): PathFault[] {
-  return (es as { instancePath: string; message: string; params?: any }[]).map((e) => {
+  const all = es as { instancePath: string; message: string; keyword?: string; params?: any }[];
+  // Where one of several words is wanted, one fault names them all.
+  const words = new Map<string, string[]>();
+  for (const e of all) if (e.keyword === 'const') words.set(e.instancePath, [...(words.get(e.instancePath) ?? []), `'${e.params.allowedValue}'`]);
+  const choices = new Set(all.flatMap((e) => (e.keyword === 'anyOf' ? [e.instancePath] : [])));
+  return all.filter((e) => e.keyword !== 'const' || !choices.has(e.instancePath)).map((e) => {
+    const of = e.keyword === 'anyOf' ? words.get(e.instancePath) : undefined;
+    if (of) return { path: e.instancePath, fault: `must be ${of.slice(0, -1).join(', ')} or ${of.at(-1)}` };
     const extra = e.params?.additionalProperties ?? e.params?.requiredProperties;
     return { path: e.instancePath || '/', fault: e.message === 'schema is false' ? 'unknown key' : extra ? `${e.message}: ${extra.join(', ')}` : e.message };
   });
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -385,6 +385,21 @@
   s.sim.close();
 });
 
+test('a conn may have as many subscriptions as the configuration says, as soon as it is in force', async (t) => {
+  const s = await smallFleet(110, { config: { families: FAMILIES, limits: { subscriptionsPerConn: 2 } } });
+  const [r1] = s.relays as [SimNode];
+  const { conn } = await s.attach(r1, 'phone', 60);
+  const subscribe = async (topicName: string): Promise<string | number> => {
+    const r = await s.ask(r1, 'Subscribe', { conn, topic: topicName });
+    return r.body.error?.tag ?? r.status;
+  };
+  t.deepEqual([await subscribe('feed/1'), await subscribe('feed/2'), await subscribe('feed/3'), await subscribe('feed/1')], [200, 200, 'overloaded', 200]);
+  t.is((await s.ask(r1, 'SubmitConfig', { revision: 1, config: { families: FAMILIES, limits: { subscriptionsPerConn: 300 } } })).status, 200);
+  for (let i = 3; i <= 300; i++) t.is(await subscribe(`feed/${i}`), 200);
+  t.is(await subscribe('feed/301'), 'overloaded');
+  s.sim.close();
+});
+
 test('a configuration that was sent before the fleet was founded comes into force once it is', async (t) => {
   const sim = new Sim(108);
   const nodes = [0, 1, 2].map((i) => sim.add(`store${i + 1}`, { role: 'store', domain: 'abc'[i]!, disk: true }));
