--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -1,4 +1,4 @@
-import { C, Kernel, below, hash, loop, register, sample, within, type Role } from '@harecross/kernel';
+import { C, Kernel, below, diskUsesOf, hash, loop, register, sample, within, type DiskUse, type Role } from '@harecross/kernel';
 import { Subject } from 'rxjs';
 
 export type Condition = 'joining' | 'ready' | 'draining' | 'left' | 'ill';
@@ -9,7 +9,10 @@
   client: string;
   domain: string;
   role: Role;
+  /** By which operators call the machine. */
+  name: string;
   disk?: string;
+  diskUses?: DiskUse[];
   inst: string;
   condition: Condition;
   /** Conns held. */
@@ -66,6 +69,7 @@
     k.on('Ping', () => this.beat);
     k.on('PingFor', (b: { peer: string }) => this.ping(b.peer));
     k.onUnreachable = (p) => this.doubt(p);
+    k.onBroken = (p) => this.doubt(p);
     k.helpersTo = (peer) => {
       const m = this.members.get(peer);
       return m && (m.state === 'dead' || m.state === 'left') ? [] : this.live().map((x) => x.peer).filter((p) => p !== peer && p !== k.self);
@@ -98,7 +102,8 @@
   /** Says our record anew; also for who changed our config. */
   sayMine(): void {
     const { config } = this.k.host;
-    const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, inst: this.k.inst, ...this.mine };
+    const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, name: config.name ?? this.k.self, inst: this.k.inst, ...this.mine };
+    if (rec.disk !== undefined) rec.diskUses = diskUsesOf(config);
     this.saidWeight = rec.weight;
     this.put(`m/${this.k.self}`, `${this.k.inst}.${String(++this.beat).padStart(10, '0')}`, rec);
   }
@@ -274,7 +279,7 @@
     } catch { /* gone from the view until someone names it again */ }
   }
 
-  /** A visit surely did not reach this peer: ask it once more at once. */
+  /** A visit surely did not reach this peer, or a connection to it broke: ask it once more at once. */
   private doubt(peer: string): void {
     const m = this.members.get(peer);
     if (m && m.state === 'live') void this.probe(m);
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -128,6 +128,9 @@
           lostSince = undefined;
           perhaps = true;
           break;
+        case 'stale_seq':
+          // Final, also for earlier tries: a higher number is committed, and this one is not in the history.
+          throw new Failure(f);
         default:
           throw end();
       }
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -24,6 +24,10 @@
   oversizedLaneBytes: 2 * 1024 * 1024,
   /** Flush of a conn's buffer for routine families. */
   flushMs: 250,
+  /** A family with an aim flushes after this share of it, if that is sooner. */
+  flushShare: 0.1,
+  /** What a frame takes beside its body: topic, sender, numbers. */
+  frameHeadBytes: 128,
   /** Flush when an urgent message waits: a warning must not sit a quarter second for company. */
   flushUrgentMs: 20,
   /** Catch-up from history pauses above this much buffered, so that it never saturates a lane itself. */
@@ -60,7 +64,11 @@
   memorySlack: 1.5,
   /** ... plus this, so that a promise of 25 s is never cut short by rounding or fail-over. */
   memorySlackMs: 15_000,
-  /** Dedupe rows outlive any memory by a wide margin. */
+  /** Every accepted message stays in the history this long, whatever its family's memory, so that a repeat of its number has its
+   * first outcome. Callers repeat for 10 s; three times that, because clocks and the way of an answer come on top. */
+  repeatKeepMs: 30_000,
+  /** The last trimmed number of a sender and topic is known this long: what is above it and not in the history was never
+   * accepted, what is below it is not known any more. Dedupe rows outlive any memory by a wide margin. */
   dedupeKeepMs: 30 * 60_000,
   /** Owner checks its keys this often. */
   keyTickMs: 250,
@@ -104,6 +112,19 @@
   noOwnerMs: 700,
   /** A link that gave no answer is tried directly this often; meanwhile visits of the data plane go round it. */
   linkTryMs: 700,
+  /** A line of a client: topic, cursor and name are far shorter. */
+  accessLineBytes: 16 * 1024,
+  /** The largest body any family may allow; larger ones are refused unread ... */
+  edgeBodyBytes: 1024 * 1024,
+  /** ... and thrown away up to this size; beyond it the connection is closed. */
+  accessSkipBytes: 16 * 1024 * 1024,
+  /** Answers and frames a client has not read yet, beyond both lanes of its buffer: it does not read. */
+  accessUnreadBytes: 4 * 1024 * 1024,
+  /** Requests of one connection in work before we read no more of them. */
+  accessRunningN: 128,
+  /** A connection that has not attached within this time is closed; looked for this often. */
+  accessOpenMs: 10_000,
+  accessSweepMs: 1_000,
   /** Default limit of a body. */
   bodyBytes: 64 * 1024,
 
@@ -140,8 +161,13 @@
   // --- register ---
   /** Every node confirms its version at a majority this often ... */
   confirmMs: 600,
-  /** ... and serves only while the last confirmation began at most this long ago; 3 s is the promise. */
-  freshMs: 2_400,
+  /** Before the first confirmation after a start a node tries this often, this many at once: traffic waits for it. */
+  firstConfirmMs: 60,
+  firstConfirmN: 4,
+  /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
+  applyMs: 3_000,
+  /** ... and serves only while the last confirmation began at most this share of it ago. */
+  freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
   seatsN: 7,
   /** A visit from a peer that knows a newer value waits for it; what could not be fetched is fetched again after this long. */
@@ -160,6 +186,8 @@
   changeIdsN: 4_096,
   /** Founders look around this long for other disks before they found. */
   foundAfterMs: 1_200,
+  /** ... and for as many as a shard needs copies up to this long; later ones join one step at a time. */
+  foundAnywayMs: 4_000,
   foundMs: 500,
 
   // --- keeper: disks and placement ---
@@ -174,6 +202,8 @@
   /** A planned restart sends its conns away over this long; a stop has less time. */
   awaySpreadMs: 3_000,
   drainSpreadMs: 1_000,
+  /** A stopping relay stays for late comers: the platform notices after two polls, a second apart. */
+  drainMs: 2_600,
 
   // --- process ---
   /** SIGTERM to exit; the hard kill comes at 6 s. */
@@ -184,8 +214,22 @@
   rereadMs: 1_000,
   /** A closed conn's last words have this long to get out before its socket is destroyed. */
   closeGraceMs: 5_000,
-  /** Time limit for connecting to a peer; loopback and site links answer far sooner. */
+  /** Time limit for connecting to a peer; site links answer far sooner. */
   connectMs: 1_000,
-  /** Sockets to one peer. */
-  peerSocketsN: 6,
+  /** A connection that owes answers and is quiet for this long is pinged, and given up after as long again: 1.4 to 2.1 s in all. */
+  peerQuietMs: 700,
+  /** Largest peer frame: a shard's whole snapshot. */
+  peerFrameBytes: 64 * 1024 * 1024,
+  /** Bytes waiting for one peer, each way; room for one snapshot beside what else there is. */
+  peerWaitingBytes: 80 * 1024 * 1024,
+  /** Calls under way to one peer, and from one. */
+  peerCallsN: 8_192,
+  /** Connections that peers may have to us: one each, and a few more while one is replaced. */
+  peerConnsN: 2_048,
+  /** A connection to a peer that nothing was said on for this long is closed. */
+  peerIdleMs: 30_000,
+  /** Keep-alive of connections from peers: one whose machine lost power is let go of some 15 s later. */
+  peerKeepAliveMs: 5_000,
+  /** At a stop, last words have this long to get out. */
+  peerCloseMs: 300,
 } as const;
--- a/packages/kernel/src/host.ts
+++ b/packages/kernel/src/host.ts
@@ -15,9 +15,26 @@
   next(): number;
 }
 
+/** What the net tells of itself beside answers. */
+export interface NetNews {
+  /** A connection to this peer broke that was whole: its process may have ended. */
+  broken(peer: string): void;
+  count(name: string): void;
+}
+
+/**
+ * Splits an address; the caller has checked it.
+ * @example
+ * addr('127.0.0.1:7101'); // { host: '127.0.0.1', port: 7101 }
+ */
+export function addr(a: string): { host: string; port: number } {
+  const i = a.lastIndexOf(':');
+  return { host: a.slice(0, i), port: Number(a.slice(i + 1)) };
+}
+
 export interface Net {
-  /** Serves peer frames at our address. */
-  serve(handle: (frame: string) => Promise<string>): Promise<void>;
+  /** Serves peer frames at our address. A handler that rejects ends the connection: the frame was not a peer's. */
+  serve(handle: (frame: string) => Promise<string>, news?: NetNews): Promise<void>;
   /** One visit to a peer. Fails with `unreachable` only if the peer surely never saw it. */
   call(peer: string, frame: string, timeoutMs: number): Promise<string>;
   close(): Promise<void>;
@@ -28,7 +45,10 @@
   warn(line: string, data?: Record<string, unknown>): void;
 }
 
-export type Role = 'relay' | 'store';
+export type Role = 'relay' | 'store' | 'control';
+
+/** What a node's disk may be used for: a seat of the register, copies of shards. */
+export type DiskUse = 'seat' | 'copies';
 
 /** A process's own config (its place), checked by `readNodeConfig`. */
 export interface NodeConfig {
@@ -41,6 +61,20 @@
   seeds: string[];
   /** Folder for everything lasting; a node without one keeps no copies. */
   data?: string;
+  /** The machine's name, by which operators call it; its peer address where left out. */
+  name?: string;
+  /** What the disk is for; both where left out, but a control node's is for a seat only. */
+  diskUses?: DiskUse[];
+  /** Machines with a disk that may be lost at once while nothing is lost: sets the copies of a shard where the configuration doesn't. */
+  losses?: number;
+  /** A change of configuration is in force within this time (ms) after it was acknowledged, or the node silent. */
+  applyMs?: number;
+  /** Whether this is the very first start of the whole fleet; false forbids founding. Unknown where left out. */
+  firstStart?: boolean;
+  /** Consumers that say nothing check in at least this often (s). */
+  pingS?: number;
+  /** From SIGTERM to the end (ms); the hard kill must come later. */
+  stopMs?: number;
 }
 
 export interface Host {
