--- a/packages/trial/src/test/plant-tests.ts
+++ b/packages/trial/src/test/plant-tests.ts
@@ -93,6 +93,12 @@
       if (b.changeId.startsWith('free')) throw new Failure({ tag: 'invalid_config', step: 'SubmitConfig', peer: 'planted', faults: [] });
       return old.call(this, b);
     } } },
+  { what: 'an operator visit that answers an overtaken revision as if it were in force', proto: Operators.prototype, sc: 'revisions', seeds: [1, 2], rules: ['config_lost'],
+    patch: { tell: () => async function (this: any, revision: number, _until: number, waits: any[]) { for (const w of waits) w.res({ version: this.reg.value.version, revision }); } } },
+  { what: 'an operator visit that keeps no words of the operators', proto: Operators.prototype, sc: 'revisions', seeds: [1], rules: ['read_back'],
+    patch: { taken: (old) => function (this: any, v: any, x: any) { return old.call(this, v, { ...x, document: undefined }); } } },
+  { what: 'a configuration that makes all topics anew', proto: Operators.prototype, sc: 'revisions', seeds: [1, 2], rules: ['lost', 'skipped', 'resume'],
+    patch: { taken: (old) => function (this: any, v: any, x: any) { const n = old.call(this, v, x); return { ...n, eras: new Map(x.config.families.flatMap((f: any) => f.topics.map((p: string) => [p, n.version]))) }; } } },
   { what: 'a relay that sends some frames twice', proto: Holds.prototype, sc: 'calm', seeds: [1], rules: ['once'],
     patch: { push: (old) => function (this: any, c: any, w: any) { old.call(this, c, w); if (w.sub && w.sub.next % 9 === 0) old.call(this, c, { ...w }); } } },
   { what: 'a relay that sends what waits in a conn backwards', proto: Holds.prototype, sc: 'resets', seeds: [1, 2], rules: ['order'],
