--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -122,6 +122,10 @@
   accessUnreadBytes: 4 * 1024 * 1024,
   /** Requests of one connection in work before we read no more of them. */
   accessRunningN: 128,
+  /** Bodies that come in pieces, of all connections together; a body beyond it is not taken. */
+  accessBodiesBytes: 32 * 1024 * 1024,
+  /** Connections that have not attached, and at most half of all: beyond it the oldest of them is closed. */
+  accessOpenersN: 1_000,
   /** A connection that has not attached within this time is closed; looked for this often. */
   accessOpenMs: 10_000,
   accessSweepMs: 1_000,
