--- /dev/null
+++ b/.ci/verdict.mjs
@@ -0,0 +1,86 @@
+// Reads a run of ava as TAP from standard input, passes it on, and says whether it holds: no test may fail but those of KNOWN-RED.txt,
+// and those must. Usage: { npm test -- --tap || code=$?; echo "# exit ${code:-0}"; } | node .ci/verdict.mjs KNOWN-RED.txt
+import { existsSync, readFileSync } from 'node:fs';
+import { createInterface } from 'node:readline';
+import { pathToFileURL } from 'node:url';
+
+/**
+ * The tests that may fail: one line each, `title | cause | issue`, the title as the run prints it. Empty lines and those that begin
+ * with `#` say nothing.
+ * @example
+ * knownRed('sim › a day | lost beat | 12'); // { known: Map { 'sim › a day' => { cause: 'lost beat', issue: '12' } }, wrong: [] }
+ */
+export function knownRed(text) {
+  const known = new Map();
+  const wrong = [];
+  text.split('\n').forEach((raw, i) => {
+    const line = raw.trim();
+    if (!line || line.startsWith('#')) return;
+    const [title, cause, issue, ...more] = line.split('|').map((x) => x.trim());
+    if (!title || !cause || !issue || more.length) wrong.push(`line ${i + 1}: not 'title | cause | issue'`);
+    else if (known.has(title)) wrong.push(`line ${i + 1}: '${title}' stands there twice`);
+    else known.set(title, { cause, issue });
+  });
+  return { known, wrong };
+}
+
+/**
+ * What a run in TAP tells: the outcome of each test by its title, and what the reporter says at its end.
+ * @example
+ * readTap('ok 1 - a › b\n1..1\n# fail 0\n# exit 0'); // { tests: [{ title: 'a › b', outcome: 'passed' }], ended: true, failN: 0, exit: 0 }
+ */
+export function readTap(text) {
+  const run = { tests: [], ended: false, failN: 0, exit: undefined };
+  for (const line of text.split('\n')) {
+    const t = /^(not )?ok \d+ - (.*?)(?: # (SKIP|TODO)\b.*)?$/.exec(line);
+    if (t) run.tests.push({ title: t[2].trim(), outcome: t[3] === 'SKIP' ? 'skipped' : t[3] === 'TODO' ? 'todo' : t[1] ? 'failed' : 'passed' });
+    else if (/^1\.\.\d+$/.test(line)) run.ended = true;
+    else if (/^# fail \d+$/.test(line)) run.failN = Number(line.slice(7));
+    else if (/^# exit \d+$/.test(line)) run.exit = Number(line.slice(7));
+  }
+  return run;
+}
+
+/**
+ * Whether a run holds, and what to print: `lines`, the last of which is `N passed, N failed`. Failed are those that nobody listed, those
+ * listed that pass or were not run, and whatever the run did not finish.
+ * @example
+ * verdict(readTap(text), knownRed('')).ok
+ */
+export function verdict(run, { known, wrong }) {
+  const of = (outcome) => run.tests.filter((t) => t.outcome === outcome);
+  const red = of('failed');
+  const passedOver = red.filter((t) => known.has(t.title));
+  const faults = red.filter((t) => !known.has(t.title)).map((t) => `failed: ${t.title}`);
+  for (const [title] of known) {
+    if (red.some((t) => t.title === title)) continue;
+    const there = run.tests.find((t) => t.title === title);
+    faults.push(there?.outcome === 'passed' ? `listed in KNOWN-RED.txt, but passes: ${title}` : `listed in KNOWN-RED.txt, but was not run: ${title}`);
+  }
+  for (const w of wrong) faults.push(`KNOWN-RED.txt, ${w}`);
+  if (!run.ended) faults.push('the run was cut short');
+  else if (run.tests.length === 0) faults.push('no test was run');
+  // The reporter counts what is left to do of files that ended early, and those still to be written.
+  const missing = run.failN - red.length - of('todo').length;
+  if (missing > 0) faults.push(`${missing} more failed or were not finished`);
+  if (run.exit === undefined) faults.push('the run did not say how it ended');
+  else if (run.exit !== 0 && red.length === 0) faults.push(`the run ended with ${run.exit}`);
+  const lines = passedOver.map((t) => `known red, passed over: ${t.title} (${known.get(t.title).cause}; issue ${known.get(t.title).issue})`);
+  lines.push(...faults);
+  const skipped = of('skipped').length + of('todo').length;
+  if (skipped) lines.push(`${skipped} skipped`);
+  lines.push(`${of('passed').length} passed, ${faults.length} failed`);
+  return { ok: faults.length === 0, lines };
+}
+
+if (process.argv[1] && import.meta.url === pathToFileURL(process.argv[1]).href) {
+  const list = process.argv[2];
+  const said = [];
+  for await (const line of createInterface({ input: process.stdin })) {
+    said.push(line);
+    process.stdout.write(`${line}\n`);
+  }
+  const v = verdict(readTap(said.join('\n')), knownRed(list && existsSync(list) ? readFileSync(list, 'utf8') : ''));
+  process.stdout.write(`\n${v.lines.join('\n')}\n`);
+  process.exitCode = v.ok ? 0 : 1;
+}
