--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -1,6 +1,6 @@
-import { C, Failure, Kernel, faultOf, register, retryAfter, shardOf, within, type Fault } from '@harecross/kernel';
+import { C, Failure, Kernel, RetryBudget, faultOf, register, retryAfter, shardOf, within, type Fault } from '@harecross/kernel';
 import { notReady, type Board, type KeyRec, type Register } from '@harecross/control';
-import { familyOf } from '@harecross/schema';
+import { familyOf, urgencyOf } from '@harecross/schema';
 import { readFence, senderKey, type Fence } from '@harecross/state';
 import { Subject } from 'rxjs';
 import { FORGOTTEN } from './key.js';
@@ -30,10 +30,12 @@
   private turned = new Map<string, { seq: number; until: number }>();
   /** When a slow owner was last looked at. */
   private doubted = new Map<string, number>();
+  private budget: RetryBudget;
   /** A shard whose owner changed, as far as we know. */
   readonly moved$ = new Subject<number>();
 
   constructor(private k: Kernel, private board: Board, private reg: Register) {
+    this.budget = new RetryBudget(k.host.clock, { perS: C.retriesPerS, share: C.retriesShare, burst: C.retriesBurstN });
     k.keep(board.changed$.subscribe((key) => {
       if (!key.startsWith('key/')) return;
       const r = board.get(key) as KeyRec;
@@ -186,6 +188,14 @@
     const until = clock.now() + patienceMs;
     let lostSince: number | undefined;
     let perhaps = false;
+    const family = this.reg.value && familyOf(this.reg.value.config, topic);
+    const urgent = family !== undefined && urgencyOf(this.reg.value!.config, family) === 'urgent';
+    this.budget.first();
+    const again = (): boolean => {
+      const may = this.budget.retry(urgent);
+      if (!may) this.k.count('route.budget');
+      return may;
+    };
     for (;;) {
       const left = until - clock.now();
       if (left <= 0) break;
@@ -238,6 +248,7 @@
         default:
           throw end();
       }
+      if (!again()) break;
       // Another is known to have the key: there at once.
       if (this.hints.get(shard)!.fence !== fence) continue;
       if (until - clock.now() <= C.ownerRetryMs) break;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -134,6 +134,12 @@
   onTheWayMs: 100,
   /** Publishes of a sender that are given up together are answered in order, but none waits longer than this for those before it. */
   inOrderMs: 250,
+  /** Tries at owners after a visit's first, of one node: this many a second ... */
+  retriesPerS: 40,
+  /** ... and this share of the first tries ... */
+  retriesShare: 0.2,
+  /** ... of which so many may be saved: a key that changes hands is asked for a few times by each visit under way. */
+  retriesBurstN: 400,
   /** A link that gave no answer is tried directly this often; meanwhile visits of the data plane go round it. */
   linkTryMs: 700,
   /** A line of a client: topic, cursor and name are far shorter. */
@@ -184,6 +190,9 @@
   deadMs: 8_000,
   /** A dead member's record is forgotten after this long. */
   forgetMs: 120_000,
+  /** Members known are kept on disk, where that changed, this often; and so many of them: a start needs one that is there. */
+  rememberMs: 5_000,
+  rememberN: 64,
   /** Time limit of small control calls. */
   callMs: 800,
   /** A gap in our own loop this long means we were frozen: duties are in doubt until confirmed. */
@@ -224,10 +233,17 @@
 
   // --- keeper: disks and placement ---
   keeperMs: 500,
-  /** A disk seen live this long is let into the disk set. */
-  joinAfterMs: 1_000,
+  /** Steps of the keeper that follow from one another at once; then it looks again after its period. */
+  keeperStepsN: 8,
+  /** A disk seen live this long is let into the disk set: a process that ends right after its start is not. */
+  joinAfterMs: 500,
   /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
   replaceAfterMs: 45_000,
+  /** A disk dead this long gives its place to one that holds nothing, if there is one: longer than a process takes to start anew. A
+   * machine that was replaced is known by that, and the next loss may come a few seconds after. */
+  spareAfterMs: 3_000,
+  /** Shards whose copies on a lost disk are made anew at once: until then the next loss costs a majority. */
+  repairingN: 32,
   /** Shards in motion at once; keeps repair from taking traffic's share. */
   movingN: 8,
 
