--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, every, gather, loop, pack, register as plug, retryAfter, sleep, unpack, type DiskUse } from '@harecross/kernel';
+import { C, Failure, Kernel, every, gather, loop, pack, register as plug, retryAfter, sleep, unpack, within, type DiskUse } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
 import type { Store } from '@harecross/state';
 import { BehaviorSubject, Subject } from 'rxjs';
@@ -77,6 +77,8 @@
   private confirmedAt = -Infinity;
   private readonly freshMs: number;
   private n = 0;
+  /** The seat that is asked first comes in turn. */
+  private turn = 0;
   /** What our own seat has accepted, agreed or not, and under which ballot. */
   private hint?: Value;
   private hintBallot = '';
@@ -150,16 +152,20 @@
         return { disk, ok: true, promised: b.ballot, ballot: s.ballot, value: s.value };
       });
     });
-    this.k.on('RegAccept', (b: { disk: string; ballot: string; value: string }) => {
+    this.k.on('RegAccept', async (b: { disk: string; ballot: string; value: string }) => {
       mine(b.disk, 'RegAccept');
-      return st.db.commit((): Accepted => {
+      const r = await st.db.commit((): Accepted => {
         const s = st.seat();
         if (b.ballot < s.promised) return { disk, ok: false, promised: s.promised };
         st.saveSeat({ promised: b.ballot, ballot: b.ballot, value: b.value });
-        this.hint = unpack(b.value) as Value;
-        this.hintBallot = b.ballot;
         return { disk, ok: true, promised: b.ballot };
       });
+      // Told to nobody before it lasts: a majority that has accepted a value has agreed on it.
+      if (r.ok && b.ballot >= this.hintBallot) {
+        this.hint = unpack(b.value) as Value;
+        this.hintBallot = b.ballot;
+      }
+      return r;
     });
     this.k.on('RegRead', (b: { disk: string }): ReadBack => {
       mine(b.disk, 'RegRead');
@@ -212,11 +218,7 @@
     for (let i = 0; i < 3; i++) {
       const v = this.value!;
       const t0 = clock.now();
-      const heard = new Set<string>();
-      const got = await gather(
-        this.ask<ReadBack>(union(v), 'RegRead', {}).map((p) => p.then((r) => { heard.add(r.disk); return r; })),
-        () => majority(bothSets(v), heard),
-      );
+      const { heard, got } = await this.readBacks(v);
       if (!majority(bothSets(v), heard)) { this.k.count('register.unconfirmed'); return false; }
       const top = got.reduce((a, b) => (b.rev > a.rev ? b : a));
       if (top.rev <= v.rev) {
@@ -233,6 +235,26 @@
     return false;
   }
 
+  /** Asks as many seats as make a majority, in turn, and the others only when those don't answer soon. */
+  private async readBacks(v: Value): Promise<{ heard: Set<string>; got: ReadBack[] }> {
+    const heard = new Set<string>();
+    const got: ReadBack[] = [];
+    const enough = (): boolean => majority(bothSets(v), heard);
+    const seats = union(v);
+    const at = this.turn++ % seats.length;
+    const live = (d: string): boolean => { const p = this.peerOf(d); return p !== undefined && this.board.isLive(p); };
+    // Our own seat costs nothing.
+    const order = [...seats.slice(at), ...seats.slice(0, at)].sort((a, b) => Number(b === this.disk) - Number(a === this.disk) || Number(live(b)) - Number(live(a)));
+    const few = new Set<string>();
+    for (const d of order) if (!majority(bothSets(v), few)) few.add(d);
+    const calls = (ds: Iterable<string>): Promise<ReadBack>[] =>
+      this.ask<ReadBack>([...ds], 'RegRead', {}).map((p) => p.then((r) => { heard.add(r.disk); got.push(r); return r; }));
+    const first = calls(few);
+    await within(this.k.host.clock, C.confirmAloneMs, gather(first, enough));
+    if (!enough()) await gather([...first, ...calls(order.filter((d) => !few.has(d)))], enough);
+    return { heard, got };
+  }
+
   /**
    * After a restart: what our own disk accepted is agreed, and nothing newer is, if a majority of the seats has accepted it under
    * the same ballot: a newer value would be on one of them. So a fleet that comes back together needs no new ballot.
--- a/packages/data/src/copies.ts
+++ b/packages/data/src/copies.ts
@@ -11,6 +11,8 @@
   | { tag: 'fenced'; disk: string; promised: Fence }
   | { tag: 'behind'; disk: string; last: number };
 export interface Append { disk: string; shard: number; fence: Fence; prevIdx: number; prevFence: Fence; entries: WireEntry[]; trimTo: number }
+/** An owner's sign of life for one shard, towards a copy that has all it knows of. */
+export type Beat = [shard: number, fence: Fence, prevIdx: number, prevFence: Fence, trimTo: number];
 export interface Install { disk: string; shard: number; fence: Fence; base: WireBase; entries: WireEntry[] }
 export type Fetched = { tag: 'follow'; entries: WireEntry[] } | { tag: 'snapshot'; base: WireBase; entries: WireEntry[] };
 
@@ -56,12 +58,14 @@
 export class Copies {
   readonly all: Map<number, Copy>;
   readonly disk: string;
+  private trimmedAt = new Map<number, number>();
 
   constructor(private k: Kernel, private st: Store) {
     this.all = st.copies(k.host.clock.now());
     this.disk = st.get('disk')!;
     k.on('Fence', (b: { disk: string; shard: number; fence: Fence }) => this.fence(b));
     k.on('Append', (b: Append) => this.append(b));
+    k.on('Beats', (b: { disk: string; beats: Beat[] }) => this.beats(b));
     k.on('Install', (b: Install) => this.install(b));
     k.on('Fetch', (b: { disk: string; shard: number; from: number; fromFence: Fence }) => this.fetch(b));
     k.on('Who', (b: { shard: number }) => this.all.get(b.shard)?.promised ?? NO_FENCE);
@@ -97,32 +101,75 @@
     });
   }
 
-  private append(b: Append): Promise<Appended> {
+  private async append(b: Append): Promise<Appended> {
     this.mine(b.disk, 'Append');
-    return this.st.db.commit((): Appended => {
-      const now = this.k.host.clock.now();
-      const c = this.get(b.shard);
-      if (b.fence < c.promised) return { tag: 'fenced', disk: this.disk, promised: c.promised };
-      if (b.fence > c.promised) this.st.promise(c, b.fence);
-      if (b.prevIdx > lastIdx(c)) return { tag: 'behind', disk: this.disk, last: lastIdx(c) };
-      if (b.prevIdx >= c.base.idx && fenceAt(c, b.prevIdx) !== b.prevFence) {
-        // What we hold at prevIdx lost against another history: go back one owner's span at a time.
-        const bad = fenceAt(c, b.prevIdx)!;
-        let i = b.prevIdx - 1;
-        while (i > c.base.idx && fenceAt(c, i) === bad) i--;
-        return { tag: 'behind', disk: this.disk, last: Math.max(i, c.base.idx) };
-      }
-      for (const w of b.entries) {
-        if (w.idx <= c.base.idx) continue;
-        const have = fenceAt(c, w.idx);
-        if (have === w.fence) continue;
-        if (have !== undefined) { this.st.cut(c, w.idx); this.k.count('copy.cut'); }
-        this.st.add(c, unpackEntry(now)(w));
-      }
-      const match = b.prevIdx + b.entries.length;
-      if (b.trimTo > c.base.idx) this.st.trim(c, Math.min(b.trimTo, match), now - C.dedupeKeepMs);
-      return { tag: 'ok', disk: this.disk, match };
-    });
+    if (!b.entries.length && !this.changes(b)) {
+      const r = this.match(b);
+      // What it says may still be on its way to the disk.
+      await this.st.db.settled();
+      return r ?? { tag: 'ok', disk: this.disk, match: b.prevIdx };
+    }
+    return this.st.db.commit(() => this.appendNow(b));
+  }
+
+  /** All shards of one owner at once. Answers what is not `ok`; nothing is written unless something changes. */
+  private async beats(b: { disk: string; beats: Beat[] }): Promise<[number, Appended][]> {
+    this.mine(b.disk, 'Beats');
+    const all = b.beats.map(([shard, fence, prevIdx, prevFence, trimTo]): Append => ({ disk: b.disk, shard, fence, prevIdx, prevFence, entries: [], trimTo }));
+    const write = all.filter((a) => this.changes(a));
+    const not = all.flatMap((a): [number, Appended][] => { const r = this.changes(a) ? undefined : this.match(a); return r ? [[a.shard, r]] : []; });
+    if (write.length) {
+      const got = await this.st.db.commit(() => write.map((a) => [a.shard, this.appendNow(a)] as [number, Appended]));
+      not.push(...got.filter(([, r]) => r.tag !== 'ok'));
+    } else await this.st.db.settled();
+    return not;
+  }
+
+  /** Whether an append without entries has something to write: a promise, or a trim. */
+  private changes(b: Append): boolean {
+    const c = this.get(b.shard);
+    return b.fence > c.promised || (b.fence === c.promised && this.trimDue(c, b.trimTo));
+  }
+
+  /** A trim rewrites as many pages as the appends did: not each time for a few entries. */
+  private trimDue(c: Copy, to: number): boolean {
+    return to > c.base.idx && this.k.host.clock.now() - (this.trimmedAt.get(c.shard) ?? -Infinity) >= C.trimCopyMs;
+  }
+
+  /** Why an append does not go on from what the copy has; undefined when it does. */
+  private match(b: Append): Exclude<Appended, { tag: 'ok' }> | undefined {
+    const c = this.get(b.shard);
+    if (b.fence < c.promised) return { tag: 'fenced', disk: this.disk, promised: c.promised };
+    if (b.prevIdx > lastIdx(c)) return { tag: 'behind', disk: this.disk, last: lastIdx(c) };
+    if (b.prevIdx >= c.base.idx && fenceAt(c, b.prevIdx) !== b.prevFence) {
+      // What we hold at prevIdx lost against another history: go back one owner's span at a time.
+      const bad = fenceAt(c, b.prevIdx)!;
+      let i = b.prevIdx - 1;
+      while (i > c.base.idx && fenceAt(c, i) === bad) i--;
+      return { tag: 'behind', disk: this.disk, last: Math.max(i, c.base.idx) };
+    }
+    return undefined;
+  }
+
+  private appendNow(b: Append): Appended {
+    const now = this.k.host.clock.now();
+    const c = this.get(b.shard);
+    if (b.fence > c.promised) this.st.promise(c, b.fence);
+    const not = this.match(b);
+    if (not) return not;
+    for (const w of b.entries) {
+      if (w.idx <= c.base.idx) continue;
+      const have = fenceAt(c, w.idx);
+      if (have === w.fence) continue;
+      if (have !== undefined) { this.st.cut(c, w.idx); this.k.count('copy.cut'); }
+      this.st.add(c, unpackEntry(now)(w));
+    }
+    const match = b.prevIdx + b.entries.length;
+    if (this.trimDue(c, b.trimTo)) {
+      this.trimmedAt.set(c.shard, now);
+      this.st.trim(c, Math.min(b.trimTo, match), now - C.dedupeKeepMs);
+    }
+    return { tag: 'ok', disk: this.disk, match };
   }
 
   private install(b: Install): Promise<Appended> {
--- a/packages/data/src/interest.ts
+++ b/packages/data/src/interest.ts
@@ -97,6 +97,8 @@
 
   async countListeners(topic: string, takenAt: number): Promise<{ count: number; partial: boolean }> {
     const asked = new Set(this.interested(topic).map(([relay]) => relay));
+    // A process that began this lately may not have heard of every relay.
+    const young = this.k.host.clock.now() - this.k.startedAt < C.countAllMs;
     // A new owner has not heard of every interest yet: it asks all relays.
     if (this.k.host.clock.now() - takenAt < C.countAllMs) for (const m of this.board.live()) if (m.role === 'relay') asked.add(m.peer);
     // One that is suspected may have listeners of whom it could not tell us; one that is dead has sent them elsewhere.
@@ -113,6 +115,6 @@
         return f.tag === 'unreachable' && f.detail !== 'ETIMEDOUT' ? 0 : 'silent';
       }
     }));
-    return { count: got.reduce<number>((a, n) => a + (n === 'silent' ? 0 : n), 0), partial: got.includes('silent') };
+    return { count: got.reduce<number>((a, n) => a + (n === 'silent' ? 0 : n), 0), partial: young || got.includes('silent') };
   }
 }
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -52,7 +52,7 @@
     k.on('Yield', (b: { shard: number; disk: string }) => this.yieldTo(b.shard, b.disk));
     k.on('TakeKey', (b: { shard: number }) => { void this.take(this.keys.get(b.shard)!); return true; });
     k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
-    k.keep(loop(clock, C.beatMs, rnd, async () => { for (const key of this.keys.values()) this.replication.beat(key); }));
+    k.keep(loop(clock, C.beatMs, rnd, async () => this.replication.beats(this.keys.values())));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
     k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
     k.onStop(() => this.leave());
--- a/packages/data/src/replication.ts
+++ b/packages/data/src/replication.ts
@@ -1,7 +1,7 @@
 import type { Board, Register } from '@harecross/control';
 import { C, Failure, type Kernel, faultOf } from '@harecross/kernel';
 import { NO_FENCE, type Entry } from '@harecross/state';
-import { packBase, packEntry, type Appended, type WireEntry } from './copies.js';
+import { packBase, packEntry, type Appended, type Beat, type WireEntry } from './copies.js';
 import type { Key } from './key.js';
 
 /** What the owner does when replication has news for it. */
@@ -18,13 +18,52 @@
  * replication.kick(key, false); // there is something new to send
  */
 export class Replication {
+  /** Disks to which beats are under way. */
+  private beating = new Set<string>();
+
   constructor(private k: Kernel, private board: Board, private reg: Register, private hooks: Hooks) {}
 
-  /** Keeps in touch with the copies. Without a majority's answer, what waits is told that its outcome is unknown. */
-  beat(key: Key): void {
-    this.kick(key, true);
-    if (key.state !== 'owner' || this.k.host.clock.now() - key.heardAt() <= C.doubtMs) return;
-    for (const w of key.waits.splice(0)) w.rej(new Failure({ tag: 'timeout', step: 'Publish', peer: this.k.self }));
+  /**
+   * Keeps in touch with the copies: one call to each disk for all keys, where appends did not say it lately. Without a majority's
+   * answer, what waits is told that its outcome is unknown.
+   */
+  beats(keys: Iterable<Key>): void {
+    const now = this.k.host.clock.now();
+    const quiet = new Map<string, Key[]>();
+    for (const key of keys) {
+      if (key.state === 'none' || !key.base || key.fence === NO_FENCE) continue;
+      for (const d of key.copies) {
+        if (key.flying.has(d)) continue;
+        if ((key.next.get(d) ?? key.last() + 1) <= key.last()) { void this.send(key, d, true); continue; }
+        if (now - (key.ackAt.get(d) ?? -Infinity) < C.beatMs / 2) continue;
+        let ks = quiet.get(d);
+        if (!ks) { ks = []; quiet.set(d, ks); }
+        ks.push(key);
+      }
+      if (key.state !== 'owner' || now - key.heardAt() <= C.doubtMs) continue;
+      for (const w of key.waits.splice(0)) w.rej(new Failure({ tag: 'timeout', step: 'Publish', peer: this.k.self }));
+    }
+    for (const [disk, ks] of quiet) void this.beat(disk, ks);
+  }
+
+  private async beat(disk: string, keys: Key[]): Promise<void> {
+    const peer = this.reg.peerOf(disk);
+    if (!peer || this.beating.has(disk)) return;
+    const now = this.k.host.clock.now();
+    const said = keys.map((key) => ({ key, fence: key.fence, at: key.last() }));
+    const beats = said.map(({ key, fence, at }): Beat => [key.shard, fence, at, key.fenceAt(at), key.trimTo]);
+    this.beating.add(disk);
+    try {
+      const not = new Map(await this.k.call<[number, Appended][]>(peer, 'Beats', { disk, beats }, C.appendMs));
+      for (const { key, fence, at } of said) {
+        if (key.fence !== fence || key.state === 'none') continue;
+        if (this.took(key, disk, now, at + 1, not.get(key.shard) ?? { tag: 'ok', disk, match: at })) void this.send(key, disk, false);
+      }
+    } catch (e) {
+      this.failed(e, 'beat', peer);
+    } finally {
+      this.beating.delete(disk);
+    }
   }
 
   kick(key: Key, beat: boolean): void {
@@ -52,32 +91,39 @@
         r = await this.k.call<Appended>(peer, 'Append', { disk, shard: key.shard, fence, prevIdx: next - 1, prevFence: key.fenceAt(next - 1), entries, trimTo: key.trimTo }, C.appendMs);
       }
       if (key.fence !== fence || key.state === 'none') return;
-      switch (r.tag) {
-        case 'ok':
-          key.ackAt.set(disk, now);
-          key.match.set(disk, Math.max(key.match.get(disk) ?? 0, r.match));
-          key.next.set(disk, Math.max(r.match, key.match.get(disk)!) + 1);
-          this.advance(key);
-          again = key.next.get(disk)! <= key.last();
-          break;
-        case 'behind':
-          key.next.set(disk, Math.max(Math.min(r.last + 1, next - 1), 0));
-          again = true;
-          break;
-        case 'fenced':
-          this.hooks.fenced(key);
-          return;
-      }
+      again = this.took(key, disk, now, next, r);
     } catch (e) {
-      this.k.count('append.fail');
-      const f = faultOf(e, 'append', peer);
-      if (f.tag === 'internal') this.k.host.log.warn('append failed', { fault: f, stack: e instanceof Error ? e.stack : undefined });
+      this.failed(e, 'append', peer);
     } finally {
       if (key.fence === fence) key.flying.delete(disk);
     }
     if (again) void this.send(key, disk, false);
   }
 
+  private failed(e: unknown, step: 'append' | 'beat', peer: string): void {
+    this.k.count(`${step}.fail`);
+    const f = faultOf(e, step, peer);
+    if (f.tag === 'internal') this.k.host.log.warn(`${step} failed`, { fault: f, stack: e instanceof Error ? e.stack : undefined });
+  }
+
+  /** Takes a copy's answer to what was sent from `next` on, asked at `now`; says whether there is more to send it. */
+  private took(key: Key, disk: string, now: number, next: number, r: Appended): boolean {
+    switch (r.tag) {
+      case 'ok':
+        key.ackAt.set(disk, Math.max(now, key.ackAt.get(disk) ?? -Infinity));
+        key.match.set(disk, Math.max(key.match.get(disk) ?? 0, r.match));
+        key.next.set(disk, Math.max(r.match, key.match.get(disk)!) + 1);
+        this.advance(key);
+        return key.next.get(disk)! <= key.last();
+      case 'behind':
+        key.next.set(disk, Math.max(Math.min(r.last + 1, next - 1), 0));
+        return true;
+      case 'fenced':
+        this.hooks.fenced(key);
+        return false;
+    }
+  }
+
   private advance(key: Key): void {
     const ms = key.copies.map((d) => key.match.get(d) ?? 0).sort((a, b) => b - a);
     const n = ms[Math.floor(key.copies.length / 2)]!;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -92,8 +92,10 @@
   ownerHoldingN: 2_000,
   /** Frames waiting at an owner for one relay; more are left to history, which the relay reads. */
   fanHoldingN: 1_000,
-  /** An owner trims its history this often. */
+  /** An owner trims its history this often ... */
   trimMs: 2_000,
+  /** ... and a copy follows this often: each time it writes more pages than for the appends since. */
+  trimCopyMs: 10_000,
   /** Copies follow in snapshots when behind the base; a snapshot call may take this long. */
   snapshotMs: 5_000,
 
@@ -166,6 +168,8 @@
   firstConfirmN: 4,
   /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
   applyMs: 3_000,
+  /** Seats beyond a majority are asked when those asked first did not answer after this long; a sync of a slow disk is not waited for. */
+  confirmAloneMs: 120,
   /** ... and serves only while the last confirmation began at most this share of it ago. */
   freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
@@ -204,10 +208,12 @@
   drainMs: 2_600,
 
   // --- process ---
+  /** Hashes remembered: those of some thousand topics and of the copies of all shards; about a megabyte. */
+  hashesN: 16_384,
   /** SIGTERM to exit; the hard kill comes at 6 s. */
   stopMs: 4_500,
-  /** Commits gather this long into one synced transaction. */
-  commitMs: 2,
+  /** Commits gather this long into one synced transaction: a turn of the loop. While a sync is under way they gather anyway. */
+  commitMs: 0,
   /** Settings files are compared this often, for changes without a signal. */
   rereadMs: 1_000,
   /** A closed conn's last words have this long to get out before its socket is destroyed. */
--- a/packages/kernel/src/disk.ts
+++ b/packages/kernel/src/disk.ts
@@ -30,16 +30,25 @@
   return undefined;
 }
 
+/** How a database's commits come to last, where the commit itself does not wait for the disk. */
+export interface DiskSync {
+  /** Resolves once all that was committed before it was called lasts. */
+  sync(): Promise<void>;
+  close(): void;
+}
+
 /**
- * One database per node. Work given to `commit` is gathered for a moment and run in one synced
- * transaction; the promise resolves once that transaction lasts. Nothing is answered before.
+ * One database per node. Work given to `commit` is gathered and run in one transaction; the promise resolves once that
+ * transaction lasts. Nothing is answered before. One transaction at a time is on its way to the disk, and what comes meanwhile is
+ * the next one: so commits are synced one after another, and a slow disk gets larger ones.
  * @example
  * const n = await db.commit((sql) => sql.prepare('insert into t values (1)').run().changes);
  */
 export class Db {
   private wait: { fn: (sql: Sql) => unknown; res: (x: any) => void; rej: (e: unknown) => void }[] = [];
-  private armed = false;
-  private dead = false;
+  private state: 'idle' | 'gathering' | 'syncing' | 'dead' = 'idle';
+  private settles: (() => void)[] = [];
+  private changes: () => number;
   commits = 0;
   works = 0;
 
@@ -50,49 +59,82 @@
     private onFault: (e: Error) => void,
     /** Whose disk it is, for faults. */
     private self: string,
-  ) {}
+    /** Left out where a commit returns only when it lasts. */
+    private disk?: DiskSync,
+  ) {
+    const q = sql.prepare('select total_changes()').pluck();
+    this.changes = () => q.get() as number;
+  }
 
   commit<T>(fn: (sql: Sql) => T): Promise<T> {
     return new Promise((res, rej) => {
       this.wait.push({ fn, res, rej });
-      if (this.armed || this.dead) return;
-      this.armed = true;
-      this.clock.after(this.gatherMs(), () => this.flush());
+      this.gather();
     });
   }
 
+  /**
+   * Resolves when all that is changed by now lasts: for who answers from memory what may be on its way to the disk.
+   * @example
+   * await db.settled(); // at once, unless a sync is under way
+   */
+  async settled(): Promise<void> {
+    if (this.state === 'syncing') await new Promise<void>((res) => this.settles.push(res));
+  }
+
+  private gather(): void {
+    if (this.state !== 'idle') return;
+    this.state = 'gathering';
+    this.clock.after(this.gatherMs(), () => { if (this.state === 'gathering') this.flush(); });
+  }
+
+  /** Runs what was gathered. */
   private flush(): void {
-    this.armed = false;
-    if (this.dead) return;
     const all = this.wait;
     this.wait = [];
     const out: unknown[] = [];
+    const before = this.changes();
     try {
       this.sql.transaction(() => {
         for (const w of all) out.push(w.fn(this.sql));
       })();
     } catch (e) {
-      // What the work changed in memory may now differ from the disk: stop, and start again from the disk.
-      this.dead = true;
-      this.onFault(e as Error);
-      const detail = (e as Error).message;
-      for (const w of all) w.rej(new Failure({ tag: 'disk_ill', step: 'commit', peer: this.self, detail }));
+      this.fail(e as Error, all);
       return;
     }
-    this.commits++;
-    this.works += all.length;
-    all.forEach((w, i) => w.res(out[i]));
+    const last = (): void => {
+      this.state = 'idle';
+      this.commits++;
+      this.works += all.length;
+      all.forEach((w, i) => w.res(out[i]));
+      for (const res of this.settles.splice(0)) res();
+      if (this.wait.length) this.gather();
+    };
+    if (!this.disk || this.changes() === before) { last(); return; }
+    this.state = 'syncing';
+    this.disk.sync().then(() => { if (this.state === 'syncing') last(); }, (e) => { if (this.state === 'syncing') this.fail(e as Error, all); });
+  }
+
+  /** What the work changed in memory may now differ from the disk: stop, and start again from the disk. */
+  private fail(e: Error, all: { rej: (e: unknown) => void }[]): void {
+    this.state = 'dead';
+    this.onFault(e);
+    for (const w of all) w.rej(new Failure({ tag: 'disk_ill', step: 'commit', peer: this.self, detail: e.message }));
   }
 
   /** Drops what was not yet synced, as a loss of power would. */
   drop(): void {
-    this.dead = true;
+    this.state = 'dead';
     this.wait = [];
   }
 
+  /** Runs what still waits, and closes the database, which syncs it. */
   close(): void {
-    if (!this.dead && this.wait.length) this.flush();
-    this.dead = true;
+    const { disk } = this;
+    this.disk = undefined;
+    if (this.state !== 'dead' && this.wait.length) this.flush();
+    this.state = 'dead';
+    disk?.close();
     this.sql.close();
   }
 }
--- a/packages/kernel/src/flow.ts
+++ b/packages/kernel/src/flow.ts
@@ -1,4 +1,4 @@
-import { Observable, Subject, exhaustMap, from, mergeMap } from 'rxjs';
+import { Observable, Subject, from, mergeMap, type Subscription } from 'rxjs';
 import type { Clock, Rnd } from './host.js';
 
 /**
@@ -26,10 +26,14 @@
  * @example
  * const sub = loop(clock, 500, rnd, async () => { await gossip() });
  */
-export function loop(clock: Clock, ms: number, rnd: Rnd, round: () => Promise<unknown>) {
-  return every(clock, ms, rnd)
-    .pipe(exhaustMap(() => from(round().catch(() => undefined))))
-    .subscribe();
+export function loop(clock: Clock, ms: number, rnd: Rnd, round: () => Promise<unknown>): Subscription {
+  let busy = false;
+  const over = (): void => { busy = false; };
+  return every(clock, ms, rnd).subscribe(() => {
+    if (busy) return;
+    busy = true;
+    round().then(over, over);
+  });
 }
 
 /**
--- a/packages/kernel/src/match.ts
+++ b/packages/kernel/src/match.ts
@@ -1,13 +1,21 @@
 import { createHash } from 'node:crypto';
 import { C } from './constants.js';
 
+const known = new Map<string, number>();
+
 /**
- * A 32-bit hash, the same on every machine.
+ * A 32-bit hash, the same on every machine. Shards and ranks are asked for again and again: the latest are remembered.
  * @example
  * hash('meter/12') % 32
  */
 export function hash(s: string): number {
-  return createHash('md5').update(s).digest().readUInt32BE(0);
+  let h = known.get(s);
+  if (h === undefined) {
+    h = createHash('md5').update(s).digest().readUInt32BE(0);
+    if (known.size >= C.hashesN) known.clear();
+    known.set(s, h);
+  }
+  return h;
 }
 
 /**
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -1,4 +1,4 @@
-import { mkdirSync, renameSync, rmSync } from 'node:fs';
+import { closeSync, fdatasync, mkdirSync, openSync, renameSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import Database from 'better-sqlite3';
 import { createConsola } from 'consola/basic';
@@ -13,6 +13,11 @@
   now: () => performance.timeOrigin + performance.now(),
   wall: () => Date.now(),
   after: (ms, fn) => {
+    // At the end of this turn of the loop, when all that it brought is read.
+    if (ms <= 0) {
+      const i = setImmediate(fn);
+      return () => clearImmediate(i);
+    }
     const t = setTimeout(fn, ms);
     return () => clearTimeout(t);
   },
@@ -43,6 +48,8 @@
     const lost = wrongInWal(file);
     if (lost !== undefined) return { tag: 'damaged', why: lost };
     sql = new Database(file);
+    // Nobody else opens it: no shared memory file, no mapping, less work at each commit. Must come before the journal mode.
+    sql.pragma('locking_mode = EXCLUSIVE');
     sql.pragma('journal_mode = WAL');
     sql.pragma('synchronous = FULL');
     const said = String(sql.pragma('quick_check(1)', { simple: true })).replaceAll('\n', ' ');
@@ -59,13 +66,16 @@
   }
 }
 
+/** What was written to an open file lasts; another thread waits for the disk. */
+const syncFile = (fd: number): Promise<void> => new Promise((res, rej) => { fdatasync(fd, (e) => (e ? rej(e) : res())); });
+
 /**
  * Opens the node's database, synced at every commit. A damaged one is moved aside, kept, and replaced by an empty
  * one: an empty disk is a new disk to the fleet, which repairs it from the other copies. Throws when it can't write.
  * @example
  * const db = openDb('/var/lib/harecross', clock, log, (e) => process.exit(3), '10.1.0.4:7100');
  */
-export function openDb(folder: string, clock: Clock, log: Log, onFault: (e: Error) => void, self: string): Db {
+export function openDb(folder: string, clock: Clock, log: Log, onFault: (e: Error) => void, self: string, sync = syncFile): Db {
   mkdirSync(folder, { recursive: true });
   const file = join(folder, 'state.db');
   let r = tryOpen(file);
@@ -77,7 +87,11 @@
     r = tryOpen(file);
   }
   if (r.tag !== 'well') throw new Error(`${file}: ${r.why}`);
-  return new Db(r.sql, clock, () => C.commitMs, onFault, self);
+  // From here on we sync the log ourselves, off the loop: the database does it only around its checkpoints. The log stays the same
+  // file as long as the database is open.
+  r.sql.pragma('synchronous = NORMAL');
+  const wal = openSync(`${file}-wal`, 'r+');
+  return new Db(r.sql, clock, () => C.commitMs, onFault, self, { sync: () => sync(wal), close: () => closeSync(wal) });
 }
 
 /**
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -144,6 +144,10 @@
   }
 
   init(): void {
+    // One commit: the log's check takes it that no more than one is on its way to the disk.
+    this.sql.transaction(() => this.tables())();
+  }
+  private tables(): void {
     this.sql.exec(TABLES.map(([t, cols, key]) => `create table if not exists ${t} (${cols.join(', ')}, sum integer, primary key (${key}))${t === 'copy' ? '' : ' without rowid'};`).join('\n'));
     // Made before rows had sums: theirs are missing, and they are taken as they are.
     for (const [t] of TABLES) if (!columns(this.sql, t).includes('sum')) this.sql.exec(`alter table ${t} add column sum integer`);
