--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -1,6 +1,7 @@
-import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, type Fault } from '@harecross/kernel';
+import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, within, type Fault } from '@harecross/kernel';
 import { awayNow, notReady, type Board, type Operators, type Register } from '@harecross/control';
 import { Rpcs, configFaults, familyOf, isUrgent, visitFault, type Method, type Visit } from '@harecross/schema';
+import { firstValueFrom } from 'rxjs';
 import { frameLines, type Holds, type Sink } from './holds.js';
 import type { Route } from './route.js';
 
@@ -87,6 +88,15 @@
       return this.failed('Attach', e);
     }
   }
+  /**
+   * A node that has just begun and will serve in a moment lets an Attach wait for that, briefly, rather than turn the consumer away.
+   * Undefined when there is nothing to wait for.
+   */
+  starting(): Promise<void> | undefined {
+    const left = this.k.startedAt + C.startWaitMs - this.k.host.clock.now();
+    if (this.takes() || left <= 0 || !this.holds || this.k.phase === 'draining' || this.k.phase === 'stopped') return undefined;
+    return within(this.k.host.clock, left, firstValueFrom(this.reg.fresh$, { defaultValue: undefined })).then(() => undefined);
+  }
   /** Any word of a consumer is a sign of life of its conn. */
   heard(id: string): void { this.holds?.sign(id); }
   gone(id: string): void { this.holds?.gone(id); }
@@ -100,6 +110,7 @@
     if (this.k.phase === 'stopped') return this.failed(m, notReady(this.k, m));
     this.k.count(`visit.${m}`);
     const p = this.holding.offer({ m: method, body }, this.urgent(method, body));
+    if (!p && m === 'Publish') this.route.turnAway(body as Visit<'Publish'>);
     if (!p) return this.failed(m, new Failure({ tag: 'overloaded', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
     return p;
   }
@@ -179,17 +190,17 @@
       case 'Unsubscribe':
         return { left: this.conns(m).unsubscribe(body.conn, body.topic) };
       case 'Publish': {
+        if (!this.reg.fresh()) this.route.turnAway(body);
         this.mustServe(m);
         const fam = this.family(m, body.topic);
         const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
         if (Buffer.byteLength(body.body) > limit) throw new Failure({ tag: 'too_large', step: m, peer: this.k.self, limit });
-        const r = await this.route.atOwner<{ offset: number }>(body.topic, 'Publish', body, fam.patienceMs);
-        return { accepted: r };
+        return { accepted: await this.route.publish(body, fam.patienceMs) };
       }
       case 'Listeners': {
         this.mustServe(m);
         const fam = this.family(m, body.topic);
-        return this.route.atOwner(body.topic, 'Count', { topic: body.topic }, fam.patienceMs);
+        return this.route.atOwner(body.topic, 'Count', () => ({ topic: body.topic }), fam.patienceMs);
       }
       case 'SubmitConfig':
         return this.ops.submit(body);
@@ -296,7 +307,8 @@
     const ok = edge.serving();
     return reply.code(ok ? 200 : 503).send({ condition: ok ? 'ready' : k.phase !== 'running' ? k.phase : awayNow(k.use('register').value, k.self) ? 'away' : 'joining' });
   });
-  app.post('/rpc/Attach', (req, reply) => {
+  app.post('/rpc/Attach', async (req, reply) => {
+    await edge.starting();
     let id = '';
     let over = false;
     const raw = reply.raw;
