--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -71,7 +71,7 @@
     k.keep(board.state$.subscribe((m) => this.look(m.peer)));
     // Whoever takes a key asks our copy too: we need not wait for an append to be refused.
     k.keep(copies.promised$.subscribe((s) => { const key = this.keys.get(s)!; if (key.fence !== NO_FENCE && copies.get(s).promised > key.fence) this.turn(key, 'none'); }));
-    k.keep(loop(clock, C.beatMs, rnd, async () => { for (const key of this.keys.values()) this.replication.beat(key); }));
+    k.keep(loop(clock, C.beatMs, rnd, async () => this.replication.beats(this.keys.values())));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
     k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
     k.keep(reg.fresh$.subscribe(() => { this.freshSince = Math.min(this.freshSince, clock.now()); }));
