--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -240,6 +240,8 @@
   /** The one function that changes what we think of a member. */
   private turn(m: Member, s: MemberState, again = false): void {
     if (m.state === s && !again) return;
+    // What changes of state a machine goes through; not that it is there at first.
+    if (m.state !== s) this.k.host.log.info(`member ${m.peer}: ${m.state} -> ${s}`, { condition: m.condition });
     if (m.state !== 'live' && s === 'live') m.liveSince = this.k.host.clock.now();
     m.state = s;
     this.k.count(`member.${s}`);
