--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -20,7 +20,6 @@
  */
 export class Route {
   private hints = new Map<number, { fence: Fence; peer: string }>();
-  private budget: RetryBudget;
   /** Shards whose copies are asked in the next round. */
   private sought = new Set<number>();
   private soughtAt = -Infinity;
@@ -31,6 +30,7 @@
   private turned = new Map<string, { seq: number; until: number }>();
   /** When a slow owner was last looked at. */
   private doubted = new Map<string, number>();
+  private budget: RetryBudget;
   /** A shard whose owner changed, as far as we know. */
   readonly moved$ = new Subject<number>();
 
@@ -205,7 +205,6 @@
       if (sent?.dropped) break;
       if (!peer) {
         lostSince ??= clock.now();
-        if (!again()) break;
         this.seek(shard);
         await this.news(shard, Math.min(left, C.ownerRetryMs));
         continue;
@@ -249,9 +248,10 @@
         default:
           throw end();
       }
+      if (!again()) break;
       // Another is known to have the key: there at once.
       if (this.hints.get(shard)!.fence !== fence) continue;
-      if (until - clock.now() <= C.ownerRetryMs || !again()) break;
+      if (until - clock.now() <= C.ownerRetryMs) break;
       if (!newer) this.seek(shard);
       await this.news(shard, C.ownerRetryMs);
     }
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -78,6 +78,8 @@
   doubtMs: 1_600,
   /** A take that failed is tried again after this long. */
   takeRetryMs: 600,
+  /** After its start a node leaves keys to others who may be coming up too for this long: a fleet comes back within it. */
+  comingMs: 300,
   /** A key is asked from an owner that serves once it was matched to another for this long: machines come and go in less. */
   steadyMs: 4_000,
   /** A visit waits this long at a node that is just taking its key; a take is two rounds to a majority. */
@@ -104,8 +106,10 @@
   ownerHoldingN: 2_000,
   /** Frames waiting at an owner for one relay; more are left to history, which the relay reads. */
   fanHoldingN: 1_000,
-  /** An owner trims its history this often. */
+  /** An owner trims its history this often ... */
   trimMs: 2_000,
+  /** ... and a copy follows this often: each time it writes more pages than for the appends since. */
+  trimCopyMs: 10_000,
   /** Copies follow in snapshots when behind the base; a snapshot call may take this long. */
   snapshotMs: 5_000,
 
@@ -128,16 +132,26 @@
   slowAgainMs: 1_000,
   /** A publish whose key has no owner in sight is given up after this long, well below any patience. */
   noOwnerMs: 700,
+<<<<<<< HEAD
+=======
+  /** What a sender had on the way when an earlier publish of it was turned away arrives within this long: a round trip to callers. */
+  onTheWayMs: 100,
+  /** Publishes of a sender that are given up together are answered in order, but none waits longer than this for those before it. */
+  inOrderMs: 250,
+>>>>>>> main
   /** Tries at owners after a visit's first, of one node: this many a second ... */
   retriesPerS: 40,
   /** ... and this share of the first tries ... */
   retriesShare: 0.2,
   /** ... of which so many may be saved: a key that changes hands is asked for a few times by each visit under way. */
   retriesBurstN: 400,
+<<<<<<< HEAD
   /** What a sender had on the way when an earlier publish of it was turned away arrives within this long: a round trip to callers. */
   onTheWayMs: 100,
   /** Publishes of a sender that are given up together are answered in order, but none waits longer than this for those before it. */
   inOrderMs: 250,
+=======
+>>>>>>> main
   /** A link that gave no answer is tried directly this often; meanwhile visits of the data plane go round it. */
   linkTryMs: 700,
   /** A line of a client: topic, cursor and name are far shorter. */
@@ -150,6 +164,10 @@
   accessUnreadBytes: 4 * 1024 * 1024,
   /** Requests of one connection in work before we read no more of them. */
   accessRunningN: 128,
+  /** Bodies that come in pieces, of all connections together; a body beyond it is not taken. */
+  accessBodiesBytes: 32 * 1024 * 1024,
+  /** Connections that have not attached, and at most half of all: beyond it the oldest of them is closed. */
+  accessOpenersN: 1_000,
   /** A connection that has not attached within this time is closed; looked for this often. */
   accessOpenMs: 10_000,
   accessSweepMs: 1_000,
@@ -201,6 +219,8 @@
   firstConfirmN: 4,
   /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
   applyMs: 3_000,
+  /** Seats beyond a majority are asked when those asked first did not answer after this long; a sync of a slow disk is not waited for. */
+  confirmAloneMs: 120,
   /** ... and serves only while the last confirmation began at most this share of it ago. */
   freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
@@ -211,6 +231,8 @@
   changeMs: 6_000,
   /** A configuration with a revision is brought into force for this long after it was last sent, whether its sender waits or not. */
   submitMs: 10_000,
+  /** Different submissions that one node works on; resent ones share one, and few operators are at work at a time. */
+  submissionsN: 32,
   /** One try at that; then the highest revision that was sent meanwhile is taken up instead. */
   submitTryMs: 2_000,
   /** What is in force is asked of a majority again after about this long, before an old revision is answered. */
@@ -246,12 +268,14 @@
   drainMs: 2_600,
 
   // --- process ---
+  /** Hashes remembered: those of some thousand topics and of the copies of all shards; about a megabyte. */
+  hashesN: 16_384,
   /** A node this young lets an Attach wait until it serves: turned away, a consumer would stay away for longer than that. */
   startWaitMs: 1_500,
   /** SIGTERM to exit; the hard kill comes at 6 s. */
   stopMs: 4_500,
-  /** Commits gather this long into one synced transaction. */
-  commitMs: 2,
+  /** Commits gather this long into one synced transaction: a turn of the loop. While a sync is under way they gather anyway. */
+  commitMs: 0,
   /** Settings files are compared this often, for changes without a signal. */
   rereadMs: 1_000,
   /** A closed conn's last words have this long to get out before its socket is destroyed. */
