--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -132,26 +132,16 @@
   slowAgainMs: 1_000,
   /** A publish whose key has no owner in sight is given up after this long, well below any patience. */
   noOwnerMs: 700,
-<<<<<<< HEAD
-=======
   /** What a sender had on the way when an earlier publish of it was turned away arrives within this long: a round trip to callers. */
   onTheWayMs: 100,
   /** Publishes of a sender that are given up together are answered in order, but none waits longer than this for those before it. */
   inOrderMs: 250,
->>>>>>> main
   /** Tries at owners after a visit's first, of one node: this many a second ... */
   retriesPerS: 40,
   /** ... and this share of the first tries ... */
   retriesShare: 0.2,
   /** ... of which so many may be saved: a key that changes hands is asked for a few times by each visit under way. */
   retriesBurstN: 400,
-<<<<<<< HEAD
-  /** What a sender had on the way when an earlier publish of it was turned away arrives within this long: a round trip to callers. */
-  onTheWayMs: 100,
-  /** Publishes of a sender that are given up together are answered in order, but none waits longer than this for those before it. */
-  inOrderMs: 250,
-=======
->>>>>>> main
   /** A link that gave no answer is tried directly this often; meanwhile visits of the data plane go round it. */
   linkTryMs: 700,
   /** A line of a client: topic, cursor and name are far shorter. */
