A node that begins compares boards often; a key just promised to another is left to it

Unknown, a store was not able, so its keys were taken; it took them back as soon as its own board said so, and so on every 600 ms: 96 changes of 32 keys in a second, p50 577 ms until 38 s. Now a node compares every 100 ms after its start until nobody has news for it, and leaves a key that its own copy has promised to another a moment ago, unless that one is known to be unable.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -1,4 +1,4 @@
-import { C, Kernel, below, diskUsesOf, gather, hash, loop, register, sample, within, type DiskUse, type Role } from '@harecross/kernel';
+import { C, Kernel, below, diskUsesOf, every, gather, hash, loop, register, sample, within, type DiskUse, type Role } from '@harecross/kernel';
 import type { Store } from '@harecross/state';
 import { Subject } from 'rxjs';
 
@@ -87,6 +87,7 @@
     for (const s of k.host.config.seeds) if (s !== k.self) this.view.set(s, 0);
     if (k.host.db) this.remember(k.use('state'));
     this.sayMine();
+    this.join();
     k.keep(loop(clock, C.gossipMs, rnd, () => this.gossip()));
     k.keep(loop(clock, C.shuffleMs, rnd, () => this.shuffle()));
     k.keep(loop(clock, C.probeEveryMs, rnd, () => this.watch()));
@@ -265,16 +266,40 @@
   private async gossip(): Promise<void> {
     // Who was a member once may not find us: its seeds may be gone, and it may have no disk. Our call tells it of us.
     for (const p of sample(this.k.host.rnd, this.kept.filter((x) => !this.members.has(x)), C.gossipPeersN)) void this.ping(p);
-    await Promise.all(this.somePeers(C.gossipPeersN).map(async (p) => {
-      try {
-        type Answer = 'same' | 'differs' | { newer: Wire[]; want: string[] };
-        let r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums });
-        if (r === 'differs') r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums, digest: [...this.items].map(([k, i]) => [k, i.ver] as [string, string]) });
-        if (r === 'same' || r === 'differs') return;
-        for (const [k, v, x] of r.newer) this.set(k, v, x);
-        if (r.want.length) await this.k.call(p, 'Mend', { items: r.want.filter((w) => this.items.has(w)).map((w) => this.wire(w)) });
-      } catch { /* the next period mends it */ }
-    }));
+    await Promise.all(this.somePeers(C.gossipPeersN).map((p) => this.exchange(p)));
+  }
+
+  /** Compares our board with a peer's and mends both; says how many facts were new to us, or nothing when it did not answer. */
+  private async exchange(p: string): Promise<number | undefined> {
+    try {
+      type Answer = 'same' | 'differs' | { newer: Wire[]; want: string[] };
+      let r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums });
+      if (r === 'differs') r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums, digest: [...this.items].map(([k, i]) => [k, i.ver] as [string, string]) });
+      if (r === 'same' || r === 'differs') return 0;
+      const fresh = r.newer.filter(([k, v, x]) => this.set(k, v, x)).length;
+      if (r.want.length) await this.k.call(p, 'Mend', { items: r.want.filter((w) => this.items.has(w)).map((w) => this.wire(w)) });
+      return fresh;
+    } catch {
+      return undefined; // the next period mends it
+    }
+  }
+
+  /**
+   * A node that has just begun knows nobody but its contacts, and those may have just begun too: it compares often, with a contact and
+   * with somebody it knows, until nobody tells it anything new.
+   */
+  private join(): void {
+    const { clock, rnd } = this.k.host;
+    const until = clock.now() + C.joinMs;
+    let nothingNew = 0;
+    const often = every(clock, C.joinEveryMs, rnd).subscribe(() => {
+      if (clock.now() > until || nothingNew >= C.joinQuietN) { often.unsubscribe(); return; }
+      const known = this.live().map((m) => m.peer).filter((p) => p !== this.k.self);
+      for (const p of new Set([...sample(rnd, this.contacts(), 1), ...sample(rnd, known, 1)])) {
+        void this.exchange(p).then((n) => { if (n !== undefined) nothingNew = n > 0 ? 0 : nothingNew + 1; });
+      }
+    });
+    this.k.keep(often);
   }
 
   private compare(digest: [string, string][]): { newer: Wire[]; want: string[] } {
--- a/packages/data/src/key.ts
+++ b/packages/data/src/key.ts
@@ -47,6 +47,8 @@
   said = '';
   saidN = 0;
   triedAt = -Infinity;
+  /** To whom our copy last promised the key, when it was not to us. */
+  promisedTo: { peer: string; at: number } | undefined;
   /** Since when it is matched to us while another, who can serve, has it; undefined when it is not. */
   wantedAt?: number;
   /** Called at the next change of state. */
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -70,7 +70,12 @@
     k.keep(board.changed$.subscribe((key) => { if (key.startsWith('m/')) this.look(key.slice(2)); }));
     k.keep(board.state$.subscribe((m) => this.look(m.peer)));
     // Whoever takes a key asks our copy too: we need not wait for an append to be refused.
-    k.keep(copies.promised$.subscribe((s) => { const key = this.keys.get(s)!; if (key.fence !== NO_FENCE && copies.get(s).promised > key.fence) this.turn(key, 'none'); }));
+    k.keep(copies.promised$.subscribe((s) => {
+      const key = this.keys.get(s)!;
+      const by = copies.get(s).promised;
+      if (key.fence !== NO_FENCE && by > key.fence) this.turn(key, 'none');
+      if (readFence(by).peer !== k.self) key.promisedTo = { peer: readFence(by).peer, at: clock.now() };
+    }));
     k.keep(loop(clock, C.beatMs, rnd, async () => this.replication.beats(this.keys.values())));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
     k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
@@ -189,6 +194,7 @@
           const holder = rec && rec.peer !== this.k.self && this.board.isLive(rec.peer) && this.board.members.get(rec.peer)?.inst === rec.inst ? rec.peer : undefined;
           // A holder that serves is asked only once it is sure that the key stays matched to us: each change costs callers a moment.
           if (holder && this.board.able(holder)) { key.wantedAt ??= now; if (now - key.wantedAt < C.steadyMs) break; }
+          if (this.justPromised(key, now)) break;
           if (now - key.triedAt < C.takeRetryMs) break;
           key.triedAt = now;
           void (holder ? this.askFor(key, holder, p.copies) : this.take(key));
@@ -202,6 +208,17 @@
     if (gone.length) await this.copies.release(gone);
   }
 
+  /**
+   * Whether our copy promised the key to another a moment ago whom we don't know to be unable: the board may not have heard of it yet,
+   * and who takes a key back at once from the one that has just taken it starts a quarrel.
+   */
+  private justPromised(key: Key, now: number): boolean {
+    const p = key.promisedTo;
+    if (!p || now - p.at > C.steadyMs) return false;
+    const m = this.board.members.get(p.peer);
+    return m === undefined || (m.state === 'live' && (m.condition === 'ready' || m.condition === 'joining'));
+  }
+
   /** A better matched node asks the present owner whether it may take the key: only once it knows that it can. */
   private async askFor(key: Key, holder: string, copies: string[]): Promise<void> {
     const reached = await gather(copies.map((d) => {
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -168,6 +168,10 @@
   /** One gossip exchange with this many peers per period. */
   gossipPeersN: 2,
   gossipMs: 500,
+  /** After its start a node compares this often, for this long at most, or until so many peers had nothing new for it. */
+  joinEveryMs: 100,
+  joinMs: 3_000,
+  joinQuietN: 6,
   /** News goes to this many peers at each step; log2(200) steps reach a large fleet. */
   newsFanN: 4,
   /** Entries of a partial view. */
