--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -124,12 +124,13 @@
     const f = faultOf(e, m, this.k.self);
     if (f.tag === 'internal') this.k.host.log.warn('visit failed', { fault: f, stack: e instanceof Error ? e.stack : undefined });
     this.k.count(`fault.${f.tag}`);
-    // A publish that surely stored nothing is told so in the words of the schema.
+    // A try that surely stored nothing is told so in the words of the schema. Earlier tries of its number are another matter: may be one
+    // is on its way. Only the owner's final no speaks of them too.
     if (m === 'Publish' && (f.tag === 'not_ready' || f.tag === 'overloaded' || f.tag === 'unreachable' || f.tag === 'not_owner')) {
       const retryAfterMs = 'retryAfterMs' in f ? f.retryAfterMs : retryAfter(this.k.host.rnd, C.retryMs);
-      return { status: 503, body: { rejected: { reason: f.tag, retryAfterMs } } };
+      return { status: 503, body: { rejected: { reason: f.tag, final: false, retryAfterMs } } };
     }
-    if (m === 'Publish' && f.tag === 'stale_seq') return { status: 409, body: { rejected: { reason: 'stale_seq', retryAfterMs: 0 } } };
+    if (m === 'Publish' && f.tag === 'stale_seq') return { status: 409, body: { rejected: { reason: 'stale_seq', final: true, retryAfterMs: 0 } } };
     const status = statusOf(f);
     const retryAfterMs = 'retryAfterMs' in f ? f.retryAfterMs : status === 503 || status === 504 ? retryAfter(this.k.host.rnd, C.retryMs) : undefined;
     return { status, body: { error: retryAfterMs === undefined ? f : { ...f, retryAfterMs } } };
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -63,12 +63,19 @@
       return this.interests.countListeners(b.topic, this.serving(b.topic, 'Count').takenAt);
     }, true);
     k.on('Yield', (b: { shard: number; disk: string }) => this.yieldTo(b.shard, b.disk));
-    k.on('TakeKey', async (b: { shard: number }) => { await this.take(this.keys.get(b.shard)!); return this.keys.get(b.shard)!.state === 'owner'; });
+    k.on('TakeKey', async (b: { shard: number }) => {
+      const key = this.keys.get(b.shard)!;
+      await this.take(key);
+      return key.state === 'owner';
+    });
     k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
     k.keep(board.changed$.subscribe((key) => { if (key.startsWith('m/')) this.look(key.slice(2)); }));
     k.keep(board.state$.subscribe((m) => this.look(m.peer)));
     // Whoever takes a key asks our copy too: we need not wait for an append to be refused.
-    k.keep(copies.promised$.subscribe((s) => { const key = this.keys.get(s)!; if (key.fence !== NO_FENCE && copies.get(s).promised > key.fence) this.turn(key, 'none'); }));
+    k.keep(copies.promised$.subscribe((s) => {
+      const key = this.keys.get(s)!;
+      if (key.fence !== NO_FENCE && copies.get(s).promised > key.fence) this.turn(key, 'none');
+    }));
     k.keep(loop(clock, C.beatMs, rnd, async () => { for (const key of this.keys.values()) this.replication.beat(key); }));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
     k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
@@ -139,7 +146,11 @@
     const able = this.board.able(peer);
     if (this.ableThen.get(peer) === able) return;
     this.ableThen.set(peer, able);
-    if (!able) for (const key of this.keys.values()) if ((this.board.get(`key/${key.shard}`) as KeyRec | undefined)?.peer === peer) key.triedAt = -Infinity;
+    if (!able) {
+      for (const key of this.keys.values()) {
+        if ((this.board.get(`key/${key.shard}`) as KeyRec | undefined)?.peer === peer) key.triedAt = -Infinity;
+      }
+    }
     if (this.looking) return;
     this.looking = true;
     this.k.host.clock.after(0, () => { this.looking = false; void this.tick(); });
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -59,7 +59,11 @@
     if (this.seeking) return;
     this.seeking = true;
     const { clock } = this.k.host;
-    clock.after(Math.max(0, this.soughtAt + C.ownerRetryMs - clock.now()), () => { this.seeking = false; this.soughtAt = clock.now(); this.ask(); });
+    clock.after(Math.max(0, this.soughtAt + C.ownerRetryMs - clock.now()), () => {
+      this.seeking = false;
+      this.soughtAt = clock.now();
+      this.ask();
+    });
   }
 
   /** Asks the copies of all shards sought whom they promised the highest fence. */
@@ -153,7 +157,10 @@
           if (f.step === FORGOTTEN) break;
           this.turnAway(b);
           // Told in order, so that they come again in order.
-          await within(clock, Math.max(0, Math.min(C.inOrderMs, until - clock.now())), Promise.all([...all].filter((s) => s.seq < b.seq).map((s) => s.over)));
+          await within(
+            clock, Math.max(0, Math.min(C.inOrderMs, until - clock.now())),
+            Promise.all([...all].filter((s) => s.seq < b.seq).map((s) => s.over)),
+          );
           break;
         default:
           break; // it will not come again
@@ -207,7 +214,9 @@
         f = faultOf(e, m, peer);
       }
       // Whatever the last try was told, an earlier one may have been stored.
-      const end = (): Failure => new Failure(perhaps && m === 'Publish' ? { tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) } : f);
+      const end = (): Failure => new Failure(
+        perhaps && m === 'Publish' ? { tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) } : f,
+      );
       // An owner answers by a configuration that is at least as new as ours. Where ours still has the topic, we do not say that it is
       // gone before we have that one too: another owner, as far as we are, would take it back.
       const newer = f.tag === 'unknown_topic' && familyOf(this.reg.value!.config, topic) !== undefined;
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -126,8 +126,11 @@
 /** Any error's answer: { error: Fault }. Tags and fields as in the kernel's Fault. */
 export const FaultShape = Type.Union([...FAULTS.values()].map((f) => f.shape));
 
-/** A publish that surely stored nothing. */
-export const Rejected = Type.Object({ rejected: Type.Object({ reason: Type.String(), retryAfterMs: Count }, strict) }, strict);
+/**
+ * A publish that stored nothing in this try. Only with `final` does it say so of every try of its number, earlier ones and those still
+ * on their way: it was never accepted and never will be. Without it the same number may be sent again.
+ */
+export const Rejected = Type.Object({ rejected: Type.Object({ reason: Type.String(), final: Type.Boolean(), retryAfterMs: Count }, strict) }, strict);
 
 const Conn = Type.String({ minLength: 1, maxLength: 200 });
 const Sub = Type.String();
