--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -78,6 +78,8 @@
   doubtMs: 1_600,
   /** A take that failed is tried again after this long. */
   takeRetryMs: 600,
+  /** After its start a node leaves keys to others who may be coming up too for this long: a fleet comes back within it. */
+  comingMs: 300,
   /** A key is asked from an owner that serves once it was matched to another for this long: machines come and go in less. */
   steadyMs: 4_000,
   /** A visit waits this long at a node that is just taking its key; a take is two rounds to a majority. */
@@ -202,6 +204,8 @@
   changeMs: 6_000,
   /** A configuration with a revision is brought into force for this long after it was last sent, whether its sender waits or not. */
   submitMs: 10_000,
+  /** Different submissions that one node works on; resent ones share one, and few operators are at work at a time. */
+  submissionsN: 32,
   /** One try at that; then the highest revision that was sent meanwhile is taken up instead. */
   submitTryMs: 2_000,
   /** What is in force is asked of a majority again after about this long, before an old revision is answered. */
@@ -230,6 +234,8 @@
   drainMs: 2_600,
 
   // --- process ---
+  /** A node this young lets an Attach wait until it serves: turned away, a consumer would stay away for longer than that. */
+  startWaitMs: 1_500,
   /** SIGTERM to exit; the hard kill comes at 6 s. */
   stopMs: 4_500,
   /** Commits gather this long into one synced transaction. */
