A relay reads again what it knows to be there and could not read

Cause: since relays and owners compare one sum a shard, a relay that knew a topic's head and failed to read up to it told the owner the same sum as the owner's own, and was never told of the topic again: the messages stayed away until something new was published there.

--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -343,7 +343,7 @@
         a = await this.route.atOwner<HistoryAnswer>(h.topic, 'History', () => ({ topic: h.topic, from }), C.ownerTryMs * 2);
       } catch {
         this.k.count('pull.fail');
-        return; // heads ask again within a second
+        return; // tried again with the next heads, within a second
       }
       this.k.count('pull');
       if (a.tag === 'gone') return;
@@ -489,7 +489,10 @@
   }
 
   private async heads(): Promise<void> {
-    await this.headsOf([...this.topics.values()].filter((h) => h.subs.size));
+    const mine = [...this.topics.values()].filter((h) => h.subs.size);
+    // What we know to be there and could not read is read again: the owner's sum will not differ from ours.
+    for (const h of mine) if ([...h.subs].some((s) => s.next <= h.seen)) this.pull(h);
+    await this.headsOf(mine);
   }
 
   /** One sum a shard goes to its owner; only where the owner's differs are topics told one by one. */
--- a/packages/trial/src/test/holds.test.ts
+++ b/packages/trial/src/test/holds.test.ts
@@ -177,3 +177,25 @@
   t.is(again.body.next, x.body.next, 'its beginning, whatever was sent since');
   s.sim.close();
 });
+
+test('what is known to be there and could not be read is read again, though nothing new is published', async (t) => {
+  const s = await smallFleet(39);
+  for (const seq of [1, 2, 3]) await publish(s, seq);
+  // The owner answers where a subscription begins and is then too busy to be read, until the relay has given up.
+  const healed: (() => void)[] = [];
+  for (const n of s.stores) {
+    const handlers = (n.kernel as any).handlers as Map<string, { h: (b: any, f: any) => unknown; current: boolean }>;
+    const old = handlers.get('History')!;
+    handlers.set('History', { ...old, h: () => new Promise(() => undefined) });
+    healed.push(() => handlers.set('History', old));
+  }
+  const c = await s.attach(s.relays[0]!, 'phone', 40);
+  const r = await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1', cursor: 1 });
+  t.is(r.body.next, 2);
+  await s.pass(6_000);
+  t.deepEqual(delivered(c.frames), []);
+  for (const f of healed) f();
+  await s.pass(C.headsMs + C.ownerTryMs * 2 + 500);
+  t.deepEqual(delivered(c.frames), [2, 3]);
+  s.sim.close();
+});
