--- a/packages/data/src/run.ts
+++ b/packages/data/src/run.ts
@@ -46,6 +46,13 @@
     process.stderr.write(`${program}: cannot start: ${e instanceof Error ? e.message : e}\n`);
     process.exit(1);
   };
+  // Signals may come before there is anything to say them to: a changed file is read again once we are up, and to leave is to end.
+  let heard: (() => void) | undefined;
+  let early = false;
+  let leave = (_sig: string): void => process.exit(0);
+  process.on('SIGHUP', () => { if (heard) heard(); else early = true; });
+  process.on('SIGTERM', () => leave('SIGTERM'));
+  process.on('SIGINT', () => leave('SIGINT'));
   let host: Host;
   try {
     host = realHost(config);
@@ -76,20 +83,24 @@
       host.log.warn(`config kept as it was: ${e instanceof Error ? e.message : e}`, { why });
     }
   };
-  process.on('SIGHUP', () => reread('signal'));
-  if (file) watchFile(file, { interval: C.rereadMs }, (a, b) => { if (a.mtimeMs !== b.mtimeMs || a.size !== b.size || a.ino !== b.ino) reread('file changed'); });
+  heard = () => reread('signal');
+  if (early) heard();
+  if (file) {
+    watchFile(file, { interval: C.rereadMs }, (a, b) => {
+      if (a.mtimeMs !== b.mtimeMs || a.size !== b.size || a.ino !== b.ino) reread('file changed');
+    });
+  }
 
   let leaving = false;
-  const leave = async (sig: string): Promise<void> => {
+  leave = (sig) => {
     if (leaving) return;
     leaving = true;
     host.log.info(`leaving on ${sig}`);
     if (file) unwatchFile(file);
-    await within(realClock, config.stopMs ?? C.stopMs, kernel.stop());
-    void closeListeners();
-    host.log.info('left', { counters: Object.fromEntries(kernel.counters) });
-    process.exit(0);
+    void within(realClock, config.stopMs ?? C.stopMs, kernel.stop()).then(() => {
+      void closeListeners();
+      host.log.info('left', { counters: Object.fromEntries(kernel.counters) });
+      process.exit(0);
+    });
   };
-  process.on('SIGTERM', () => void leave('SIGTERM'));
-  process.on('SIGINT', () => void leave('SIGINT'));
 }
