--- a/packages/trial/src/test/holds.test.ts
+++ b/packages/trial/src/test/holds.test.ts
@@ -1,5 +1,5 @@
 import { C } from '@harecross/kernel';
-import type { InterestItem } from '@harecross/data';
+import { readInterestRow, type InterestItem, type InterestRow } from '@harecross/data';
 import test from 'ava';
 import type { SimNode } from '../sim.js';
 import { smallFleet, type Small } from './small-fleet.js';
