--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -5,7 +5,7 @@
 import { familyOf, urgencyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, senderKey, type Entry, type Fence } from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
-import { Interests, placeSum, type InterestItem } from './interest.js';
+import { Interests, placeSum, readInterestRow, type InterestRow } from './interest.js';
 import { FORGOTTEN, Key, type KeyState } from './key.js';
 import { Replication } from './replication.js';
 
@@ -55,7 +55,7 @@
       if (!p) throw new Failure({ tag: 'overloaded', step: 'Publish', peer: k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
       return p;
     }, true);
-    k.on('Interest', (b: { items: InterestItem[] }, f) => this.interests.hear(f.peer, f.inst, b.items, f.toLocal));
+    k.on('Interest', (b: { items: InterestRow[] }, f) => this.interests.hear(f.peer, f.inst, b.items.map(readInterestRow), f.toLocal));
     k.on('Open', (b: { topic: string; confirm: boolean }) => this.open(b), true);
     k.on('History', (b: { topic: string; from: number }): Promise<HistoryAnswer> => this.history(b), true);
     k.on('Heads', (b: { sums: [number, number][] }, f) => this.heads(b.sums, f.peer));
@@ -65,12 +65,21 @@
       return this.interests.countListeners(b.topic, this.serving(b.topic, 'Count').takenAt);
     }, true);
     k.on('Yield', (b: { shard: number; disk: string }) => this.yieldTo(b.shard, b.disk));
-    k.on('TakeKey', async (b: { shard: number }) => { await this.take(this.keys.get(b.shard)!); return this.keys.get(b.shard)!.state === 'owner'; });
+    k.on('TakeKey', async (b: { shard: number }) => {
+      const key = this.keys.get(b.shard)!;
+      await this.take(key);
+      return key.state === 'owner';
+    });
     k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
     k.keep(board.changed$.subscribe((key) => { if (key.startsWith('m/')) this.look(key.slice(2)); }));
     k.keep(board.state$.subscribe((m) => this.look(m.peer)));
     // Whoever takes a key asks our copy too: we need not wait for an append to be refused.
-    k.keep(copies.promised$.subscribe((s) => { const key = this.keys.get(s)!; if (key.fence !== NO_FENCE && copies.get(s).promised > key.fence) this.turn(key, 'none'); }));
+    k.keep(copies.promised$.subscribe((s) => {
+      const key = this.keys.get(s)!;
+      const by = copies.get(s).promised;
+      if (key.fence !== NO_FENCE && by > key.fence) this.turn(key, 'none');
+      if (readFence(by).peer !== k.self) key.promisedTo = { peer: readFence(by).peer, at: clock.now() };
+    }));
     k.keep(loop(clock, C.beatMs, rnd, async () => this.replication.beats(this.keys.values())));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
     k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
@@ -150,7 +159,11 @@
     const able = this.board.able(peer);
     if (this.ableThen.get(peer) === able) return;
     this.ableThen.set(peer, able);
-    if (!able) for (const key of this.keys.values()) if ((this.board.get(`key/${key.shard}`) as KeyRec | undefined)?.peer === peer) key.triedAt = -Infinity;
+    if (!able) {
+      for (const key of this.keys.values()) {
+        if ((this.board.get(`key/${key.shard}`) as KeyRec | undefined)?.peer === peer) key.triedAt = -Infinity;
+      }
+    }
     if (this.looking) return;
     this.looking = true;
     this.k.host.clock.after(0, () => { this.looking = false; void this.tick(); });
@@ -189,6 +202,7 @@
           const holder = rec && rec.peer !== this.k.self && this.board.isLive(rec.peer) && this.board.members.get(rec.peer)?.inst === rec.inst ? rec.peer : undefined;
           // A holder that serves is asked only once it is sure that the key stays matched to us: each change costs callers a moment.
           if (holder && this.board.able(holder)) { key.wantedAt ??= now; if (now - key.wantedAt < C.steadyMs) break; }
+          if (this.justPromised(key, now)) break;
           if (now - key.triedAt < C.takeRetryMs) break;
           key.triedAt = now;
           void (holder ? this.askFor(key, holder, p.copies) : this.take(key));
@@ -202,6 +216,17 @@
     if (gone.length) await this.copies.release(gone);
   }
 
+  /**
+   * Whether our copy promised the key to another a moment ago whom we don't know to be unable: the board may not have heard of it yet,
+   * and who takes a key back at once from the one that has just taken it starts a quarrel.
+   */
+  private justPromised(key: Key, now: number): boolean {
+    const p = key.promisedTo;
+    if (!p || now - p.at > C.steadyMs) return false;
+    const m = this.board.members.get(p.peer);
+    return m === undefined || (m.state === 'live' && (m.condition === 'ready' || m.condition === 'joining'));
+  }
+
   /** A better matched node asks the present owner whether it may take the key: only once it knows that it can. */
   private async askFor(key: Key, holder: string, copies: string[]): Promise<void> {
     const reached = await gather(copies.map((d) => {
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -1,6 +1,6 @@
-import { C, Failure, Kernel, faultOf, register, retryAfter, shardOf, within, type Fault } from '@harecross/kernel';
+import { C, Failure, Kernel, RetryBudget, faultOf, register, retryAfter, shardOf, within, type Fault } from '@harecross/kernel';
 import { notReady, type Board, type KeyRec, type Register } from '@harecross/control';
-import { familyOf } from '@harecross/schema';
+import { familyOf, urgencyOf } from '@harecross/schema';
 import { readFence, senderKey, type Fence } from '@harecross/state';
 import { Subject } from 'rxjs';
 import { FORGOTTEN } from './key.js';
@@ -30,10 +30,12 @@
   private turned = new Map<string, { seq: number; until: number }>();
   /** When a slow owner was last looked at. */
   private doubted = new Map<string, number>();
+  private budget: RetryBudget;
   /** A shard whose owner changed, as far as we know. */
   readonly moved$ = new Subject<number>();
 
   constructor(private k: Kernel, private board: Board, private reg: Register) {
+    this.budget = new RetryBudget(k.host.clock, { perS: C.retriesPerS, share: C.retriesShare, burst: C.retriesBurstN });
     k.keep(board.changed$.subscribe((key) => {
       if (!key.startsWith('key/')) return;
       const r = board.get(key) as KeyRec;
@@ -59,7 +61,11 @@
     if (this.seeking) return;
     this.seeking = true;
     const { clock } = this.k.host;
-    clock.after(Math.max(0, this.soughtAt + C.ownerRetryMs - clock.now()), () => { this.seeking = false; this.soughtAt = clock.now(); this.ask(); });
+    clock.after(Math.max(0, this.soughtAt + C.ownerRetryMs - clock.now()), () => {
+      this.seeking = false;
+      this.soughtAt = clock.now();
+      this.ask();
+    });
   }
 
   /** Asks the copies of all shards sought whom they promised the highest fence. */
@@ -153,7 +159,10 @@
           if (f.step === FORGOTTEN) break;
           this.turnAway(b);
           // Told in order, so that they come again in order.
-          await within(clock, Math.max(0, Math.min(C.inOrderMs, until - clock.now())), Promise.all([...all].filter((s) => s.seq < b.seq).map((s) => s.over)));
+          await within(
+            clock, Math.max(0, Math.min(C.inOrderMs, until - clock.now())),
+            Promise.all([...all].filter((s) => s.seq < b.seq).map((s) => s.over)),
+          );
           break;
         default:
           break; // it will not come again
@@ -186,6 +195,14 @@
     const until = clock.now() + patienceMs;
     let lostSince: number | undefined;
     let perhaps = false;
+    const family = this.reg.value && familyOf(this.reg.value.config, topic);
+    const urgent = family !== undefined && urgencyOf(this.reg.value!.config, family) === 'urgent';
+    this.budget.first();
+    const again = (): boolean => {
+      const may = this.budget.retry(urgent);
+      if (!may) this.k.count('route.budget');
+      return may;
+    };
     for (;;) {
       const left = until - clock.now();
       if (left <= 0) break;
@@ -207,7 +224,9 @@
         f = faultOf(e, m, peer);
       }
       // Whatever the last try was told, an earlier one may have been stored.
-      const end = (): Failure => new Failure(perhaps && m === 'Publish' ? { tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) } : f);
+      const end = (): Failure => new Failure(
+        perhaps && m === 'Publish' ? { tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) } : f,
+      );
       // An owner answers by a configuration that is at least as new as ours. Where ours still has the topic, we do not say that it is
       // gone before we have that one too: another owner, as far as we are, would take it back.
       const newer = f.tag === 'unknown_topic' && familyOf(this.reg.value!.config, topic) !== undefined;
@@ -238,6 +257,7 @@
         default:
           throw end();
       }
+      if (!again()) break;
       // Another is known to have the key: there at once.
       if (this.hints.get(shard)!.fence !== fence) continue;
       if (until - clock.now() <= C.ownerRetryMs) break;
