--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -2,7 +2,7 @@
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { erasAfter } from './eras.js';
-import { copiesFor, targetsOf } from './placement.js';
+import { copiesFor, targetsOf, wantedCopies } from './placement.js';
 import { notReady, usedFor, type DiskRec, type MoveState, type Register, type Value } from './register.js';
 
 /** What the owner of a shard says on the board under `key/<shard>`. */
@@ -46,7 +46,14 @@
 
   /** The next step from this value, if one is due. */
   private plan(v: Value): Value | undefined {
-    return this.planDisks(v) ?? this.planSeats(v) ?? this.planMoves(v) ?? this.planShards(v);
+    return this.planDisks(v) ?? this.planSeats(v) ?? this.planSettled(v) ?? this.planMoves(v) ?? this.planShards(v);
+  }
+
+  /** While the seats before the last change still have their say, the loss of one of them may take the majority: one more change ends it. */
+  private planSettled(v: Value): Value | undefined {
+    if (v.seats.length === v.prevSeats.length && v.seats.every((d) => v.prevSeats.includes(d))) return undefined;
+    this.lastPlan = 'the seats are settled';
+    return { ...v };
   }
 
   /** Begins and ends the moves of the calendar. A move runs once: its state is in the register. */
@@ -132,7 +139,10 @@
     const fit = (d: DiskRec): boolean => d.state === 'active' && usedFor(d, 'seat') && live(d.id);
     const bad = v.seats.filter((d) => v.disks.get(d)?.state !== 'active');
     const good = v.seats.length - bad.length;
-    const want = Math.min(C.seatsN, [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'seat')).length);
+    // A disk that is merely away keeps its claim; one whose machine has another by now does not.
+    const all = [...v.disks.values()].filter((d) => usedFor(d, 'seat'));
+    const away = (d: DiskRec): boolean => d.state === 'lost' && !all.some((o) => o.peer === d.peer && o.state !== 'lost');
+    const want = Math.min(C.seatsN, all.filter((d) => d.state === 'active' || away(d)).length);
     const odd = want % 2 === 0 ? Math.max(1, want - 1) : want;
     const perDomain = (dom: string): number => v.seats.filter((s) => v.disks.get(s)?.domain === dom).length;
     if (good < odd) {
@@ -141,7 +151,8 @@
       if (cand) { this.lastPlan = `seat for ${cand.id}`; return { ...v, seats: [...v.seats, cand.id] }; }
     }
     const drop = bad[0] ?? (v.seats.length > odd ? [...v.seats].sort((a, b) => Number(live(a)) - Number(live(b)))[0] : undefined);
-    if (drop === undefined || (good < odd && bad.length === 0)) return undefined;
+    // A seat is given up only for another: with fewer, what is agreed would not outlive the next loss.
+    if (drop === undefined || good < odd) return undefined;
     const left = v.seats.filter((d) => d !== drop);
     if (left.filter(live).length * 2 <= left.length) return undefined;
     this.lastPlan = `seat of ${drop} is given up`;
@@ -175,7 +186,8 @@
         if (!d) continue;
         shards.set(s, { gen: p.gen + 1, copies: [...p.copies, d] });
         steps++;
-      } else if (!target.some((d) => key.behind.includes(d))) {
+      } else if (p.copies.length > wantedCopies(v.config, s, v.copies) && !target.some((d) => key.behind.includes(d))) {
+        // A lost copy is given up only for another: with fewer, what is accepted would not outlive the next loss.
         const d = extra.find((x) => v.disks.get(x)?.state === 'lost') ?? extra[0]!;
         shards.set(s, { gen: p.gen + 1, copies: p.copies.filter((x) => x !== d) });
         steps++;
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -12,6 +12,16 @@
   return n > 1 && n % 2 === 0 ? n - 1 : n;
 }
 
+/**
+ * Copies a shard is meant to have, however few disks there are just now: by the placement made by hand, else as many as everywhere.
+ * @example
+ * wantedCopies({ families: [], copies: 5 }, 7); // 5
+ */
+export function wantedCopies(c: FleetConfig, shard: number, copies: number = C.copiesN): number {
+  const n = c.placement?.find((p) => p.shard === shard)?.nodes.length ?? c.copies ?? copies;
+  return copiesFor(n, n);
+}
+
 /**
  * The disks on which each shard's copies belong. Rendezvous order, domains taken in turn so that copies spread,
  * and within a domain no disk above its share times a slack while another has room.
