--- a/packages/trial/src/test/plant-tests.ts
+++ b/packages/trial/src/test/plant-tests.ts
@@ -139,7 +139,7 @@
   { what: 'a relay that sits on frames for two seconds', proto: Holds.prototype, sc: 'calm', seeds: [1], rules: ['late'],
     patch: { arm: (old) => function (this: any, c: any, ms: number) { old.call(this, c, ms + 2_000); } } },
   { what: 'a conn buffer with four times its bound', proto: Holds.prototype, sc: 'thin-links', seeds: [1], rules: ['bounds'],
-    patch: { push: (old) => function (this: any, c: any, w: any) { if (c.consumer !== 'thin0') { old.call(this, c, w); return; } const { std } = c; c.std = std / 4; old.call(this, c, w); if (c.state !== 'closed') { c.std = std + Buffer.byteLength(w.line); this.mostStd = Math.max(this.mostStd, c.std); } } } },
+    patch: { push: (old) => function (this: any, c: any, w: any) { if (c.consumer !== 'thin0') { old.call(this, c, w); return; } const { std } = c; c.std = std / 4; old.call(this, c, w); if (c.state !== 'closed') { c.std = std + w.bytes; this.mostStd = Math.max(this.mostStd, c.std); } } } },
 ];
 
 /** Runs every n-th plant; each test file is a process of its own. */
