Stores take seats where control disks are too few for the losses to be borne

Cause: the grown deployments must bear two lost disks, and three zones have three control machines: with three seats two losses end the register's majority. Now 2 * losses + 1 seats, control disks first. turnover.test.ts: five control or store seats, two control disks lost, the configuration is there and changes.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -157,12 +157,13 @@
     // A disk that is merely away keeps its claim; one whose machine has another by now does not.
     const all = [...v.disks.values()].filter((d) => usedFor(d, 'seat'));
     const away = (d: DiskRec): boolean => d.state === 'lost' && !all.some((o) => o.peer === d.peer && o.state !== 'lost');
-    const want = Math.min(C.seatsN, all.filter((d) => d.state === 'active' || away(d)).length);
+    const want = Math.min(v.seatsWanted ?? C.seatsN, all.filter((d) => d.state === 'active' || away(d)).length);
     const odd = want % 2 === 0 ? Math.max(1, want - 1) : want;
     const perDomain = (dom: string): number => v.seats.filter((s) => v.disks.get(s)?.domain === dom).length;
     if (good < odd) {
       const cand = rank('seat', [...v.disks.values()].filter((d) => fit(d) && !v.seats.includes(d.id)), (d) => d.id)
-        .sort((a, b) => perDomain(a.domain) - perDomain(b.domain))[0];
+        // Disks that are for nothing else first: seats are confirmed by every node, and copies have work of their own.
+        .sort((a, b) => Number(usedFor(a, 'copies')) - Number(usedFor(b, 'copies')) || perDomain(a.domain) - perDomain(b.domain))[0];
       if (cand) { this.lastPlan = `seat for ${cand.id}`; return { ...v, seats: [...v.seats, cand.id] }; }
     }
     const drop = bad[0] ?? (v.seats.length > odd ? [...v.seats].sort((a, b) => Number(live(a)) - Number(live(b)))[0] : undefined);
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -41,6 +41,8 @@
   shards: Map<number, Placement>;
   /** Copies of a shard where the configuration says nothing: as many as bear the losses that the founder was told. */
   copies: number;
+  /** Seats wanted, likewise: as many as bear those losses. Unknown in a value of before there was a choice. */
+  seatsWanted?: number;
   changes: Map<string, Outcome>;
   /** Key: id@from. */
   moves: Map<string, MoveRec>;
@@ -401,6 +403,7 @@
     const shards = new Map([...matchCopies(keepers, copies)].map(([s, at]) => [s, { gen: 1, copies: at }] as [number, Placement]));
     return {
       fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, eras: new Map(), disks, seats, prevSeats: seats, shards, copies,
+      seatsWanted: losses === undefined ? C.seatsN : Math.min(C.seatsN, Math.max(3, 2 * losses + 1)),
       changes: new Map(), moves: new Map(),
     };
   }
--- a/packages/trial/src/test/turnover.test.ts
+++ b/packages/trial/src/test/turnover.test.ts
@@ -128,3 +128,18 @@
   t.is(fleets().size, 1);
   f.sim.close();
 });
+
+test('two losses to be borne and three control nodes: stores take seats too, and two lost disks lose nothing', async (t) => {
+  const f = await controlFleet(95, { stores: 5, losses: 2 });
+  await f.pass(4_000);
+  const [c1, c2, c3] = f.controls as [SimNode, SimNode, SimNode];
+  t.is(seatsOf(c1).length, 5);
+  t.deepEqual(f.controls.map((c) => seatsOf(c1).includes(diskOf(c))), [true, true, true], 'disks that are for nothing else come first');
+  t.true(copiesAt(c1).every((c) => c.length === 5));
+  t.is((await f.ask(c1, 'SubmitConfig', { revision: 2, document: { n: 2 }, config: { families: FAMILIES } })).status, 200);
+  for (const c of [c1, c2]) f.sim.loseDisk(c);
+  await f.pass(1_000);
+  t.is((await f.ask(c3, 'ReadConfig', {})).body.revision, 2);
+  t.is((await f.ask(c3, 'SubmitConfig', { revision: 3, document: { n: 3 }, config: { families: FAMILIES } })).status, 200);
+  f.sim.close();
+});
