--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -106,8 +106,10 @@
   ownerHoldingN: 2_000,
   /** Frames waiting at an owner for one relay; more are left to history, which the relay reads. */
   fanHoldingN: 1_000,
-  /** An owner trims its history this often. */
+  /** An owner trims its history this often ... */
   trimMs: 2_000,
+  /** ... and a copy follows this often: each time it writes more pages than for the appends since. */
+  trimCopyMs: 10_000,
   /** Copies follow in snapshots when behind the base; a snapshot call may take this long. */
   snapshotMs: 5_000,
 
@@ -134,6 +136,12 @@
   onTheWayMs: 100,
   /** Publishes of a sender that are given up together are answered in order, but none waits longer than this for those before it. */
   inOrderMs: 250,
+  /** Tries at owners after a visit's first, of one node: this many a second ... */
+  retriesPerS: 40,
+  /** ... and this share of the first tries ... */
+  retriesShare: 0.2,
+  /** ... of which so many may be saved: a key that changes hands is asked for a few times by each visit under way. */
+  retriesBurstN: 400,
   /** A link that gave no answer is tried directly this often; meanwhile visits of the data plane go round it. */
   linkTryMs: 700,
   /** A line of a client: topic, cursor and name are far shorter. */
@@ -146,6 +154,10 @@
   accessUnreadBytes: 4 * 1024 * 1024,
   /** Requests of one connection in work before we read no more of them. */
   accessRunningN: 128,
+  /** Bodies that come in pieces, of all connections together; a body beyond it is not taken. */
+  accessBodiesBytes: 32 * 1024 * 1024,
+  /** Connections that have not attached, and at most half of all: beyond it the oldest of them is closed. */
+  accessOpenersN: 1_000,
   /** A connection that has not attached within this time is closed; looked for this often. */
   accessOpenMs: 10_000,
   accessSweepMs: 1_000,
@@ -156,8 +168,10 @@
   /** One gossip exchange with this many peers per period. */
   gossipPeersN: 2,
   gossipMs: 500,
-  /** For this long after its start a node goes on asking seeds it has not met. */
-  meetSeedsMs: 20_000,
+  /** After its start a node compares this often, for this long at most, or until so many peers had nothing new for it. */
+  joinEveryMs: 100,
+  joinMs: 3_000,
+  joinQuietN: 6,
   /** News goes to this many peers at each step; log2(200) steps reach a large fleet. */
   newsFanN: 4,
   /** Entries of a partial view. */
@@ -182,6 +196,9 @@
   deadMs: 8_000,
   /** A dead member's record is forgotten after this long. */
   forgetMs: 120_000,
+  /** Members known are kept on disk, where that changed, this often; and so many of them: a start needs one that is there. */
+  rememberMs: 5_000,
+  rememberN: 64,
   /** Time limit of small control calls. */
   callMs: 800,
   /** A gap in our own loop this long means we were frozen: duties are in doubt until confirmed. */
@@ -196,6 +213,8 @@
   firstConfirmN: 4,
   /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
   applyMs: 3_000,
+  /** Seats beyond a majority are asked when those asked first did not answer after this long; a sync of a slow disk is not waited for. */
+  confirmAloneMs: 120,
   /** ... and serves only while the last confirmation began at most this share of it ago. */
   freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
@@ -222,10 +241,17 @@
 
   // --- keeper: disks and placement ---
   keeperMs: 500,
-  /** A disk seen live this long is let into the disk set. */
-  joinAfterMs: 1_000,
+  /** Steps of the keeper that follow from one another at once; then it looks again after its period. */
+  keeperStepsN: 8,
+  /** A disk seen live this long is let into the disk set: a process that ends right after its start is not. */
+  joinAfterMs: 500,
   /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
   replaceAfterMs: 45_000,
+  /** A disk dead this long gives its place to one that holds nothing, if there is one: longer than a process takes to start anew. A
+   * machine that was replaced is known by that, and the next loss may come a few seconds after. */
+  spareAfterMs: 3_000,
+  /** Shards whose copies on a lost disk are made anew at once: until then the next loss costs a majority. */
+  repairingN: 32,
   /** Shards in motion at once; keeps repair from taking traffic's share. */
   movingN: 8,
 
@@ -236,12 +262,14 @@
   drainMs: 2_600,
 
   // --- process ---
+  /** Hashes remembered: those of some thousand topics and of the copies of all shards; about a megabyte. */
+  hashesN: 16_384,
   /** A node this young lets an Attach wait until it serves: turned away, a consumer would stay away for longer than that. */
   startWaitMs: 1_500,
   /** SIGTERM to exit; the hard kill comes at 6 s. */
   stopMs: 4_500,
-  /** Commits gather this long into one synced transaction. */
-  commitMs: 2,
+  /** Commits gather this long into one synced transaction: a turn of the loop. While a sync is under way they gather anyway. */
+  commitMs: 0,
   /** Settings files are compared this often, for changes without a signal. */
   rereadMs: 1_000,
   /** A closed conn's last words have this long to get out before its socket is destroyed. */
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -144,6 +144,10 @@
   }
 
   init(): void {
+    // One commit: the log's check takes it that no more than one is on its way to the disk.
+    this.sql.transaction(() => this.tables())();
+  }
+  private tables(): void {
     this.sql.exec(TABLES.map(([t, cols, key]) => `create table if not exists ${t} (${cols.join(', ')}, sum integer, primary key (${key}))${t === 'copy' ? '' : ' without rowid'};`).join('\n'));
     // Made before rows had sums: theirs are missing, and they are taken as they are.
     for (const [t] of TABLES) if (!columns(this.sql, t).includes('sum')) this.sql.exec(`alter table ${t} add column sum integer`);
@@ -182,9 +186,12 @@
     }
     for (const r of this.q('select * from topic').all() as any[]) out.get(r.shard)?.base.topics.set(r.topic, { head: r.head, since: r.since, era: r.era });
     for (const r of this.q('select * from sender').all() as any[]) out.get(r.shard)?.base.senders.set(r.k, { seq: r.seq, off: r.off, at: now });
-    for (const r of this.q('select * from entry order by shard, idx').all() as any[]) {
-      const { shard, sum: _, ...e } = r;
-      out.get(shard)?.entries.push({ ...e, at: now } as Entry);
+    // Fences, topics and senders come again and again: one string each.
+    const strings = new Map<string, string>();
+    const one = (x: string): string => { const had = strings.get(x); if (had !== undefined) return had; strings.set(x, x); return x; };
+    const rows = this.sql.prepare('select shard, idx, fence, topic, off, era, sender, seq, body from entry order by shard, idx').raw().iterate();
+    for (const r of rows as Iterable<[number, number, string, string, number, number, string, number, string]>) {
+      out.get(r[0])?.entries.push({ idx: r[1], fence: one(r[2]), topic: one(r[3]), off: r[4], era: r[5], sender: one(r[6]), seq: r[7], body: r[8], at: now });
     }
     return out;
   }
