--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, every, gather, loop, pack, register as plug, retryAfter, sleep, unpack, within, type DiskUse } from '@harecross/kernel';
+import { C, Failure, Kernel, every, gather, loop, register as plug, retryAfter, sleep, within, type DiskUse } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
 import type { Store } from '@harecross/state';
 import { BehaviorSubject, Subject } from 'rxjs';
@@ -6,6 +6,7 @@
 import type { Board } from './board.js';
 import type { Eras } from './eras.js';
 import { matchCopies } from './placement.js';
+import { fromText, toText } from './text.js';
 
 export type DiskState = 'active' | 'emptying' | 'lost';
 /** `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
@@ -92,14 +93,14 @@
       this.st = k.use('state');
       this.disk = this.st.get('disk')!;
       const s = this.st.seat();
-      if (s.value) { this.hint = unpack(s.value) as Value; this.hintBallot = s.ballot; }
+      if (s.value) { this.hint = fromText(s.value); this.hintBallot = s.ballot; }
       board.say({ disk: this.disk });
       this.serveSeat(this.st, this.disk);
     }
-    k.onNewer = (_rev, peer) => this.fetch(peer);
+    k.onNewer = (rev, peer) => this.follow(rev, peer);
     k.on('RegGet', () => {
       const v = this.value$.value;
-      return v ? pack(v) : undefined;
+      return v ? toText(v) : undefined;
     });
     k.keep(loop(clock, C.confirmMs, rnd, () => this.confirm()));
     // Until the first one, often, and not one after another: whom we ask may itself not be there yet.
@@ -162,7 +163,7 @@
       });
       // Told to nobody before it lasts: a majority that has accepted a value has agreed on it.
       if (r.ok && b.ballot >= this.hintBallot) {
-        this.hint = unpack(b.value) as Value;
+        this.hint = fromText(b.value);
         this.hintBallot = b.ballot;
       }
       return r;
@@ -189,11 +190,20 @@
     this.board.pass([], C.newsFanN);
   }
 
+  /** Takes a newer value that a peer has. Who hears of it from several fetches it once, and from the others only if that takes long. */
+  private async follow(rev: number, peer: string): Promise<void> {
+    if (this.fetching.size) {
+      await within(this.k.host.clock, C.fetchAloneMs, Promise.race(this.fetching.values()));
+      if (this.k.rev >= rev) return;
+    }
+    await this.fetch(peer);
+  }
+
   private fetch(peer: string): Promise<void> {
     let p = this.fetching.get(peer);
     if (!p) {
       p = this.k.call<string | undefined>(peer, 'RegGet', {})
-        .then((s) => { if (s) this.learn(unpack(s) as Value); }, () => undefined /* the next frame tells us again */)
+        .then((s) => { if (s) this.learn(fromText(s)); }, () => undefined /* the next frame tells us again */)
         .finally(() => this.fetching.delete(peer));
       this.fetching.set(peer, p);
     }
@@ -249,7 +259,7 @@
     const few = new Set<string>();
     for (const d of order) if (!majority(bothSets(v), few)) few.add(d);
     const calls = (ds: Iterable<string>): Promise<ReadBack>[] =>
-      this.ask<ReadBack>([...ds], 'RegRead', {}).map((p) => p.then((r) => { heard.add(r.disk); got.push(r); return r; }));
+      this.ask<ReadBack>([...ds], 'RegRead', {}).map((p) => p.then((r) => { heard.add(r.disk); got.push(r); this.outbid(r.ballot); return r; }));
     const first = calls(few);
     await within(this.k.host.clock, C.confirmAloneMs, gather(first, enough));
     if (!enough()) await gather([...first, ...calls(order.filter((d) => !few.has(d)))], enough);
@@ -311,9 +321,13 @@
     throw new Failure({ tag: 'no_majority', step: 'change', peer: this.k.self, detail: why });
   }
 
+  /** Our next ballot is above this one. */
+  private outbid(ballot: string): void {
+    this.n = Math.max(this.n, Number(ballot.slice(0, 12)) || 0);
+  }
+
   private async round<T>(start: Value, fn: (v: Value) => { next?: Value; out: T }): Promise<{ tag: 'done'; out: T } | { tag: 'again'; why: string }> {
     const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
-    const bump = (p: string): void => { this.n = Math.max(this.n, Number(p.slice(0, 12)) || 0); };
     let h = start;
     const got = new Map<string, Prepared>();
     // Prepare, following the seats as newer values show them.
@@ -324,7 +338,7 @@
       let refused = false;
       await gather(
         this.ask<Prepared>(asked, 'RegPrepare', { ballot }).map((p) => p.then((r) => {
-          if (!r.ok) { bump(r.promised); refused = true; return r; }
+          if (!r.ok) { this.outbid(r.promised); refused = true; return r; }
           got.set(r.disk, r); heard.add(r.disk);
           return r;
         })),
@@ -334,7 +348,7 @@
       if (!majority(sets, heard)) return { tag: 'again', why: `only ${heard.size} of ${union(h).length} seats answered` };
       const top = [...got.values()].filter((r) => r.value).reduce<Prepared | undefined>((a, b) => (!a || b.ballot > a.ballot ? b : a), undefined);
       if (!top) return { tag: 'again', why: 'seats are empty' };
-      const v = unpack(top.value!) as Value;
+      const v = fromText(top.value!);
       const settled = majority(bothSets(v), new Set(got.keys()));
       h = v;
       if (settled) break;
@@ -342,14 +356,14 @@
     const res = fn(h);
     const next = res.next ? { ...res.next, rev: h.rev + 1, prevSeats: h.seats } : h;
     invariant(!res.next || Math.abs(next.seats.length - h.seats.length) <= 1, 'one seat at a time');
-    const value = pack(next);
+    const value = toText(next);
     const sets = bothSets(next);
     const heard = new Set<string>();
     let refused = false;
     await gather(
       this.ask<Accepted>(union(next), 'RegAccept', { ballot, value }).map((p) => p.then((r) => {
         if (r.ok) heard.add(r.disk);
-        else { bump(r.promised); refused = true; }
+        else { this.outbid(r.promised); refused = true; }
         return r;
       })),
       () => majority(sets, heard),
@@ -377,13 +391,13 @@
     const seats = who.map((w) => w!.disk);
     const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
     const ps = await Promise.all(seats.map((d, i) => this.k.call<Prepared>(config.seeds[i]!, 'RegPrepare', { disk: d, ballot }).catch(() => undefined)));
-    for (const p of ps) if (p && !p.ok) this.n = Math.max(this.n, Number(p.promised.slice(0, 12)) || 0);
+    for (const p of ps) if (p && !p.ok) this.outbid(p.promised);
     if (ps.some((p) => !p?.ok)) return;
     const held = ps.filter((p) => p!.value).reduce<Prepared | undefined>((a, b) => (!a || b!.ballot > a.ballot ? b : a), undefined);
     // A founding that was cut short: the same value, not another one.
-    const v = held ? (unpack(held.value!) as Value) : this.genesis(seats, `${Math.floor(rnd.next() * 2 ** 48).toString(36)}`);
+    const v = held ? fromText(held.value!) : this.genesis(seats, `${Math.floor(rnd.next() * 2 ** 48).toString(36)}`);
     if (v.rev !== 1) return; // a fleet that lives: the ordinary way finds it
-    const value = pack(v);
+    const value = toText(v);
     const as = await Promise.all(seats.map((d, i) => this.k.call<Accepted>(config.seeds[i]!, 'RegAccept', { disk: d, ballot, value }).catch(() => undefined)));
     if (as.every((a) => a?.ok)) {
       this.k.host.log.info('fleet founded', { fleet: v.fleet, disks: v.disks.size });
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -219,6 +219,8 @@
   freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
   seatsN: 7,
+  /** A newer value is fetched from one peer, and from others only after this long: several ways there and back, and a lost packet. */
+  fetchAloneMs: 80,
   /** A visit from a peer that knows a newer value waits for it; what could not be fetched is fetched again after this long. */
   behindRetryMs: 40,
   /** Change attempts give up after this long, and say so. */
--- a/packages/trial/src/scale.ts
+++ b/packages/trial/src/scale.ts
@@ -1,4 +1,4 @@
-import { pack, unpack } from '@harecross/kernel';
+import { fromText, toText } from '@harecross/control';
 import { configFaults, familyOf, type FleetConfig } from '@harecross/schema';
 import yargs from 'yargs';
 import { build, configOf, SMALL, type Site } from './scenario.js';
@@ -58,10 +58,10 @@
     await sim.run(sim.now + 1_000);
   }
   const v = ups[0]!.kernel!.use('register').value!;
-  const text = pack(v);
+  const text = toText(v);
   const ms = (xs: number[]): string => `${Math.round(Math.min(...xs))} to ${Math.round(Math.max(...xs))} ms`;
-  process.stdout.write(`${n} families: value ${(text.length / 1024).toFixed(1)} KiB; a change answered after ${ms(told)}, at all 15 nodes after ${ms(all)}, `
-    + `${Math.round(Math.min(...kib))} KiB sent for it; to text ${took(() => pack(v)).toFixed(2)} ms, from text ${took(() => unpack(text)).toFixed(2)} ms, `
+  process.stdout.write(`${n} families: value as text ${(text.length / 1024).toFixed(1)} KiB; a change answered after ${ms(told)}, at all 15 nodes after ${ms(all)}, `
+    + `${Math.round(Math.min(...kib))} KiB sent for it; to text ${took(() => toText(v)).toFixed(2)} ms, from text ${took(() => fromText(text)).toFixed(2)} ms, `
     + `checked in ${took(() => configFaults(config)).toFixed(2)} ms, laid out in ${took(() => familyOf(structuredClone(v.config), 'kafi7.1')).toFixed(2)} ms, `
     + `a topic's family in ${(took(() => { for (let i = 0; i < 10_000; i++) familyOf(v.config, 'kafi7.1'); }) / 10).toFixed(3)} us\n`);
   sim.close();
