--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -5,7 +5,7 @@
 import { familyOf, urgencyOf, type Family } from '@harecross/schema';
 import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, senderKey, type Entry, type Fence } from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
-import { Interests, placeSum, type InterestItem } from './interest.js';
+import { Interests, placeSum, readInterestRow, type InterestRow } from './interest.js';
 import { FORGOTTEN, Key, type KeyState } from './key.js';
 import { Replication } from './replication.js';
 
@@ -55,7 +55,7 @@
       if (!p) throw new Failure({ tag: 'overloaded', step: 'Publish', peer: k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
       return p;
     }, true);
-    k.on('Interest', (b: { items: InterestItem[] }, f) => this.interests.hear(f.peer, f.inst, b.items, f.toLocal));
+    k.on('Interest', (b: { items: InterestRow[] }, f) => this.interests.hear(f.peer, f.inst, b.items.map(readInterestRow), f.toLocal));
     k.on('Open', (b: { topic: string; confirm: boolean }) => this.open(b), true);
     k.on('History', (b: { topic: string; from: number }): Promise<HistoryAnswer> => this.history(b), true);
     k.on('Heads', (b: { sums: [number, number][] }, f) => this.heads(b.sums, f.peer));
@@ -65,7 +65,11 @@
       return this.interests.countListeners(b.topic, this.serving(b.topic, 'Count').takenAt);
     }, true);
     k.on('Yield', (b: { shard: number; disk: string }) => this.yieldTo(b.shard, b.disk));
-    k.on('TakeKey', async (b: { shard: number }) => { await this.take(this.keys.get(b.shard)!); return this.keys.get(b.shard)!.state === 'owner'; });
+    k.on('TakeKey', async (b: { shard: number }) => {
+      const key = this.keys.get(b.shard)!;
+      await this.take(key);
+      return key.state === 'owner';
+    });
     k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
     k.keep(board.changed$.subscribe((key) => { if (key.startsWith('m/')) this.look(key.slice(2)); }));
     k.keep(board.state$.subscribe((m) => this.look(m.peer)));
@@ -155,7 +159,11 @@
     const able = this.board.able(peer);
     if (this.ableThen.get(peer) === able) return;
     this.ableThen.set(peer, able);
-    if (!able) for (const key of this.keys.values()) if ((this.board.get(`key/${key.shard}`) as KeyRec | undefined)?.peer === peer) key.triedAt = -Infinity;
+    if (!able) {
+      for (const key of this.keys.values()) {
+        if ((this.board.get(`key/${key.shard}`) as KeyRec | undefined)?.peer === peer) key.triedAt = -Infinity;
+      }
+    }
     if (this.looking) return;
     this.looking = true;
     this.k.host.clock.after(0, () => { this.looking = false; void this.tick(); });
