Where the stores' disks are several times slower, a majority of each shard's copies goes to quick disks

Disks say how long they took when opened; where others are four times quicker than the stores', three of five copies go there. Elsewhere nothing changes: placement.test.ts.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -14,6 +14,8 @@
   name: string;
   disk?: string;
   diskUses?: DiskUse[];
+  /** How long its disk took when it was opened (ms). */
+  diskMs?: number;
   inst: string;
   condition: Condition;
   /** Conns held. */
@@ -110,7 +112,11 @@
   sayMine(): void {
     const { config } = this.k.host;
     const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, name: config.name ?? this.k.self, inst: this.k.inst, ...this.mine };
-    if (rec.disk !== undefined) rec.diskUses = diskUsesOf(config);
+    if (rec.disk !== undefined) {
+      rec.diskUses = diskUsesOf(config);
+      const ms = this.k.host.db?.openMs;
+      if (ms !== undefined) rec.diskMs = Math.round(ms * 10) / 10;
+    }
     this.saidWeight = rec.weight;
     this.put(`m/${this.k.self}`, `${this.k.inst}.${String(++this.beat).padStart(10, '0')}`, rec);
   }
--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -2,8 +2,8 @@
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { erasAfter } from './eras.js';
-import { copiesFor, targetsOf, wantedCopies } from './placement.js';
-import { notReady, usedFor, type DiskRec, type MoveState, type Register, type Value } from './register.js';
+import { copiesFor, copyDisks, quickOf, targetsOf, wantedCopies } from './placement.js';
+import { firstFor, notReady, usedFor, type DiskRec, type MoveState, type Register, type Value } from './register.js';
 
 /** What the owner of a shard says on the board under `key/<shard>`. */
 export interface KeyRec { fence: string; gen: number; peer: string; inst: string; behind: string[] }
@@ -111,7 +111,7 @@
       if (!m.disk || now - m.liveSince < C.joinAfterMs || this.k.host.clock.wall() < waitsFor(v, m.peer)) continue;
       const d = disks.get(m.disk);
       if (!d) {
-        disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name });
+        disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name, ms: m.diskMs });
         said.push(`disk ${m.disk} joins at ${m.peer}`);
         for (const o of v.disks.values()) {
           if (o.peer === m.peer && o.state !== 'lost') { disks.set(o.id, { ...o, state: 'lost' }); said.push(`disk ${o.id} was replaced`); }
@@ -153,7 +153,7 @@
     if (good < odd) {
       const cand = rank('seat', [...v.disks.values()].filter((d) => fit(d) && !v.seats.includes(d.id)), (d) => d.id)
         // Disks that are for nothing else first: seats are confirmed by every node, and copies have work of their own.
-        .sort((a, b) => Number(usedFor(a, 'copies')) - Number(usedFor(b, 'copies')) || perDomain(a.domain) - perDomain(b.domain))[0];
+        .sort((a, b) => Number(firstFor(a, 'copies')) - Number(firstFor(b, 'copies')) || perDomain(a.domain) - perDomain(b.domain))[0];
       if (cand) { this.lastPlan = `seat for ${cand.id}`; return { ...v, seats: [...v.seats, cand.id] }; }
     }
     const drop = bad[0] ?? (v.seats.length > odd ? [...v.seats].sort((a, b) => Number(live(a)) - Number(live(b)))[0] : undefined);
@@ -252,7 +252,8 @@
   if (short(v.seats)) return 'the register would lose its majority';
   for (const [s, p] of v.shards) if (short(p.copies)) return `shard ${s} would lose its majority`;
   if (m.kind === 'restart') return undefined;
-  const active = [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'copies'));
+  const all = [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'copies'));
+  const active = copyDisks(all, quickOf(all));
   const now = copiesFor(v.config.copies ?? v.copies ?? C.copiesN, active.length);
   const left = active.filter((d) => d.id !== disk.id && live(d.id));
   if (left.length < now) return `${left.length} active live disks would be left for ${now} copies`;
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -1,6 +1,6 @@
 import { C, rank } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
-import type { DiskRec, Placement } from './register.js';
+import { firstFor, type DiskRec, type Placement } from './register.js';
 
 /**
  * Copies a shard gets: odd, so that one more copy never costs a larger majority without bearing one more loss.
@@ -21,14 +21,38 @@
   return c.placement?.find((p) => p.shard === shard)?.nodes.length ?? c.copies ?? copies;
 }
 
+/**
+ * Disks that answer several times sooner than those made for copies: a majority of copies there makes publishes as quick as they are.
+ * @example
+ * quickOf(disks) // none, unless the stores' disks are slow
+ */
+export function quickOf(disks: DiskRec[]): Set<string> {
+  const ms = disks.filter((d) => firstFor(d, 'copies') && d.ms !== undefined).map((d) => d.ms!).sort((a, b) => a - b);
+  const typical = ms[Math.floor(ms.length / 2)];
+  return new Set(typical === undefined ? [] : disks.filter((d) => d.ms !== undefined && d.ms * C.quickDiskX <= typical).map((d) => d.id));
+}
+
+/**
+ * The disks that take copies: those made for it, and quick ones besides; where there are none made for it, all.
+ * @example
+ * copyDisks(active, quickOf(active)).length
+ */
+export function copyDisks(disks: DiskRec[], quick: Set<string>): DiskRec[] {
+  const out = disks.filter((d) => firstFor(d, 'copies') || quick.has(d.id));
+  return out.length ? out : disks;
+}
+
 /**
  * The disks on which each shard's copies belong. Rendezvous order, domains taken in turn so that copies spread,
  * and within a domain no disk above its share times a slack while another has room.
  * @example
  * matchCopies(disks, 5).get(3); // ['disk-a', 'disk-f', ...]
  */
-export function matchCopies(disks: DiskRec[], copies: number, shardsN: number = C.shardsN): Map<number, string[]> {
+export function matchCopies(all: DiskRec[], copies: number, shardsN: number = C.shardsN): Map<number, string[]> {
+  const quick = quickOf(all);
+  const disks = copyDisks(all, quick);
   const n = copiesFor(copies, disks.length);
+  const most = Math.floor(n / 2) + 1;
   const cap = Math.ceil(((shardsN * n) / Math.max(1, disks.length)) * C.copiesSlack);
   const weight = new Map<string, number>();
   const out = new Map<number, string[]>();
@@ -39,8 +63,12 @@
     while (got.length < n) {
       // The spread over domains goes first: it bears the loss of a site, evenness only saves work.
       const least = Math.min(...left.map((d) => used.get(d.domain) ?? 0));
-      const pool = left.filter((d) => (used.get(d.domain) ?? 0) === least);
-      const d = pool.find((x) => (weight.get(x.id) ?? 0) < cap) ?? pool[0]!;
+      const near = left.filter((d) => (used.get(d.domain) ?? 0) === least);
+      // A majority on quick disks answers without waiting for the slow ones; the others bear the losses.
+      const wantQuick = got.filter((x) => quick.has(x)).length < most;
+      const some = near.filter((d) => quick.has(d.id) === wantQuick);
+      const pool = some.length ? some : near;
+      const d = pool.find((x) => quick.has(x.id) || (weight.get(x.id) ?? 0) < cap) ?? pool[0]!;
       left.splice(left.indexOf(d), 1);
       used.set(d.domain, least + 1);
       weight.set(d.id, (weight.get(d.id) ?? 0) + 1);
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -9,8 +9,14 @@
 import { fromText, toText } from './text.js';
 
 export type DiskState = 'active' | 'emptying' | 'lost';
-/** `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
-export interface DiskRec { id: string; peer: string; domain: string; state: DiskState; uses?: DiskUse[]; name?: string }
+/** `ms`: how long it took when it was first opened. `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
+export interface DiskRec { id: string; peer: string; domain: string; state: DiskState; uses?: DiskUse[]; name?: string; ms?: number }
+/**
+ * Whether a disk is for this before anything else.
+ * @example
+ * firstFor(disk, 'copies') // false for a control node's, though it may take copies too
+ */
+export const firstFor = (d: DiskRec, use: DiskUse): boolean => (d.uses?.[0] ?? 'copies') === use;
 /**
  * Whether a disk is for this.
  * @example
@@ -387,7 +393,7 @@
     const since = clock.now() - this.k.startedAt;
     if (since < C.foundAfterMs) return;
     const wanted = config.losses === undefined ? C.copiesN : 2 * config.losses + 1;
-    if (since < C.foundAnywayMs && this.board.live().filter((m) => m.diskUses?.includes('copies')).length < wanted) return;
+    if (since < C.foundAnywayMs && this.board.live().filter((m) => m.diskUses?.[0] === 'copies').length < wanted) return;
     const who = await Promise.all(config.seeds.map((s) => this.k.call<{ disk: string; fleet?: string }>(s, 'RegWho', {}).catch(() => undefined)));
     if (who.some((w) => !w || w.fleet !== undefined)) return;
     const seats = who.map((w) => w!.disk);
@@ -409,7 +415,7 @@
 
   private genesis(seats: string[], fleet: string): Value {
     const disks = new Map<string, DiskRec>();
-    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name });
+    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name, ms: m.diskMs });
     seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active', uses: ['seat'] }); });
     const { losses } = this.k.host.config;
     const copies = losses === undefined ? C.copiesN : 2 * losses + 1;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -245,6 +245,8 @@
   keeperMs: 500,
   /** Steps of the keeper that follow from one another at once; then it looks again after its period. */
   keeperStepsN: 8,
+  /** A disk this many times sooner than those made for copies is worth having copies on. */
+  quickDiskX: 4,
   /** A disk seen live this long is let into the disk set: a process that ends right after its start is not. */
   joinAfterMs: 500,
   /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
--- a/packages/kernel/src/disk.ts
+++ b/packages/kernel/src/disk.ts
@@ -52,6 +52,8 @@
   private settles: (() => void)[] = [];
   private changes: () => number;
   commits = 0;
+  /** How long the disk took when it was opened (ms), if that was measured. */
+  openMs?: number;
   works = 0;
 
   constructor(
--- a/packages/kernel/src/host.ts
+++ b/packages/kernel/src/host.ts
@@ -63,7 +63,7 @@
   data?: string;
   /** The machine's name, by which operators call it; its peer address where left out. */
   name?: string;
-  /** What the disk is for; both where left out, but a control node's is for a seat only. */
+  /** What the disk is for, in order; copies, then a seat where left out, but a control node's is for a seat only. */
   diskUses?: DiskUse[];
   /** Machines with a disk that may be lost at once while nothing is lost: sets the copies of a shard where the configuration doesn't. */
   losses?: number;
--- a/packages/kernel/src/node-config.ts
+++ b/packages/kernel/src/node-config.ts
@@ -89,10 +89,10 @@
 }
 
 /**
- * What a node's disk is for.
+ * What a node's disk is for, what it is for first standing first.
  * @example
  * diskUsesOf({ role: 'control', ... }); // ['seat']
  */
 export function diskUsesOf(c: NodeConfig): DiskUse[] {
-  return c.diskUses ?? (c.role === 'control' ? ['seat'] : ['seat', 'copies']);
+  return c.diskUses ?? (c.role === 'control' ? ['seat'] : ['copies', 'seat']);
 }
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -41,7 +41,7 @@
 }
 
 /** Whether a database file opens, reads well throughout and takes a write. */
-function tryOpen(file: string): { tag: 'well'; sql: Sql } | { tag: 'damaged' | 'unwritable'; why: string } {
+function tryOpen(file: string): { tag: 'well'; sql: Sql; ms: number } | { tag: 'damaged' | 'unwritable'; why: string } {
   let sql: Sql | undefined;
   try {
     // What the write-ahead log lost in its middle the database would leave out without a word.
@@ -57,8 +57,10 @@
     const altered = wrongOnDisk(sql);
     if (altered !== undefined) { sql.close(); return { tag: 'damaged', why: altered }; }
     // A page that must be written and synced, and is given back.
-    sql.exec('create table if not exists probe (x blob); insert into probe values (zeroblob(65536)); delete from probe;');
-    return { tag: 'well', sql };
+    sql.exec('create table if not exists probe (x blob)');
+    const t0 = performance.now();
+    sql.exec('insert into probe values (zeroblob(65536)); delete from probe;');
+    return { tag: 'well', sql, ms: performance.now() - t0 };
   } catch (e) {
     const { code = '', message } = e as Error & { code?: string };
     sql?.close();
@@ -120,7 +122,9 @@
     r = tryOpen(file);
   }
   if (r.tag !== 'well') throw new Error(`${file}: ${r.why}`);
-  return new Db(r.sql, clock, () => C.commitMs, onFault, self, ownSyncs(r.sql, file, sync));
+  const db = new Db(r.sql, clock, () => C.commitMs, onFault, self, ownSyncs(r.sql, file, sync));
+  db.openMs = r.ms;
+  return db;
 }
 
 /**
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -151,7 +151,7 @@
     condition: Type.String(), weight: Count, ageMs: Num,
   })),
   disks: List(obj({ id: Type.String(), peer: Name64, domain: Type.String(), state: Type.String(), seat: Type.Boolean(), copies: Count,
-    name: Maybe(Type.String()), uses: Maybe(List(Type.String())) })),
+    name: Maybe(Type.String()), uses: Maybe(List(Type.String())), ms: Maybe(Num) })),
   keys: List(obj({
     shard: Count, gen: Count, copies: List(Type.String()), fence: Maybe(Type.String()), peer: Maybe(Name64), inst: Maybe(Type.String()),
     behind: Maybe(List(Type.String())),
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -261,11 +261,13 @@
           });
         }),
       };
-      n.db = host.db = new Db(n.sql, blocking, () => n.diskMs * (0.5 + rnd.next()), (e) => {
+      const db = new Db(n.sql, blocking, () => n.diskMs * (0.5 + rnd.next()), (e) => {
         this.lines.push(`${(this.now / 1000).toFixed(3)} ${n.name} disk fault: ${e.message}`);
         if (!n.fullDisk) this.errors.push(`${n.name} disk: ${e.message}`);
         this.kill(n);
       }, n.config.peer);
+      db.openMs = n.diskMs;
+      n.db = host.db = db;
     }
     const { kernel, edge } = await startNode(host);
     n.kernel = kernel;
--- a/packages/trial/src/test/placement.test.ts
+++ b/packages/trial/src/test/placement.test.ts
@@ -57,3 +57,23 @@
   }), { seed: SEED, numRuns: 150 });
   t.true(others / runs < 4, `${(others / runs).toFixed(2)} other keys moved on average`);
 });
+
+const fleet = (controlMs: number, storeMs: number): DiskRec[] => [
+  ...[0, 1, 2].map((i): DiskRec => ({ id: `c${i}`, peer: `c${i}`, domain: `z${i}`, state: 'active', uses: ['seat', 'copies'], ms: controlMs + i / 10 })),
+  ...Array.from({ length: 12 }, (_, i): DiskRec => ({ id: `s${i}`, peer: `s${i}`, domain: `z${i % 3}`, state: 'active', uses: ['copies', 'seat'], ms: storeMs + i })),
+];
+
+test('slow stores: a majority of each shard is on quick disks, the others on stores, domains in turn; no copies there otherwise', (t) => {
+  for (const copies of matchCopies(fleet(4, 80), 5).values()) {
+    t.is(copies.filter((d) => d.startsWith('c')).length, 3);
+    t.is(new Set(copies.filter((d) => d.startsWith('s')).map((d) => Number(d.slice(1)) % 3)).size, 2, 'the two others in two domains');
+  }
+  for (const [a, b] of [[4, 5], [4, 9]] as const) for (const copies of matchCopies(fleet(a, b), 5).values()) t.true(copies.every((d) => d.startsWith('s')));
+  // One quick disk is gone: what is left of them, and a store instead.
+  for (const copies of matchCopies(fleet(4, 80).filter((d) => d.id !== 'c1'), 5).values()) t.is(copies.filter((d) => d.startsWith('c')).length, 2);
+  // Owners are spread all the same.
+  const shards = new Map([...matchCopies(fleet(4, 80), 5)].map(([s, c]) => [s, { gen: 1, copies: c }] as [number, Placement]));
+  const most = new Map<string, number>();
+  for (const d of matchOwners(shards, () => true).values()) most.set(d, (most.get(d) ?? 0) + 1);
+  t.true(Math.max(...most.values()) <= 4, [...most].join(' '));
+});
