An owner cut from its copies loses its keys after 1 s; a cut-off prober accuses nobody

Cause: an owner that relays reach and its copies don't was left alone for 3 s, then asked for its keys over a broken link.

An owner without a majority's answer for 1 s calls itself ill, whose keys are taken without asking; where all are ill, one of them does.

senders.test.ts: two tests, both failed on the code before.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -355,9 +355,12 @@
     try {
       const mine = this.ping(m.peer);
       if (await within(clock, C.probeAloneMs, mine)) return; // the answer itself was the sign of life
-      const helpers = sample(rnd, this.live().map((x) => x.peer).filter((p) => p !== this.k.self && p !== m.peer), C.probeHelpersN);
-      const others = helpers.map((h) => this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeHelpMs).catch(() => false));
-      const got = await within(clock, C.probeHelpMs, gather([mine, ...others], (xs) => xs.includes(true)));
+      // Of whom we heard lately: those that we can't reach ourselves would answer nothing, and that is no sign against the member.
+      const others = this.live().filter((x) => x.peer !== this.k.self && x.peer !== m.peer);
+      const near = others.filter((x) => clock.now() - x.seenAt < C.probeAfterMs);
+      const helpers = sample(rnd, (near.length ? near : others).map((x) => x.peer), C.probeHelpersN);
+      const tried = helpers.map((h) => this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeHelpMs).catch(() => false));
+      const got = await within(clock, C.probeHelpMs, gather([mine, ...tried], (xs) => xs.includes(true)));
       const now = this.members.get(m.peer);
       if (!now || now.inst !== m.inst) return;
       if (got?.includes(true)) {
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -140,7 +140,16 @@
    * to serve: a fleet that comes back together shares its keys at once, rather than the first one up having them all.
    */
   private wanted(not?: string, coming = false): Map<number, string> {
-    return matchOwners(this.reg.value!.shards, (d) => d !== not && (this.peerAble(d) !== undefined || (coming && this.isComing(d))));
+    const { shards } = this.reg.value!;
+    const out = matchOwners(shards, (d) => d !== not && (this.peerAble(d) !== undefined || (coming && this.isComing(d))));
+    // Where all copies' machines call themselves ill, one of them must do.
+    if (out.size < shards.size) for (const [s, d] of matchOwners(shards, (x) => x !== not && this.isIll(x))) if (!out.has(s)) out.set(s, d);
+    return out;
+  }
+
+  private isIll(disk: string): boolean {
+    const m = this.board.ofDisk(disk);
+    return this.reg.value?.disks.get(disk)?.state === 'active' && m !== undefined && m.state === 'live' && m.condition === 'ill';
   }
 
   private isComing(disk: string): boolean {
@@ -207,7 +216,8 @@
           if (now - key.triedAt < C.takeRetryMs) break;
           key.triedAt = now;
           if (!rec || this.copies.get(key.shard).promised > rec.fence) unknown.push(key);
-          else void (holder ? this.askFor(key, holder) : this.take(key));
+          // A holder that calls itself unable is not asked; we take the key, the fence decides.
+          else void (holder && this.board.able(holder) ? this.askFor(key, holder) : this.take(key));
           break;
         }
         case 'taking':
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -95,7 +95,7 @@
   /** Who asked for a key in vain may ask again after this long. */
   yieldVainMs: 30_000,
   /** An owner in doubt this long calls itself ill, so that others take its keys ... */
-  forlornMs: 3_000,
+  forlornMs: 1_000,
   /** ... and stays so this long: links that broke seldom mend in seconds. */
   illMs: 20_000,
   /** Time limit of one Append; a slow disk may take a while, and the others make the majority. */
--- a/packages/trial/src/outage.ts
+++ b/packages/trial/src/outage.ts
@@ -3,7 +3,7 @@
 import { build, configOf, SMALL } from './scenario.js';
 import { Sim, type SimNode } from './sim.js';
 
-const KINDS = ['killed', 'frozen', 'cut off', 'power lost, comes back', 'stopped', 'syncs stop its loop', 'relay killed'] as const;
+const KINDS = ['killed', 'frozen', 'cut off', 'power lost, comes back', 'cut from copies', 'stopped', 'syncs stop its loop', 'relay killed'] as const;
 const a = yargs(process.argv.slice(2))
   .scriptName('outage')
   .usage('$0 [flags]\n\nFor one dead machine of each kind: how long publishes to the topics it owned find nobody, by cause. Virtual time.')
@@ -50,6 +50,7 @@
     case 'killed': case 'relay killed': sim.kill(victim); break;
     case 'frozen': sim.freeze(victim); break;
     case 'cut off': for (const n of sim.nodes.values()) if (n !== victim) sim.cut(victim.name, n.name); break;
+    case 'cut from copies': for (const n of m.disks) if (n !== victim) sim.cut(victim.name, n.name); break;
     case 'power lost, comes back': sim.kill(victim); sim.clock.after(1_500, () => void sim.start(victim)); break;
     case 'stopped': void sim.stop(victim); break;
     case 'syncs stop its loop': victim.stallMs = [1_000, 3_000]; break;
--- a/packages/trial/src/test/senders.test.ts
+++ b/packages/trial/src/test/senders.test.ts
@@ -1,7 +1,8 @@
-import { shardOf } from '@harecross/kernel';
+import { C, shardOf } from '@harecross/kernel';
 import test from 'ava';
 import { FAMILIES, smallFleet, type Small } from './small-fleet.js';
-import type { SimNode } from '../sim.js';
+import { build, configOf, SMALL } from '../scenario.js';
+import { Sim, type SimNode } from '../sim.js';
 
 const TOPIC = 'feed/7';
 const publish = (s: Small, n: SimNode, seq: number, topic = TOPIC): Promise<{ status: number; body: any }> =>
@@ -154,6 +155,7 @@
 const happenings: [what: string, mostMs: number, happen: (s: Small, owner: SimNode) => void][] = [
   ['is killed', 200, (s, o) => s.sim.kill(o)],
   ['falls silent', 800, (s, o) => { for (const n of s.sim.nodes.values()) if (n !== o) s.sim.cut(o.name, n.name); }],
+  ['loses its links to the other copies', 1_400, (s, o) => { for (const n of s.stores) if (n !== o) s.sim.cut(o.name, n.name); }],
   ['is frozen', 800, (s, o) => s.sim.freeze(o)],
   ['is stopped', 80, (s, o) => { void s.sim.stop(o); }],
   ['hands its key to another', 80, (s, o) => {
@@ -173,3 +175,21 @@
     }
   });
 }
+
+test('a machine that is cut from some others does not make those look gone: their keys stay where they are', async (t) => {
+  for (const seed of [121, 122, 123]) {
+    const sim = new Sim(seed);
+    const m = await build(sim, SMALL);
+    await sim.run(7_000);
+    void sim.outside.visit(m.relays[5]!.config.client, 'SubmitConfig', { changeId: 'c', config: configOf(SMALL) }, 9_000);
+    await sim.run(16_000);
+    const [victim, ...others] = m.disks as [SimNode, ...SimNode[]];
+    const owned = (n: SimNode): number[] => n.kernel!.use('owner').owned().map((k) => k.shard);
+    const before = others.map(owned);
+    for (const n of others) sim.cut(victim.name, n.name);
+    await sim.run(sim.now + 5_000);
+    t.deepEqual(others.map(owned).map((now, i) => before[i]!.filter((k) => !now.includes(k))), others.map(() => []));
+    t.is(others.flatMap(owned).length, C.shardsN, 'the keys of the one that was cut off are with the others');
+    sim.close();
+  }
+});
