Line clients of tests come from an address of their own

Probable, not proved: the 2,000 slow openers of platform-access.test.ts take ports of 127.0.0.1 that the OS had just called free for another test's process, which then cannot listen.

--- a/packages/trial/src/test/platform-client.ts
+++ b/packages/trial/src/test/platform-client.ts
@@ -3,6 +3,12 @@
 /** What came on a connection: a line of fields, and the body of a DELIVER. */
 export interface Said { fields: string[]; body?: string }
 
+/**
+ * Clients come from an address of their own: thousands of them on 127.0.0.1 would take ports there that the OS has just named as free
+ * to other tests' processes.
+ */
+const OURS = '127.0.0.2';
+
 /** A client of the platform's line protocol, written from its pages alone: it shares no code with the listener. */
 export class LineClient {
   readonly all: Said[] = [];
@@ -25,7 +31,7 @@
   /** @example const c = await LineClient.to(8266); // `deaf`: reads nothing until `listen` */
   static to(port: number, x: { host?: string; deaf?: boolean } = {}): Promise<LineClient> {
     return new Promise((res, rej) => {
-      const socket = connect({ port, host: x.host ?? '127.0.0.1' });
+      const socket = connect({ port, host: x.host ?? '127.0.0.1', localAddress: OURS });
       socket.setNoDelay(true);
       socket.once('error', rej);
       socket.once('connect', () => { socket.removeListener('error', rej); res(new LineClient(socket, x.deaf === true)); });
