--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,4 +1,4 @@
-import { C, Failure, Kernel, every, gather, loop, pack, register as plug, retryAfter, sleep, unpack, within, type DiskUse } from '@harecross/kernel';
+import { C, Failure, Kernel, every, gather, loop, register as plug, retryAfter, sleep, within, type DiskUse } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
 import type { Store } from '@harecross/state';
 import { BehaviorSubject, Subject } from 'rxjs';
@@ -6,10 +6,17 @@
 import type { Board } from './board.js';
 import type { Eras } from './eras.js';
 import { matchCopies } from './placement.js';
+import { fromText, toText } from './text.js';
 
 export type DiskState = 'active' | 'emptying' | 'lost';
-/** `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
-export interface DiskRec { id: string; peer: string; domain: string; state: DiskState; uses?: DiskUse[]; name?: string }
+/** `ms`: how long it took when it was first opened. `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
+export interface DiskRec { id: string; peer: string; domain: string; state: DiskState; uses?: DiskUse[]; name?: string; ms?: number }
+/**
+ * Whether a disk is for this before anything else.
+ * @example
+ * firstFor(disk, 'copies') // false for a control node's, though it may take copies too
+ */
+export const firstFor = (d: DiskRec, use: DiskUse): boolean => (d.uses?.[0] ?? 'copies') === use;
 /**
  * Whether a disk is for this.
  * @example
@@ -94,14 +101,14 @@
       this.st = k.use('state');
       this.disk = this.st.get('disk')!;
       const s = this.st.seat();
-      if (s.value) { this.hint = unpack(s.value) as Value; this.hintBallot = s.ballot; }
+      if (s.value) { this.hint = fromText(s.value); this.hintBallot = s.ballot; }
       board.say({ disk: this.disk });
       this.serveSeat(this.st, this.disk);
     }
-    k.onNewer = (_rev, peer) => this.fetch(peer);
+    k.onNewer = (rev, peer) => this.follow(rev, peer);
     k.on('RegGet', () => {
       const v = this.value$.value;
-      return v ? pack(v) : undefined;
+      return v ? toText(v) : undefined;
     });
     k.keep(loop(clock, C.confirmMs, rnd, () => this.confirm()));
     // Until the first one, often, and not one after another: whom we ask may itself not be there yet.
@@ -164,7 +171,7 @@
       });
       // Told to nobody before it lasts: a majority that has accepted a value has agreed on it.
       if (r.ok && b.ballot >= this.hintBallot) {
-        this.hint = unpack(b.value) as Value;
+        this.hint = fromText(b.value);
         this.hintBallot = b.ballot;
       }
       return r;
@@ -191,11 +198,20 @@
     this.board.pass([], C.newsFanN);
   }
 
+  /** Takes a newer value that a peer has. Who hears of it from several fetches it once, and from the others only if that takes long. */
+  private async follow(rev: number, peer: string): Promise<void> {
+    if (this.fetching.size) {
+      await within(this.k.host.clock, C.fetchAloneMs, Promise.race(this.fetching.values()));
+      if (this.k.rev >= rev) return;
+    }
+    await this.fetch(peer);
+  }
+
   private fetch(peer: string): Promise<void> {
     let p = this.fetching.get(peer);
     if (!p) {
       p = this.k.call<string | undefined>(peer, 'RegGet', {})
-        .then((s) => { if (s) this.learn(unpack(s) as Value); }, () => undefined /* the next frame tells us again */)
+        .then((s) => { if (s) this.learn(fromText(s)); }, () => undefined /* the next frame tells us again */)
         .finally(() => this.fetching.delete(peer));
       this.fetching.set(peer, p);
     }
@@ -251,7 +267,7 @@
     const few = new Set<string>();
     for (const d of order) if (!majority(bothSets(v), few)) few.add(d);
     const calls = (ds: Iterable<string>): Promise<ReadBack>[] =>
-      this.ask<ReadBack>([...ds], 'RegRead', {}).map((p) => p.then((r) => { heard.add(r.disk); got.push(r); return r; }));
+      this.ask<ReadBack>([...ds], 'RegRead', {}).map((p) => p.then((r) => { heard.add(r.disk); got.push(r); this.outbid(r.ballot); return r; }));
     const first = calls(few);
     await within(this.k.host.clock, C.confirmAloneMs, gather(first, enough));
     if (!enough()) await gather([...first, ...calls(order.filter((d) => !few.has(d)))], enough);
@@ -313,9 +329,13 @@
     throw new Failure({ tag: 'no_majority', step: 'change', peer: this.k.self, detail: why });
   }
 
+  /** Our next ballot is above this one. */
+  private outbid(ballot: string): void {
+    this.n = Math.max(this.n, Number(ballot.slice(0, 12)) || 0);
+  }
+
   private async round<T>(start: Value, fn: (v: Value) => { next?: Value; out: T }): Promise<{ tag: 'done'; out: T } | { tag: 'again'; why: string }> {
     const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
-    const bump = (p: string): void => { this.n = Math.max(this.n, Number(p.slice(0, 12)) || 0); };
     let h = start;
     const got = new Map<string, Prepared>();
     // Prepare, following the seats as newer values show them.
@@ -326,7 +346,7 @@
       let refused = false;
       await gather(
         this.ask<Prepared>(asked, 'RegPrepare', { ballot }).map((p) => p.then((r) => {
-          if (!r.ok) { bump(r.promised); refused = true; return r; }
+          if (!r.ok) { this.outbid(r.promised); refused = true; return r; }
           got.set(r.disk, r); heard.add(r.disk);
           return r;
         })),
@@ -336,7 +356,7 @@
       if (!majority(sets, heard)) return { tag: 'again', why: `only ${heard.size} of ${union(h).length} seats answered` };
       const top = [...got.values()].filter((r) => r.value).reduce<Prepared | undefined>((a, b) => (!a || b.ballot > a.ballot ? b : a), undefined);
       if (!top) return { tag: 'again', why: 'seats are empty' };
-      const v = unpack(top.value!) as Value;
+      const v = fromText(top.value!);
       const settled = majority(bothSets(v), new Set(got.keys()));
       h = v;
       if (settled) break;
@@ -344,14 +364,14 @@
     const res = fn(h);
     const next = res.next ? { ...res.next, rev: h.rev + 1, prevSeats: h.seats } : h;
     invariant(!res.next || Math.abs(next.seats.length - h.seats.length) <= 1, 'one seat at a time');
-    const value = pack(next);
+    const value = toText(next);
     const sets = bothSets(next);
     const heard = new Set<string>();
     let refused = false;
     await gather(
       this.ask<Accepted>(union(next), 'RegAccept', { ballot, value }).map((p) => p.then((r) => {
         if (r.ok) heard.add(r.disk);
-        else { bump(r.promised); refused = true; }
+        else { this.outbid(r.promised); refused = true; }
         return r;
       })),
       () => majority(sets, heard),
@@ -373,19 +393,19 @@
     const since = clock.now() - this.k.startedAt;
     if (since < C.foundAfterMs) return;
     const wanted = config.losses === undefined ? C.copiesN : 2 * config.losses + 1;
-    if (since < C.foundAnywayMs && this.board.live().filter((m) => m.diskUses?.includes('copies')).length < wanted) return;
+    if (since < C.foundAnywayMs && this.board.live().filter((m) => m.diskUses?.[0] === 'copies').length < wanted) return;
     const who = await Promise.all(config.seeds.map((s) => this.k.call<{ disk: string; fleet?: string }>(s, 'RegWho', {}).catch(() => undefined)));
     if (who.some((w) => !w || w.fleet !== undefined)) return;
     const seats = who.map((w) => w!.disk);
     const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
     const ps = await Promise.all(seats.map((d, i) => this.k.call<Prepared>(config.seeds[i]!, 'RegPrepare', { disk: d, ballot }).catch(() => undefined)));
-    for (const p of ps) if (p && !p.ok) this.n = Math.max(this.n, Number(p.promised.slice(0, 12)) || 0);
+    for (const p of ps) if (p && !p.ok) this.outbid(p.promised);
     if (ps.some((p) => !p?.ok)) return;
     const held = ps.filter((p) => p!.value).reduce<Prepared | undefined>((a, b) => (!a || b!.ballot > a.ballot ? b : a), undefined);
     // A founding that was cut short: the same value, not another one.
-    const v = held ? (unpack(held.value!) as Value) : this.genesis(seats, `${Math.floor(rnd.next() * 2 ** 48).toString(36)}`);
+    const v = held ? fromText(held.value!) : this.genesis(seats, `${Math.floor(rnd.next() * 2 ** 48).toString(36)}`);
     if (v.rev !== 1) return; // a fleet that lives: the ordinary way finds it
-    const value = pack(v);
+    const value = toText(v);
     const as = await Promise.all(seats.map((d, i) => this.k.call<Accepted>(config.seeds[i]!, 'RegAccept', { disk: d, ballot, value }).catch(() => undefined)));
     if (as.every((a) => a?.ok)) {
       this.k.host.log.info('fleet founded', { fleet: v.fleet, disks: v.disks.size });
@@ -395,7 +415,7 @@
 
   private genesis(seats: string[], fleet: string): Value {
     const disks = new Map<string, DiskRec>();
-    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name });
+    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name, ms: m.diskMs });
     seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active', uses: ['seat'] }); });
     const { losses } = this.k.host.config;
     const copies = losses === undefined ? C.copiesN : 2 * losses + 1;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -219,6 +219,8 @@
   freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
   seatsN: 7,
+  /** A newer value is fetched from one peer, and from others only after this long: several ways there and back, and a lost packet. */
+  fetchAloneMs: 80,
   /** A visit from a peer that knows a newer value waits for it; what could not be fetched is fetched again after this long. */
   behindRetryMs: 40,
   /** Change attempts give up after this long, and say so. */
@@ -243,6 +245,8 @@
   keeperMs: 500,
   /** Steps of the keeper that follow from one another at once; then it looks again after its period. */
   keeperStepsN: 8,
+  /** A disk this many times sooner than those made for copies is worth having copies on. */
+  quickDiskX: 4,
   /** A disk seen live this long is let into the disk set: a process that ends right after its start is not. */
   joinAfterMs: 500,
   /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
