--- a/packages/trial/src/test/plant-tests.ts
+++ b/packages/trial/src/test/plant-tests.ts
@@ -1,7 +1,7 @@
 import { Operators, Register } from '@harecross/control';
-import { Copies, Edge, Holds, Interests, Owner, Replication, Route } from '@harecross/data';
+import { Copies, Edge, Holds, Interests, Key, Owner, Replication, Route } from '@harecross/data';
 import { C, Db, Failure } from '@harecross/kernel';
-import { Store } from '@harecross/state';
+import { senderKey, Store } from '@harecross/state';
 import test from 'ava';
 import { SCENARIOS } from '../faults.js';
 import type { Rule } from '../oracle.js';
@@ -43,6 +43,32 @@
     patch: { append: (old) => function (this: any, b: any) { const c = this.get(b.shard); return old.call(this, { ...b, fence: b.fence < c.promised ? c.promised : b.fence }); } } },
   { what: 'an owner that forgets what senders said', proto: Owner.prototype, sc: 'mixed', seeds: [1, 2, 3, 4], rules: ['once', 'order'],
     patch: { publish: (old) => function (this: any, b: any) { for (const k of this.keys.values()) k.senders.clear(); return old.call(this, b); } } },
+  { what: 'an owner that knows only the last number of each sender', proto: Key.prototype, sc: 'calm', seeds: [1], rules: ['final'],
+    patch: { outcome: (old) => function (this: any, topic: string, sender: string, seq: number) {
+      const last = this.senders.get(senderKey(topic, sender))?.at(-1);
+      return last && seq < last.seq ? { tag: 'passed', above: last.seq, idx: 0 } : old.call(this, topic, sender, seq);
+    } } },
+  { what: 'an owner that forgets the outcome of some repeats', proto: Key.prototype, sc: 'calm', seeds: [1], rules: ['repeat'],
+    patch: { outcome: (old) => function (this: any, topic: string, sender: string, seq: number) {
+      const r = old.call(this, topic, sender, seq);
+      return r.tag === 'stored' && seq % 2 ? { tag: 'forgotten' } : r;
+    } } },
+  { what: 'an owner that stores publishes as they come', proto: Owner.prototype, sc: 'handovers', seeds: [1, 2, 3], rules: ['overtaken'],
+    patch: { publish: (old) => function (this: any, { after, ...b }: any) { return old.call(this, b); } } },
+  { what: 'an owner that accepts on its own copy, and tells the others at its next beat', proto: Replication.prototype,
+    sc: 'blackout-lost-disk', seeds: [1, 2, 3, 4, 5, 6], rules: ['lost', 'skipped', 'once'],
+    patch: Object.fromEntries(['advance', 'kick'].map((m) => [m, (old: any) => function (this: any, key: any, beat: boolean) {
+      const c = key.copies;
+      if (!beat) key.copies = [this.reg.disk];
+      old.call(this, key, beat);
+      key.copies = c;
+    }])) },
+  { what: 'a disk whose matter comes back an hour old', proto: Store.prototype, sc: 'cursors', seeds: [1, 2], rules: ['resume'],
+    patch: { copies: (old) => function (this: any, now: number) {
+      const out = old.call(this, now);
+      for (const c of out.values()) for (const e of c.entries) e.at = now - 3_600_000;
+      return out;
+    } } },
   { what: 'a relay that never reads history', proto: Holds.prototype, sc: 'churn', seeds: [1, 2], rules: ['lost', 'skipped'],
     patch: { pull: () => () => undefined } },
   { what: 'a node that serves by a configuration it cannot confirm', proto: Register.prototype, sc: 'cut-config', seeds: [1, 2], rules: ['config_late', 'removed_flow'],
@@ -126,9 +152,9 @@
   { what: 'a relay that counts one listener too many', proto: Holds.prototype, sc: 'calm', seeds: [1], rules: ['counts'],
     patch: { count: (old) => function (this: any, t: string) { const n = old.call(this, t); return n ? n + 1 : 0; } } },
   { what: 'a relay that holds a rejection to the deadline', proto: Route.prototype, sc: 'overload', seeds: [1, 2], rules: ['held'],
-    patch: { atOwner: (old) => async function (this: any, t: string, m: string, b: any, ms: number) {
+    patch: { atOwner: (old) => async function (this: any, t: string, m: string, b: any, ms: number, sent: any) {
       const t0 = this.k.host.clock.now();
-      try { return await old.call(this, t, m, b, ms); } catch (e) {
+      try { return await old.call(this, t, m, b, ms, sent); } catch (e) {
         const left = ms - 50 - (this.k.host.clock.now() - t0);
         if (left > 0 && m === 'Publish') await new Promise<void>((res) => { this.k.host.clock.after(left, res); });
         throw e;
