--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -107,9 +107,12 @@
     k.keep(loop(clock, C.confirmMs, rnd, () => this.confirm()));
     // Until the first one, often, and not one after another: whom we ask may itself not be there yet.
     let tries = 0;
+    let skipped = 0;
     const first = every(clock, C.firstConfirmMs, rnd).subscribe(() => {
       if (this.confirmed()) { first.unsubscribe(); return; }
       if (tries >= C.firstConfirmN) return;
+      // The core is not there: all who wait for it must not keep it busy when it comes.
+      if (clock.now() - k.startedAt > C.firstConfirmForMs && ++skipped % C.firstConfirmEachN !== 0) return;
       tries++;
       void this.confirm().catch(() => undefined).finally(() => { tries--; });
     });
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -211,6 +211,9 @@
   /** Before the first confirmation after a start a node tries this often, this many at once: traffic waits for it. */
   firstConfirmMs: 60,
   firstConfirmN: 4,
+  /** ... for this long; then one try in so many. */
+  firstConfirmForMs: 3_000,
+  firstConfirmEachN: 8,
   /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
   applyMs: 3_000,
   /** Seats beyond a majority are asked when those asked first did not answer after this long; a sync of a slow disk is not waited for. */
--- a/packages/trial/src/test/retries.test.ts
+++ b/packages/trial/src/test/retries.test.ts
@@ -58,3 +58,25 @@
   t.true((after.answers.get('accepted') ?? 0) > 590, 'all is well three seconds after the cut is healed');
   f.sim.close();
 });
+
+test('nodes that begin while the core is away ask for it often at first, then seldom, and are there at once when it is', async (t) => {
+  const f = await controlFleet(22, { relays: 6 });
+  const others = [...f.relays, ...f.stores];
+  for (const n of [...f.controls, ...others]) f.sim.kill(n);
+  for (const n of others) void f.sim.start(n);
+  f.sim.measure = true;
+  const asked = async (s: number): Promise<number> => {
+    f.sim.traffic.clear();
+    await f.pass(s * 1_000);
+    return (f.sim.traffic.get('RegGet')?.n ?? 0) / s / others.length;
+  };
+  const first = await asked(3);
+  await f.pass(500);
+  const later = await asked(5);
+  for (const n of f.controls) void f.sim.start(n);
+  await f.pass(2_500);
+  t.log(`asked for the configuration a node and second: ${first.toFixed(1)} at first, ${later.toFixed(1)} later`);
+  t.true(later < 5 && later < first / 2);
+  for (const n of others) t.true(n.kernel!.use('register').fresh(), n.name);
+  f.sim.close();
+});
