--- /dev/null
+++ b/packages/trial/src/model-key.ts
@@ -0,0 +1,285 @@
+import { erasAfter } from '@harecross/control';
+import { Copies, Owner, type Key } from '@harecross/data';
+import { Failure, faultOf, shardOf, type Clock } from '@harecross/kernel';
+import { Store, type Copy } from '@harecross/state';
+import { Subject } from 'rxjs';
+import { pathToFileURL } from 'node:url';
+
+export interface KeyPlan {
+  /** Times that some node takes the key, in all. */
+  takes: number;
+  /** Messages of one sender, and how often any of them is sent, in all. */
+  messages: number;
+  sends: number;
+  /** Visits, or answers to them, that may be lost. */
+  losses: number;
+  /** Times a node may end and begin anew, with what its disk has. */
+  restarts: number;
+  planted?: 'takes lower fences' | 'forgets its promise' | 'answers before it has synced' | 'hides its history';
+  mostStates?: number;
+}
+export interface KeyResult { states: number; runs: number; whole: boolean; bad?: { what: string; path: string[] } }
+
+const NODES = ['a', 'b', 'c'];
+const TOPIC = 't/1';
+const SHARD = shardOf(TOPIC);
+const CONFIG = { families: [{ name: 'f', topics: ['t/*'], urgency: 'routine' as const, patienceMs: 2_000, memoryS: 30 }] };
+const VALUE = { rev: 1, version: 1, config: CONFIG, eras: erasAfter(new Map(), CONFIG, 1), shards: new Map([[SHARD, { gen: 1,
+  copies: NODES }]]), disks: new Map(NODES.map((d) => [d, { id: d, peer: d, domain: d, state: 'active' }])) };
+const turn = (): Promise<void> => new Promise((r) => setImmediate(r));
+
+type Handler = (b: any, f: any) => unknown;
+interface Ask { from: number; to: number; m: string; body: any; res: (x: unknown) => void; rej: (e: unknown) => void }
+interface Step { label: string; go: () => void }
+
+/** Three nodes with the real copies and owners of one key; the search chooses what happens next. */
+class World {
+  private asks: Ask[] = [];
+  private sleeps: { of: number; life: number; fn: () => void }[] = [];
+  private disks: Map<number, Copy>[] = NODES.map(() => new Map());
+  private handlers: Map<string, Handler>[] = NODES.map(() => new Map());
+  private owners: Owner[] = [];
+  private lives = NODES.map(() => 0);
+  /** What a node asked and heard for the take or the owner it is now. */
+  private said: { fence: string; lines: Set<string> }[] = NODES.map(() => ({ fence: '', lines: new Set() }));
+  private took = 0;
+  private sent: number[] = [];
+  private waiting: string[] = [];
+  private lost = 0;
+  private restarted = 0;
+  private accepted = new Map<number, number>();
+  private refused = new Set<number>();
+  bad?: string;
+
+  constructor(private plan: KeyPlan) {
+    NODES.forEach((_, i) => this.begin(i));
+  }
+
+  private begin(i: number): void {
+    const life = ++this.lives[i]!;
+    const self = NODES[i]!;
+    this.handlers[i]!.clear();
+    // The clock stands; only pauses between tries are awaited, and the search ends them.
+    const clock: Clock = { now: () => 0, wall: () => 0, after: (ms, fn) => {
+      if (ms <= 1) queueMicrotask(fn);
+      else if (ms < 100) this.sleeps.push({ of: i, life, fn });
+      return () => undefined;
+    } };
+    const k = {
+      self, inst: String(life), rev: 1, phase: 'running', startedAt: 0, counters: new Map(),
+      host: { clock, rnd: { next: () => 0.5 }, db: {}, config: { seeds: [] }, log: { info: () => undefined, warn: (s: string,
+        x: unknown) => { this.bad ??= `${self}: ${s} ${JSON.stringify(x)}`; } } },
+      keep: (s: { unsubscribe(): void }) => s.unsubscribe(), count: () => undefined, onStop: () => undefined, thawed$: new Subject(),
+      on: (m: string, h: Handler) => { this.handlers[i]!.set(m, h); },
+      call: (peer: string, m: string, body: any) => this.call(i, life, NODES.indexOf(peer), m, body),
+      reach: (peer: string, m: string, body: any) => this.call(i, life, NODES.indexOf(peer), m, body),
+    };
+    const member = (d: string) => ({ peer: d, disk: d, state: 'live', condition: 'ready', inst: '1', liveSince: 0 });
+    const board = {
+      changed$: new Subject(), state$: new Subject(), members: new Map(NODES.map((d) => [d, member(d)])), get: () => undefined,
+        put: () => undefined,
+      isLive: () => true, able: () => true, ofDisk: member, live: () => NODES.map(member), say: () => undefined,
+    };
+    const reg = { value: VALUE, value$: new Subject(), fresh$: new Subject(), fresh: () => true, peerOf: (d: string) => d, disk: self };
+    const st = new Store({ sql: undefined, commit: async (f: () => unknown) => f() } as any);
+    // The real store without its file: what it keeps in memory is what the file would have.
+    const none = { run: () => undefined, get: () => undefined, all: () => [] };
+    Object.assign(st, { q: () => none, get: () => self, copies: () => this.disks[i]! });
+    const copies = new Copies(k as any, st);
+    this.owners[i] = new Owner(k as any, board as any, reg as any, copies);
+  }
+
+  private key1(i: number): Key {
+    return (this.owners[i] as unknown as { keys: Map<number, Key> }).keys.get(SHARD)!;
+  }
+
+  private handle(to: number, m: string, body: any, from: number): Promise<unknown> {
+    return Promise.resolve().then(() => this.handlers[to]!.get(m)!(body, { peer: NODES[from], inst: '1', toLocal: (t: number) => t }));
+  }
+
+  private call(from: number, life: number, to: number, m: string, body: any): Promise<unknown> {
+    const text = JSON.stringify(body);
+    if (from === to) return this.handle(to, m, JSON.parse(text), from);
+    const fence: string = m === 'Fence' ? body.items[0].fence : (body.fence ?? this.said[from]!.fence);
+    this.notes(from, fence, `> ${m} ${to} ${text}`);
+    return new Promise((res, rej) => {
+      const alive = (fn: (x: any) => void) => (x: unknown): void => { if (this.lives[from] === life) fn(x); };
+      this.asks.push({ from, to, m, body: JSON.parse(text), res: alive(res), rej: alive(rej) });
+    });
+  }
+
+  private notes(i: number, fence: string, line: string): void {
+    const s = this.said[i]!;
+    if (fence < s.fence) return;
+    if (fence > s.fence) this.said[i] = { fence, lines: new Set([line]) };
+    else s.lines.add(line);
+  }
+
+  private arrives(a: Ask, answer: (x: unknown) => void): void {
+    const { planted } = this.plan;
+    const c = this.disks[a.to]!.get(SHARD);
+    if (planted === 'takes lower fences' && a.m === 'Append' && c && a.body.fence < c.promised) c.promised = a.body.fence;
+    void this.handle(a.to, a.m, a.body, a.from).catch((e) => (e instanceof Failure ? e : new Failure(faultOf(e, a.m,
+      NODES[a.to]!)))).then((x) => {
+      if (planted === 'hides its history' && a.m === 'Fence') x = (x as any[]).map((p) => (p.ok ? { ...p, lastIdx: 0, lastFence: '',
+        baseIdx: 0 } : p));
+      answer(x);
+    });
+  }
+
+  private send(seq: number, i: number): void {
+    this.sent.push(seq);
+    const tag = `${seq}@${i}.${this.lives[i]}`;
+    this.waiting.push(tag);
+    const life = this.lives[i];
+    const over = (): boolean => { this.waiting.splice(this.waiting.indexOf(tag), 1); return this.lives[i] === life; };
+    this.handle(i, 'Publish', { sender: 's', topic: TOPIC, seq, body: `m${seq}` }, i).then((x) => {
+      if (!over()) return;
+      const { offset } = x as { offset: number };
+      const had = this.accepted.get(seq);
+      if (had !== undefined && had !== offset) this.bad = `message ${seq} was accepted at ${had} and at ${offset}`;
+      for (const [s, o] of this.accepted) if (s !== seq && o === offset) this.bad =
+        `messages ${s} and ${seq} were both accepted at ${offset}`;
+      if (this.refused.has(seq)) this.bad = `message ${seq} was refused for good, and accepted`;
+      this.accepted.set(seq, offset);
+    }, (e) => {
+      if (!over()) return;
+      if (faultOf(e, 'Publish', NODES[i]!).tag !== 'stale_seq') return;
+      if (this.accepted.has(seq)) this.bad = `message ${seq} was accepted, and refused for good`;
+      this.refused.add(seq);
+    });
+  }
+
+  /** Whoever owns the key, by the promises of a majority, has what was accepted, and not what was refused for good. */
+  check(): void {
+    NODES.forEach((n, i) => {
+      const key = this.key1(i);
+      if (key.state !== 'owner') return;
+      if (this.disks.filter((d) => d.get(SHARD)?.promised === key.fence).length * 2 <= NODES.length) return;
+      for (const [seq, off] of this.accepted) {
+        const o = key.outcome(TOPIC, 's', seq);
+        if (o.tag !== 'stored' || o.off !== off) this.bad ??= `${n} owns the key, and message ${seq}, accepted at ${off}, is ${o.tag}`;
+      }
+      for (const seq of this.refused) if (key.outcome(TOPIC, 's',
+        seq).tag === 'stored') this.bad ??= `${n} owns the key and has message ${seq}, which was refused for good`;
+    });
+  }
+
+  steps(): Step[] {
+    const { plan } = this;
+    const out: Step[] = [];
+    for (const a of this.asks) {
+      const label = `${a.m} ${NODES[a.from]}>${NODES[a.to]} ${JSON.stringify(a.body).replace(/0000+/g, '').slice(0, 90)}`;
+      const off = (): void => { this.asks.splice(this.asks.indexOf(a), 1); };
+      const fails = (): void => { this.lost++; this.notes(a.from, this.said[a.from]!.fence, `lost ${label}`);
+        a.rej(new Failure({ tag: 'timeout', step: a.m, peer: NODES[a.to]! })); };
+      out.push({ label, go: () => { off(); this.arrives(a, (x) => { this.notes(a.from, this.said[a.from]!.fence,
+        `< ${a.m} ${a.to} ${JSON.stringify(x)}`); if (x instanceof Failure) a.rej(x); else a.res(x); }); } });
+      if (this.lost < plan.losses) {
+        out.push({ label: `lost: ${label}`, go: () => { off(); fails(); } });
+        out.push({ label: `its answer lost: ${label}`, go: () => { off(); this.arrives(a, fails); } });
+      }
+    }
+    for (const s of this.sleeps) out.push({ label: `${NODES[s.of]} tries again`, go: () => { this.sleeps.splice(this.sleeps.indexOf(s),
+      1); if (this.lives[s.of] === s.life) s.fn(); } });
+    NODES.forEach((n, i) => {
+      const { state } = this.key1(i);
+      if (this.took < plan.takes && state !== 'taking' && state !== 'confirming' && i < 2) out.push({ label: `${n} takes the key`,
+        go: () => { this.took++; void this.handle(i, 'TakeKey', { shard: SHARD }, i); } });
+      if (this.sent.length < plan.sends && (state === 'owner' || state === 'confirming')) {
+        const next = Math.max(0, ...this.sent) + 1;
+        for (let seq = 1; seq <= Math.min(next, plan.messages); seq++) {
+          if (!this.waiting.includes(`${seq}@${i}.${this.lives[i]}`)) out.push({ label: `message ${seq} to ${n}`, go: () => this.send(seq,
+            i) });
+        }
+      }
+      if (this.restarted < plan.restarts) {
+        out.push({ label: `${n} begins anew`, go: () => {
+          this.restarted++;
+          const c = this.disks[i]!.get(SHARD);
+          if (c && plan.planted === 'forgets its promise') c.promised = '';
+          if (c && plan.planted === 'answers before it has synced') c.entries.pop();
+          this.asks = this.asks.filter((a) => a.from !== i);
+          this.said[i] = { fence: '', lines: new Set() };
+          this.disks[i] = structuredClone(this.disks[i]!);
+          this.begin(i);
+        } });
+      }
+    });
+    return out;
+  }
+
+  key(): string {
+    const copy = (c: Copy | undefined): unknown => c && [c.promised, c.base.idx, c.entries.map((e) => [e.idx, e.fence, e.off, e.seq])];
+    return JSON.stringify([
+      this.disks.map((d) => copy(d.get(SHARD))),
+      NODES.map((_, i) => { const x = this.key1(i); return [x.state, x.fence, x.commit, x.log.map((e) => [e.fence, e.off, e.seq]),
+        [...x.match].sort(), [...x.next].sort(), [...x.flying].sort(), x.waits.map((w) => w.idx)]; }),
+      this.said.map((s) => [s.fence, ...[...s.lines].sort()]), this.lives,
+      this.asks.map((a) => `${a.from}${a.to}${a.m}${JSON.stringify(a.body)}`).sort(), this.sleeps.map((s) => s.of).sort(),
+      this.took, this.sent, [...this.waiting].sort(), this.lost, this.restarted, [...this.accepted].sort(), [...this.refused].sort(),
+    ]);
+  }
+}
+
+/**
+ * Searches what can become of one key at three nodes: takes, messages, losses and restarts in every order, by running the real owner and
+ * copies anew along each path.
+ * @example
+ * (await exploreKey(KEY_PLANS.get('handover')!)).states
+ */
+export async function exploreKey(plan: KeyPlan): Promise<KeyResult> {
+  const seen = new Set<string>();
+  let runs = 0;
+  const most = plan.mostStates ?? Infinity;
+  const stack: number[][] = [[]];
+  while (stack.length) {
+    if (seen.size >= most) return { states: seen.size, runs, whole: false };
+    const path = stack.pop()!;
+    const w = new World(plan);
+    runs++;
+    const labels: string[] = [];
+    const step = async (i: number): Promise<void> => {
+      const s = w.steps()[i]!;
+      labels.push(s.label);
+      s.go();
+      await turn();
+      w.check();
+    };
+    for (const i of path) await step(i);
+    for (;;) {
+      if (w.bad) return { states: seen.size, runs, whole: false, bad: { what: w.bad, path: labels } };
+      const key = w.key();
+      if (seen.has(key)) break;
+      seen.add(key);
+      const n = w.steps().length;
+      if (!n || seen.size >= most) break;
+      for (let i = n - 1; i > 0; i--) stack.push([...path, i]);
+      path.push(0);
+      await step(0);
+    }
+  }
+  return { states: seen.size, runs, whole: true };
+}
+
+export const KEY_PLANS = new Map<string, KeyPlan>([
+  // The key goes from one owner to another while a message is on its way.
+  ['handover', { takes: 2, messages: 1, sends: 1, losses: 0, restarts: 0 }],
+  // One owner, two messages of a sender, with a visit or an answer lost.
+  ['lossy', { takes: 1, messages: 2, sends: 2, losses: 1, restarts: 0 }],
+  ['handover-restart', { takes: 2, messages: 1, sends: 1, losses: 0, restarts: 1 }],
+  ['handover-resend', { takes: 2, messages: 2, sends: 3, losses: 1, restarts: 0 }],
+]);
+
+if (process.argv[1] && import.meta.url === pathToFileURL(process.argv[1]).href) {
+  const [name, most] = process.argv.slice(2);
+  for (const [n, plan] of KEY_PLANS) {
+    if (name !== undefined && n !== name) continue;
+    const from = Date.now();
+    const r = await exploreKey({ ...plan, mostStates: most === undefined ? 1_000_000 : Number(most) });
+    const bad = r.bad ? `\nBAD: ${r.bad.what}\n  ${r.bad.path.join('\n  ')}` : '';
+    const whole = r.whole ? 'all of them' : 'not all';
+    process.stdout.write(`${n}: ${r.states} states, ${r.runs} runs, ${whole}, ${((Date.now() - from) / 1000).toFixed(1)} s${bad}\n`);
+    if (r.bad) process.exitCode = 1;
+  }
+}
--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -36,7 +36,8 @@
 
 function genesis(): Value {
   return {
-    fleet: 'model', rev: 1, version: 0, changeId: '', config: { families: [] }, eras: new Map(), seats: [0, 1, 2].map(diskOf), prevSeats: [0, 1, 2].map(diskOf),
+    fleet: 'model', rev: 1, version: 0, changeId: '', config: { families: [] }, eras: new Map(), seats: [0, 1, 2].map(diskOf),
+      prevSeats: [0, 1, 2].map(diskOf),
     disks: new Map(), shards: new Map(), copies: 3, changes: new Map(), moves: new Map(),
   };
 }
@@ -82,7 +83,8 @@
     for (const c of changes) {
       try {
         await reg.change((v) => ({
-          next: v.changes.has(c.name) ? undefined : { ...v, seats: c.seats ? c.seats(v.seats) : v.seats, changes: new Map(v.changes).set(c.name, { tag: 'taken', version: v.rev }) },
+          next: v.changes.has(c.name) ? undefined : { ...v, seats: c.seats ? c.seats(v.seats) : v.seats,
+            changes: new Map(v.changes).set(c.name, { tag: 'taken', version: v.rev }) },
           out: c.name,
         }));
       } catch { return; }
@@ -92,7 +94,8 @@
   }
 
   private board(): object {
-    return { say: () => undefined, pass: () => undefined, somePeers: () => [], contacts: () => [], ofDisk: (d: string) => ({ peer: d }), live: () => [] };
+    return { say: () => undefined, pass: () => undefined, somePeers: () => [], contacts: () => [], ofDisk: (d: string) => ({ peer: d }),
+      live: () => [] };
   }
 
   /** The seat's real handlers over what its disk has. */
@@ -107,7 +110,10 @@
         if (planted === 'accepts below its promise') return { ...s, promised: s.ballot };
         return { ...s };
       },
-      saveSeat: (s: Seat) => { this.saved[i] = planted === 'forgets its promise' && s.ballot === this.saved[i]!.ballot ? { ...this.saved[i]! } : { ...s }; },
+      saveSeat: (s: Seat) => {
+        const forgets = planted === 'forgets its promise' && s.ballot === this.saved[i]!.ballot;
+        if (!forgets) this.saved[i] = { ...s };
+      },
       db: { commit: async (f: () => unknown) => f() },
     };
     this.handlers[i]!.clear();
@@ -117,10 +123,12 @@
   /** What the register needs of a kernel: handlers for a seat (negative), calls for a proposer. */
   private kernel(i: number, st: object | undefined): object {
     const self = i < 0 ? diskOf(-1 - i) : `p${i}`;
-    const clock: Clock = i < 0 ? idle : { ...idle, after: (ms, fn) => { if (ms <= 900 && this.ready) this.pending.push({ t: 'wake', from: i, fn }); return () => undefined; } };
+    const clock: Clock = i < 0 ? idle : { ...idle, after: (ms, fn) => { if (ms <= 900 && this.ready) this.pending.push({ t: 'wake',
+      from: i, fn }); return () => undefined; } };
     return {
       self, inst: '1', rev: 0, phase: 'running', startedAt: 0,
-      host: { clock, rnd: { next: () => 0.5 }, db: st ? {} : undefined, config: { seeds: [], applyMs: 3_000 }, log: { info: () => undefined, warn: () => undefined } },
+      host: { clock, rnd: { next: () => 0.5 }, db: st ? {} : undefined, config: { seeds: [], applyMs: 3_000 },
+        log: { info: () => undefined, warn: () => undefined } },
       use: () => st, keep: (s: { unsubscribe(): void }) => { s.unsubscribe(); }, count: () => undefined,
       on: (m: string, h: Handler) => { if (i < 0) this.handlers[-1 - i]!.set(m, h); },
       call: (_peer: string, m: string, body: any) => new Promise((res, rej) => {
@@ -145,10 +153,13 @@
     const text = pack(v);
     for (const x of this.learned) {
       const [low, high] = x.v.rev <= v.rev ? [x.v, v] : [v, x.v];
-      if (x.v.rev === v.rev && x.text !== text) this.bad = `two values of revision ${v.rev}: [${[...x.v.changes.keys()]}] at p${x.by}, [${[...v.changes.keys()]}] at p${by}`;
-      else if ([...low.changes.keys()].some((c) => !high.changes.has(c))) this.bad = `revision ${high.rev} [${[...high.changes.keys()]}] has not all of revision ${low.rev} [${[...low.changes.keys()]}]`;
+      if (x.v.rev === v.rev && x.text !== text) this.bad =
+        `two values of revision ${v.rev}: [${[...x.v.changes.keys()]}] at p${x.by}, [${[...v.changes.keys()]}] at p${by}`;
+      else if ([...low.changes.keys()].some((c) => !high.changes.has(c))) this.bad =
+        `revision ${high.rev} [${[...high.changes.keys()]}] has not all of revision ${low.rev} [${[...low.changes.keys()]}]`;
     }
-    for (const c of this.done) if (!v.changes.has(c) && !this.learned.some((x) => x.v.rev > v.rev)) this.bad = `${c} was done and is gone at revision ${v.rev}`;
+    for (const c of this.done) if (!v.changes.has(c) && !this.learned.some((x) => x.v.rev > v.rev))
+      this.bad = `${c} was done and is gone at revision ${v.rev}`;
     this.learned.push({ by, v, text });
   }
 
@@ -160,7 +171,8 @@
       switch (e.t) {
         case 'ask': {
           const label = `${e.m.slice(3)} p${e.from}>${e.disk} ${e.body.ballot.slice(8, 15)}`;
-          const fails = (): void => { this.lost++; this.notes(e.from, e.body.ballot, `lost ${e.m} ${e.disk}`); e.rej(new Failure({ tag: 'timeout', step: e.m, peer: e.disk })); };
+          const fails = (): void => { this.lost++; this.notes(e.from, e.body.ballot, `lost ${e.m} ${e.disk}`);
+            e.rej(new Failure({ tag: 'timeout', step: e.m, peer: e.disk })); };
           out.push({ label, go: () => {
             take(e);
             this.arrives(e, (x) => {
@@ -175,7 +187,8 @@
           break;
         }
         case 'wake':
-          if (this.wakes[e.from]! < this.plan.retries) out.push({ label: `p${e.from} again`, go: () => { take(e); this.wakes[e.from]!++; e.fn(); } });
+          if (this.wakes[e.from]! < this.plan.retries) out.push({ label: `p${e.from} again`, go: () => { take(e); this.wakes[e.from]!++;
+            e.fn(); } });
           break;
       }
     }
@@ -183,7 +196,8 @@
       for (let i = 0; i < this.plan.seats; i++) {
         out.push({ label: `${diskOf(i)} restarts`, go: () => {
           this.restarted++;
-          if (this.plan.planted === 'comes back older') this.saved[i] = i < 3 ? { ...this.first } : { promised: '', ballot: '', value: undefined };
+          if (this.plan.planted === 'comes back older') this.saved[i] = i < 3 ? { ...this.first } : { promised: '', ballot: '',
+            value: undefined };
           this.seat(i);
         } });
       }
@@ -201,8 +215,10 @@
 
   /** Two worlds with the same key go on alike: what disks have, what proposers sent and heard, what is on the way. */
   key(): string {
-    const way = this.pending.map((e) => (e.t === 'wake' ? `w${e.from}` : `${e.from}${e.disk}${e.m}${e.body.ballot}${e.body.value ?? ''}`)).sort();
-    return JSON.stringify([this.saved, this.history.map((h) => [h.ballot, ...[...h.said].sort()]), this.regs.map((r) => [(r as unknown as { n: number }).n, r.value!.rev]), this.done, way, this.lost, this.restarted, this.wakes]);
+    const way = this.pending.map((e) => (e.t === 'wake' ? `w${e.from}`
+      : `${e.from}${e.disk}${e.m}${e.body.ballot}${e.body.value ?? ''}`)).sort();
+    return JSON.stringify([this.saved, this.history.map((h) => [h.ballot, ...[...h.said].sort()]),
+      this.regs.map((r) => [(r as unknown as { n: number }).n, r.value!.rev]), this.done, way, this.lost, this.restarted, this.wakes]);
   }
 }
 
@@ -268,7 +284,9 @@
     if (name !== undefined && n !== name) continue;
     const from = Date.now();
     const r = await explore({ ...plan, mostStates: most === undefined ? 1_000_000 : Number(most) });
-    process.stdout.write(`${n}: ${r.states} states, ${r.runs} runs, ${r.whole ? 'all of them' : 'not all'}, ${((Date.now() - from) / 1000).toFixed(1)} s${r.bad ? `\nBAD: ${r.bad.what}\n  ${r.bad.path.join('\n  ')}` : ''}\n`);
+    const bad = r.bad ? `\nBAD: ${r.bad.what}\n  ${r.bad.path.join('\n  ')}` : '';
+    const whole = r.whole ? 'all of them' : 'not all';
+    process.stdout.write(`${n}: ${r.states} states, ${r.runs} runs, ${whole}, ${((Date.now() - from) / 1000).toFixed(1)} s${bad}\n`);
     if (r.bad) process.exitCode = 1;
   }
 }
--- a/packages/trial/src/test/acknowledged.test.ts
+++ b/packages/trial/src/test/acknowledged.test.ts
@@ -3,8 +3,10 @@
 import { FAMILIES } from './small-fleet.js';
 import type { SimNode } from '../sim.js';
 
-const submit = (f: ControlFleet, n: SimNode, revision: number) => f.ask(n, 'SubmitConfig', { revision, document: { n: revision }, config: { families: FAMILIES } });
-const publish = (f: ControlFleet, n: SimNode, topic: string, seq: number) => f.ask(n, 'Publish', { sender: 'desk', topic, seq, body: `message ${seq}` });
+const submit = (f: ControlFleet, n: SimNode, revision: number) => f.ask(n, 'SubmitConfig', { revision, document: { n: revision },
+  config: { families: FAMILIES } });
+const publish = (f: ControlFleet, n: SimNode, topic: string, seq: number) => f.ask(n, 'Publish', { sender: 'desk', topic, seq,
+  body: `message ${seq}` });
 const topics = Array.from({ length: 40 }, (_, i) => `feed/${i}`);
 const revisionAt = async (f: ControlFleet, n: SimNode): Promise<number> => (await f.ask(n, 'ReadConfig', {})).body.revision;
 
@@ -37,7 +39,8 @@
     // The next loss may come this long after its return.
     await f.pass(4_000);
   }
-  for (let s = 1; s <= seq; s++) for (const topic of topics) t.deepEqual((await publish(f, relay, topic, s)).body, { accepted: { offset: s } }, `${topic} ${s} again`);
+  for (let s = 1; s <= seq; s++) for (const topic of topics) t.deepEqual((await publish(f, relay, topic, s)).body,
+    { accepted: { offset: s } }, `${topic} ${s} again`);
   f.sim.close();
 });
 
@@ -75,7 +78,8 @@
     const lone = f.controls[seed % 3]!;
     const others = f.controls.filter((c) => c !== lone);
     for (const c of others) f.sim.cut(lone.name, c.name);
-    const vain = f.sim.outside.visit(lone.config.client, 'SubmitConfig', { revision: 8, document: { n: 8 }, config: { families: FAMILIES } }, 3_000);
+    const vain = f.sim.outside.visit(lone.config.client, 'SubmitConfig', { revision: 8, document: { n: 8 },
+      config: { families: FAMILIES } }, 3_000);
     t.is((await submit(f, others[0]!, 9)).status, 200);
     await f.pass(3_500);
     const r = await vain;
--- a/packages/trial/src/test/retries.test.ts
+++ b/packages/trial/src/test/retries.test.ts
@@ -18,7 +18,8 @@
   t.is(many(true), 20, 'never more than the burst');
 });
 
-test('while every store is cut off from the core calls between nodes do not pile up, and there is no second wave when it is healed', async (t) => {
+test('while every store is cut off from the core calls between nodes do not pile up, and there is no second wave when it is healed',
+  async (t) => {
   const f = await controlFleet(21, { relays: 1 });
   const relay = f.relays[0]!;
   const { sim } = f;
