--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -39,6 +39,8 @@
   /** Whether each member could take duties when we last looked. */
   private ableThen = new Map<string, boolean>();
   private looking = false;
+  /** When our own loop last went on after it stood still: until then nobody could answer us. */
+  private thawedAt = -Infinity;
 
   constructor(private k: Kernel, private board: Board, private reg: Register, private copies: Copies) {
     const { clock, rnd } = k.host;
@@ -82,7 +84,10 @@
     }));
     k.keep(loop(clock, C.beatMs, rnd, async () => this.replication.beats(this.keys.values())));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
-    k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
+    k.keep(k.thawed$.subscribe(() => {
+      this.thawedAt = clock.now();
+      for (const key of this.keys.values()) key.ackAt.clear();
+    }));
     k.keep(reg.fresh$.subscribe(() => { this.freshSince = Math.min(this.freshSince, clock.now()); }));
     k.onStop(() => this.leave());
   }
@@ -322,7 +327,7 @@
   /** Owner of keys whose copies we can't reach, for so long that others should have them: their links may be whole. */
   forlorn(): boolean {
     const now = this.k.host.clock.now();
-    return [...this.keys.values()].some((key) => key.state === 'owner' && now - Math.max(key.heardAt(), key.takenAt) > C.forlornMs);
+    return [...this.keys.values()].some((key) => key.state === 'owner' && now - Math.max(key.heardAt(), key.takenAt, this.thawedAt) > C.forlornMs);
   }
 
   private async leave(): Promise<void> {
