--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -211,6 +211,9 @@
   /** Before the first confirmation after a start a node tries this often, this many at once: traffic waits for it. */
   firstConfirmMs: 60,
   firstConfirmN: 4,
+  /** ... for this long; then one try in so many. */
+  firstConfirmForMs: 3_000,
+  firstConfirmEachN: 8,
   /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
   applyMs: 3_000,
   /** Seats beyond a majority are asked when those asked first did not answer after this long; a sync of a slow disk is not waited for. */
@@ -219,6 +222,8 @@
   freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
   seatsN: 7,
+  /** A newer value is fetched from one peer, and from others only after this long: several ways there and back, and a lost packet. */
+  fetchAloneMs: 80,
   /** A visit from a peer that knows a newer value waits for it; what could not be fetched is fetched again after this long. */
   behindRetryMs: 40,
   /** Change attempts give up after this long, and say so. */
@@ -243,6 +248,8 @@
   keeperMs: 500,
   /** Steps of the keeper that follow from one another at once; then it looks again after its period. */
   keeperStepsN: 8,
+  /** A disk this many times sooner than those made for copies is worth having copies on. */
+  quickDiskX: 4,
   /** A disk seen live this long is let into the disk set: a process that ends right after its start is not. */
   joinAfterMs: 500,
   /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
@@ -270,6 +277,9 @@
   stopMs: 4_500,
   /** Commits gather this long into one synced transaction: a turn of the loop. While a sync is under way they gather anyway. */
   commitMs: 0,
+  /** A log this long is written back; looked at every so many commits. A start reads it whole. */
+  walBytes: 4 * 1024 * 1024,
+  walLookN: 32,
   /** Settings files are compared this often, for changes without a signal. */
   rereadMs: 1_000,
   /** A closed conn's last words have this long to get out before its socket is destroyed. */
