--- /dev/null
+++ b/packages/trial/src/capacity-virtual.ts
@@ -0,0 +1,364 @@
+import type { DiskRec, Placement, Value } from '@harecross/control';
+import { matchCopies, matchOwners } from '@harecross/control';
+import { C, pack, unpack } from '@harecross/kernel';
+import { build as buildHistogram } from 'hdr-histogram-js';
+import type { Drill, Series } from './capacity-data.js';
+import { Sim, type SimNode } from './sim.js';
+
+/** A series without what only the command knows. */
+export type Taken = Omit<Series, 'command' | 'commit' | 'load'>;
+export type Drilled = Omit<Drill, 'command' | 'commit'>;
+export type Say = (line: string) => void;
+
+const ZONES = ['north-1', 'north-2', 'south-1', 'south-2'];
+const CONTROL_N = 4;
+
+const cpuMs = (): number => { const c = process.cpuUsage(); return (c.user + c.system) / 1000; };
+const heapMiB = (): number => {
+  (globalThis as { gc?: () => void }).gc?.();
+  return (process.memoryUsage().heapUsed + process.memoryUsage().external) / 1024 ** 2;
+};
+
+/** A value of the register with so many shards over so many disks, as the fleet itself would place them. */
+export function valueOf(shardsN: number, disksN: number): Value {
+  const disks = new Map<string, DiskRec>();
+  for (let i = 0; i < disksN; i++) {
+    const id = `d${(i * 2654435761 >>> 0).toString(36).padStart(7, '0')}`;
+    disks.set(id, { id, peer: `10.0.${i >> 8}.${i & 255}:7100`, domain: ZONES[i % ZONES.length]!, state: 'active', uses: ['seat', 'copies'], name: `10.0.${i >> 8}.${i & 255}:7100` });
+  }
+  const ids = [...disks.keys()];
+  // Which disks hardly matters for what the value weighs; rendezvous over all of them is measured apart.
+  const shards = new Map<number, Placement>();
+  for (let s = 0; s < shardsN; s++) shards.set(s, { gen: 1, copies: Array.from({ length: Math.min(C.copiesN, disksN) }, (_, j) => ids[(s * 7 + j * 13) % disksN]!) });
+  const seats = ids.slice(0, Math.min(C.seatsN, disksN));
+  return {
+    fleet: 'f', rev: 1, version: 1, changeId: '', config: { families: [] }, eras: new Map(), disks, seats, prevSeats: seats, shards,
+    copies: C.copiesN, changes: new Map(), moves: new Map(),
+  };
+}
+
+/** What the flat table of placements costs: its value, and the orders that are worked out from it. */
+export function takeValue(sizes: number[], say: Say): Taken[] {
+  const weigh: Taken = { id: 'value-bytes', title: 'The register\'s value, packed, 550 disks', x: 'shards', y: 'KiB', way: 'direct', points: [] };
+  const packing: Taken = { id: 'value-pack', title: 'Packing and unpacking the value once', x: 'shards', y: 'ms of processor', way: 'direct', points: [] };
+  const owners: Taken = { id: 'value-owners', title: 'Working out the wanted owners once (each disk\'s node, 4 times a second)', x: 'shards', y: 'ms of processor', way: 'direct', points: [] };
+  const copies: Taken = { id: 'value-copies', title: 'Working out the wanted copies once on 110 disks (the keeper, twice a second)', x: 'shards', y: 'ms of processor', way: 'direct', points: [] };
+  for (const n of sizes) {
+    for (let again = 0; again < 3; again++) {
+      const v = valueOf(n, 550);
+      let t0 = cpuMs();
+      const s = pack(v);
+      unpack(s);
+      packing.points.push({ x: n, y: cpuMs() - t0 });
+      if (!again) weigh.points.push({ x: n, y: Buffer.byteLength(s) / 1024 });
+      t0 = cpuMs();
+      matchOwners(v.shards, () => true);
+      owners.points.push({ x: n, y: cpuMs() - t0 });
+      if (n > 4_000) continue;
+      const some = [...v.disks.values()].slice(0, 110);
+      t0 = cpuMs();
+      matchCopies(some, C.copiesN, n);
+      copies.points.push({ x: n, y: cpuMs() - t0 });
+    }
+    say(`value of ${n} shards: ${weigh.points.at(-1)!.y.toFixed(1)} KiB, ${packing.points.at(-1)!.y.toFixed(1)} ms to pack and unpack, ${owners.points.at(-1)!.y.toFixed(1)} ms for the owners`);
+  }
+  return [weigh, packing, owners, ...(new Set(copies.points.map((p) => p.x)).size > 2 ? [copies] : [])];
+}
+
+/** What nodes sent and got, by node and method; answers count as sent by who gave them. */
+class Meter {
+  readonly got = new Map<string, Map<string, number>>();
+  readonly bytes = new Map<string, number>();
+  on = false;
+
+  private add(node: string, bytes: number): void {
+    this.bytes.set(node, (this.bytes.get(node) ?? 0) + bytes);
+  }
+  /** Stands between the net and a node that is up. */
+  watch(n: SimNode): void {
+    const h = n.handle;
+    if (!h) throw new Error(`${n.name} does not listen`);
+    n.handle = async (f) => {
+      if (!this.on) return h(f);
+      const m = /^\[\{[^}]*\},"(\w+)","([^"]+)"/.exec(f);
+      const by = this.got.get(n.config.peer) ?? new Map<string, number>();
+      by.set(m?.[1] ?? '?', (by.get(m?.[1] ?? '?') ?? 0) + 1);
+      this.got.set(n.config.peer, by);
+      // Sent by one and got by the other: a node's traffic is both.
+      this.add(n.config.peer, f.length);
+      if (m?.[2]) this.add(m[2], f.length);
+      const a = await h(f);
+      this.add(n.config.peer, a.length);
+      if (m?.[2]) this.add(m[2], a.length);
+      return a;
+    };
+  }
+  requests(node: string, method?: string): number {
+    const by = this.got.get(node);
+    return method ? (by?.get(method) ?? 0) : [...(by?.values() ?? [])].reduce((a, n) => a + n, 0);
+  }
+}
+
+interface Hollow { sim: Sim; control: SimNode[]; rest: SimNode[]; all: SimNode[] }
+
+/** A fleet of hollow nodes: four control machines, every fifth of the others with a disk for copies, no callers. */
+async function hollow(seed: number, size: number): Promise<Hollow> {
+  const sim = new Sim(seed);
+  const control = Array.from({ length: CONTROL_N }, (_, i) => sim.add(`control${i + 1}`, { role: 'control', domain: ZONES[i]!, disk: true }));
+  const rest = Array.from({ length: size - CONTROL_N }, (_, i) => {
+    const disk = Math.floor(i / ZONES.length) % 5 === 0;
+    const n = sim.add(`node${i + 1}`, { role: 'relay', domain: ZONES[i % ZONES.length]!, disk });
+    if (disk) n.config.diskUses = ['copies'];
+    return n;
+  });
+  const all = [...control, ...rest];
+  for (const n of all) { n.config.seeds = control.slice(0, 3).map((c) => c.config.peer); void sim.clock.after(sim.rnd.next() * 1500, () => void sim.start(n)); }
+  // Until every node may serve and every shard has its owner.
+  for (let i = 0; i < 120; i++) {
+    await sim.run(sim.now + 500);
+    if (i > 16 && all.every((n) => n.kernel && n.kernel.use('register').fresh()) && owned(all).size === C.shardsN) break;
+  }
+  await sim.run(sim.now + 4_000);
+  return { sim, control, rest, all };
+}
+
+/** Shards whose owner may serve: it is confirmed, and a majority of its copies answers it. */
+function owned(nodes: SimNode[]): Set<number> {
+  const out = new Set<number>();
+  for (const n of nodes) {
+    if (!n.up || n.frozen || !n.kernel?.has('owner') || !n.kernel.use('register').fresh()) continue;
+    for (const k of n.kernel.use('owner').owned()) if (!n.kernel.use('owner').forlorn()) out.add(k.shard);
+  }
+  return out;
+}
+
+const CONFIG = { families: [{ name: 'feeds', topics: ['feed/*'], urgency: 'routine', patienceMs: 2_000, memoryS: 35 }] };
+
+/** The whole control plane at several sizes, in virtual time. */
+export async function takeControl(sizes: number[], seeds: number[], say: Say): Promise<Taken[]> {
+  const one = (id: string, title: string, y: string): Taken => ({ id, title, x: 'nodes', y, way: 'virtual', points: [] });
+  const visits = one('control-requests', 'Requests a node got, quiet fleet, mean of all but the seats', 'a second');
+  const bytes = one('control-bytes', 'Bytes a node sent and got, requests and answers, mean of all but the seats', 'KiB/s');
+  const most = one('control-bytes-most', 'The same at the busiest node without a seat', 'KiB/s');
+  const seats = one('seat-requests', 'Requests a seat got', 'a second');
+  const seatBytes = one('seat-bytes', 'Bytes a seat sent and got', 'KiB/s');
+  const confirms = one('seat-confirms', 'Confirmations a seat answered', 'a second');
+  const cpu = one('hollow-cpu', 'Processor time a hollow node and second, simulator included', 'ms');
+  const memory = one('hollow-memory', 'Memory a hollow node', 'MiB');
+  const force = one('config-force', 'A configuration at every node after its answer, the slowest node of five changes', 'ms');
+  const usual = one('config-usual', 'The same, 99 in 100 of nodes', 'ms');
+  const frozen = one('frozen-suspected', 'A frozen node suspected by every other', 'ms');
+  const sum = <T>(xs: T[], f: (x: T) => number): number => xs.reduce((a, x) => a + f(x), 0);
+  for (const size of sizes) {
+    for (const seed of seeds) {
+      const before = heapMiB();
+      const h = await hollow(seed, size);
+      const { sim, all } = h;
+      memory.points.push({ x: size, y: (heapMiB() - before) / size });
+      const v = all[0]!.kernel!.use('register').value!;
+      const peerOf = new Map([...v.disks.values()].map((d) => [d.id, d.peer]));
+      const seated = new Set(v.seats.map((d) => peerOf.get(d)!));
+      const plain = all.filter((n) => !seated.has(n.config.peer));
+      const sat = all.filter((n) => seated.has(n.config.peer));
+      const meter = new Meter();
+      for (const n of all) meter.watch(n);
+
+      const S = 10;
+      meter.on = true;
+      const t0 = cpuMs();
+      await sim.run(sim.now + S * 1_000);
+      cpu.points.push({ x: size, y: (cpuMs() - t0) / size / S });
+      meter.on = false;
+      const kib = (n: SimNode): number => (meter.bytes.get(n.config.peer) ?? 0) / 1024 / S;
+      visits.points.push({ x: size, y: sum(plain, (n) => meter.requests(n.config.peer)) / plain.length / S });
+      bytes.points.push({ x: size, y: sum(plain, kib) / plain.length });
+      most.points.push({ x: size, y: Math.max(...plain.map(kib)) });
+      seats.points.push({ x: size, y: sum(sat, (n) => meter.requests(n.config.peer)) / sat.length / S });
+      seatBytes.points.push({ x: size, y: sum(sat, kib) / sat.length });
+      confirms.points.push({ x: size, y: sum(sat, (n) => meter.requests(n.config.peer, 'RegRead')) / sat.length / S });
+
+      const histogram = buildHistogram({ lowestDiscernibleValue: 1, highestTrackableValue: 600_000, numberOfSignificantValueDigits: 3 });
+      for (let i = 0; i < 5; i++) {
+        const at = h.rest[Math.floor(sim.rnd.next() * h.rest.length)]!;
+        const from = all[0]!.kernel!.use('register').value!.version;
+        let told = 0;
+        const inForce = new Map<SimNode, number>();
+        void sim.outside.visit(at.config.client, 'SubmitConfig', { changeId: `s${i}`, config: CONFIG }, 10_000).then(() => { told = sim.now; });
+        for (const until = sim.now + 30_000; sim.now < until && (!told || inForce.size < all.length);) {
+          await sim.run(sim.now + 10);
+          for (const n of all) if (!inForce.has(n) && (n.kernel!.use('register').value?.version ?? 0) > from) inForce.set(n, sim.now);
+        }
+        if (!told || inForce.size < all.length) throw new Error(`${size} nodes: a configuration was in force at ${inForce.size} of them after 30 s`);
+        for (const t of inForce.values()) histogram.recordValue(Math.max(1, Math.round(t - told)));
+        await sim.run(sim.now + 500);
+      }
+      force.points.push({ x: size, y: histogram.maxValue });
+      usual.points.push({ x: size, y: histogram.getValueAtPercentile(99) });
+
+      const victim = h.rest.find((n) => !n.config.data)!;
+      const at = sim.now;
+      sim.freeze(victim);
+      while (sim.now - at < 60_000 && all.some((n) => n !== victim && n.kernel!.use('board').members.get(victim.config.peer)?.state === 'live')) await sim.run(sim.now + 20);
+      frozen.points.push({ x: size, y: sim.now - at });
+      say(`${size} hollow nodes, seed ${seed}: ${visits.points.at(-1)!.y.toFixed(1)} requests and ${bytes.points.at(-1)!.y.toFixed(2)} KiB a node and s; a seat ${seats.points.at(-1)!.y.toFixed(0)} and ${seatBytes.points.at(-1)!.y.toFixed(1)} KiB; in force everywhere after ${histogram.maxValue} ms; frozen node suspected by all after ${Math.round(sim.now - at)} ms; ${memory.points.at(-1)!.y.toFixed(2)} MiB and ${cpu.points.at(-1)!.y.toFixed(2)} ms/s a node`);
+      if (sim.errors.length) throw new Error(`${size} nodes: ${sim.errors[0]}`);
+      sim.close();
+    }
+  }
+  return [visits, bytes, most, seats, seatBytes, confirms, cpu, memory, force, usual, frozen];
+}
+
+/** What more shards cost a fleet of one size: the constant is set for this process alone. */
+export async function takeShards(shards: number[], size: number, say: Say): Promise<Taken[]> {
+  const one = (id: string, title: string, y: string): Taken => ({ id, title: `${title}, ${size} nodes`, x: 'shards', y, way: 'virtual', points: [] });
+  const requests = one('shard-requests', 'Requests all nodes with copies got a second, quiet fleet', 'a second');
+  const bytes = one('shard-bytes', 'Bytes all nodes with copies sent and got', 'KiB/s');
+  const cpu = one('shard-cpu', 'Processor time of all nodes a second, simulator included', 'ms');
+  const change = one('shard-change', 'Bytes all nodes sent and got for one change of configuration, above the quiet', 'KiB');
+  const c = C as { shardsN: number };
+  const was = c.shardsN;
+  try {
+    for (const n of shards) {
+      c.shardsN = n;
+      const h = await hollow(1, size);
+      const { sim, all } = h;
+      const meter = new Meter();
+      for (const x of all) meter.watch(x);
+      const disks = all.filter((x) => x.kernel!.has('owner'));
+      const S = 4;
+      meter.on = true;
+      const t0 = cpuMs();
+      await sim.run(sim.now + S * 1_000);
+      cpu.points.push({ x: n, y: (cpuMs() - t0) / S });
+      const total = (): number => [...meter.bytes.values()].reduce((a, b) => a + b, 0) / 1024;
+      const quiet = total();
+      requests.points.push({ x: n, y: disks.reduce((a, x) => a + meter.requests(x.config.peer), 0) / S });
+      bytes.points.push({ x: n, y: disks.reduce((a, x) => a + (meter.bytes.get(x.config.peer) ?? 0), 0) / 1024 / S });
+      meter.bytes.clear();
+      let told = 0;
+      void sim.outside.visit(h.rest[0]!.config.client, 'SubmitConfig', { changeId: 's', config: CONFIG }, 10_000).then(() => { told = sim.now; });
+      await sim.run(sim.now + S * 1_000);
+      if (!told) throw new Error(`${n} shards: a configuration was not answered`);
+      change.points.push({ x: n, y: total() - quiet });
+      say(`${n} shards on ${size} nodes: ${requests.points.at(-1)!.y.toFixed(0)} requests and ${bytes.points.at(-1)!.y.toFixed(0)} KiB/s at nodes with copies, ${cpu.points.at(-1)!.y.toFixed(0)} ms/s, ${change.points.at(-1)!.y.toFixed(0)} KiB for a change`);
+      sim.close();
+    }
+  } finally {
+    c.shardsN = was;
+  }
+  return [requests, bytes, cpu, change];
+}
+
+/** The board by the number of its facts: what one digest weighs, and what a node that comes is sent. */
+export async function takeBoard(sizes: number[], say: Say): Promise<Taken[]> {
+  const one = (id: string, title: string, y: string): Taken => ({ id, title, x: 'facts', y, way: 'virtual', points: [] });
+  const digest = one('board-digest', 'One exchange of digests between two boards that differ in one fact', 'KiB');
+  const join = one('board-join', 'What a node is sent that comes with an empty board', 'KiB');
+  const memory = one('board-memory', 'Memory a node, of the board', 'KiB');
+  for (const n of sizes) {
+    const sim = new Sim(5);
+    const nodes = ['a', 'b', 'c'].map((d, i) => sim.add(`store${i + 1}`, { role: 'store', domain: d, disk: true }));
+    for (const x of nodes) { x.config.seeds = nodes.map((y) => y.config.peer); void sim.start(x); }
+    await sim.run(8_000);
+    const before = heapMiB();
+    const board = (x: SimNode) => x.kernel!.use('board');
+    const put = (from: number, to: number): void => {
+      // As an owner says of its key: `key/<shard>` under a fence.
+      for (let i = from; i < to; i++) {
+        const fence = `000000000001.000000000001.10.0.0.1:7100~${'0'.repeat(15)}-${(i * 7919).toString(36)}`;
+        board(nodes[0]!).put(`fact/${i}`, `${fence}/00000001`, { fence, gen: 1, peer: '10.0.0.1:7100', inst: `${'0'.repeat(15)}-${i.toString(36)}`, behind: [] });
+      }
+    };
+    put(0, n);
+    for (const until = sim.now + 60_000; sim.now < until && nodes.some((x) => board(x).items.size < n);) await sim.run(sim.now + 250);
+    await sim.run(sim.now + 2_000);
+    memory.points.push({ x: n, y: ((heapMiB() - before) * 1024) / nodes.length });
+    let digestBytes = 0;
+    let digests = 0;
+    let news = 0;
+    for (const x of nodes) {
+      const h = x.handle!;
+      x.handle = async (f) => {
+        const a = await h(f);
+        if (/,"Gossip",/.test(f) && f.includes('"digest"')) { digests++; digestBytes += f.length + a.length; }
+        if (/,"(Gossip|News|Mend)",/.test(f)) news += f.length + a.length;
+        return a;
+      };
+    }
+    // A fact that the news did not carry: gossip has to find it. `set` is the board's own, without the passing on.
+    (board(nodes[0]!) as unknown as { set(k: string, v: string, x: unknown): boolean }).set('fact/late', '1', 0);
+    for (const until = sim.now + 20_000; sim.now < until && nodes.some((x) => !board(x).items.has('fact/late'));) await sim.run(sim.now + 50);
+    if (!digests) throw new Error(`${n} facts: no digest was exchanged`);
+    digest.points.push({ x: n, y: digestBytes / digests / 1024 });
+    news = 0;
+    const late = sim.add('late', { role: 'relay', domain: 'a' });
+    late.config.seeds = nodes.map((x) => x.config.peer);
+    await sim.start(late);
+    const lh = late.handle!;
+    late.handle = async (f) => { const a = await lh(f); if (/,"(Gossip|News|Mend)",/.test(f)) news += f.length + a.length; return a; };
+    for (const until = sim.now + 30_000; sim.now < until && board(late).items.size < n;) await sim.run(sim.now + 50);
+    await sim.run(sim.now + 2_000);
+    join.points.push({ x: n, y: news / 1024 });
+    say(`${n} facts: a digest ${digest.points.at(-1)!.y.toFixed(1)} KiB, a join ${join.points.at(-1)!.y.toFixed(0)} KiB, ${memory.points.at(-1)!.y.toFixed(0)} KiB of memory`);
+    sim.close();
+  }
+  return [digest, join, memory];
+}
+
+/** Losses of machines, a rack, a zone, a region, the link between regions, on a fleet of hollow nodes. */
+export async function takeDrills(size: number, say: Say): Promise<Drilled[]> {
+  const out: Drilled[] = [];
+  const south = (n: SimNode): boolean => n.config.domain.startsWith('south');
+  const seatsOf = (h: Hollow): Set<string> => {
+    const v = h.all.find((n) => n.kernel?.use('register').value)!.kernel!.use('register').value!;
+    return new Set(v.seats.map((d) => v.disks.get(d)!.peer));
+  };
+  const drill = async (id: string, title: string, act: (h: Hollow) => Promise<SimNode[]>): Promise<void> => {
+    const h = await hollow(11, size);
+    const { sim } = h;
+    const left = await act(h);
+    const from = sim.now;
+    const lastAt = new Map<number, number>();
+    const gap = new Map<number, number>();
+    while (sim.now - from < 15_000) {
+      const now = owned(left);
+      for (const s of now) lastAt.set(s, sim.now);
+      for (let s = 0; s < C.shardsN; s++) gap.set(s, Math.max(gap.get(s) ?? 0, sim.now - (lastAt.get(s) ?? from)));
+      await sim.run(sim.now + 50);
+    }
+    const fresh = left.filter((n) => n.kernel!.use('register').fresh()).length / left.length;
+    const shards = owned(left).size / C.shardsN;
+    let ok = false;
+    void sim.outside.visit(left.find((n) => n.config.role === 'relay')!.config.client, 'SubmitConfig', { changeId: 'drill', config: CONFIG }, 10_000).then((r) => { ok = r?.status === 200; });
+    await sim.run(sim.now + 10_500);
+    out.push({ id, title, nodes: size, fresh, owned: shards, gapMs: Math.round(Math.max(...gap.values())), change: ok });
+    say(`${title}: ${(fresh * 100).toFixed(0)} % of ${left.length} nodes left may serve, ${(shards * 100).toFixed(0)} % of shards are owned, ${Math.round(Math.max(...gap.values()))} ms without an owner at most, a change is ${ok ? 'taken' : 'not taken'}`);
+    sim.close();
+  };
+  const lose = async (h: Hollow, gone: SimNode[]): Promise<SimNode[]> => {
+    for (const n of gone) h.sim.kill(n);
+    return h.all.filter((n) => !gone.includes(n));
+  };
+  const apart = (h: Hollow): void => { for (const a of h.all) for (const b of h.all) if (south(a) !== south(b)) h.sim.cut(a.name, b.name, false); };
+  await drill('loss-three', 'Three ordinary machines at once', (h) => lose(h, h.rest.filter((n) => n.config.data).slice(0, 1).concat(h.rest.filter((n) => !n.config.data).slice(0, 2))));
+  await drill('loss-rack', 'A rack: a tenth of the machines, one zone, no control machine', (h) => lose(h, h.rest.filter((n) => n.config.domain === ZONES[1]).slice(0, Math.round(size / 10))));
+  await drill('loss-zone', 'A zone with its control machine', (h) => lose(h, h.all.filter((n) => n.config.domain === ZONES[3])));
+  await drill('loss-two-seats', 'Two control machines at once, both with a seat', (h) => { const s = seatsOf(h); return lose(h, h.control.filter((n) => s.has(n.config.peer)).slice(0, 2)); });
+  await drill('loss-seat-and-spare', 'Two control machines at once, one without a seat', (h) => {
+    const s = seatsOf(h);
+    const spare = h.control.filter((n) => !s.has(n.config.peer));
+    return lose(h, [...spare.slice(0, 1), ...h.control.filter((n) => s.has(n.config.peer)).slice(0, 2 - Math.min(1, spare.length))]);
+  });
+  await drill('loss-two-in-turn', 'Two control machines, the second 90 s after the first', async (h) => {
+    const s = seatsOf(h);
+    const [a, b] = h.control.filter((n) => s.has(n.config.peer)) as [SimNode, SimNode];
+    h.sim.kill(a);
+    await h.sim.run(h.sim.now + 90_000);
+    return lose(h, [b]).then((left) => left.filter((n) => n !== a));
+  });
+  await drill('loss-region', 'A region with its two control machines (south)', (h) => lose(h, h.all.filter(south)));
+  await drill('loss-region-other', 'The other region with its two control machines (north)', (h) => lose(h, h.all.filter((n) => !south(n))));
+  await drill('split-north', 'Regions apart: the northern side', async (h) => { apart(h); return h.all.filter((n) => !south(n)); });
+  await drill('split-south', 'Regions apart: the southern side', async (h) => { apart(h); return h.all.filter(south); });
+  return out;
+}
