--- a/packages/trial/src/capacity-data.ts
+++ b/packages/trial/src/capacity-data.ts
@@ -126,8 +126,8 @@
   memoryShare: 0.5,
   /** Real processes at once. */
   processesN: 200,
-  /** A simulated node's memory: measured, see `hollow-memory`; rounded up. */
-  hollowBytes: 12 * 1024 * 1024,
+  /** A simulated node's memory: ten times what `hollow-memory` measured, for what waits while all of them start. */
+  hollowBytes: 4 * 1024 * 1024,
   /** A real process's memory. */
   processBytes: 100 * 1024 * 1024,
   /** Real processes a core bears while none of them is late, idle: 0.1 of a core each, a third left over. */
--- a/packages/trial/src/capacity-loopback.ts
+++ b/packages/trial/src/capacity-loopback.ts
@@ -80,11 +80,12 @@
 /** What connections cost one relay: memory, joins, signs of life. */
 export async function takeConns(sizes: number[], say: Say): Promise<Taken[]> {
   const memory = one('conn-memory', 'Memory of one relay, each conn with one subscription', 'conns', 'MiB');
-  const joins = one('conn-join', 'Processor time of the relay while conns attach and subscribe', 'conns that join', 'ms');
+  const joins = one('conn-join', 'Processor time of the relay while conns attach and subscribe, added up', 'conns that joined', 'ms');
   const probes = one('conn-probe', 'Processor time of the relay, each conn says a sign of life every 2 s (an HTTP request)', 'signs of life a second', 'ms a second');
   const { f, relay, close } = await fleet(site(3, 1));
   try {
     const callers: Caller[] = [];
+    let joined = 0;
     memory.points.push({ x: 0, y: residentMiB(relay) });
     for (const n of [...sizes].sort((a, b) => a - b)) {
       const add = n - callers.length;
@@ -94,7 +95,8 @@
         await must(f, relay, 'Subscribe', { conn: c.conn, topic: `feed/${i % 1_000}` });
         callers.push(c);
       });
-      joins.points.push({ x: add, y: cpuOf(relay) - t0 });
+      joined += cpuOf(relay) - t0;
+      joins.points.push({ x: n, y: joined });
       await sleep(realClock, 3_000);
       memory.points.push({ x: n, y: residentMiB(relay) });
       const S = 6;
@@ -107,7 +109,7 @@
       }));
       const took = (realClock.now() - from) / 1_000;
       probes.points.push({ x: said / took, y: (cpuOf(relay) - t1) / took });
-      say(`${n} conns: ${memory.points.at(-1)!.y.toFixed(0)} MiB, ${joins.points.at(-1)!.y} ms for ${add} joins, ${probes.points.at(-1)!.y.toFixed(0)} ms/s at ${probes.points.at(-1)!.x.toFixed(0)} signs of life a second`);
+      say(`${n} conns: ${memory.points.at(-1)!.y.toFixed(0)} MiB, ${joined} ms for all joins, ${probes.points.at(-1)!.y.toFixed(0)} ms/s at ${probes.points.at(-1)!.x.toFixed(0)} signs of life a second`);
     }
     for (const c of callers) c.close();
     return [memory, joins, probes];
@@ -279,3 +281,51 @@
   }
   return [relayCpu, storeCpu, relayMemory];
 }
+
+/** What confirmations cost a seat: a real store, asked over forty connections as forty nodes would. */
+export async function takeSeat(rates: number[], say: Say): Promise<Taken[]> {
+  const cpu = one('seat-cpu', 'Processor time of a seat', 'confirmations a second', 'ms a second');
+  const { f, close } = await fleet(site(3, 1));
+  const kernels: Kernel[] = [];
+  try {
+    const seat = f.stores[0]!;
+    const ports = await freePorts(40);
+    for (const port of ports) {
+      const host = realHost({ role: 'relay', domain: 'a', peer: `127.0.0.1:${port}`, client: '127.0.0.1:1', seeds: [] });
+      host.log = { info: () => undefined, warn: () => undefined };
+      const k = new Kernel(host);
+      await k.boot([]);
+      kernels.push(k);
+    }
+    const { disk } = await kernels[0]!.call<{ disk: string }>(seat.config.peer, 'RegWho', {});
+    for (const perS of [0, ...rates]) {
+      let n = 0;
+      let running = true;
+      const asks = kernels.map(async (k, i) => {
+        if (!perS) return;
+        const every = (kernels.length * 1_000) / perS;
+        await sleep(realClock, (every * i) / kernels.length);
+        const t0 = realClock.now();
+        for (let j = 1; running; j++) {
+          // A late answer is no answer to a node either; it is not counted as work done.
+          if (await k.call(seat.config.peer, 'RegRead', { disk }).then(() => true, () => false)) n++;
+          await sleep(realClock, Math.max(0, t0 + j * every - realClock.now()));
+        }
+      });
+      await sleep(realClock, 1_500);
+      const at = realClock.now();
+      const c0 = cpuOf(seat);
+      const n0 = n;
+      await sleep(realClock, 6_000);
+      const took = (realClock.now() - at) / 1_000;
+      cpu.points.push({ x: (n - n0) / took, y: (cpuOf(seat) - c0) / took });
+      running = false;
+      await Promise.all(asks);
+      say(`${cpu.points.at(-1)!.x.toFixed(0)} confirmations a second: the seat ${cpu.points.at(-1)!.y.toFixed(0)} ms/s`);
+    }
+    return [cpu];
+  } finally {
+    for (const k of kernels) { k.end(); await k.host.net.close(); }
+    await close();
+  }
+}
--- a/packages/trial/src/capacity-virtual.ts
+++ b/packages/trial/src/capacity-virtual.ts
@@ -1,5 +1,6 @@
 import type { DiskRec, Placement, Value } from '@harecross/control';
 import { matchCopies, matchOwners } from '@harecross/control';
+import type { Key } from '@harecross/data';
 import { C, pack, unpack } from '@harecross/kernel';
 import { build as buildHistogram } from 'hdr-histogram-js';
 import type { Drill, Series } from './capacity-data.js';
@@ -102,13 +103,13 @@
 interface Hollow { sim: Sim; control: SimNode[]; rest: SimNode[]; all: SimNode[] }
 
 /** A fleet of hollow nodes: four control machines, every fifth of the others with a disk for copies, no callers. */
-async function hollow(seed: number, size: number): Promise<Hollow> {
+async function hollow(seed: number, size: number, seatsEverywhere = false): Promise<Hollow> {
   const sim = new Sim(seed);
   const control = Array.from({ length: CONTROL_N }, (_, i) => sim.add(`control${i + 1}`, { role: 'control', domain: ZONES[i]!, disk: true }));
   const rest = Array.from({ length: size - CONTROL_N }, (_, i) => {
     const disk = Math.floor(i / ZONES.length) % 5 === 0;
     const n = sim.add(`node${i + 1}`, { role: 'relay', domain: ZONES[i % ZONES.length]!, disk });
-    if (disk) n.config.diskUses = ['copies'];
+    if (disk && !seatsEverywhere) n.config.diskUses = ['copies'];
     return n;
   });
   const all = [...control, ...rest];
@@ -127,7 +128,10 @@
   const out = new Set<number>();
   for (const n of nodes) {
     if (!n.up || n.frozen || !n.kernel?.has('owner') || !n.kernel.use('register').fresh()) continue;
-    for (const k of n.kernel.use('owner').owned()) if (!n.kernel.use('owner').forlorn()) out.add(k.shard);
+    const o = n.kernel.use('owner');
+    const keys = (o as unknown as { keys: Map<number, Key> }).keys;
+    // As the owner itself judges before it serves: a majority of the copies answered it lately.
+    for (const k of o.owned()) if (n.kernel.host.clock.now() - keys.get(k.shard)!.heardAt() <= C.doubtMs) out.add(k.shard);
   }
   return out;
 }
@@ -313,8 +317,8 @@
     const v = h.all.find((n) => n.kernel?.use('register').value)!.kernel!.use('register').value!;
     return new Set(v.seats.map((d) => v.disks.get(d)!.peer));
   };
-  const drill = async (id: string, title: string, act: (h: Hollow) => Promise<SimNode[]>): Promise<void> => {
-    const h = await hollow(11, size);
+  const drill = async (id: string, title: string, act: (h: Hollow) => Promise<SimNode[]>, seatsEverywhere = false): Promise<void> => {
+    const h = await hollow(11, size, seatsEverywhere);
     const { sim } = h;
     const left = await act(h);
     const from = sim.now;
@@ -356,9 +360,129 @@
     await h.sim.run(h.sim.now + 90_000);
     return lose(h, [b]).then((left) => left.filter((n) => n !== a));
   });
+  await drill('loss-two-of-seven', 'Two control machines at once, seven seats, also on machines with copies', (h) => lose(h, h.control.slice(0, 2)), true);
   await drill('loss-region', 'A region with its two control machines (south)', (h) => lose(h, h.all.filter(south)));
   await drill('loss-region-other', 'The other region with its two control machines (north)', (h) => lose(h, h.all.filter((n) => !south(n))));
   await drill('split-north', 'Regions apart: the northern side', async (h) => { apart(h); return h.all.filter((n) => !south(n)); });
   await drill('split-south', 'Regions apart: the southern side', async (h) => { apart(h); return h.all.filter(south); });
   return out;
 }
+
+/** What listening costs, with nobody saying anything: a relay with so many subscriptions, each to a topic of its own. */
+export async function takeInterest(sizes: number[], say: Say): Promise<Taken[]> {
+  const one = (id: string, title: string, y: string): Taken => ({ id, title, x: 'subscriptions', y, way: 'virtual', points: [] });
+  const bytes = one('interest-bytes', 'Bytes a relay sent and got for its interest (deadlines and heads), nobody publishes', 'KiB/s');
+  const requests = one('interest-requests', 'Requests a relay sent for it, three owners', 'a second');
+  const cpu = one('interest-cpu', 'Processor time of the relay and three owners, simulator included', 'ms a second');
+  const memory = one('interest-memory', 'Memory of the relay\'s subscriptions and the owners\' interest together', 'MiB');
+  for (const n of sizes) {
+    const sim = new Sim(9);
+    const stores = ['a', 'b', 'c'].map((d, i) => sim.add(`store${i + 1}`, { role: 'store', domain: d, disk: true }));
+    const relay = sim.add('relay1', { role: 'relay', domain: 'a' });
+    for (const x of sim.nodes.values()) { x.config.seeds = stores.map((y) => y.config.peer); void sim.start(x); }
+    await sim.run(8_000);
+    void sim.outside.visit(relay.config.client, 'SubmitConfig', { changeId: 'a', config: CONFIG }, 10_000);
+    await sim.run(sim.now + 2_000);
+    const before = heapMiB();
+    const conns: string[] = [];
+    const per = 100;
+    for (let i = 0; i < n / per; i++) sim.outside.attach(relay.config.client, { consumer: `c${i}`, pingS: 60 }, (f) => { if (f.t === 'ATTACHED') conns.push(f.conn); }, () => undefined);
+    await sim.run(sim.now + 1_000);
+    let subscribed = 0;
+    for (const [i, conn] of conns.entries()) {
+      for (let j = 0; j < per; j++) void sim.outside.visit(relay.config.client, 'Subscribe', { conn, topic: `feed/${i * per + j}` }, 10_000).then((r) => { if (r?.status === 200) subscribed++; });
+      await sim.run(sim.now + 20);
+    }
+    for (const until = sim.now + 20_000; sim.now < until && subscribed < n;) await sim.run(sim.now + 100);
+    if (subscribed < n) throw new Error(`${subscribed} of ${n} subscriptions were taken`);
+    await sim.run(sim.now + 3_000);
+    memory.points.push({ x: n, y: heapMiB() - before });
+    let got = 0;
+    let calls = 0;
+    for (const x of stores) {
+      const h = x.handle!;
+      x.handle = async (f) => {
+        const a = await h(f);
+        // All that the relay asks owners is for its interest: nobody publishes. Membership and register are left out.
+        if (f.includes(`"${relay.config.peer}"`) && !/,"(Gossip|News|Mend|Ping|PingFor|Shuffle|RegRead|RegGet)",/.test(f)) { got += f.length + a.length; calls++; }
+        return a;
+      };
+    }
+    const S = 42;
+    const t0 = cpuMs();
+    for (let i = 0; i < S / 2; i++) {
+      // Each conn says a sign of life every 2 s; renewals follow from it.
+      for (const conn of conns) void sim.outside.visit(relay.config.client, 'Probe', { conn }, 10_000);
+      await sim.run(sim.now + 2_000);
+    }
+    cpu.points.push({ x: n, y: (cpuMs() - t0) / S });
+    bytes.points.push({ x: n, y: got / 1024 / S });
+    requests.points.push({ x: n, y: calls / S });
+    say(`${n} subscriptions: ${bytes.points.at(-1)!.y.toFixed(1)} KiB/s, ${requests.points.at(-1)!.y.toFixed(1)} requests a second, ${cpu.points.at(-1)!.y.toFixed(1)} ms/s, ${memory.points.at(-1)!.y.toFixed(1)} MiB`);
+    sim.close();
+  }
+  return [bytes, requests, cpu, memory];
+}
+
+/** Bytes between machines of one message: to the owner, to its copies, to the relay of one listener. */
+export async function takeTraffic(rates: number[], say: Say): Promise<Taken[]> {
+  const one = (id: string, title: string): Taken => ({ id, title, x: 'publishes a second', y: 'KiB/s', way: 'virtual', points: [] });
+  const publish = one('traffic-publish', 'Bytes from relay to owner and back, bodies of 100 bytes');
+  const append = one('traffic-append', 'Bytes from owner to four copies and back');
+  const fan = one('traffic-fan', 'Bytes from owner to the one relay that listens, and back');
+  for (const perS of rates) {
+    const sim = new Sim(9);
+    const stores = ['a', 'b', 'c', 'd', 'e'].map((d, i) => sim.add(`store${i + 1}`, { role: 'store', domain: d, disk: true }));
+    const relay = sim.add('relay1', { role: 'relay', domain: 'a' });
+    for (const x of sim.nodes.values()) { x.config.seeds = stores.slice(0, 3).map((y) => y.config.peer); void sim.start(x); }
+    await sim.run(9_000);
+    void sim.outside.visit(relay.config.client, 'SubmitConfig', { changeId: 'a', config: CONFIG }, 10_000);
+    await sim.run(sim.now + 2_000);
+    let conn = '';
+    sim.outside.attach(relay.config.client, { consumer: 'c', pingS: 60 }, (f) => { if (f.t === 'ATTACHED') conn = f.conn; }, () => undefined);
+    await sim.run(sim.now + 500);
+    for (let i = 0; i < 100; i++) void sim.outside.visit(relay.config.client, 'Subscribe', { conn, topic: `feed/${i}` }, 10_000);
+    await sim.run(sim.now + 2_000);
+    const by = new Map<string, number>();
+    for (const x of sim.nodes.values()) {
+      const h = x.handle!;
+      x.handle = async (f) => {
+        const m = /^\[\{[^}]*\},"(\w+)"/.exec(f)?.[1] ?? '?';
+        const a = await h(f);
+        // Beats between appends are what shards cost, not messages.
+        if (m !== 'Append' || f.includes('feed/')) by.set(m, (by.get(m) ?? 0) + f.length + a.length);
+        return a;
+      };
+    }
+    const S = 10;
+    let accepted = 0;
+    for (let i = 0; i < perS * S; i++) {
+      void sim.outside.visit(relay.config.client, 'Publish', { sender: 'desk', topic: `feed/${i % 100}`, seq: i + 1, body: 'x'.repeat(100) }, 10_000).then((r) => { if (r?.status === 200) accepted++; });
+      await sim.run(sim.now + 1_000 / perS);
+    }
+    await sim.run(sim.now + 1_000);
+    if (accepted < perS * S) throw new Error(`${accepted} of ${perS * S} were accepted`);
+    const rate = accepted / S;
+    for (const [s, m] of [[publish, 'Publish'], [append, 'Append'], [fan, 'Fan']] as const) s.points.push({ x: rate, y: (by.get(m) ?? 0) / 1024 / S });
+    say(`${rate} publishes a second: ${publish.points.at(-1)!.y.toFixed(1)} KiB/s to owners, ${append.points.at(-1)!.y.toFixed(1)} to copies, ${fan.points.at(-1)!.y.toFixed(1)} to the relay`);
+    sim.close();
+  }
+  return [publish, append, fan];
+}
+
+/** Shards that keep a majority of their copies when a zone or a region of the four zones goes, by the fleet's own placement. */
+export function takePlacement(sizes: number[], say: Say): Taken[] {
+  const one = (id: string, title: string): Taken => ({ id, title, x: 'shards', y: '% of shards', way: 'direct', points: [] });
+  const zone = one('placement-zone', 'Shards with a majority left when the worst zone goes, 5 copies on 110 disks in four zones');
+  const region = one('placement-region', 'Shards with a majority left when the worse of two regions goes');
+  for (const n of sizes) {
+    const v = valueOf(n, 110);
+    const at = matchCopies([...v.disks.values()], C.copiesN, n);
+    const left = (gone: (zone: string) => boolean): number =>
+      ([...at.values()].filter((c) => c.filter((d) => !gone(v.disks.get(d)!.domain)).length * 2 > c.length).length / n) * 100;
+    zone.points.push({ x: n, y: Math.min(...ZONES.map((z) => left((x) => x === z))) });
+    region.points.push({ x: n, y: Math.min(left((x) => x.startsWith('north')), left((x) => x.startsWith('south'))) });
+    say(`${n} shards: ${zone.points.at(-1)!.y.toFixed(0)} % keep a majority without the worst zone, ${region.points.at(-1)!.y.toFixed(0)} % without the worse region`);
+  }
+  return [zone, region];
+}
--- a/packages/trial/src/capacity.ts
+++ b/packages/trial/src/capacity.ts
@@ -5,17 +5,17 @@
 import { consola } from 'consola/basic';
 import yargs from 'yargs';
 import { lineOf, misfit, readMeasured, sizesOf, type Demand, type Drill, type Measured, type Series } from './capacity-data.js';
-import { takeConns, takeFanout, takeIdle, takeMessages } from './capacity-loopback.js';
+import { takeConns, takeFanout, takeIdle, takeMessages, takeSeat } from './capacity-loopback.js';
 import { pageOf, plotsOf } from './capacity-page.js';
-import { takeBoard, takeControl, takeDrills, takeShards, takeValue, type Drilled, type Taken } from './capacity-virtual.js';
+import { takeBoard, takeControl, takeDrills, takeInterest, takePlacement, takeShards, takeTraffic, takeValue, type Drilled, type Taken } from './capacity-virtual.js';
 
-const PARTS = ['control', 'shards', 'value', 'board', 'drills', 'conns', 'messages', 'fanout', 'idle'] as const;
+const PARTS = ['control', 'shards', 'value', 'board', 'drills', 'interest', 'traffic', 'placement', 'conns', 'messages', 'fanout', 'seat', 'idle'] as const;
 type Part = (typeof PARTS)[number];
 
 const a = yargs(process.argv.slice(2))
   .scriptName('capacity')
   .usage('$0 [flags]\n\nMeasures what each size costs, keeps the figures in docs/capacity.json and writes docs/CAPACITY.md from them.\n'
-    + 'control, shards, board and drills run in virtual time; value in this process; the others as real processes on loopback.')
+    + 'control, shards, board, drills, interest and traffic run in virtual time; value and placement in this process; the others as real\nprocesses on loopback.')
   .option('only', { type: 'string', describe: `parts, by commas: ${PARTS.join(', ')}; none: only the page is written` })
   .option('hollow', { type: 'string', default: '60,140,275,550', describe: 'nodes of the simulated fleets' })
   .option('seeds', { type: 'string', default: '1', describe: 'seeds of each' })
@@ -23,6 +23,7 @@
   .option('value', { type: 'string', default: '32,1000,4000,16000,64000,250000', describe: 'shards of the register\'s value' })
   .option('facts', { type: 'string', default: '100,500,2000,8000', describe: 'facts on a board' })
   .option('conns', { type: 'string', default: '500,1000,2000,3900', describe: 'conns of one relay' })
+  .option('subscriptions', { type: 'string', default: '500,2000,8000', describe: 'subscriptions of one hollow relay' })
   .option('relays', { type: 'string', default: '50,150,300,550', describe: 'hollow relays an owner fans to' })
   .option('processes', { type: 'string', default: '6,12,24', describe: 'real processes of idle fleets' })
   .option('docs', { type: 'string', default: 'docs', describe: 'where capacity.json and CAPACITY.md are' })
@@ -36,7 +37,7 @@
 if (unknown !== undefined) fail(`--only: there is no part '${unknown}'; there are ${PARTS.join(', ')}`);
 const size = must(() => ({
   hollow: sizesOf('hollow', a.hollow), seeds: sizesOf('seeds', a.seeds), shards: sizesOf('shards', a.shards), value: sizesOf('value', a.value),
-  facts: sizesOf('facts', a.facts), conns: sizesOf('conns', a.conns), relays: sizesOf('relays', a.relays), processes: sizesOf('processes', a.processes),
+  facts: sizesOf('facts', a.facts), subscriptions: sizesOf('subscriptions', a.subscriptions), conns: sizesOf('conns', a.conns), relays: sizesOf('relays', a.relays), processes: sizesOf('processes', a.processes),
 }));
 const demand: Demand = {
   ...(wanted.includes('control') ? { hollow: size.hollow } : {}),
@@ -61,7 +62,7 @@
 
 function keep(part: Part, series: Taken[], drills: Drilled[], load: number, at: string): void {
   const flag: Partial<Record<Part, string>> = {
-    control: `--hollow ${a.hollow} --seeds ${a.seeds}`, shards: `--shards ${a.shards}`, value: `--value ${a.value}`, board: `--facts ${a.facts}`,
+    control: `--hollow ${a.hollow} --seeds ${a.seeds}`, shards: `--shards ${a.shards}`, value: `--value ${a.value}`, board: `--facts ${a.facts}`, interest: `--subscriptions ${a.subscriptions}`,
     conns: `--conns ${a.conns}`, fanout: `--relays ${a.relays}`, idle: `--processes ${a.processes}`,
   };
   const command = `npm run capacity -- --only ${part}${flag[part] ? ` ${flag[part]}` : ''}`;
@@ -89,6 +90,10 @@
     case 'value': keep(part, takeValue(size.value, say), [], load, at); break;
     case 'board': keep(part, await takeBoard(size.facts, say), [], load, at); break;
     case 'drills': keep(part, [], await takeDrills(44, say), load, at); break;
+    case 'interest': keep(part, await takeInterest(size.subscriptions, say), [], load, at); break;
+    case 'traffic': keep(part, await takeTraffic([20, 50, 125], say), [], load, at); break;
+    case 'placement': keep(part, takePlacement([250, 500, 1_000], say), [], load, at); break;
+    case 'seat': keep(part, await takeSeat([150, 300, 600, 900], say), [], load, at); break;
     case 'conns': keep(part, await takeConns(size.conns, say), [], load, at); break;
     case 'messages': keep(part, await takeMessages(say), [], load, at); break;
     case 'fanout': keep(part, await takeFanout(size.relays, say), [], load, at); break;
