--- a/packages/trial/src/capacity-page.ts
+++ b/packages/trial/src/capacity-page.ts
@@ -59,9 +59,19 @@
     if (!l) this.lines.set(id, l = lineOf(this.s(id).points));
     return l;
   }
-  slope(id: string): number { return this.line(id).slope; }
+  /** The slope that is reckoned with: where the spread is larger than the slope, the most it may be. */
+  slope(id: string): number {
+    const l = this.line(id);
+    return l.slope > l.spread ? l.slope : Math.max(0, l.slope) + l.spread;
+  }
   /** The line's value at a size. */
   at(id: string, x: number): number { const l = this.line(id); return l.base + l.slope * x; }
+  /** The mean of what was measured at the smallest size. */
+  bottom(id: string): { x: number; y: number } {
+    const ps = this.s(id).points;
+    const x = Math.min(...ps.map((p) => p.x));
+    return { x, y: mean(ps.filter((p) => p.x === x).map((p) => p.y)) };
+  }
   /** The mean of what was measured at the largest size. */
   top(id: string): { x: number; y: number } {
     const ps = this.s(id).points;
@@ -71,6 +81,10 @@
   mean(id: string): number { return mean(this.s(id).points.map((p) => p.y)); }
 }
 
+const told = (d: Drill): string => `${share(d.fresh)} of the nodes left may serve, ${share(d.owned)} of shards are served, a change is ${d.change ? '' : 'not '}taken`;
+/** The share of the nodes left, or of shards, that a loss stops. */
+const gone = (d: Drill): number => 1 - Math.min(d.fresh, d.owned);
+
 interface Work {
   conns: number; deliveries: number; publishes: number; shards: number; subs: number; nodes: number;
 }
@@ -131,16 +145,17 @@
   const connMiB = f.slope('conn-memory') * w.conns;
   const connKiB = f.slope('conn-memory') * 1_024;
   const byMemoryN = Math.floor((TARGET.controlMB * 4) / f.slope('conn-memory'));
-  const fanSingle = f.at('fanout-single', TARGET.nodes);
-  const fanBurst = f.at('fanout-burst', TARGET.nodes);
-  const fanLate = f.at('fanout-late', TARGET.nodes);
+  // Measured at the size.
+  const fanSingle = f.top('fanout-single').y;
+  const fanBurst = f.top('fanout-burst').y;
+  const fanLate = f.top('fanout-late').y;
   const joinMs = f.slope('conn-join');
   const confirms = f.at('seat-confirms', w.nodes);
   const seatMs = f.at('seat-cpu', confirms);
-  const hollow = [...f.s('hollow-cpu').points].sort((a, b) => a.x - b.x);
-  const grownMs = f.top('hollow-cpu').y - mean(hollow.filter((p) => p.x === hollow[0]!.x).map((p) => p.y));
+  const grownMs = f.top('hollow-cpu').y - f.bottom('hollow-cpu').y;
   const idleMs = f.mean('idle-relay-cpu') + grownMs;
   const boardMiB = (f.slope('board-memory') * facts) / 1_024;
+  const valueMiB = f.top('value-memory').y;
   const bytesPublish = f.slope('traffic-publish');
   const bytesAppend = f.slope('traffic-append');
   const bytesFan = f.slope('traffic-fan');
@@ -148,20 +163,18 @@
   return {
     w, facts, keyChangesPerS, factKiB, boardKiB, valueKiB, quietKiB, quietSentKiB, budgetKiB, breaksAt, beatRequests, beatKiB, requestMs, ownersMs, packMs,
     valueSizeKiB, keeperMs, hops, changeMs, changeBreaksAt, probeMs, deliverMs, interestMs, interestKiB, publishRelayMs, accessMs, storeMs, diskKiB, fanMs, beatMs,
-    connMiB, connKiB, byMemoryN, fanSingle, fanBurst, fanLate, joinMs, confirms, seatMs, grownMs, idleMs, boardMiB, bytesPublish, bytesAppend, bytesFan, betweenKiB,
+    connMiB, connKiB, byMemoryN, fanSingle, fanBurst, fanLate, joinMs, confirms, seatMs, grownMs, idleMs, boardMiB, valueMiB, bytesPublish, bytesAppend, bytesFan, betweenKiB,
   };
 }
 
-interface Row { duty: string; need: string; have: string; factor: number; measured: string; derived: string; step: string }
+interface Row { duty: string; need: string; have: string; factor: number; drills?: Drill[]; measured: string; derived: string; step: string }
 
 /** The rows of the verdict, hardest gap first. `factor`: how many times too much; 1 and below is carried; Infinity stops the fleet. */
 export function verdict(m: Measured): Row[] {
   const f = new Figures(m);
   const x = worked(f);
   const { w } = x;
-  const gone = (d: Drill): number => 1 - Math.min(d.fresh, d.owned);
   const stops = (d: Drill): number => (gone(d) > 0.001 || !d.change ? Infinity : 0);
-  const told = (d: Drill): string => `${share(d.fresh)} of the nodes left may serve, ${share(d.owned)} of shards are served, a change is ${d.change ? '' : 'not '}taken`;
   const sent = (kib: number): number => kib / 2 / x.budgetKiB;
   const rows: Row[] = [
     {
@@ -201,8 +214,8 @@
       measured: '`publish-stores`, `fanout-single`', derived: `${whole(w.publishes)} publishes a second and node (assumed ${ASSUMED.listeners} listeners a publish), five copies for three`, step: 'B7',
     },
     {
-      duty: 'Memory of control at a node (board and what it stands on)', need: `${TARGET.controlMB} MB`, have: `${num(x.boardMiB + f.mean('idle-relay-memory'))} MiB: an idle process ${num(f.mean('idle-relay-memory'))}, the board's facts ${num(x.boardMiB)}; the value (${bytes(x.valueSizeKiB)} packed) comes on top`,
-      factor: (x.boardMiB + f.mean('idle-relay-memory')) / ((TARGET.controlMB * 1e6) / 1024 ** 2), measured: '`board-memory`, `idle-relay-memory`', derived: `${whole(x.facts)} facts; an idle process holds more than control`, step: 'B1, B2',
+      duty: 'Memory of control at a node (board and what it stands on)', need: `${TARGET.controlMB} MB`, have: `${num(x.boardMiB + x.valueMiB + f.mean('idle-relay-memory'))} MiB: an idle process ${num(f.mean('idle-relay-memory'))}, the board's facts ${num(x.boardMiB)}, the value ${num(x.valueMiB)}`,
+      factor: (x.boardMiB + x.valueMiB + f.mean('idle-relay-memory')) / ((TARGET.controlMB * 1e6) / 1024 ** 2), measured: '`board-memory`, `value-memory`, `idle-relay-memory`', derived: `${whole(x.facts)} facts; an idle process holds more than control`, step: 'B1, B2',
     },
     {
       duty: 'Quiet control, 32 shards: bytes', need: `${TARGET.controlKBPerS} KB/s`, have: `${num(x.quietSentKiB * 1.024)} KB/s sent (${num(x.quietKiB * 1.024)} sent and got) at ${whole(f.top('control-bytes').x)} nodes; the busiest ${num((f.top('control-bytes-most').y / 2) * 1.024)}`, factor: x.quietSentKiB / x.budgetKiB,
@@ -222,33 +235,43 @@
     },
     {
       duty: 'The largest topic: one message to its relays', need: `${TARGET.lateMs} ms`, have: `${num(x.fanLate + TARGET.lateMs * 0.1 + (TARGET.largestTopic / TARGET.nodes) * f.slope('deliver-cpu'))} ms: last relay ${num(x.fanLate)} (99 in 100), flush ${num(TARGET.lateMs * 0.1)}, ${num(TARGET.largestTopic / TARGET.nodes)} conns a relay ${num((TARGET.largestTopic / TARGET.nodes) * f.slope('deliver-cpu'))}`,
-      factor: (x.fanLate + TARGET.lateMs * 0.1 + (TARGET.largestTopic / TARGET.nodes) * f.slope('deliver-cpu')) / TARGET.lateMs, measured: '`fanout-late`, `deliver-cpu`', derived: 'added up; the way between regions and the sync come on top', step: 'carried by interest a node, not a listener',
+      factor: (x.fanLate + TARGET.lateMs * 0.1 + (TARGET.largestTopic / TARGET.nodes) * f.slope('deliver-cpu')) / TARGET.lateMs, measured: '`fanout-late`, `deliver-cpu`', derived: 'added up; the way between regions and the sync come on top', step: 'carried by interest a node, not a listener; above one owner\'s rate B10',
+    },
+    {
+      duty: 'A delivery, 99 in 100, in one relay process', need: `${TARGET.lateMs} ms`, have: `${num(Math.max(...f.s('deliver-late').points.map((p) => p.y)))} ms at the worst of ${f.s('deliver-late').points.length} rates up to ${whole(f.top('deliver-late').x)} a second`,
+      factor: Math.max(...f.s('deliver-late').points.map((p) => p.y)) / TARGET.lateMs, measured: '`deliver-late`', derived: 'nothing; the way between regions comes on top, and a busy machine is in it', step: 'carried by frames pushed while interest lives, and the flush at a tenth of the aim',
+    },
+    {
+      duty: 'A planned restart: its conns join the others within 3 s', need: `${whole(ASSUMED.loopMsPerS * 3)} ms of a loop`, have: `${num((w.conns / (TARGET.nodes - 1)) * x.joinMs)} ms at each other node for ${whole(w.conns / (TARGET.nodes - 1))} joins`,
+      factor: ((w.conns / (TARGET.nodes - 1)) * x.joinMs) / (ASSUMED.loopMsPerS * 3), measured: '`conn-join`', derived: 'spread evenly by the platform', step: 'carried by spread times to go, and a bound on conns',
     },
     {
-      duty: 'Two of the four control machines gone at once, both with a seat', need: 'nothing stops', have: told(f.d('loss-two-seats')), factor: stops(f.d('loss-two-seats')),
+      duty: 'Two of the four control machines gone at once, both with a seat', need: 'nothing stops', have: told(f.d('loss-two-seats')), factor: stops(f.d('loss-two-seats')), drills: [f.d('loss-two-seats')],
       measured: 'drill', derived: 'none', step: 'B8',
     },
     {
-      duty: 'Two of the four control machines gone, 90 s apart', need: 'nothing stops', have: told(f.d('loss-two-in-turn')), factor: stops(f.d('loss-two-in-turn')), measured: 'drill', derived: 'none', step: stops(f.d('loss-two-in-turn')) ? 'B8' : 'carried: the keeper gives the seat of the first to the spare',
+      duty: 'Two of the four control machines gone, 90 s apart', need: 'nothing stops', have: told(f.d('loss-two-in-turn')), factor: stops(f.d('loss-two-in-turn')), drills: [f.d('loss-two-in-turn')], measured: 'drill', derived: 'none', step: stops(f.d('loss-two-in-turn')) ? 'B8' : 'carried: the keeper gives the seat of the first to the spare',
     },
     {
-      duty: 'A region gone', need: 'the other goes on', have: `${told(f.d('loss-region'))}; the other way round: ${told(f.d('loss-region-other'))}`, factor: Math.max(stops(f.d('loss-region')), stops(f.d('loss-region-other'))),
+      duty: 'A region gone', need: 'the other goes on', have: `${told(f.d('loss-region'))}; the other way round: ${told(f.d('loss-region-other'))}`, factor: Math.max(stops(f.d('loss-region')), stops(f.d('loss-region-other'))), drills: [f.d('loss-region'), f.d('loss-region-other')],
       measured: 'drills, `placement-region`', derived: 'none', step: 'B9',
     },
     {
-      duty: 'Regions apart', need: 'both go on with what is theirs', have: `north: ${told(f.d('split-north'))}; south: ${told(f.d('split-south'))}`, factor: Math.max(stops(f.d('split-north')), stops(f.d('split-south'))),
+      duty: 'Regions apart', need: 'both go on with what is theirs', have: `north: ${told(f.d('split-north'))}; south: ${told(f.d('split-south'))}`, factor: Math.max(stops(f.d('split-north')), stops(f.d('split-south'))), drills: [f.d('split-north'), f.d('split-south')],
       measured: 'drills', derived: 'none', step: 'B9',
     },
     ...(['loss-three', 'loss-rack', 'loss-zone'] as const).map((id): Row => ({
-      duty: f.d(id).title, need: 'nothing stops for long', have: `${told(f.d(id))}; a shard is without an owner for ${whole(f.d(id).gapMs)} ms at most`, factor: stops(f.d(id)),
+      duty: f.d(id).title, need: 'nothing stops for long', have: `${told(f.d(id))}; a shard is without an owner for ${whole(f.d(id).gapMs)} ms at most`, factor: stops(f.d(id)), drills: [f.d(id)],
       measured: `drill, ${f.d(id).nodes} nodes`, derived: 'the machines refuse connections; a frozen one is noticed later, see `frozen-suspected`', step: 'carried by copies spread over zones and keys taken under a fence',
     })),
   ];
-  return rows.sort((a, b) => (b.factor === a.factor ? 0 : b.factor - a.factor));
+  // What stops the fleet first, the most stopped of it before the rest.
+  const lost = (r: Row): number => (r.factor === Infinity ? mean((r.drills ?? []).map(gone)) : 0);
+  return rows.sort((a, b) => (b.factor === a.factor ? lost(b) - lost(a) : b.factor - a.factor));
 }
 
 function verdictOf(r: Row): string {
-  if (r.factor === Infinity) return '**not carried**: it stops';
+  if (r.factor === Infinity) return `**not carried**: ${share(Math.max(...(r.drills ?? []).map(gone)))} of what is left stops at the worst`;
   if (r.factor > 1) return `**not carried**, ${num(r.factor)} times too much`;
   if (r.factor === 0) return 'carried';
   return `carried, ${share(r.factor)} of it used`;
@@ -270,13 +293,22 @@
   return undefined;
 }
 
+/** How far the slopes that a row names are carried, and how sure they are. */
+function stretch(f: Figures, r: Row): string {
+  const ids = [...r.measured.matchAll(/`([a-z-]+)`/g)].map((m) => m[1]!).filter((id) => targetOf(id) !== undefined);
+  if (!ids.length) return r.drills ? `played with ${r.drills[0]!.nodes} nodes` : 'measured';
+  const times = Math.max(...ids.map((id) => targetOf(id)! / f.line(id).sizes.at(-1)!));
+  const spread = Math.max(...ids.map((id) => Math.abs(f.line(id).spread / f.line(id).slope)));
+  return `${times <= 1.05 ? 'measured at the size' : `${num(times)} times`}, ${spread > 1 ? 'no clear slope: the most it may be' : `± ${share(spread)}`}`;
+}
+
 const STEPS: [string, (x: ReturnType<typeof worked>, f: Figures) => string][] = [
-  ['B1. Placement by rule, not by table', (x) => `The register's value keeps the disks, their weights and the rule's number; where a shard's copies are follows from them (rendezvous, as today's \`matchCopies\` does), and only exceptions are written down: shards that are under way from one placement to the next, and those placed by hand. The value is then as large as the fleet and its moves, not as the topic space. Orders are worked out for a shard when it is asked for, and anew only for shards that a changed disk touches, instead of all of them several times a second. One issue: the rule and its exceptions beside the table, both answering in the simulator until they agree at every step; then the table goes. Worth: rows of the keeper, owners and the value (${bytes(x.valueSizeKiB)} becomes some ${bytes(0.17 * 554 + 0.066 * 500)}).`],
+  ['B1. Placement by rule, not by table', (x, f) => `The register's value keeps the disks, their weights and the rule's number; where a shard's copies are follows from them (rendezvous, as today's \`matchCopies\` does), and only exceptions are written down: shards that are under way from one placement to the next, and those placed by hand. The value is then as large as the fleet and its moves, not as the topic space. Orders are worked out for a shard when it is asked for, and anew only for shards that a changed disk touches, instead of all of them several times a second. One issue: the rule and its exceptions beside the table, both answering in the simulator until they agree at every step; then the table goes. Worth: rows of the keeper, owners and the value (${bytes(x.valueSizeKiB)} becomes some ${bytes(f.bottom('value-bytes').y + 500 * f.slope('value-bytes'))}, with 500 shards under way).`],
   ['B2. Keys by lease at the copies, not on the board', (x) => `Who owns a shard is asked of its copies (the first that answers names the owner under its fence) and remembered by who asked; a machine that takes or gives its keys says one fact for all of them. The board then has ${whole(x.w.nodes)} facts. Members by disk and by state get an index, instead of a walk over all. One issue: \`route\` asks copies, \`announce\` says one fact a machine, the board's key records go.`],
   ['B3. One beat a pair of machines', (x) => `A node beats once to each machine that shares shards with it, and names only the shards for which something changed; the same answer renews all. ${whole(x.beatRequests)} requests a second become at most ${whole(Math.min(549, x.w.shards * 4) / 0.4)} at 0.4 s, and ${whole(Math.min(549, x.w.shards * 4) / 2.4)} at the 2.4 s that a bound of 12 s allows. With groups of machines that keep the same shards (copysets of some 20 machines) it is ${whole(19 / 0.4)}. Two issues: the joined beat; placement in groups.`],
   ['B4. The keeper in parts', () => 'The keeper looks at the shards that a change touched, not at all; its duty is split by shard range among the control machines, each range under a lease of the register. One issue, after B1.'],
   ['B5. A machine of many processes', (x) => `Conns are spread over processes of one machine that share one membership: one process speaks for the machine to the fleet, the others hold conns and speak to it over loopback, so that the fleet has ${whole(x.w.nodes)} members and not ${whole(x.w.nodes * Math.ceil(x.w.conns / 4_000))}. The platform starts the processes; nothing in the product does. One issue: a relay that takes its board, register and interest from a neighbour process.`],
-  ['B6. Signs of life without requests', (x) => `${whole(x.w.conns / ASSUMED.pingS)} HTTP requests a second and machine are most of its processor time. The client's line on the connection it has already, or any byte on it, renews; the ping is told by the server and grows with the conns it has (10 s at the target, 30 s on phones). Two issues: sign of life on the conn's own stream; ping by load.`],
+  ['B6. Signs of life without requests', (x) => `${whole(x.w.conns / ASSUMED.pingS)} HTTP requests a second and machine are ${share(x.probeMs / x.accessMs)} of its processor time. The client's line on the connection it has already, or any byte on it, renews; the ping is told by the server and grows with the conns it has (10 s at the target, 30 s on phones). Two issues: sign of life on the conn's own stream; ping by load.`],
   ['B7. Fewer bytes and commits a message', (x, f) => `A copy writes ${num((f.slope('publish-disk') / 3) * 1)} KiB for a message of 100 bytes: each small transaction rewrites pages of several tables. An append-only log of segments for entries, folded into SQLite at the trim, writes each once. Owners of one machine share commits already. One issue: the segment log behind \`state\`, with the same kill-and-damage tests.`],
   ['B8. Five seats and more', (x, f) => `Four control machines have three seats (an even number bears no more), so two at once may be a majority. Seats also on three machines that keep copies make seven of the register, four of them set aside, and two may go at once: drill \`loss-two-of-seven\`: ${share(f.d('loss-two-of-seven').fresh)} may serve, a change is ${f.d('loss-two-of-seven').change ? '' : 'not '}taken. It is a matter of \`diskUses\`; what is missing is the keeper's preference for control machines and zones, so that one region never has more seats than it must. One issue.`],
   ['B9. A third place, and a home region', () => 'With two regions one of them has the majority of any odd set, for the register and for each shard, so no placement bears the loss of either. Two ways, both worth having: a **witness** in a third place (a disk that votes and keeps fences and lengths, no bodies; one small machine bears the seats\' and all shards\' votes only after B1 to B3), and **home regions**: a family\'s shards have four of five copies (or all) in the region where its clients are, so that regions apart both go on with their own topics. An operator\'s declared loss (a new placement generation without the lost region, fenced in the register) is the last resort, and loses what only the lost region had accepted. Three issues: copies by region; witness copies; declared loss with its drill.'],
@@ -312,14 +344,14 @@
   ]);
   p(`Assumed, from today's sites where the letter says nothing: all ${TARGET.nodes} nodes hold connections and keep copies, the ${TARGET.controlMachines} control machines are apart; ${ASSUMED.subsPerConn} subscriptions a connection, nearly all of different topics on one node; ${ASSUMED.listeners} deliveries a publish, so ${whole(w.publishes * TARGET.nodes)} publishes a second in the fleet, bodies of 100 bytes (fewer publishes with more listeners cost owners less, see \`publish-stores\`); a sign of life every ${ASSUMED.pingS} s; one loop bears ${ASSUMED.loopMsPerS} ms of work a second; ${ASSUMED.linkMBPerS} MB/s a machine.`);
   p('## Verdict, hardest gap first');
-  p('What stops the fleet stands first; then by how many times too much. The last column names the mechanism that carries the row, or the step (below) that will.');
-  table(['duty', 'allowed', 'at the target', 'verdict', 'measured', 'worked out by', 'mechanism or step'], rows.map((r) => [r.duty, r.need, r.have, verdictOf(r), r.measured, r.derived, r.step]));
+  p('What stops the fleet stands first; then by how many times too much. "Carried how far" is the longest extrapolation among the slopes that are named, and their largest spread (two standard errors, as a share of the slope). The last column names the mechanism that carries the row, or the step (below) that will.');
+  table(['duty', 'allowed', 'at the target', 'verdict', 'measured', 'worked out by', 'carried how far', 'mechanism or step'], rows.map((r) => [r.duty, r.need, r.have, verdictOf(r), r.measured, r.derived, stretch(f, r), r.step]));
   p('## The building to come');
   for (const [name, text] of STEPS) p(`**${name}.** ${text(x, f)}`);
 
   p('## Worked answers');
-  p(`**${whole(w.conns)} connections a node.** A connection with one subscription takes ${num(x.connKiB)} KiB of a relay (\`conn-memory\`, up to ${whole(f.top('conn-memory').x)} conns), so ${num(x.connMiB / 1_024)} GiB a machine, worked out over ${num(w.conns / f.top('conn-memory').x)} times the measured size; two more subscriptions each add some ${bytes((f.slope('interest-memory') * 1_024) * 2)} (\`interest-memory\`, both sides). One Node process takes 4,000 by its bound, so ${Math.ceil(w.conns / 4_000)} processes; by processor time ${Math.ceil(x.accessMs / ASSUMED.loopMsPerS)} loops, ${share(x.probeMs / x.accessMs)} of that for signs of life over HTTP (\`conn-probe\`: ${num(f.slope('conn-probe'))} ms each). With B6 it is ${Math.ceil((x.accessMs - x.probeMs) / ASSUMED.loopMsPerS)}. Not carried by one process a machine: B5, B6.`);
-  p(`**${whole(TARGET.largestTopic)} listeners on a topic.** Interest is said by nodes, so an owner fans to ${TARGET.nodes} at most, however many listen; each relay then writes ${num(TARGET.largestTopic / TARGET.nodes)} frames (${num((TARGET.largestTopic / TARGET.nodes) * f.slope('deliver-cpu'))} ms). One message to ${TARGET.nodes} hollow relays costs the owner ${num(x.fanSingle)} ms of processor when it comes alone and ${num(x.fanBurst)} ms in company of 20, and the last relay has it after ${num(f.at('fanout-last', TARGET.nodes))} ms (half) or ${num(x.fanLate)} ms (99 in 100): measured at ${whole(f.top('fanout-single').x)} relays on loopback. One owner is enough up to ${num(ASSUMED.loopMsPerS / x.fanSingle)} messages a second on such a topic; above, B10 relays it.`);
+  p(`**${whole(w.conns)} connections a node.** A connection with one subscription takes ${num(x.connKiB)} KiB of a relay (\`conn-memory\`, up to ${whole(f.top('conn-memory').x)} conns), so ${num(x.connMiB / 1_024)} GiB a machine, worked out over ${num(w.conns / f.top('conn-memory').x)} times the measured size; two more subscriptions each add some ${bytes((f.slope('interest-memory') * 1_024) * 2)} (\`interest-memory\`, both sides). One Node process takes 4,000 by its bound, so ${Math.ceil(w.conns / 4_000)} processes; by processor time ${Math.ceil(x.accessMs / ASSUMED.loopMsPerS)} loops, ${share(x.probeMs / x.accessMs)} of that for signs of life over HTTP (\`conn-probe\`: ${num(f.slope('conn-probe'))} ms each; lines on a connection that is there already were not measured). Without them it is ${Math.ceil((x.accessMs - x.probeMs) / ASSUMED.loopMsPerS)} (B6). Not carried by one process a machine: B5, B6.`);
+  p(`**${whole(TARGET.largestTopic)} listeners on a topic.** Interest is said by nodes, so an owner fans to ${TARGET.nodes} at most, however many listen; each relay then writes ${num(TARGET.largestTopic / TARGET.nodes)} frames (${num((TARGET.largestTopic / TARGET.nodes) * f.slope('deliver-cpu'))} ms). One message to ${TARGET.nodes} hollow relays costs the owner ${num(x.fanSingle)} ms of processor when it comes alone and ${num(x.fanBurst)} ms in company of 20, and the last relay has it after ${num(f.top('fanout-last').y)} ms (half) or ${num(x.fanLate)} ms (99 in 100): measured at ${whole(f.top('fanout-single').x)} relays on loopback. One owner is enough up to ${num(ASSUMED.loopMsPerS / x.fanSingle)} messages a second on such a topic; above, B10 relays it.`);
   p(`**${whole(TARGET.shards)} shards.** Today's number is a constant, 32; here it was set to ${f.line('shard-requests').sizes.join(', ')} in a trial's own process. The value grows by ${bytes(f.slope('value-bytes'))} a shard (${bytes(x.valueSizeKiB)} at the target, ${f.top('value-bytes').x >= TARGET.shards ? 'measured at the size' : `worked out over ${num(TARGET.shards / f.top('value-bytes').x)} times`}), and a change moves it ${num(f.slope('shard-change') / f.slope('value-bytes') / 44)} times a node, sent and got (ballots carry it whole to and from each seat, and every node fetches it whole). Of the ${TARGET.controlKBPerS} KB/s the quiet fleet uses ${num(x.quietSentKiB * 1.024)}; the rest is used up by the value's way at **${whole(x.breaksAt(x.valueKiB))} shards** (${whole(TARGET.changesPerDay)} changes a day), by owners' beats at **${whole(x.breaksAt((n) => (f.slope('shard-bytes') * n) / TARGET.nodes))}**, by the board's key facts at **${whole(x.breaksAt(x.boardKiB))}**; all three together at **${whole(x.breaksAt((n) => x.valueKiB(n) + x.boardKiB(n) + (f.slope('shard-bytes') * n) / TARGET.nodes))}**. The 12 s break at some **${whole(x.changeBreaksAt)}** (worked out: ${x.hops} steps, each packs, unpacks and sends the value to four); the wanted owners, worked out 4 times a second, break 4.9 % of a core at **${whole(TARGET.controlMsPerS / 4 / f.slope('value-owners'))}**. What replaces the flat table: B1 for the value, B2 for the board, B3 for beats, B4 for the keeper. A replaced machine moves ${whole(w.shards * ASSUMED.copies)} copies, two changes of the register each, 8 shards a change: ${whole((w.shards * ASSUMED.copies * 2) / 8)} changes, so ${TARGET.restartsPerDay} of them a day would be ${whole((TARGET.restartsPerDay * w.shards * ASSUMED.copies * 2) / 8)} changes, ${num((TARGET.restartsPerDay * w.shards * ASSUMED.copies * 2) / 8 / TARGET.changesPerDay)} times the operators': restarts within 45 s move nothing, replacements need B1.`);
   p(`**${whole(TARGET.deliveriesPerS)} deliveries a second.** ${whole(w.deliveries)} a node at ${num(f.slope('deliver-cpu') * 1_000)} µs each are ${num(x.deliverMs)} ms/s, ${w.deliveries > f.top('deliver-cpu').x ? `worked out over ${num(w.deliveries / f.top('deliver-cpu').x)} times` : 'within'} the measured ${whole(f.top('deliver-cpu').x)} a second, where 99 in 100 took ${num(f.top('deliver-late').y)} ms on loopback, half ${num(f.top('deliver-usual').y)} ms, of which the flush is up to 39. The fan-out from owners: with ${ASSUMED.listeners} listeners a publish on as many nodes, ${whole(w.deliveries)} frames a second and node, ${num(x.fanMs)} ms/s alone. Deliveries themselves are carried; the publishes behind them cost ${num(x.storeMs)} ms/s a node at owners and copies and write ${bytes(x.diskKiB)} a second to its disk: B7.`);
   p(`**Two regions.** Five copies over four zones lie 2, 1, 1, 1: any zone may go (\`placement-zone\`: ${num(f.top('placement-zone').y)} % of shards keep a majority), and ${num(f.top('placement-region').y)} % of shards keep theirs without the worse region. Seats lie 2 to 1 with three, 4 to 3 with seven: one region can change the configuration and confirm, the other can't. Measured: with the south gone ${told(f.d('loss-region'))}; with the north gone ${told(f.d('loss-region-other'))}. While regions lose each other, the side without the register's majority stops within 2.4 s (nobody there may serve: ${share(f.d('split-south').fresh)}), the other serves the shards whose majority it has: ${share(f.d('split-north').owned)}. Nothing is lost or told twice, but half the connections and more than half the topics wait. B9. Each accept of a shard whose majority spans regions also waits for the way between them.`);
@@ -342,7 +374,7 @@
   table(['loss', 'nodes left that may serve', 'shards served', 'longest without an owner', 'a change'], m.drills.map((d) => [d.title, share(d.fresh), share(d.owned), d.owned < 1 ? 'to the end' : `${whole(d.gapMs)} ms`, d.change ? 'taken' : 'not taken']));
 
   p('## Slopes');
-  p('Least squares through all points; the spread is two standard errors of the slope. The last column: how many times the largest measured size the target is (1 and below: measured at the size or beyond). Where a line fits badly (r² low), the quantity hardly depends on the size, or was disturbed by the other work; the plot tells.');
+  p('Least squares through all points; the spread is two standard errors of the slope. Where it is larger than the slope, the page reckons with slope and spread added, the most it may be. The last column: how many times the largest measured size the target is (1 and below: measured at the size or beyond). Where a line fits badly (r² low), the quantity hardly depends on the size, or was disturbed by the other work; the plot tells.');
   table(['slope', 'what', 'for each of', 'slope', 'spread', 'r²', 'sizes', 'way', 'commit, load', 'extrapolated'], m.series.map((s) => {
     const l = f.line(s.id);
     const to = targetOf(s.id);
@@ -355,12 +387,10 @@
     '- Real machines: all processes shared one machine\'s cores, loopback for a network and one disk. Nothing here says what a link between regions or a slow disk adds.',
     '- Hollow nodes run the real membership, register, board, keeper, owners and copies, but their clock, network and disk sync are the simulator\'s, and one process runs them all; their processor time leaves out sockets and has the simulator\'s own work in it.',
     '- TCP and IP headers, retransmissions and TLS: bytes are those of frames.',
-    '- Connections were measured with one subscription and nothing to say on most; 62,000 descriptors in one process were not tried (its bound is 4,000).',
+    '- Connections were measured with one subscription each and without messages, over the product\'s own HTTP; 62,000 descriptors in one process were not tried (its bound is 4,000).',
     `- Five copies: stores were three in the loopback runs; the figures for five are five thirds of it. The largest simulated fleet had ${whole(f.top('control-bytes').x)} nodes and 32 shards; 250,000 shards were never run together with it.`,
-    '- Rare sizes are lines carried far: a row extrapolated more than ten times is an order of magnitude, no more.', '');
+    '- A row extrapolated more than ten times is an order of magnitude, no more.', '');
   return out.join('\n').replace(/\n{3,}/g, '\n\n');
-
-  function told(d: Drill): string { return `${share(d.fresh)} of the nodes left may serve, ${share(d.owned)} of shards are served, a change is ${d.change ? '' : 'not '}taken`; }
 }
 
 /**
--- a/packages/trial/src/capacity-virtual.ts
+++ b/packages/trial/src/capacity-virtual.ts
@@ -42,6 +42,7 @@
 export function takeValue(sizes: number[], say: Say): Taken[] {
   const weigh: Taken = { id: 'value-bytes', title: 'The register\'s value, packed, 550 disks', x: 'shards', y: 'KiB', way: 'direct', points: [] };
   const packing: Taken = { id: 'value-pack', title: 'Packing and unpacking the value once', x: 'shards', y: 'ms of processor', way: 'direct', points: [] };
+  const memory: Taken = { id: 'value-memory', title: 'Memory of the value, unpacked, once', x: 'shards', y: 'MiB', way: 'direct', points: [] };
   const owners: Taken = { id: 'value-owners', title: 'Working out the wanted owners once (each disk\'s node, 4 times a second)', x: 'shards', y: 'ms of processor', way: 'direct', points: [] };
   const copies: Taken = { id: 'value-copies', title: 'Working out the wanted copies once on 110 disks (the keeper, twice a second)', x: 'shards', y: 'ms of processor', way: 'direct', points: [] };
   for (const n of sizes) {
@@ -51,7 +52,13 @@
       const s = pack(v);
       unpack(s);
       packing.points.push({ x: n, y: cpuMs() - t0 });
-      if (!again) weigh.points.push({ x: n, y: Buffer.byteLength(s) / 1024 });
+      if (!again) {
+        weigh.points.push({ x: n, y: Buffer.byteLength(s) / 1024 });
+        const before = heapMiB();
+        const held = unpack(s) as Value;
+        memory.points.push({ x: n, y: heapMiB() - before });
+        if (held.shards.size !== n) throw new Error(`${held.shards.size} of ${n} shards came back`);
+      }
       t0 = cpuMs();
       matchOwners(v.shards, () => true);
       owners.points.push({ x: n, y: cpuMs() - t0 });
@@ -63,7 +70,7 @@
     }
     say(`value of ${n} shards: ${weigh.points.at(-1)!.y.toFixed(1)} KiB, ${packing.points.at(-1)!.y.toFixed(1)} ms to pack and unpack, ${owners.points.at(-1)!.y.toFixed(1)} ms for the owners`);
   }
-  return [weigh, packing, owners, ...(new Set(copies.points.map((p) => p.x)).size > 2 ? [copies] : [])];
+  return [weigh, packing, memory, owners, ...(new Set(copies.points.map((p) => p.x)).size > 2 ? [copies] : [])];
 }
 
 /** What nodes sent and got, by node and method; answers count as sent by who gave them. */
