--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -2,7 +2,7 @@
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { erasAfter } from './eras.js';
-import { copiesFor, targetsOf } from './placement.js';
+import { copiesFor, targetsOf, wantedCopies } from './placement.js';
 import { notReady, usedFor, type DiskRec, type MoveState, type Register, type Value } from './register.js';
 
 /** What the owner of a shard says on the board under `key/<shard>`. */
@@ -147,16 +147,17 @@
     const fit = (d: DiskRec): boolean => d.state === 'active' && usedFor(d, 'seat') && live(d.id);
     const bad = v.seats.filter((d) => v.disks.get(d)?.state !== 'active');
     const good = v.seats.length - bad.length;
-    const want = Math.min(C.seatsN, [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'seat')).length);
+    const want = Math.min(v.seatsWanted ?? C.seatsN, [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'seat')).length);
     const odd = want % 2 === 0 ? Math.max(1, want - 1) : want;
     const perDomain = (dom: string): number => v.seats.filter((s) => v.disks.get(s)?.domain === dom).length;
     if (good < odd) {
       const cand = rank('seat', [...v.disks.values()].filter((d) => fit(d) && !v.seats.includes(d.id)), (d) => d.id)
-        .sort((a, b) => perDomain(a.domain) - perDomain(b.domain))[0];
+        // Disks that are for nothing else first: seats are confirmed by every node, and copies have work of their own.
+        .sort((a, b) => Number(usedFor(a, 'copies')) - Number(usedFor(b, 'copies')) || perDomain(a.domain) - perDomain(b.domain))[0];
       if (cand) { this.lastPlan = `seat for ${cand.id}`; return { ...v, seats: [...v.seats, cand.id] }; }
     }
     const drop = bad[0] ?? (v.seats.length > odd ? [...v.seats].sort((a, b) => Number(live(a)) - Number(live(b)))[0] : undefined);
-    if (drop === undefined || (good < odd && bad.length === 0)) {
+    if (drop === undefined || (good < odd && bad.length === 0) || awaits(v, v.seats, v.seatsWanted ?? C.seatsN)) {
       // Until the next change a majority of the seats before is needed too: that change is made now.
       if (v.seats.join() === v.prevSeats.join()) return undefined;
       this.lastPlan = 'seats are settled';
@@ -196,7 +197,7 @@
         if (!d) continue;
         shards.set(s, { gen: p.gen + 1, copies: [...p.copies, d] });
         steps++;
-      } else if (!target.some((d) => key.behind.includes(d))) {
+      } else if (!awaits(v, p.copies, wantedCopies(v.config, s, v.copies)) && !target.some((d) => key.behind.includes(d))) {
         const d = extra.find((x) => v.disks.get(x)?.state === 'lost') ?? extra[0]!;
         shards.set(s, { gen: p.gen + 1, copies: p.copies.filter((x) => x !== d) });
         steps++;
@@ -208,6 +209,15 @@
   }
 }
 
+/**
+ * Whether a lost disk's place among those that hold something is kept for it: it is given up only once there is another. With
+ * fewer disks just now, what is accepted or agreed meanwhile would not outlive the next loss.
+ */
+function awaits(v: Value, set: string[], wanted: number): boolean {
+  const there = set.filter((d) => v.disks.get(d)?.state !== 'lost');
+  return there.length < set.length && there.length < Math.min(copiesFor(set.length, set.length), copiesFor(wanted, wanted));
+}
+
 /** A disk by its id, or by the name of the machine it is in. */
 const diskNamed = (v: Value, x: string): DiskRec | undefined => {
   const there = [...v.disks.values()].filter((d) => d.name === x);
