--- a/packages/trial/src/capacity-page.ts
+++ b/packages/trial/src/capacity-page.ts
@@ -648,8 +648,13 @@
         { type: 'line', showSymbol: false, data: [from, to].map((x) => [x, l.base + l.slope * x]) },
       ],
     });
-    // Class names count the charts of a process; a chart by itself has none of the others'.
-    out.set(s.id, `${c.renderToSVGString().replace(/zr\d+-/g, 'zr-')}\n`);
+    // Class names count on through all charts of a process; here they begin anew in each.
+    const names = new Map<string, string>();
+    const svg = c.renderToSVGString().replace(/zr\d+-[a-z]+-?\d+/g, (name) => {
+      if (!names.has(name)) names.set(name, `zr-${names.size}`);
+      return names.get(name)!;
+    });
+    out.set(s.id, `${svg}\n`);
     c.dispose();
   }
   return out;
