--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -39,6 +39,8 @@
   /** Whether each member could take duties when we last looked. */
   private ableThen = new Map<string, boolean>();
   private looking = false;
+  /** When our own loop last went on after it stood still: until then nobody could answer us. */
+  private thawedAt = -Infinity;
 
   constructor(private k: Kernel, private board: Board, private reg: Register, private copies: Copies) {
     const { clock, rnd } = k.host;
@@ -82,7 +84,10 @@
     }));
     k.keep(loop(clock, C.beatMs, rnd, async () => this.replication.beats(this.keys.values())));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
-    k.keep(k.thawed$.subscribe(() => { for (const key of this.keys.values()) key.ackAt.clear(); }));
+    k.keep(k.thawed$.subscribe(() => {
+      this.thawedAt = clock.now();
+      for (const key of this.keys.values()) key.ackAt.clear();
+    }));
     k.keep(reg.fresh$.subscribe(() => { this.freshSince = Math.min(this.freshSince, clock.now()); }));
     k.onStop(() => this.leave());
   }
@@ -140,7 +145,16 @@
    * to serve: a fleet that comes back together shares its keys at once, rather than the first one up having them all.
    */
   private wanted(not?: string, coming = false): Map<number, string> {
-    return matchOwners(this.reg.value!.shards, (d) => d !== not && (this.peerAble(d) !== undefined || (coming && this.isComing(d))));
+    const { shards } = this.reg.value!;
+    const out = matchOwners(shards, (d) => d !== not && (this.peerAble(d) !== undefined || (coming && this.isComing(d))));
+    // Where all copies' machines call themselves ill, one of them must do.
+    if (out.size < shards.size) for (const [s, d] of matchOwners(shards, (x) => x !== not && this.isIll(x))) if (!out.has(s)) out.set(s, d);
+    return out;
+  }
+
+  private isIll(disk: string): boolean {
+    const m = this.board.ofDisk(disk);
+    return this.reg.value?.disks.get(disk)?.state === 'active' && m !== undefined && m.state === 'live' && m.condition === 'ill';
   }
 
   private isComing(disk: string): boolean {
@@ -207,7 +221,8 @@
           if (now - key.triedAt < C.takeRetryMs) break;
           key.triedAt = now;
           if (!rec || this.copies.get(key.shard).promised > rec.fence) unknown.push(key);
-          else void (holder ? this.askFor(key, holder) : this.take(key));
+          // A holder that calls itself unable is not asked; we take the key, the fence decides.
+          else void (holder && this.board.able(holder) ? this.askFor(key, holder) : this.take(key));
           break;
         }
         case 'taking':
@@ -312,7 +327,7 @@
   /** Owner of keys whose copies we can't reach, for so long that others should have them: their links may be whole. */
   forlorn(): boolean {
     const now = this.k.host.clock.now();
-    return [...this.keys.values()].some((key) => key.state === 'owner' && now - Math.max(key.heardAt(), key.takenAt) > C.forlornMs);
+    return [...this.keys.values()].some((key) => key.state === 'owner' && now - Math.max(key.heardAt(), key.takenAt, this.thawedAt) > C.forlornMs);
   }
 
   private async leave(): Promise<void> {
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -95,7 +95,7 @@
   /** Who asked for a key in vain may ask again after this long. */
   yieldVainMs: 30_000,
   /** An owner in doubt this long calls itself ill, so that others take its keys ... */
-  forlornMs: 3_000,
+  forlornMs: 1_000,
   /** ... and stays so this long: links that broke seldom mend in seconds. */
   illMs: 20_000,
   /** Time limit of one Append; a slow disk may take a while, and the others make the majority. */
@@ -211,6 +211,9 @@
   /** Before the first confirmation after a start a node tries this often, this many at once: traffic waits for it. */
   firstConfirmMs: 60,
   firstConfirmN: 4,
+  /** ... for this long; then one try in so many. */
+  firstConfirmForMs: 3_000,
+  firstConfirmEachN: 8,
   /** A change is in force within this time after it was acknowledged, where the process's config says nothing else. */
   applyMs: 3_000,
   /** Seats beyond a majority are asked when those asked first did not answer after this long; a sync of a slow disk is not waited for. */
@@ -245,6 +248,8 @@
   keeperMs: 500,
   /** Steps of the keeper that follow from one another at once; then it looks again after its period. */
   keeperStepsN: 8,
+  /** A disk this many times sooner than those made for copies is worth having copies on. */
+  quickDiskX: 4,
   /** A disk seen live this long is let into the disk set: a process that ends right after its start is not. */
   joinAfterMs: 500,
   /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
