--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -363,7 +363,7 @@
       if (await within(clock, C.probeAloneMs, mine)) return; // the answer itself was the sign of life
       // Of whom we heard lately: those that we can't reach ourselves would answer nothing, and that is no sign against the member.
       const others = this.live().filter((x) => x.peer !== this.k.self && x.peer !== m.peer);
-      const near = others.filter((x) => clock.now() - x.seenAt < C.probeAfterMs);
+      const near = others.filter((x) => clock.now() - x.seenAt < C.probeAfterMs && this.k.whole(x.peer));
       const helpers = sample(rnd, (near.length ? near : others).map((x) => x.peer), C.probeHelpersN);
       const tried = helpers.map((h) => this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeHelpMs).catch(() => false));
       const got = await within(clock, C.probeHelpMs, gather([mine, ...tried], (xs) => xs.includes(true)));
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -238,6 +238,11 @@
     }
   }
 
+  /** Whether our own link to a peer is not known to be broken. */
+  whole(peer: string): boolean {
+    return !this.broken.has(peer);
+  }
+
   /** The one function that calls a link broken; it is tried directly until it is whole or the peer no longer there. */
   breaks(peer: string): void {
     if (this.broken.has(peer)) return;
