A subscription never begins at the beginning because its owner lost the key while it was asked

The race is as old as the confirmation; keys that change hands at once made it likelier.

senders.test.ts: the majority's answer and another's fence in one moment; next was 1 on the code before, 4 now.

--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -614,7 +614,10 @@
     this.family(b.topic, 'Open');
     await this.settled(b.topic, ['owner']);
     const key = this.serving(b.topic, 'Open');
+    const { fence } = key;
     if (b.confirm) await this.confirm(key);
+    // It may have gone meanwhile, and with it all that we know of its topics.
+    if (key.fence !== fence || key.state !== 'owner') throw new Failure({ tag: 'not_owner', step: 'Open', peer: this.k.self });
     const { head, first, since } = this.view(key, b.topic);
     return { head, first, since };
   }
--- a/packages/trial/src/test/senders.test.ts
+++ b/packages/trial/src/test/senders.test.ts
@@ -193,3 +193,26 @@
     sim.close();
   }
 });
+
+test('a subscription does not begin at the beginning because its owner lost the key while it was asked', async (t) => {
+  const s = await smallFleet(131);
+  const [r1, r2] = s.relays as [SimNode, SimNode];
+  for (const seq of [1, 2, 3]) await publish(s, r1, seq);
+  // The majority's answer and another's fence come in one moment.
+  let lost = 0;
+  for (const n of s.stores) {
+    const owner = n.kernel!.use('owner') as any;
+    const confirm = owner.confirm;
+    owner.confirm = async function (this: any, key: any) {
+      await confirm.call(this, key);
+      if (lost++ === 0) this.turn(key, 'none');
+    };
+  }
+  const c = await s.attach(r2, 'phone');
+  const r = await s.ask(r2, 'Subscribe', { conn: c.conn, topic: TOPIC });
+  t.true(lost > 0);
+  t.is(r.body.next, 4);
+  await s.pass(1_500);
+  t.deepEqual(c.frames.map((f) => f.t), ['ATTACHED']);
+  s.sim.close();
+});
