Slow openers: the test waits until the listener has met all of them

Under a load of 50 on 16 cores the counter was read while 15 of 2,000 openers still waited to be accepted (986, not 1001; one failing of three full runs). The number itself is asked for as exactly as before.

--- a/packages/trial/src/test/platform-access.test.ts
+++ b/packages/trial/src/test/platform-access.test.ts
@@ -456,6 +456,8 @@
   for (const c of slow.slice(0, 500)) c.send('ATTA');
   await Promise.all(slow.slice(0, N - C.accessOpenersN - 50).map((c) => c.closed));
   t.is(await first.ask('PROBE'), 'PROBEACK');
+  // The listener may not have met all of them yet: the last wait in the OS's queue while the machine is busy.
+  while ((s.counters.get('access.crowded') ?? 0) < N - C.accessOpenersN) await turns(first, 1);
   const late = await attached(s, 'late');
   t.is(s.counters.get('access.crowded'), N - C.accessOpenersN + 1, 'as many as were too many');
   t.true(slow.slice(-900).every((c) => !c.over), 'the newest are still there');
