--- a/packages/trial/src/test/peer-net.test.ts
+++ b/packages/trial/src/test/peer-net.test.ts
@@ -21,12 +21,21 @@
 
 type Node = { net: Net; at: string; news: News };
 async function node(t: ExecutionContext, handle: (f: string) => Promise<string>, bounds: Partial<PeerNetBounds> = {}, at?: string): Promise<Node> {
-  const self = at ?? (await address());
-  const net = peerNet(self, bounds);
-  const news = new News();
-  await net.serve(handle, news);
-  t.teardown(() => net.close());
-  return { net, at: self, news };
+  // A port that the OS called free may be another process's by now: then the next one.
+  for (let tries = 0; ; tries++) {
+    const self = at ?? (await address());
+    const net = peerNet(self, bounds);
+    const news = new News();
+    try {
+      await net.serve(handle, news);
+    } catch (e) {
+      await net.close();
+      if (at === undefined && tries < 10 && (e as { code?: string }).code === 'EADDRINUSE') continue;
+      throw e;
+    }
+    t.teardown(() => net.close());
+    return { net, at: self, news };
+  }
 }
 
 /** A peer that speaks as the test says. */
--- a/packages/trial/src/test/platform-access.test.ts
+++ b/packages/trial/src/test/platform-access.test.ts
@@ -106,10 +106,18 @@
     keep: () => undefined,
     count: (n: string, by = 1) => counters.set(n, (counters.get(n) ?? 0) + by),
   };
-  const [port] = (await freePorts(1)) as [number];
-  const close = await serveClients(kernel as unknown as Kernel, edge as unknown as Edge, `127.0.0.1:${port}`, most);
-  t.teardown(close);
-  return { clock, edge, counters, port, to: (x = {}) => LineClient.to(port, x) };
+  // A port that the OS called free may be another process's by now: then the next one.
+  for (let tries = 0; ; tries++) {
+    const [port] = (await freePorts(1)) as [number];
+    try {
+      const close = await serveClients(kernel as unknown as Kernel, edge as unknown as Edge, `127.0.0.1:${port}`, most);
+      t.teardown(close);
+    } catch (e) {
+      if (tries < 10 && (e as { code?: string }).code === 'EADDRINUSE') continue;
+      throw e;
+    }
+    return { clock, edge, counters, port, to: (x = {}) => LineClient.to(port, x) };
+  }
 }
 async function attached(s: Stage, name: string, x: { deaf?: boolean } = {}): Promise<LineClient> {
   const c = await s.to(x);
