Test fleets wait for an answer by one function

small-fleet.ts and control-fleet.ts had the same loop that lets virtual time pass until a promise has its outcome.

--- a/packages/trial/src/test/control-fleet.ts
+++ b/packages/trial/src/test/control-fleet.ts
@@ -1,6 +1,6 @@
 import { sleep } from '@harecross/kernel';
 import { Sim, type SimNode } from '../sim.js';
-import { FAMILIES } from './small-fleet.js';
+import { FAMILIES, settled } from './small-fleet.js';
 
 /** Control nodes with the seats, stores with the copies (and seats where those are too few), relays without a disk, in virtual time. */
 export interface ControlFleet {
@@ -38,13 +38,6 @@
   for (const m of sim.nodes.values()) { m.config.seeds = seeds; m.config.firstStart = true; void sim.start(m); }
   await sim.run(8_000);
   for (const m of sim.nodes.values()) m.config.firstStart = false;
-  const until = async <T>(p: Promise<T>): Promise<T> => {
-    let kept = false;
-    const q = p.finally(() => { kept = true; });
-    q.catch(() => undefined);
-    for (let i = 0; i < 4_000 && !kept; i++) await sim.run(sim.now + 10);
-    return q;
-  };
   const f: ControlFleet = {
     sim, controls, stores, relays,
     spare: (role, domain) => {
@@ -53,7 +46,7 @@
       m.config.firstStart = false;
       return m;
     },
-    ask: async (m, method, body) => (await until(sim.outside.visit(m.config.client, method, body, 6_000))) ?? { status: 0,
+    ask: async (m, method, body) => (await settled(sim, sim.outside.visit(m.config.client, method, body, 6_000))) ?? { status: 0,
       body: undefined },
     pass: async (ms) => { const p = sleep(sim.clock, ms); await sim.run(sim.now + ms); await p; },
   };
--- a/packages/trial/src/test/small-fleet.ts
+++ b/packages/trial/src/test/small-fleet.ts
@@ -21,19 +21,22 @@
   { name: 'alarms', topics: ['alarm/*'], urgency: 'urgent' as const, patienceMs: 1_500, memoryS: 25 },
 ];
 
+/** A promise's outcome; virtual time passes until it has one, 40 s at most. */
+export async function settled<T>(sim: Sim, p: Promise<T>): Promise<T> {
+  let kept = false;
+  const q = p.finally(() => { kept = true; });
+  q.catch(() => undefined);
+  for (let i = 0; i < 4_000 && !kept; i++) await sim.run(sim.now + 10);
+  return q;
+}
+
 export async function smallFleet(seed: number, x: { skews?: number[]; config?: unknown; log?: boolean; relayDisk?: boolean } = {}): Promise<Small> {
   const sim = new Sim(seed, { log: x.log });
   const stores = [0, 1, 2].map((i) => sim.add(`store${i + 1}`, { role: 'store', domain: 'abc'[i]!, disk: true, skewMs: x.skews?.[i] ?? 0 }));
   const relays = [0, 1].map((i) => sim.add(`relay${i + 1}`, { role: 'relay', domain: 'abc'[i]!, disk: x.relayDisk === true && i === 0, skewMs: x.skews?.[3 + i] ?? 0 }));
   for (const n of sim.nodes.values()) { n.config.seeds = stores.map((s) => s.config.peer); void sim.start(n); }
   await sim.run(8_000);
-  const until = async <T>(p: Promise<T>): Promise<T> => {
-    let kept = false;
-    const q = p.finally(() => { kept = true; });
-    q.catch(() => undefined);
-    for (let i = 0; i < 4_000 && !kept; i++) await sim.run(sim.now + 10);
-    return q;
-  };
+  const until = <T>(p: Promise<T>): Promise<T> => settled(sim, p);
   const s: Small = {
     sim, stores, relays,
     ask: async (n, method, body) => {
