--- a/packages/kernel/src/node-config.ts
+++ b/packages/kernel/src/node-config.ts
@@ -39,7 +39,8 @@
     const extra = e?.params?.additionalProperties?.[0];
     if (miss) return `${miss}: missing`;
     if (extra) return `${extra}: unknown key`;
-    return `${e?.instancePath.replace(/^\//, '').replaceAll('/', '.') || 'config'}: ${e?.message === 'schema is false' ? 'unknown key' : (e?.message ?? 'invalid')}`;
+    const at = e?.instancePath.replace(/^\//, '').replaceAll('/', '.') || 'config';
+    return `${at}: ${e?.message === 'schema is false' ? 'unknown key' : (e?.message ?? 'invalid')}`;
   }
   const c = x as NodeConfig;
   for (const [k, a] of [['peer', c.peer], ['client', c.client], ...c.seeds.map((s, i) => [`seeds.${i}`, s])] as [string, string][]) {
@@ -81,7 +82,9 @@
   if (f) throw new Error(from ? `${from}: ${f}` : f);
   if (x.role !== undefined && x.role !== role) throw new Error(`role: '${x.role}' in the config, but this program is '${role}'`);
   if (role !== 'relay' && !x.data) throw new Error(`data: a ${role} needs a data folder`);
-  if ((x.seeds as string[]).includes(x.peer as string) && !x.data) throw new Error('data: this machine is a seed, and seeds need a data folder to found the fleet');
+  if ((x.seeds as string[]).includes(x.peer as string) && !x.data) {
+    throw new Error('data: this machine is a seed, and seeds need a data folder to found the fleet');
+  }
   return { ...(x as unknown as NodeConfig), role };
 }
 
