--- a/.ci/verdict.mjs
+++ b/.ci/verdict.mjs
@@ -36,8 +36,7 @@
     if (t) {
       const outcome = t[3] === 'SKIP' ? 'skipped' : t[3] === 'TODO' ? 'todo' : t[1] ? 'failed' : 'passed';
       run.tests.push({ title: t[2].trim(), outcome });
-    }
-    else if (/^1\.\.\d+$/.test(line)) run.ended = true;
+    } else if (/^1\.\.\d+$/.test(line)) run.ended = true;
     else if (/^# fail \d+$/.test(line)) run.failN = Number(line.slice(7));
     else if (/^# exit \d+$/.test(line)) run.exit = Number(line.slice(7));
   }
@@ -68,7 +67,10 @@
   if (missing > 0) faults.push(`${missing} more failed or were not finished`);
   if (run.exit === undefined) faults.push('the run did not say how it ended');
   else if (run.exit !== 0 && red.length === 0) faults.push(`the run ended with ${run.exit}`);
-  const why = (title) => { const { cause, issue } = known.get(title); return `${cause}; issue ${issue}`; };
+  const why = (title) => {
+    const { cause, issue } = known.get(title);
+    return `${cause}; issue ${issue}`;
+  };
   const lines = passedOver.map((t) => `known red, passed over: ${t.title} (${why(t.title)})`);
   lines.push(...faults);
   const skipped = of('skipped').length + of('todo').length;
--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -1,4 +1,18 @@
-import { C, Kernel, below, diskUsesOf, every, gather, hash, loop, register, sample, within, type DiskUse, type Role } from '@harecross/kernel';
+import {
+  C,
+  Kernel,
+  below,
+  diskUsesOf,
+  every,
+  gather,
+  hash,
+  loop,
+  register,
+  sample,
+  within,
+  type DiskUse,
+  type Role,
+} from '@harecross/kernel';
 import type { Store } from '@harecross/state';
 import { Subject } from 'rxjs';
 
@@ -25,13 +39,22 @@
 /** What we think of a member. */
 export type MemberState = 'live' | 'suspect' | 'dead' | 'left';
 
-export interface Member extends MemberRec { state: MemberState; seenAt: number; liveSince: number }
+export interface Member extends MemberRec {
+  state: MemberState;
+  seenAt: number;
+  liveSince: number;
+}
 
-interface Item { ver: string; val: unknown }
+interface Item {
+  ver: string;
+  val: unknown;
+}
 type Wire = [key: string, ver: string, val: unknown];
 
 declare module '@harecross/kernel' {
-  interface Faces { board: Board }
+  interface Faces {
+    board: Board;
+  }
 }
 
 /**
@@ -64,10 +87,18 @@
 
   constructor(private k: Kernel) {
     const { clock, rnd } = k.host;
-    k.on('Gossip', (b: { sums: [number, number]; digest?: [string, string][] }) => (b.sums.join() === this.sums.join() ? 'same' : b.digest ? this.compare(b.digest) : 'differs'));
-    k.on('News', (b: { items: Wire[] }) => { this.take(b.items); return true; });
+    k.on('Gossip', (b: { sums: [number, number]; digest?: [string, string][] }) =>
+      b.sums.join() === this.sums.join() ? 'same' : b.digest ? this.compare(b.digest) : 'differs',
+    );
+    k.on('News', (b: { items: Wire[] }) => {
+      this.take(b.items);
+      return true;
+    });
     // What a digest missed is taken, not passed on: it is no news, and the next digests carry it further.
-    k.on('Mend', (b: { items: Wire[] }) => { for (const [key, v, x] of b.items) this.set(key, v, x); return true; });
+    k.on('Mend', (b: { items: Wire[] }) => {
+      for (const [key, v, x] of b.items) this.set(key, v, x);
+      return true;
+    });
     k.on('Shuffle', (b: { peers: string[] }, f) => {
       const mine = sample(rnd, [...this.view.keys()], C.shuffleN);
       this.mergeView([...b.peers, f.peer]);
@@ -79,13 +110,19 @@
     k.onBroken = (p) => this.doubt(p);
     k.helpersTo = (peer) => {
       const m = this.members.get(peer);
-      return m && (m.state === 'dead' || m.state === 'left') ? [] : this.live().map((x) => x.peer).filter((p) => p !== peer && p !== k.self);
+      return m && (m.state === 'dead' || m.state === 'left')
+        ? []
+        : this.live()
+            .map((x) => x.peer)
+            .filter((p) => p !== peer && p !== k.self);
     };
     k.onHeard = (p, inst) => this.heard(p, inst);
-    k.keep(k.thawed$.subscribe(() => {
-      // We slept, they did not: give everyone a fresh start instead of calling them all dead.
-      for (const m of this.members.values()) m.seenAt = clock.now();
-    }));
+    k.keep(
+      k.thawed$.subscribe(() => {
+        // We slept, they did not: give everyone a fresh start instead of calling them all dead.
+        for (const m of this.members.values()) m.seenAt = clock.now();
+      }),
+    );
     for (const s of k.host.config.seeds) if (s !== k.self) this.view.set(s, 0);
     if (k.host.db) this.remember(k.use('state'));
     this.sayMine();
@@ -104,14 +141,27 @@
     const was = this.mine;
     this.mine = { ...was, ...x };
     const step = Math.max(8, this.saidWeight / 5);
-    if (was.condition === this.mine.condition && was.disk === this.mine.disk && Math.abs(this.mine.weight - this.saidWeight) < step) return;
+    if (
+      was.condition === this.mine.condition &&
+      was.disk === this.mine.disk &&
+      Math.abs(this.mine.weight - this.saidWeight) < step
+    )
+      return;
     this.sayMine();
   }
 
   /** Says our record anew; also for who changed our config. */
   sayMine(): void {
     const { config } = this.k.host;
-    const rec: MemberRec = { peer: this.k.self, client: config.client, domain: config.domain, role: config.role, name: config.name ?? this.k.self, inst: this.k.inst, ...this.mine };
+    const rec: MemberRec = {
+      peer: this.k.self,
+      client: config.client,
+      domain: config.domain,
+      role: config.role,
+      name: config.name ?? this.k.self,
+      inst: this.k.inst,
+      ...this.mine,
+    };
     if (rec.disk !== undefined) {
       rec.diskUses = diskUsesOf(config);
       const ms = this.k.host.db?.openMs;
@@ -151,12 +201,18 @@
   private remember(st: Store): void {
     this.kept = JSON.parse(st.get('members') ?? '[]') as string[];
     let saved = this.kept.join();
-    this.k.keep(loop(this.k.host.clock, C.rememberMs, this.k.host.rnd, async () => {
-      const now = [...this.members.values()].filter((m) => m.state !== 'left' && m.peer !== this.k.self).map((m) => m.peer).sort().slice(0, C.rememberN);
-      if (!now.length || now.join() === saved) return;
-      await st.db.commit(() => st.set('members', JSON.stringify(now)));
-      saved = now.join();
-    }));
+    this.k.keep(
+      loop(this.k.host.clock, C.rememberMs, this.k.host.rnd, async () => {
+        const now = [...this.members.values()]
+          .filter((m) => m.state !== 'left' && m.peer !== this.k.self)
+          .map((m) => m.peer)
+          .sort()
+          .slice(0, C.rememberN);
+        if (!now.length || now.join() === saved) return;
+        await st.db.commit(() => st.set('members', JSON.stringify(now)));
+        saved = now.join();
+      }),
+    );
   }
 
   /**
@@ -172,10 +228,14 @@
   somePeers(n: number): string[] {
     const { rnd, config } = this.k.host;
     const viewed = [...this.view.keys()].filter((p) => this.members.get(p)?.state === 'live');
-    const all = this.live().map((m) => m.peer).filter((p) => p !== this.k.self);
+    const all = this.live()
+      .map((m) => m.peer)
+      .filter((p) => p !== this.k.self);
     const base = viewed.length >= n ? viewed : all;
     const got = sample(rnd, base, n);
-    const seeds = (got.length < n ? this.contacts() : config.seeds.filter((s) => s !== this.k.self)).filter((s) => !got.includes(s));
+    const seeds = (got.length < n ? this.contacts() : config.seeds.filter((s) => s !== this.k.self)).filter(
+      (s) => !got.includes(s),
+    );
     // Now and then a seed that is not live to us: heals a fleet that fell in two.
     if (seeds.length && (got.length < n || rnd.next() < 0.05)) got.push(seeds[below(rnd, seeds.length)]!);
     return got;
@@ -216,7 +276,10 @@
 
   /** Someone suspects a member: of us, we know better; of another, it stands unless its record is newer. */
   private suspicion(peer: string, ver: string): void {
-    if (peer === this.k.self) { if (this.k.phase !== 'stopped') this.sayMine(); return; }
+    if (peer === this.k.self) {
+      if (this.k.phase !== 'stopped') this.sayMine();
+      return;
+    }
     const m = this.members.get(peer);
     const rec = this.items.get(`m/${peer}`);
     if (m && rec && rec.ver <= ver && m.state === 'live') this.turn(m, 'suspect');
@@ -238,7 +301,8 @@
     this.members.set(r.peer, m);
     const again = old !== undefined && old.inst !== r.inst;
     if (again) m.liveSince = now;
-    if (r.peer !== this.k.self && r.condition !== 'left' && !this.view.has(r.peer) && this.view.size < C.viewN) this.view.set(r.peer, 0);
+    if (r.peer !== this.k.self && r.condition !== 'left' && !this.view.has(r.peer) && this.view.size < C.viewN)
+      this.view.set(r.peer, 0);
     const s = this.items.get(`s/${r.peer}`);
     const rec = this.items.get(`m/${r.peer}`)!;
     this.turn(m, r.condition === 'left' ? 'left' : s && s.ver >= rec.ver ? 'suspect' : 'live', again);
@@ -263,7 +327,13 @@
   /** Passes news on to a few others. An empty list still carries our revision. */
   pass(items: Wire[], n: number): void {
     if (this.k.phase === 'stopped') return;
-    for (const p of sample(this.k.host.rnd, this.live().map((m) => m.peer).filter((p) => p !== this.k.self), n)) {
+    for (const p of sample(
+      this.k.host.rnd,
+      this.live()
+        .map((m) => m.peer)
+        .filter((p) => p !== this.k.self),
+      n,
+    )) {
       this.k.count('news.out');
       this.k.call(p, 'News', { items }).catch(() => undefined);
     }
@@ -271,7 +341,12 @@
 
   private async gossip(): Promise<void> {
     // Who was a member once may not find us: its seeds may be gone, and it may have no disk. Our call tells it of us.
-    for (const p of sample(this.k.host.rnd, this.kept.filter((x) => !this.members.has(x)), C.gossipPeersN)) void this.ping(p);
+    for (const p of sample(
+      this.k.host.rnd,
+      this.kept.filter((x) => !this.members.has(x)),
+      C.gossipPeersN,
+    ))
+      void this.ping(p);
     await Promise.all(this.somePeers(C.gossipPeersN).map((p) => this.exchange(p)));
   }
 
@@ -280,10 +355,15 @@
     try {
       type Answer = 'same' | 'differs' | { newer: Wire[]; want: string[] };
       let r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums });
-      if (r === 'differs') r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums, digest: [...this.items].map(([k, i]) => [k, i.ver] as [string, string]) });
+      if (r === 'differs')
+        r = await this.k.call<Answer>(p, 'Gossip', {
+          sums: this.sums,
+          digest: [...this.items].map(([k, i]) => [k, i.ver] as [string, string]),
+        });
       if (r === 'same' || r === 'differs') return 0;
       const fresh = r.newer.filter(([k, v, x]) => this.set(k, v, x)).length;
-      if (r.want.length) await this.k.call(p, 'Mend', { items: r.want.filter((w) => this.items.has(w)).map((w) => this.wire(w)) });
+      if (r.want.length)
+        await this.k.call(p, 'Mend', { items: r.want.filter((w) => this.items.has(w)).map((w) => this.wire(w)) });
       return fresh;
     } catch {
       return undefined; // the next period mends it
@@ -299,10 +379,17 @@
     const until = clock.now() + C.joinMs;
     let nothingNew = 0;
     const often = every(clock, C.joinEveryMs, rnd).subscribe(() => {
-      if (clock.now() > until || nothingNew >= C.joinQuietN) { often.unsubscribe(); return; }
-      const known = this.live().map((m) => m.peer).filter((p) => p !== this.k.self);
+      if (clock.now() > until || nothingNew >= C.joinQuietN) {
+        often.unsubscribe();
+        return;
+      }
+      const known = this.live()
+        .map((m) => m.peer)
+        .filter((p) => p !== this.k.self);
       for (const p of new Set([...sample(rnd, this.contacts(), 1), ...sample(rnd, known, 1)])) {
-        void this.exchange(p).then((n) => { if (n !== undefined) nothingNew = n > 0 ? 0 : nothingNew + 1; });
+        void this.exchange(p).then((n) => {
+          if (n !== undefined) nothingNew = n > 0 ? 0 : nothingNew + 1;
+        });
       }
     });
     this.k.keep(often);
@@ -337,9 +424,13 @@
     if (!oldest) return;
     this.view.delete(oldest);
     try {
-      const got = await this.k.call<string[]>(oldest, 'Shuffle', { peers: sample(this.k.host.rnd, [...this.view.keys()], C.shuffleN - 1) });
+      const got = await this.k.call<string[]>(oldest, 'Shuffle', {
+        peers: sample(this.k.host.rnd, [...this.view.keys()], C.shuffleN - 1),
+      });
       this.mergeView([...got, oldest]);
-    } catch { /* gone from the view until someone names it again */ }
+    } catch {
+      /* gone from the view until someone names it again */
+    }
   }
 
   /** A visit surely did not reach this peer, a connection to it broke, or its answer is overdue: ask it once more at once. */
@@ -349,7 +440,10 @@
   }
 
   private async ping(peer: string): Promise<boolean> {
-    return this.k.call(peer, 'Ping', {}, C.probeMs).then(() => true, () => false);
+    return this.k.call(peer, 'Ping', {}, C.probeMs).then(
+      () => true,
+      () => false,
+    );
   }
 
   /** Asks a member directly, then through others, and suspects it when nobody reaches it. */
@@ -364,9 +458,19 @@
       // Of whom we heard lately: those that we can't reach ourselves would answer nothing, and that is no sign against the member.
       const others = this.live().filter((x) => x.peer !== this.k.self && x.peer !== m.peer);
       const near = others.filter((x) => clock.now() - x.seenAt < C.probeAfterMs && this.k.whole(x.peer));
-      const helpers = sample(rnd, (near.length ? near : others).map((x) => x.peer), C.probeHelpersN);
-      const tried = helpers.map((h) => this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeHelpMs).catch(() => false));
-      const got = await within(clock, C.probeHelpMs, gather([mine, ...tried], (xs) => xs.includes(true)));
+      const helpers = sample(
+        rnd,
+        (near.length ? near : others).map((x) => x.peer),
+        C.probeHelpersN,
+      );
+      const tried = helpers.map((h) =>
+        this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeHelpMs).catch(() => false),
+      );
+      const got = await within(
+        clock,
+        C.probeHelpMs,
+        gather([mine, ...tried], (xs) => xs.includes(true)),
+      );
       const now = this.members.get(m.peer);
       if (!now || now.inst !== m.inst) return;
       if (got?.includes(true)) {
@@ -376,7 +480,8 @@
         return;
       }
       // Stood our own loop still meanwhile? Then the silence was ours.
-      if (clock.now() - t0 > C.probeAloneMs + C.probeHelpMs + C.probeLateMs || now.seenAt > t0 || now.state !== 'live') return;
+      if (clock.now() - t0 > C.probeAloneMs + C.probeHelpMs + C.probeLateMs || now.seenAt > t0 || now.state !== 'live')
+        return;
       this.turn(now, 'suspect');
       this.put(`s/${m.peer}`, this.items.get(`m/${m.peer}`)!.ver, { by: this.k.self });
     } finally {
--- a/packages/control/src/eras.ts
+++ b/packages/control/src/eras.ts
@@ -45,6 +45,9 @@
  */
 export function eraOf(eras: Eras, topic: string): number | undefined {
   let t = tables.get(eras);
-  if (!t) { t = new Patterns(eras); tables.set(eras, t); }
+  if (!t) {
+    t = new Patterns(eras);
+    tables.set(eras, t);
+  }
   return t.find(topic);
 }
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -27,9 +27,16 @@
  * quickOf(disks) // none, unless the stores' disks are slow
  */
 export function quickOf(disks: DiskRec[]): Set<string> {
-  const ms = disks.filter((d) => firstFor(d, 'copies') && d.ms !== undefined).map((d) => d.ms!).sort((a, b) => a - b);
+  const ms = disks
+    .filter((d) => firstFor(d, 'copies') && d.ms !== undefined)
+    .map((d) => d.ms!)
+    .sort((a, b) => a - b);
   const typical = ms[Math.floor(ms.length / 2)];
-  return new Set(typical === undefined ? [] : disks.filter((d) => d.ms !== undefined && d.ms * C.quickDiskX <= typical).map((d) => d.id));
+  return new Set(
+    typical === undefined
+      ? []
+      : disks.filter((d) => d.ms !== undefined && d.ms * C.quickDiskX <= typical).map((d) => d.id),
+  );
 }
 
 /**
@@ -91,7 +98,10 @@
   const weight = new Map<string, number>();
   const out = new Map<number, string>();
   for (const [s, p] of [...shards].sort((a, b) => a[0] - b[0])) {
-    const order = rank(`key/${s}`, p.copies.filter((d) => disks.has(d)));
+    const order = rank(
+      `key/${s}`,
+      p.copies.filter((d) => disks.has(d)),
+    );
     const d = order.find((x) => (weight.get(x) ?? 0) < cap) ?? order[0];
     if (d === undefined) continue;
     weight.set(d, (weight.get(d) ?? 0) + 1);
@@ -111,7 +121,9 @@
   const at = new Map(active.map((d) => [d.peer, d.id]));
   for (const p of c.placement ?? []) {
     const found = p.nodes.map((n) => at.get(n)).filter((d) => d !== undefined);
-    const fill = rank(`copy/${p.shard}`, active, (d) => d.id).map((d) => d.id).filter((d) => !found.includes(d));
+    const fill = rank(`copy/${p.shard}`, active, (d) => d.id)
+      .map((d) => d.id)
+      .filter((d) => !found.includes(d));
     if (out.has(p.shard)) out.set(p.shard, [...found, ...fill].slice(0, copiesFor(p.nodes.length, active.length)));
   }
   return out;
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,4 +1,16 @@
-import { C, Failure, Kernel, every, gather, loop, register as plug, retryAfter, sleep, within, type DiskUse } from '@harecross/kernel';
+import {
+  C,
+  Failure,
+  Kernel,
+  every,
+  gather,
+  loop,
+  register as plug,
+  retryAfter,
+  sleep,
+  within,
+  type DiskUse,
+} from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
 import type { Store } from '@harecross/state';
 import { BehaviorSubject, Subject } from 'rxjs';
@@ -10,7 +22,15 @@
 
 export type DiskState = 'active' | 'emptying' | 'lost';
 /** `ms`: how long it took when it was first opened. `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
-export interface DiskRec { id: string; peer: string; domain: string; state: DiskState; uses?: DiskUse[]; name?: string; ms?: number }
+export interface DiskRec {
+  id: string;
+  peer: string;
+  domain: string;
+  state: DiskState;
+  uses?: DiskUse[];
+  name?: string;
+  ms?: number;
+}
 /**
  * Whether a disk is for this before anything else.
  * @example
@@ -23,10 +43,16 @@
  * usedFor(disk, 'copies') // false for a control node's
  */
 export const usedFor = (d: DiskRec, use: DiskUse): boolean => d.uses?.includes(use) ?? true;
-export interface Placement { gen: number; copies: string[] }
+export interface Placement {
+  gen: number;
+  copies: string[];
+}
 export type MoveState = 'running' | 'late' | 'done' | 'missed' | 'refused';
 /** How far a planned move has come; only moves that have begun (or never will) are here. */
-export interface MoveRec { state: MoveState; why: string }
+export interface MoveRec {
+  state: MoveState;
+  why: string;
+}
 export type Outcome = { tag: 'taken'; version: number } | { tag: 'conflict'; version: number };
 
 /** The one value the fleet agrees on. rev counts every change, version only the operators'. */
@@ -55,12 +81,29 @@
   moves: Map<string, MoveRec>;
 }
 
-interface Prepared { disk: string; ok: boolean; promised: string; ballot: string; value?: string }
-interface Accepted { disk: string; ok: boolean; promised: string }
-interface ReadBack { disk: string; rev: number; known: number; ballot: string }
+interface Prepared {
+  disk: string;
+  ok: boolean;
+  promised: string;
+  ballot: string;
+  value?: string;
+}
+interface Accepted {
+  disk: string;
+  ok: boolean;
+  promised: string;
+}
+interface ReadBack {
+  disk: string;
+  rev: number;
+  known: number;
+  ballot: string;
+}
 
 declare module '@harecross/kernel' {
-  interface Faces { register: Register }
+  interface Faces {
+    register: Register;
+  }
 }
 
 /** Whether the disks heard from are a majority of each set. */
@@ -94,14 +137,20 @@
   private fetching = new Map<string, Promise<void>>();
   private st?: Store;
 
-  constructor(private k: Kernel, private board: Board) {
+  constructor(
+    private k: Kernel,
+    private board: Board,
+  ) {
     const { clock, rnd, db } = k.host;
     this.freshMs = (k.host.config.applyMs ?? C.applyMs) * C.freshShare;
     if (db) {
       this.st = k.use('state');
       this.disk = this.st.get('disk')!;
       const s = this.st.seat();
-      if (s.value) { this.hint = fromText(s.value); this.hintBallot = s.ballot; }
+      if (s.value) {
+        this.hint = fromText(s.value);
+        this.hintBallot = s.ballot;
+      }
       board.say({ disk: this.disk });
       this.serveSeat(this.st, this.disk);
     }
@@ -115,12 +164,19 @@
     let tries = 0;
     let skipped = 0;
     const first = every(clock, C.firstConfirmMs, rnd).subscribe(() => {
-      if (this.confirmed()) { first.unsubscribe(); return; }
+      if (this.confirmed()) {
+        first.unsubscribe();
+        return;
+      }
       if (tries >= C.firstConfirmN) return;
       // The core is not there: all who wait for it must not keep it busy when it comes.
       if (clock.now() - k.startedAt > C.firstConfirmForMs && ++skipped % C.firstConfirmEachN !== 0) return;
       tries++;
-      void this.confirm().catch(() => undefined).finally(() => { tries--; });
+      void this.confirm()
+        .catch(() => undefined)
+        .finally(() => {
+          tries--;
+        });
     });
     k.keep(first);
     if (db && k.host.config.seeds[0] === k.self) k.keep(loop(clock, C.foundMs, rnd, () => this.found()));
@@ -190,7 +246,10 @@
   private learn(v: Value): void {
     const old = this.value$.value;
     if (old && old.rev >= v.rev) return;
-    if (old && old.fleet !== v.fleet) { this.k.count('register.foreign'); return; }
+    if (old && old.fleet !== v.fleet) {
+      this.k.count('register.foreign');
+      return;
+    }
     if (!old || old.version !== v.version) this.k.host.log.info(`configuration ${v.version} in force`, { rev: v.rev });
     this.k.rev = v.rev;
     // The same version is the same configuration: what was laid out for looking things up in it stays.
@@ -213,8 +272,14 @@
   private fetch(peer: string): Promise<void> {
     let p = this.fetching.get(peer);
     if (!p) {
-      p = this.k.call<string | undefined>(peer, 'RegGet', {})
-        .then((s) => { if (s) this.learn(fromText(s)); }, () => undefined /* the next frame tells us again */)
+      p = this.k
+        .call<string | undefined>(peer, 'RegGet', {})
+        .then(
+          (s) => {
+            if (s) this.learn(fromText(s));
+          },
+          () => undefined /* the next frame tells us again */,
+        )
         .finally(() => this.fetching.delete(peer));
       this.fetching.set(peer, p);
     }
@@ -241,7 +306,10 @@
       const v = this.value!;
       const t0 = clock.now();
       const { heard, got } = await this.readBacks(v);
-      if (!majority(bothSets(v), heard)) { this.k.count('register.unconfirmed'); return false; }
+      if (!majority(bothSets(v), heard)) {
+        this.k.count('register.unconfirmed');
+        return false;
+      }
       const top = got.reduce((a, b) => (b.rev > a.rev ? b : a));
       if (top.rev <= v.rev) {
         if (this.value!.rev > v.rev) continue;
@@ -264,13 +332,25 @@
     const enough = (): boolean => majority(bothSets(v), heard);
     const seats = union(v);
     const at = this.turn++ % seats.length;
-    const live = (d: string): boolean => { const p = this.peerOf(d); return p !== undefined && this.board.isLive(p); };
+    const live = (d: string): boolean => {
+      const p = this.peerOf(d);
+      return p !== undefined && this.board.isLive(p);
+    };
     // Our own seat costs nothing.
-    const order = [...seats.slice(at), ...seats.slice(0, at)].sort((a, b) => Number(b === this.disk) - Number(a === this.disk) || Number(live(b)) - Number(live(a)));
+    const order = [...seats.slice(at), ...seats.slice(0, at)].sort(
+      (a, b) => Number(b === this.disk) - Number(a === this.disk) || Number(live(b)) - Number(live(a)),
+    );
     const few = new Set<string>();
     for (const d of order) if (!majority(bothSets(v), few)) few.add(d);
     const calls = (ds: Iterable<string>): Promise<ReadBack>[] =>
-      this.ask<ReadBack>([...ds], 'RegRead', {}).map((p) => p.then((r) => { heard.add(r.disk); got.push(r); this.outbid(r.ballot); return r; }));
+      this.ask<ReadBack>([...ds], 'RegRead', {}).map((p) =>
+        p.then((r) => {
+          heard.add(r.disk);
+          got.push(r);
+          this.outbid(r.ballot);
+          return r;
+        }),
+      );
     const first = calls(few);
     await within(this.k.host.clock, C.confirmAloneMs, gather(first, enough));
     if (!enough()) await gather([...first, ...calls(order.filter((d) => !few.has(d)))], enough);
@@ -286,10 +366,13 @@
     const heard = new Set<string>();
     const other = { is: false };
     await gather(
-      this.ask<ReadBack>(union(hint), 'RegRead', {}).map((p) => p.then((r) => {
-        if (r.ballot === ballot) heard.add(r.disk); else other.is = true;
-        return r;
-      })),
+      this.ask<ReadBack>(union(hint), 'RegRead', {}).map((p) =>
+        p.then((r) => {
+          if (r.ballot === ballot) heard.add(r.disk);
+          else other.is = true;
+          return r;
+        }),
+      ),
       () => majority(bothSets(hint), heard),
     );
     if (majority(bothSets(hint), heard)) {
@@ -313,7 +396,11 @@
    * Applies a change to the latest agreed value. `fn` may run many times and must give the same outcome for the
    * same value; without `next` it only reads. Fails with `no_majority` when it could not be told, or when it is no longer `wanted`.
    */
-  async change<T>(fn: (v: Value) => { next?: Value; out: T }, limitMs: number = C.changeMs, wanted: () => boolean = () => true): Promise<T> {
+  async change<T>(
+    fn: (v: Value) => { next?: Value; out: T },
+    limitMs: number = C.changeMs,
+    wanted: () => boolean = () => true,
+  ): Promise<T> {
     const { clock, rnd } = this.k.host;
     const until = clock.now() + limitMs;
     let why = 'no value known';
@@ -324,8 +411,11 @@
       if (this.hint && this.hint.rev > h.rev) h = this.hint;
       const r = await this.round(h, fn);
       switch (r.tag) {
-        case 'done': return r.out;
-        case 'again': why = r.why; break;
+        case 'done':
+          return r.out;
+        case 'again':
+          why = r.why;
+          break;
       }
     }
     this.k.count('register.gave_up');
@@ -337,7 +427,10 @@
     this.n = Math.max(this.n, Number(ballot.slice(0, 12)) || 0);
   }
 
-  private async round<T>(start: Value, fn: (v: Value) => { next?: Value; out: T }): Promise<{ tag: 'done'; out: T } | { tag: 'again'; why: string }> {
+  private async round<T>(
+    start: Value,
+    fn: (v: Value) => { next?: Value; out: T },
+  ): Promise<{ tag: 'done'; out: T } | { tag: 'again'; why: string }> {
     const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
     let h = start;
     const got = new Map<string, Prepared>();
@@ -348,16 +441,26 @@
       const heard = new Set([...got.keys()]);
       let refused = false;
       await gather(
-        this.ask<Prepared>(asked, 'RegPrepare', { ballot }).map((p) => p.then((r) => {
-          if (!r.ok) { this.outbid(r.promised); refused = true; return r; }
-          got.set(r.disk, r); heard.add(r.disk);
-          return r;
-        })),
+        this.ask<Prepared>(asked, 'RegPrepare', { ballot }).map((p) =>
+          p.then((r) => {
+            if (!r.ok) {
+              this.outbid(r.promised);
+              refused = true;
+              return r;
+            }
+            got.set(r.disk, r);
+            heard.add(r.disk);
+            return r;
+          }),
+        ),
         () => refused || majority(sets, heard),
       );
       if (refused) return { tag: 'again', why: 'another ballot is higher' };
-      if (!majority(sets, heard)) return { tag: 'again', why: `only ${heard.size} of ${union(h).length} seats answered` };
-      const top = [...got.values()].filter((r) => r.value).reduce<Prepared | undefined>((a, b) => (!a || b.ballot > a.ballot ? b : a), undefined);
+      if (!majority(sets, heard))
+        return { tag: 'again', why: `only ${heard.size} of ${union(h).length} seats answered` };
+      const top = [...got.values()]
+        .filter((r) => r.value)
+        .reduce<Prepared | undefined>((a, b) => (!a || b.ballot > a.ballot ? b : a), undefined);
       if (!top) return { tag: 'again', why: 'seats are empty' };
       const v = fromText(top.value!);
       const settled = majority(bothSets(v), new Set(got.keys()));
@@ -372,14 +475,23 @@
     const heard = new Set<string>();
     let refused = false;
     await gather(
-      this.ask<Accepted>(union(next), 'RegAccept', { ballot, value }).map((p) => p.then((r) => {
-        if (r.ok) heard.add(r.disk);
-        else { this.outbid(r.promised); refused = true; }
-        return r;
-      })),
+      this.ask<Accepted>(union(next), 'RegAccept', { ballot, value }).map((p) =>
+        p.then((r) => {
+          if (r.ok) heard.add(r.disk);
+          else {
+            this.outbid(r.promised);
+            refused = true;
+          }
+          return r;
+        }),
+      ),
       () => majority(sets, heard),
     );
-    if (!majority(sets, heard)) return { tag: 'again', why: refused ? 'another ballot is higher' : `only ${heard.size} of ${union(next).length} seats accepted` };
+    if (!majority(sets, heard))
+      return {
+        tag: 'again',
+        why: refused ? 'another ballot is higher' : `only ${heard.size} of ${union(next).length} seats accepted`,
+      };
     this.learn(next);
     return { tag: 'done', out: res.out };
   }
@@ -396,20 +508,33 @@
     const since = clock.now() - this.k.startedAt;
     if (since < C.foundAfterMs) return;
     const wanted = config.losses === undefined ? C.copiesN : 2 * config.losses + 1;
-    if (since < C.foundAnywayMs && this.board.live().filter((m) => m.diskUses?.[0] === 'copies').length < wanted) return;
-    const who = await Promise.all(config.seeds.map((s) => this.k.call<{ disk: string; fleet?: string }>(s, 'RegWho', {}).catch(() => undefined)));
+    if (since < C.foundAnywayMs && this.board.live().filter((m) => m.diskUses?.[0] === 'copies').length < wanted)
+      return;
+    const who = await Promise.all(
+      config.seeds.map((s) => this.k.call<{ disk: string; fleet?: string }>(s, 'RegWho', {}).catch(() => undefined)),
+    );
     if (who.some((w) => !w || w.fleet !== undefined)) return;
     const seats = who.map((w) => w!.disk);
     const ballot = `${String(++this.n).padStart(12, '0')}.${this.k.self}~${this.k.inst}`;
-    const ps = await Promise.all(seats.map((d, i) => this.k.call<Prepared>(config.seeds[i]!, 'RegPrepare', { disk: d, ballot }).catch(() => undefined)));
+    const ps = await Promise.all(
+      seats.map((d, i) =>
+        this.k.call<Prepared>(config.seeds[i]!, 'RegPrepare', { disk: d, ballot }).catch(() => undefined),
+      ),
+    );
     for (const p of ps) if (p && !p.ok) this.outbid(p.promised);
     if (ps.some((p) => !p?.ok)) return;
-    const held = ps.filter((p) => p!.value).reduce<Prepared | undefined>((a, b) => (!a || b!.ballot > a.ballot ? b : a), undefined);
+    const held = ps
+      .filter((p) => p!.value)
+      .reduce<Prepared | undefined>((a, b) => (!a || b!.ballot > a.ballot ? b : a), undefined);
     // A founding that was cut short: the same value, not another one.
     const v = held ? fromText(held.value!) : this.genesis(seats, `${Math.floor(rnd.next() * 2 ** 48).toString(36)}`);
     if (v.rev !== 1) return; // a fleet that lives: the ordinary way finds it
     const value = toText(v);
-    const as = await Promise.all(seats.map((d, i) => this.k.call<Accepted>(config.seeds[i]!, 'RegAccept', { disk: d, ballot, value }).catch(() => undefined)));
+    const as = await Promise.all(
+      seats.map((d, i) =>
+        this.k.call<Accepted>(config.seeds[i]!, 'RegAccept', { disk: d, ballot, value }).catch(() => undefined),
+      ),
+    );
     if (as.every((a) => a?.ok)) {
       this.k.host.log.info('fleet founded', { fleet: v.fleet, disks: v.disks.size });
       this.learn(v);
@@ -418,16 +543,42 @@
 
   private genesis(seats: string[], fleet: string): Value {
     const disks = new Map<string, DiskRec>();
-    for (const m of this.board.live()) if (m.disk) disks.set(m.disk, { id: m.disk, peer: m.peer, domain: m.domain, state: 'active', uses: m.diskUses, name: m.name, ms: m.diskMs });
-    seats.forEach((d, i) => { if (!disks.has(d)) disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active', uses: ['seat'] }); });
+    for (const m of this.board.live())
+      if (m.disk)
+        disks.set(m.disk, {
+          id: m.disk,
+          peer: m.peer,
+          domain: m.domain,
+          state: 'active',
+          uses: m.diskUses,
+          name: m.name,
+          ms: m.diskMs,
+        });
+    seats.forEach((d, i) => {
+      if (!disks.has(d))
+        disks.set(d, { id: d, peer: this.k.host.config.seeds[i]!, domain: '', state: 'active', uses: ['seat'] });
+    });
     const { losses } = this.k.host.config;
     const copies = losses === undefined ? C.copiesN : 2 * losses + 1;
     const keepers = [...disks.values()].filter((d) => usedFor(d, 'copies'));
-    const shards = new Map([...matchCopies(keepers, copies)].map(([s, at]) => [s, { gen: 1, copies: at }] as [number, Placement]));
+    const shards = new Map(
+      [...matchCopies(keepers, copies)].map(([s, at]) => [s, { gen: 1, copies: at }] as [number, Placement]),
+    );
     return {
-      fleet, rev: 1, version: 0, changeId: '', config: { families: [] }, eras: new Map(), disks, seats, prevSeats: seats, shards, copies,
+      fleet,
+      rev: 1,
+      version: 0,
+      changeId: '',
+      config: { families: [] },
+      eras: new Map(),
+      disks,
+      seats,
+      prevSeats: seats,
+      shards,
+      copies,
       seatsWanted: losses === undefined ? C.seatsN : Math.min(C.seatsN, Math.max(3, 2 * losses + 1)),
-      changes: new Map(), moves: new Map(),
+      changes: new Map(),
+      moves: new Map(),
     };
   }
 }
--- a/packages/control/src/text.ts
+++ b/packages/control/src/text.ts
@@ -25,5 +25,7 @@
  * fromText(seat.value).version; // 4
  */
 export function fromText(s: string): Value {
-  return unpack(s.startsWith(DEFLATED) ? inflateRawSync(Buffer.from(s.slice(DEFLATED.length), 'base64')).toString() : s) as Value;
+  return unpack(
+    s.startsWith(DEFLATED) ? inflateRawSync(Buffer.from(s.slice(DEFLATED.length), 'base64')).toString() : s,
+  ) as Value;
 }
--- a/packages/data/src/copies.ts
+++ b/packages/data/src/copies.ts
@@ -1,24 +1,59 @@
 import { C, Failure, Kernel, register } from '@harecross/kernel';
-import { fenceAt, lastFence, lastIdx, NO_FENCE, readFence, type Base, type Copy, type Entry, type Fence, type Store } from '@harecross/state';
+import {
+  fenceAt,
+  lastFence,
+  lastIdx,
+  NO_FENCE,
+  readFence,
+  type Base,
+  type Copy,
+  type Entry,
+  type Fence,
+  type Store,
+} from '@harecross/state';
 import { Subject } from 'rxjs';
 
 /** Entries travel with their age, not their time: clocks differ. */
 export type WireEntry = Omit<Entry, 'at'> & { age: number };
-export interface WireBase { idx: number; fence: Fence; topics: Base['topics']; senders: Map<string, { seq: number; off: number; age: number }> }
+export interface WireBase {
+  idx: number;
+  fence: Fence;
+  topics: Base['topics'];
+  senders: Map<string, { seq: number; off: number; age: number }>;
+}
 
-export type Promised = { ok: true; disk: string; lastIdx: number; lastFence: Fence; baseIdx: number } | { ok: false; disk: string; promised: Fence };
+export type Promised =
+  | { ok: true; disk: string; lastIdx: number; lastFence: Fence; baseIdx: number }
+  | { ok: false; disk: string; promised: Fence };
 export type Appended =
   | { tag: 'ok'; disk: string; match: number }
   | { tag: 'fenced'; disk: string; promised: Fence }
   | { tag: 'behind'; disk: string; last: number };
-export interface Append { disk: string; shard: number; fence: Fence; prevIdx: number; prevFence: Fence; entries: WireEntry[]; trimTo: number }
+export interface Append {
+  disk: string;
+  shard: number;
+  fence: Fence;
+  prevIdx: number;
+  prevFence: Fence;
+  entries: WireEntry[];
+  trimTo: number;
+}
 /** An owner's sign of life for one shard, towards a copy that has all it knows of. */
 export type Beat = [shard: number, fence: Fence, prevIdx: number, prevFence: Fence, trimTo: number];
-export interface Install { disk: string; shard: number; fence: Fence; base: WireBase; entries: WireEntry[] }
-export type Fetched = { tag: 'follow'; entries: WireEntry[] } | { tag: 'snapshot'; base: WireBase; entries: WireEntry[] };
+export interface Install {
+  disk: string;
+  shard: number;
+  fence: Fence;
+  base: WireBase;
+  entries: WireEntry[];
+}
+export type Fetched =
+  { tag: 'follow'; entries: WireEntry[] } | { tag: 'snapshot'; base: WireBase; entries: WireEntry[] };
 
 declare module '@harecross/kernel' {
-  interface Faces { copies: Copies }
+  interface Faces {
+    copies: Copies;
+  }
 }
 
 /**
@@ -26,20 +61,35 @@
  * @example
  * entries.map(packEntry(clock.now()))
  */
-export const packEntry = (now: number) => (e: Entry): WireEntry => { const { at, ...r } = e; return { ...r, age: now - at }; };
+export const packEntry =
+  (now: number) =>
+  (e: Entry): WireEntry => {
+    const { at, ...r } = e;
+    return { ...r, age: now - at };
+  };
 /**
  * An entry that came from another machine, with its time by our clock.
  * @example
  * wire.map(unpackEntry(clock.now()))
  */
-export const unpackEntry = (now: number) => (e: WireEntry): Entry => { const { age, ...r } = e; return { ...r, at: now - age }; };
+export const unpackEntry =
+  (now: number) =>
+  (e: WireEntry): Entry => {
+    const { age, ...r } = e;
+    return { ...r, at: now - age };
+  };
 /**
  * A base for the way to another machine.
  * @example
  * { base: packBase(key.base, clock.now()) }
  */
 export function packBase(b: Base, now: number): WireBase {
-  return { idx: b.idx, fence: b.fence, topics: new Map(b.topics), senders: new Map([...b.senders].map(([k, s]) => [k, { seq: s.seq, off: s.off, age: now - s.at }])) };
+  return {
+    idx: b.idx,
+    fence: b.fence,
+    topics: new Map(b.topics),
+    senders: new Map([...b.senders].map(([k, s]) => [k, { seq: s.seq, off: s.off, age: now - s.at }])),
+  };
 }
 /**
  * A base that came from another machine.
@@ -47,7 +97,12 @@
  * st.install(c, unpackBase(b.base, clock.now()), entries)
  */
 export function unpackBase(b: WireBase, now: number): Base {
-  return { idx: b.idx, fence: b.fence, topics: new Map([...b.topics].map(([k, t]) => [k, { ...t }])), senders: new Map([...b.senders].map(([k, s]) => [k, { seq: s.seq, off: s.off, at: now - s.age }])) };
+  return {
+    idx: b.idx,
+    fence: b.fence,
+    topics: new Map([...b.topics].map(([k, t]) => [k, { ...t }])),
+    senders: new Map([...b.senders].map(([k, s]) => [k, { seq: s.seq, off: s.off, at: now - s.age }])),
+  };
 }
 
 /**
@@ -63,7 +118,10 @@
   /** A shard whose copy here has promised a higher fence, asked for by its taker. */
   readonly promised$ = new Subject<number>();
 
-  constructor(private k: Kernel, private st: Store) {
+  constructor(
+    private k: Kernel,
+    private st: Store,
+  ) {
     this.all = st.copies(k.host.clock.now());
     this.disk = st.get('disk')!;
     k.on('Fence', (b: { disk: string; items: { shard: number; fence: Fence }[] }) => this.fence(b));
@@ -77,17 +135,24 @@
   get(shard: number): Copy {
     let c = this.all.get(shard);
     if (!c) {
-      c = { shard, promised: NO_FENCE, base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() }, entries: [] };
+      c = {
+        shard,
+        promised: NO_FENCE,
+        base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
+        entries: [],
+      };
       this.all.set(shard, c);
     }
     return c;
   }
 
   table(): { shard: number; last: number; kept: number; gen: number; number: number; by: string }[] {
-    return [...this.all.values()].filter((c) => c.promised !== NO_FENCE).map((c) => {
-      const f = readFence(c.promised);
-      return { shard: c.shard, last: lastIdx(c), kept: c.entries.length, gen: f.gen, number: f.n, by: f.peer };
-    });
+    return [...this.all.values()]
+      .filter((c) => c.promised !== NO_FENCE)
+      .map((c) => {
+        const f = readFence(c.promised);
+        return { shard: c.shard, last: lastIdx(c), kept: c.entries.length, gen: f.gen, number: f.n, by: f.peer };
+      });
   }
 
   private mine(disk: string, step: string): void {
@@ -97,13 +162,17 @@
   /** Promises many fences in one synced step; in the order they were asked for. */
   private async fence(b: { disk: string; items: { shard: number; fence: Fence }[] }): Promise<Promised[]> {
     this.mine(b.disk, 'Fence');
-    const out = await this.st.db.commit(() => b.items.map(({ shard, fence }): Promised => {
-      const c = this.get(shard);
-      if (fence <= c.promised) return { ok: false, disk: this.disk, promised: c.promised };
-      this.st.promise(c, fence);
-      return { ok: true, disk: this.disk, lastIdx: lastIdx(c), lastFence: lastFence(c), baseIdx: c.base.idx };
-    }));
-    out.forEach((p, i) => { if (p.ok) this.promised$.next(b.items[i]!.shard); });
+    const out = await this.st.db.commit(() =>
+      b.items.map(({ shard, fence }): Promised => {
+        const c = this.get(shard);
+        if (fence <= c.promised) return { ok: false, disk: this.disk, promised: c.promised };
+        this.st.promise(c, fence);
+        return { ok: true, disk: this.disk, lastIdx: lastIdx(c), lastFence: lastFence(c), baseIdx: c.base.idx };
+      }),
+    );
+    out.forEach((p, i) => {
+      if (p.ok) this.promised$.next(b.items[i]!.shard);
+    });
     return out;
   }
 
@@ -121,9 +190,20 @@
   /** All shards of one owner at once. Answers what is not `ok`; nothing is written unless something changes. */
   private async beats(b: { disk: string; beats: Beat[] }): Promise<[number, Appended][]> {
     this.mine(b.disk, 'Beats');
-    const all = b.beats.map(([shard, fence, prevIdx, prevFence, trimTo]): Append => ({ disk: b.disk, shard, fence, prevIdx, prevFence, entries: [], trimTo }));
+    const all = b.beats.map(([shard, fence, prevIdx, prevFence, trimTo]): Append => ({
+      disk: b.disk,
+      shard,
+      fence,
+      prevIdx,
+      prevFence,
+      entries: [],
+      trimTo,
+    }));
     const write = all.filter((a) => this.changes(a));
-    const not = all.flatMap((a): [number, Appended][] => { const r = this.changes(a) ? undefined : this.match(a); return r ? [[a.shard, r]] : []; });
+    const not = all.flatMap((a): [number, Appended][] => {
+      const r = this.changes(a) ? undefined : this.match(a);
+      return r ? [[a.shard, r]] : [];
+    });
     if (write.length) {
       const got = await this.st.db.commit(() => write.map((a) => [a.shard, this.appendNow(a)] as [number, Appended]));
       not.push(...got.filter(([, r]) => r.tag !== 'ok'));
@@ -167,7 +247,10 @@
       if (w.idx <= c.base.idx) continue;
       const have = fenceAt(c, w.idx);
       if (have === w.fence) continue;
-      if (have !== undefined) { this.st.cut(c, w.idx); this.k.count('copy.cut'); }
+      if (have !== undefined) {
+        this.st.cut(c, w.idx);
+        this.k.count('copy.cut');
+      }
       this.st.add(c, unpackEntry(now)(w));
     }
     const match = b.prevIdx + b.entries.length;
@@ -223,7 +306,9 @@
 
   /** Lets go of copies that are no longer placed here. */
   async release(shards: number[]): Promise<void> {
-    await this.st.db.commit(() => { for (const s of shards) this.st.release(this.get(s)); });
+    await this.st.db.commit(() => {
+      for (const s of shards) this.st.release(this.get(s));
+    });
   }
 }
 
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -1,4 +1,16 @@
-import { C, Failure, Holding, Kernel, addr, faultOf, never, register, retryAfter, within, type Fault } from '@harecross/kernel';
+import {
+  C,
+  Failure,
+  Holding,
+  Kernel,
+  addr,
+  faultOf,
+  never,
+  register,
+  retryAfter,
+  within,
+  type Fault,
+} from '@harecross/kernel';
 import { awayNow, notReady, type Board, type Operators, type Register } from '@harecross/control';
 import { Rpcs, configFaults, familyOf, isUrgent, visitFault, type Method, type Visit } from '@harecross/schema';
 import { firstValueFrom } from 'rxjs';
@@ -6,10 +18,15 @@
 import type { Route } from './route.js';
 
 declare module '@harecross/kernel' {
-  interface Faces { edge: Edge }
+  interface Faces {
+    edge: Edge;
+  }
 }
 
-export interface Reply { status: number; body: any }
+export interface Reply {
+  status: number;
+  body: any;
+}
 
 /**
  * HTTP status of a fault.
@@ -20,28 +37,37 @@
   switch (f.tag) {
     case 'bad_visit':
     case 'invalid_config':
-    case 'cursor_ahead': return 400;
+    case 'cursor_ahead':
+      return 400;
     case 'unknown_method':
     case 'unknown_topic':
-    case 'unknown_disk': return 404;
+    case 'unknown_disk':
+      return 404;
     case 'conflict':
     case 'stale_seq':
-    case 'wont_hold': return 409;
+    case 'wont_hold':
+      return 409;
     case 'unknown_conn':
-    case 'cursor_expired': return 410;
-    case 'too_large': return 413;
+    case 'cursor_expired':
+      return 410;
+    case 'too_large':
+      return 413;
     case 'timeout':
     case 'cut':
     case 'fenced':
-    case 'outcome_unknown': return 504;
+    case 'outcome_unknown':
+      return 504;
     case 'unreachable':
     case 'not_ready':
     case 'not_owner':
     case 'overloaded':
     case 'no_majority':
-    case 'disk_ill': return 503;
-    case 'internal': return 500;
-    default: return never(f);
+    case 'disk_ill':
+      return 503;
+    case 'internal':
+      return 500;
+    default:
+      return never(f);
   }
 }
 
@@ -54,7 +80,13 @@
   private holding: Holding<{ m: Method; body: any }, Reply>;
   private holds?: Holds;
 
-  constructor(private k: Kernel, private board: Board, private reg: Register, private route: Route, private ops: Operators) {
+  constructor(
+    private k: Kernel,
+    private board: Board,
+    private reg: Register,
+    private route: Route,
+    private ops: Operators,
+  ) {
     this.holding = new Holding(C.edgeHoldingN, C.edgeHoldingN, (v) => this.serve(v.m, v.body));
     if (k.has('holds')) this.holds = k.use('holds');
     k.on('Pass', (b: { m: Method; body: any }) => this.visit(b.m, b.body));
@@ -94,16 +126,26 @@
    */
   starting(): Promise<void> | undefined {
     const left = this.k.startedAt + C.startWaitMs - this.k.host.clock.now();
-    if (this.takes() || left <= 0 || !this.holds || this.k.phase === 'draining' || this.k.phase === 'stopped') return undefined;
-    return within(this.k.host.clock, left, firstValueFrom(this.reg.fresh$, { defaultValue: undefined })).then(() => undefined);
+    if (this.takes() || left <= 0 || !this.holds || this.k.phase === 'draining' || this.k.phase === 'stopped')
+      return undefined;
+    return within(this.k.host.clock, left, firstValueFrom(this.reg.fresh$, { defaultValue: undefined })).then(
+      () => undefined,
+    );
   }
   /** Any word of a consumer is a sign of life of its conn. */
-  heard(id: string): void { this.holds?.sign(id); }
-  gone(id: string): void { this.holds?.gone(id); }
-  drained(id: string): void { this.holds?.drained(id); }
+  heard(id: string): void {
+    this.holds?.sign(id);
+  }
+  gone(id: string): void {
+    this.holds?.gone(id);
+  }
+  drained(id: string): void {
+    this.holds?.drained(id);
+  }
 
   async visit(m: string, body: unknown): Promise<Reply> {
-    if (!Object.hasOwn(Rpcs, m) || m === 'Attach') return this.failed(m, new Failure({ tag: 'unknown_method', step: m, peer: this.k.self, method: m }));
+    if (!Object.hasOwn(Rpcs, m) || m === 'Attach')
+      return this.failed(m, new Failure({ tag: 'unknown_method', step: m, peer: this.k.self, method: m }));
     const method = m as Method;
     const bad = visitFault(method, body);
     if (bad) return this.failed(m, this.bad(m, bad));
@@ -111,7 +153,16 @@
     this.k.count(`visit.${m}`);
     const p = this.holding.offer({ m: method, body }, this.urgent(method, body));
     if (!p && m === 'Publish') this.route.turnAway(body as Visit<'Publish'>);
-    if (!p) return this.failed(m, new Failure({ tag: 'overloaded', step: m, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
+    if (!p)
+      return this.failed(
+        m,
+        new Failure({
+          tag: 'overloaded',
+          step: m,
+          peer: this.k.self,
+          retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs),
+        }),
+      );
     return p;
   }
 
@@ -132,17 +183,27 @@
 
   private failed(m: string, e: unknown): Reply {
     const f = faultOf(e, m, this.k.self);
-    if (f.tag === 'internal') this.k.host.log.warn('visit failed', { fault: f, stack: e instanceof Error ? e.stack : undefined });
+    if (f.tag === 'internal')
+      this.k.host.log.warn('visit failed', { fault: f, stack: e instanceof Error ? e.stack : undefined });
     this.k.count(`fault.${f.tag}`);
     // A try that surely stored nothing is told so in the words of the schema. Earlier tries of its number are another matter: may be one
     // is on its way. Only the owner's final no speaks of them too.
-    if (m === 'Publish' && (f.tag === 'not_ready' || f.tag === 'overloaded' || f.tag === 'unreachable' || f.tag === 'not_owner')) {
+    if (
+      m === 'Publish' &&
+      (f.tag === 'not_ready' || f.tag === 'overloaded' || f.tag === 'unreachable' || f.tag === 'not_owner')
+    ) {
       const retryAfterMs = 'retryAfterMs' in f ? f.retryAfterMs : retryAfter(this.k.host.rnd, C.retryMs);
       return { status: 503, body: { rejected: { reason: f.tag, final: false, retryAfterMs } } };
     }
-    if (m === 'Publish' && f.tag === 'stale_seq') return { status: 409, body: { rejected: { reason: 'stale_seq', final: true, retryAfterMs: 0 } } };
+    if (m === 'Publish' && f.tag === 'stale_seq')
+      return { status: 409, body: { rejected: { reason: 'stale_seq', final: true, retryAfterMs: 0 } } };
     const status = statusOf(f);
-    const retryAfterMs = 'retryAfterMs' in f ? f.retryAfterMs : status === 503 || status === 504 ? retryAfter(this.k.host.rnd, C.retryMs) : undefined;
+    const retryAfterMs =
+      'retryAfterMs' in f
+        ? f.retryAfterMs
+        : status === 503 || status === 504
+          ? retryAfter(this.k.host.rnd, C.retryMs)
+          : undefined;
     return { status, body: { error: retryAfterMs === undefined ? f : { ...f, retryAfterMs } } };
   }
 
@@ -195,7 +256,8 @@
         this.mustServe(m);
         const fam = this.family(m, body.topic);
         const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
-        if (Buffer.byteLength(body.body) > limit) throw new Failure({ tag: 'too_large', step: m, peer: this.k.self, limit });
+        if (Buffer.byteLength(body.body) > limit)
+          throw new Failure({ tag: 'too_large', step: m, peer: this.k.self, limit });
         return { accepted: await this.route.publish(body, fam.patienceMs) };
       }
       case 'Listeners': {
@@ -252,9 +314,33 @@
       rev: v?.rev ?? 0,
       version: v?.version ?? 0,
       fleet: v?.fleet,
-      members: [...this.board.members.values()].map((m) => ({ peer: m.peer, name: m.name, client: m.client, domain: m.domain, role: m.role, disk: m.disk, state: m.state, condition: m.condition, weight: m.weight, ageMs: m.peer === this.k.self ? 0 : Math.round(now - m.seenAt) })),
-      disks: v ? [...v.disks.values()].map((d) => ({ ...d, seat: v.seats.includes(d.id), copies: [...v.shards.values()].filter((p) => p.copies.includes(d.id)).length })) : [],
-      keys: v ? [...v.shards].map(([s, p]) => ({ shard: s, gen: p.gen, copies: p.copies, ...(this.board.get(`key/${s}`) as object | undefined) })) : [],
+      members: [...this.board.members.values()].map((m) => ({
+        peer: m.peer,
+        name: m.name,
+        client: m.client,
+        domain: m.domain,
+        role: m.role,
+        disk: m.disk,
+        state: m.state,
+        condition: m.condition,
+        weight: m.weight,
+        ageMs: m.peer === this.k.self ? 0 : Math.round(now - m.seenAt),
+      })),
+      disks: v
+        ? [...v.disks.values()].map((d) => ({
+            ...d,
+            seat: v.seats.includes(d.id),
+            copies: [...v.shards.values()].filter((p) => p.copies.includes(d.id)).length,
+          }))
+        : [],
+      keys: v
+        ? [...v.shards].map(([s, p]) => ({
+            shard: s,
+            gen: p.gen,
+            copies: p.copies,
+            ...(this.board.get(`key/${s}`) as object | undefined),
+          }))
+        : [],
     };
   }
 
@@ -298,15 +384,39 @@
   };
   app.setErrorHandler((e: any, _req, reply) => {
     const status = e.statusCode && e.statusCode < 500 ? e.statusCode : 500;
-    const fault: Fault = status === 413
-      ? { tag: 'too_large', step: 'read', peer: k.self, limit: 2 * 1024 * 1024 }
-      : status < 500 ? { tag: 'bad_visit', step: 'read', peer: k.self, detail: e.message } : { tag: 'internal', step: 'read', peer: k.self, detail: e.message };
+    const fault: Fault =
+      status === 413
+        ? { tag: 'too_large', step: 'read', peer: k.self, limit: 2 * 1024 * 1024 }
+        : status < 500
+          ? { tag: 'bad_visit', step: 'read', peer: k.self, detail: e.message }
+          : { tag: 'internal', step: 'read', peer: k.self, detail: e.message };
     return reply.code(status).send({ error: fault });
   });
-  app.setNotFoundHandler((req, reply) => reply.code(404).send({ error: { tag: 'unknown_method', step: 'read', peer: k.self, method: `${req.method} ${req.url}` } satisfies Fault }));
+  app.setNotFoundHandler((req, reply) =>
+    reply
+      .code(404)
+      .send({
+        error: {
+          tag: 'unknown_method',
+          step: 'read',
+          peer: k.self,
+          method: `${req.method} ${req.url}`,
+        } satisfies Fault,
+      }),
+  );
   app.get('/condition', (_req, reply) => {
     const ok = edge.serving();
-    return reply.code(ok ? 200 : 503).send({ condition: ok ? 'ready' : k.phase !== 'running' ? k.phase : awayNow(k.use('register').value, k.self) ? 'away' : 'joining' });
+    return reply
+      .code(ok ? 200 : 503)
+      .send({
+        condition: ok
+          ? 'ready'
+          : k.phase !== 'running'
+            ? k.phase
+            : awayNow(k.use('register').value, k.self)
+              ? 'away'
+              : 'joining',
+      });
   });
   app.post('/rpc/Attach', async (req, reply) => {
     await edge.starting();
@@ -323,20 +433,34 @@
         setTimeout(() => raw.destroy(), C.closeGraceMs).unref();
       },
     };
-    const head = (): void => { raw.writeHead(200, { 'content-type': 'application/x-ndjson', 'cache-control': 'no-store' }); raw.flushHeaders(); };
+    const head = (): void => {
+      raw.writeHead(200, { 'content-type': 'application/x-ndjson', 'cache-control': 'no-store' });
+      raw.flushHeaders();
+    };
     const r = edge.attach(req.body, sink);
     if ('status' in r) return send(reply, r);
     id = r.id;
     reply.hijack();
     head();
     raw.on('drain', () => edge.drained(id));
-    raw.on('close', () => { over = true; edge.gone(id); });
-    raw.on('error', () => { over = true; edge.gone(id); });
+    raw.on('close', () => {
+      over = true;
+      edge.gone(id);
+    });
+    raw.on('error', () => {
+      over = true;
+      edge.gone(id);
+    });
     return reply;
   });
-  app.post('/rpc/:method', async (req, reply) => send(reply, await edge.visit((req.params as { method: string }).method, req.body ?? {})));
+  app.post('/rpc/:method', async (req, reply) =>
+    send(reply, await edge.visit((req.params as { method: string }).method, req.body ?? {})),
+  );
   await app.listen(addr(at));
-  return async () => { app.server.closeAllConnections(); await app.close(); };
+  return async () => {
+    app.server.closeAllConnections();
+    await app.close();
+  };
 }
 
 register({
--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -1,4 +1,18 @@
-import { C, Failure, Kernel, type HoldingInfo, faultOf, hash, loop, rank, register, retryAfter, sample, shardOf, sleep } from '@harecross/kernel';
+import {
+  C,
+  Failure,
+  Kernel,
+  type HoldingInfo,
+  faultOf,
+  hash,
+  loop,
+  rank,
+  register,
+  retryAfter,
+  sample,
+  shardOf,
+  sleep,
+} from '@harecross/kernel';
 import { awayNow, type Board, type Register } from '@harecross/control';
 import { familyOf, urgencyOf, type Frame } from '@harecross/schema';
 import { distinctUntilChanged, map } from 'rxjs';
@@ -7,11 +21,20 @@
 import type { Route } from './route.js';
 
 declare module '@harecross/kernel' {
-  interface Faces { holds: Holds }
+  interface Faces {
+    holds: Holds;
+  }
 }
 
 /** A message as all its subscribers get it; one object for all, so that who writes it out need do so once. */
-export interface Message { topic: string; sender: string; seq: number; offset: number; body: string; bytes: number }
+export interface Message {
+  topic: string;
+  sender: string;
+  seq: number;
+  offset: number;
+  body: string;
+  bytes: number;
+}
 /** A frame on its way to a conn. */
 export type Outgoing = { t: 'DELIVER'; sub: string; msg: Message } | Exclude<Frame, { t: 'DELIVER' }>;
 
@@ -30,7 +53,10 @@
 export function frameLines(frames: Outgoing[]): string {
   let out = '';
   for (const f of frames) {
-    if (f.t !== 'DELIVER') { out += JSON.stringify(f) + '\n'; continue; }
+    if (f.t !== 'DELIVER') {
+      out += JSON.stringify(f) + '\n';
+      continue;
+    }
     let line = written.get(f.msg);
     if (line === undefined) {
       const { topic, sender, seq, offset, body } = f.msg;
@@ -45,7 +71,14 @@
 type ConnState = 'open' | 'closing' | 'closed';
 type CloseReason = Extract<Frame, { t: 'CLOSED' }>['reason'];
 
-interface Waiting { frame: Outgoing; bytes: number; over: boolean; sub?: Sub; gen?: string; flushMs: number }
+interface Waiting {
+  frame: Outgoing;
+  bytes: number;
+  over: boolean;
+  sub?: Sub;
+  gen?: string;
+  flushMs: number;
+}
 
 interface Sub {
   id: string;
@@ -75,13 +108,29 @@
   /** The relay, and its instance, that was told of this conn. */
   home = '';
   heardAt: number;
-  constructor(readonly id: string, readonly consumer: string, readonly pingMs: number, readonly sink: Sink, readonly at: number) {
+  constructor(
+    readonly id: string,
+    readonly consumer: string,
+    readonly pingMs: number,
+    readonly sink: Sink,
+    readonly at: number,
+  ) {
     this.heardAt = at;
   }
 }
 
 /** The holds of all our subscribers on one topic; the owner learns only the latest deadline. */
-interface TopicHold { topic: string; shard: number; mark: number; subs: Set<Sub>; gen: string; saidUntil: number; seen: number; pulling: boolean; again: boolean }
+interface TopicHold {
+  topic: string;
+  shard: number;
+  mark: number;
+  subs: Set<Sub>;
+  gen: string;
+  saidUntil: number;
+  seen: number;
+  pulling: boolean;
+  again: boolean;
+}
 
 /**
  * The relay's side of interest holds (the paper's design). One hold per subscription, renewed by this node from
@@ -111,23 +160,57 @@
   private dirty = new Set<string>();
   private homes = new Map<string, { conn: string; peer: string; at: number; seenAt: number }>();
 
-  constructor(private k: Kernel, private board: Board, private reg: Register, private route: Route) {
+  constructor(
+    private k: Kernel,
+    private board: Board,
+    private reg: Register,
+    private route: Route,
+  ) {
     const { clock, rnd } = k.host;
     this.freshAt = clock.now();
     this.genBase = Math.floor(rnd.next() * 2 ** 32).toString(36);
-    k.on('Fan', (b: { frames: FanRow[] }) => { for (const f of b.frames) this.frame(readFanRow(f)); return true; }, true);
+    k.on(
+      'Fan',
+      (b: { frames: FanRow[] }) => {
+        for (const f of b.frames) this.frame(readFanRow(f));
+        return true;
+      },
+      true,
+    );
     k.on('CountHolds', (b: { topic: string }) => this.count(b.topic));
     k.on('Home', (b: { conns: { consumer: string; conn: string; age: number }[] }, f) => this.home(b.conns, f.peer));
-    k.on('Replace', (b: { conn: string }) => { const c = this.conns.get(b.conn); if (c) this.close(c, 'replaced'); return true; });
+    k.on('Replace', (b: { conn: string }) => {
+      const c = this.conns.get(b.conn);
+      if (c) this.close(c, 'replaced');
+      return true;
+    });
     k.keep(loop(clock, 200, rnd, () => this.tick()));
     k.keep(loop(clock, C.headsMs, rnd, () => this.heads()));
     k.keep(loop(clock, C.homeRenewMs, rnd, async () => this.sayHome([...this.conns.values()])));
-    k.keep(board.state$.subscribe((m) => { if (m.role === 'relay') this.homesMoved = true; }));
+    k.keep(
+      board.state$.subscribe((m) => {
+        if (m.role === 'relay') this.homesMoved = true;
+      }),
+    );
     // While we slept, consumers may have probed: the silence was ours, not theirs. Deadlines of holds stay.
-    k.keep(k.thawed$.subscribe((ms) => { for (const c of this.conns.values()) c.heardAt += ms; }));
+    k.keep(
+      k.thawed$.subscribe((ms) => {
+        for (const c of this.conns.values()) c.heardAt += ms;
+      }),
+    );
     k.keep(route.moved$.subscribe((s) => this.moved(s)));
     k.keep(reg.value$.subscribe(() => this.sweepFamilies()));
-    k.keep(reg.value$.pipe(map((v) => awayNow(v, k.self)), distinctUntilChanged()).subscribe((away) => { if (away) this.sendAway(C.awaySpreadMs); else this.away = false; }));
+    k.keep(
+      reg.value$
+        .pipe(
+          map((v) => awayNow(v, k.self)),
+          distinctUntilChanged(),
+        )
+        .subscribe((away) => {
+          if (away) this.sendAway(C.awaySpreadMs);
+          else this.away = false;
+        }),
+    );
     k.onStop(() => this.drain());
   }
 
@@ -135,7 +218,13 @@
 
   attach(consumer: string, pingS: number | undefined, sink: Sink): string {
     const { clock, rnd } = this.k.host;
-    if (this.conns.size >= C.connsN) throw new Failure({ tag: 'overloaded', step: 'Attach', peer: this.k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
+    if (this.conns.size >= C.connsN)
+      throw new Failure({
+        tag: 'overloaded',
+        step: 'Attach',
+        peer: this.k.self,
+        retryAfterMs: retryAfter(rnd, C.retryMs),
+      });
     // The consumer may ask for longer silence, but is told the ping by which it is counted.
     const ping = pingS ?? C.pingS;
     const conn = new Conn(`${this.k.self}/${this.k.inst}/${++this.n}`, consumer, ping * 1000, sink, clock.now());
@@ -162,7 +251,10 @@
     this.conns.delete(conn.id);
     if (this.consumers.get(conn.consumer) === conn) this.consumers.delete(conn.consumer);
     this.board.say({ weight: this.conns.size });
-    if (reason !== 'gone') conn.sink.write([{ t: 'CLOSED', reason, retryAfterMs: reason === 'replaced' ? 0 : retryAfter(this.k.host.rnd, C.retryMs / 2) }]);
+    if (reason !== 'gone')
+      conn.sink.write([
+        { t: 'CLOSED', reason, retryAfterMs: reason === 'replaced' ? 0 : retryAfter(this.k.host.rnd, C.retryMs / 2) },
+      ]);
     conn.sink.close();
   }
 
@@ -207,12 +299,31 @@
     const conn = this.heard(id, 'Subscribe');
     const had = conn.subs.get(topic);
     // Asked again, it is the same subscription with the same beginning: frames behind that may still be on their way.
-    if (had) { await had.opened; return { sub: had.id, next: had.first }; }
-    if (conn.subs.size >= (this.reg.value?.config.limits?.subscriptionsPerConn ?? C.subsPerConnN)) throw new Failure({ tag: 'overloaded', step: 'Subscribe', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+    if (had) {
+      await had.opened;
+      return { sub: had.id, next: had.first };
+    }
+    if (conn.subs.size >= (this.reg.value?.config.limits?.subscriptionsPerConn ?? C.subsPerConnN))
+      throw new Failure({
+        tag: 'overloaded',
+        step: 'Subscribe',
+        peer: this.k.self,
+        retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs),
+      });
     const fam = this.reg.value && familyOf(this.reg.value.config, topic);
     if (!fam) throw new Failure({ tag: 'unknown_topic', step: 'Subscribe', peer: this.k.self, topic });
     const now = this.k.host.clock.now();
-    const sub: Sub = { id: `${conn.id.slice(conn.id.lastIndexOf('/') + 1)}.${++this.n}`, conn, topic, next: Infinity, first: Infinity, opened: Promise.resolve(), expiresAt: now + C.holdTtlMs, renewedAt: now, live: true };
+    const sub: Sub = {
+      id: `${conn.id.slice(conn.id.lastIndexOf('/') + 1)}.${++this.n}`,
+      conn,
+      topic,
+      next: Infinity,
+      first: Infinity,
+      opened: Promise.resolve(),
+      expiresAt: now + C.holdTtlMs,
+      renewedAt: now,
+      live: true,
+    };
     conn.subs.set(topic, sub);
     const h = this.holdOf(topic);
     h.subs.add(sub);
@@ -227,17 +338,34 @@
   private async open(sub: Sub, h: TopicHold, cursor: number | undefined, patienceMs: number): Promise<void> {
     const { topic } = sub;
     try {
-      let o = await this.route.atOwner<{ head: number; first: number; since: number }>(topic, 'Open', () => ({ topic, confirm: cursor === undefined }), patienceMs);
+      let o = await this.route.atOwner<{ head: number; first: number; since: number }>(
+        topic,
+        'Open',
+        () => ({ topic, confirm: cursor === undefined }),
+        patienceMs,
+      );
       if (cursor !== undefined && cursor > o.head) {
         o = await this.route.atOwner(topic, 'Open', () => ({ topic, confirm: true }), patienceMs);
-        if (cursor > o.head) throw new Failure({ tag: 'cursor_ahead', step: 'Subscribe', peer: this.k.self, head: o.head });
+        if (cursor > o.head)
+          throw new Failure({ tag: 'cursor_ahead', step: 'Subscribe', peer: this.k.self, head: o.head });
       }
       const next = cursor === undefined ? o.head + 1 : Math.max(cursor + 1, o.since);
-      if (next < o.first) throw new Failure({ tag: 'cursor_expired', step: 'Subscribe', peer: this.k.self, first: o.first, head: o.head });
+      if (next < o.first)
+        throw new Failure({
+          tag: 'cursor_expired',
+          step: 'Subscribe',
+          peer: this.k.self,
+          first: o.first,
+          head: o.head,
+        });
       if (!sub.live) {
         // Its family went meanwhile, or its conn, or the consumer left it.
         const removed = this.reg.value !== undefined && !familyOf(this.reg.value.config, topic);
-        throw new Failure(removed ? { tag: 'unknown_topic', step: 'Subscribe', peer: this.k.self, topic } : { tag: 'unknown_conn', step: 'Subscribe', peer: this.k.self });
+        throw new Failure(
+          removed
+            ? { tag: 'unknown_topic', step: 'Subscribe', peer: this.k.self, topic }
+            : { tag: 'unknown_conn', step: 'Subscribe', peer: this.k.self },
+        );
       }
       sub.first = sub.next = next;
       h.seen = Math.max(h.seen, o.head);
@@ -279,8 +407,23 @@
     let h = this.topics.get(topic);
     if (!h || h.subs.size === 0) {
       const gen = `${this.genBase}.${(++this.n).toString(36)}`;
-      if (h) { h.gen = gen; h.saidUntil = 0; }
-      else { h = { topic, shard: shardOf(topic), mark: hash(topic), subs: new Set(), gen, saidUntil: 0, seen: 0, pulling: false, again: false }; this.topics.set(topic, h); }
+      if (h) {
+        h.gen = gen;
+        h.saidUntil = 0;
+      } else {
+        h = {
+          topic,
+          shard: shardOf(topic),
+          mark: hash(topic),
+          subs: new Set(),
+          gen,
+          saidUntil: 0,
+          seen: 0,
+          pulling: false,
+          again: false,
+        };
+        this.topics.set(topic, h);
+      }
     }
     return h;
   }
@@ -288,7 +431,8 @@
   private count(topic: string): number {
     const now = this.k.host.clock.now();
     let n = 0;
-    for (const s of this.topics.get(topic)?.subs ?? []) if (s.expiresAt > now && now - s.conn.heardAt <= C.countFreshMs) n++;
+    for (const s of this.topics.get(topic)?.subs ?? [])
+      if (s.expiresAt > now && now - s.conn.heardAt <= C.countFreshMs) n++;
     return n;
   }
 
@@ -298,7 +442,11 @@
     const h = this.topics.get(f.topic);
     if (!h) return;
     h.seen = Math.max(h.seen, f.off);
-    if (h.gen !== f.gen) { this.k.count('frame.old_generation'); if (h.subs.size) this.pull(h); return; }
+    if (h.gen !== f.gen) {
+      this.k.count('frame.old_generation');
+      if (h.subs.size) this.pull(h);
+      return;
+    }
     if (this.offer(h, f)) this.pull(h);
   }
 
@@ -311,10 +459,27 @@
       if (s.next < f.off) gap = true;
       if (s.next !== f.off) continue;
       // More follows once this has gone out; see flush.
-      if (catchUp && s.conn.std > C.catchUpBytes) { this.arm(s.conn, 0); continue; }
+      if (catchUp && s.conn.std > C.catchUpBytes) {
+        this.arm(s.conn, 0);
+        continue;
+      }
       s.next++;
-      msg ??= { topic: h.topic, sender: f.sender, seq: f.seq, offset: f.off, body: f.body, bytes: Buffer.byteLength(f.body) + C.frameHeadBytes };
-      this.push(s.conn, { frame: { t: 'DELIVER', sub: s.id, msg }, bytes: msg.bytes, over: false, sub: s, gen: h.gen, flushMs });
+      msg ??= {
+        topic: h.topic,
+        sender: f.sender,
+        seq: f.seq,
+        offset: f.off,
+        body: f.body,
+        bytes: Buffer.byteLength(f.body) + C.frameHeadBytes,
+      };
+      this.push(s.conn, {
+        frame: { t: 'DELIVER', sub: s.id, msg },
+        bytes: msg.bytes,
+        over: false,
+        sub: s,
+        gen: h.gen,
+        flushMs,
+      });
     }
     return gap;
   }
@@ -330,9 +495,18 @@
 
   /** Reads the owner's history from the least offset owed, one reader per topic. */
   private pull(h: TopicHold): void {
-    if (h.pulling) { h.again = true; return; }
+    if (h.pulling) {
+      h.again = true;
+      return;
+    }
     h.pulling = true;
-    void this.pulls(h).finally(() => { h.pulling = false; if (h.again) { h.again = false; if (h.subs.size) this.pull(h); } });
+    void this.pulls(h).finally(() => {
+      h.pulling = false;
+      if (h.again) {
+        h.again = false;
+        if (h.subs.size) this.pull(h);
+      }
+    });
   }
 
   private async pulls(h: TopicHold): Promise<void> {
@@ -343,7 +517,12 @@
       const from = Math.min(...waiting.map((s) => s.next));
       let a: HistoryAnswer;
       try {
-        a = await this.route.atOwner<HistoryAnswer>(h.topic, 'History', () => ({ topic: h.topic, from }), C.ownerTryMs * 2);
+        a = await this.route.atOwner<HistoryAnswer>(
+          h.topic,
+          'History',
+          () => ({ topic: h.topic, from }),
+          C.ownerTryMs * 2,
+        );
       } catch {
         this.k.count('pull.fail');
         return; // tried again with the next heads, within a second
@@ -372,7 +551,8 @@
       this.close(conn, 'saturated');
       return;
     }
-    if (w.over) conn.over += w.bytes; else conn.std += w.bytes;
+    if (w.over) conn.over += w.bytes;
+    else conn.std += w.bytes;
     this.mostStd = Math.max(this.mostStd, conn.std);
     this.mostOver = Math.max(this.mostOver, conn.over);
     conn.buf.push(w);
@@ -382,8 +562,12 @@
   private drop(conn: Conn, out: (w: Waiting) => boolean): void {
     const keep: Waiting[] = [];
     for (const w of conn.buf) {
-      if (!out(w)) { keep.push(w); continue; }
-      if (w.over) conn.over -= w.bytes; else conn.std -= w.bytes;
+      if (!out(w)) {
+        keep.push(w);
+        continue;
+      }
+      if (w.over) conn.over -= w.bytes;
+      else conn.std -= w.bytes;
     }
     conn.buf = keep;
   }
@@ -394,7 +578,10 @@
     if (conn.blocked || conn.armedAt <= at) return;
     conn.disarm();
     conn.armedAt = at;
-    conn.disarm = clock.after(ms, () => { conn.armedAt = Infinity; this.flush(conn); });
+    conn.disarm = clock.after(ms, () => {
+      conn.armedAt = Infinity;
+      this.flush(conn);
+    });
   }
 
   /** The final send: only what still has a live hold, the current generation and a family in force. */
@@ -407,12 +594,21 @@
     for (const w of conn.buf) {
       const s = w.sub;
       if (s) {
-        if (!fresh) { keep.push(w); continue; }
+        if (!fresh) {
+          keep.push(w);
+          continue;
+        }
         const ok = s.live && s.expiresAt > now && this.topics.get(s.topic)?.gen === w.gen;
-        if (!ok) { this.k.count('frame.lapsed'); if (w.over) conn.over -= w.bytes; else conn.std -= w.bytes; continue; }
+        if (!ok) {
+          this.k.count('frame.lapsed');
+          if (w.over) conn.over -= w.bytes;
+          else conn.std -= w.bytes;
+          continue;
+        }
         this.k.count('deliver');
       }
-      if (w.over) conn.over -= w.bytes; else conn.std -= w.bytes;
+      if (w.over) conn.over -= w.bytes;
+      else conn.std -= w.bytes;
       out.push(w.frame);
       conn.sent++;
     }
@@ -424,7 +620,10 @@
 
   /** Catch-up that waited for room in a conn's buffer goes on. */
   private goOn(conn: Conn): void {
-    for (const s of conn.subs.values()) { const h = this.topics.get(s.topic); if (h && s.next <= h.seen) this.pull(h); }
+    for (const s of conn.subs.values()) {
+      const h = this.topics.get(s.topic);
+      if (h && s.next <= h.seen) this.pull(h);
+    }
   }
 
   // --- loops ---
@@ -442,7 +641,10 @@
       this.sayHome([...this.conns.values()].filter((c) => this.homeOf(c.consumer)?.id !== c.home));
     }
     for (const c of [...this.conns.values()]) {
-      if (now - c.heardAt > C.silencePingsN * c.pingMs) { this.close(c, 'silent'); continue; }
+      if (now - c.heardAt > C.silencePingsN * c.pingMs) {
+        this.close(c, 'silent');
+        continue;
+      }
       for (const s of [...c.subs.values()]) if (s.expiresAt <= now) this.leave(s, 'hold_ended');
     }
     await this.sayInterest();
@@ -453,9 +655,16 @@
     const byOwner = new Map<string, InterestItem[]>();
     for (const t of [...this.dirty]) {
       const h = this.topics.get(t);
-      if (!h) { this.sayEnded(t, byOwner); continue; }
+      if (!h) {
+        this.sayEnded(t, byOwner);
+        continue;
+      }
       const until = Math.max(0, ...[...h.subs].map((s) => s.expiresAt));
-      if (until === h.saidUntil) { this.dirty.delete(t); if (!h.subs.size) this.topics.delete(t); continue; }
+      if (until === h.saidUntil) {
+        this.dirty.delete(t);
+        if (!h.subs.size) this.topics.delete(t);
+        continue;
+      }
       const owner = this.route.owner(h.shard);
       if (!owner) continue;
       this.dirty.delete(t);
@@ -465,14 +674,22 @@
       byOwner.set(owner, items);
       if (!h.subs.size && !h.pulling) this.topics.delete(t);
     }
-    await Promise.all([...byOwner].map(async ([owner, items]) => {
-      this.k.count('interest.said', items.length);
-      try {
-        await this.k.reach(owner, 'Interest', { items: items.map(interestRow) });
-      } catch {
-        for (const i of items) { const h = this.topics.get(i.topic); if (h) { h.saidUntil = -1; this.dirty.add(i.topic); } }
-      }
-    }));
+    await Promise.all(
+      [...byOwner].map(async ([owner, items]) => {
+        this.k.count('interest.said', items.length);
+        try {
+          await this.k.reach(owner, 'Interest', { items: items.map(interestRow) });
+        } catch {
+          for (const i of items) {
+            const h = this.topics.get(i.topic);
+            if (h) {
+              h.saidUntil = -1;
+              this.dirty.add(i.topic);
+            }
+          }
+        }
+      }),
+    );
   }
 
   /** A topic without any hold: its interest has ended, in case the owner believes otherwise. */
@@ -487,8 +704,14 @@
 
   private moved(shard: number): void {
     const mine = [...this.topics.values()].filter((h) => h.shard === shard && h.subs.size);
-    for (const h of mine) { h.saidUntil = -1; this.dirty.add(h.topic); }
-    if (mine.length) { void this.sayInterest(); void this.headsOf(mine); }
+    for (const h of mine) {
+      h.saidUntil = -1;
+      this.dirty.add(h.topic);
+    }
+    if (mine.length) {
+      void this.sayInterest();
+      void this.headsOf(mine);
+    }
   }
 
   private async heads(): Promise<void> {
@@ -503,23 +726,31 @@
     const byShard = new Map<number, TopicHold[]>();
     for (const h of hs) {
       const l = byShard.get(h.shard);
-      if (l) l.push(h); else byShard.set(h.shard, [h]);
+      if (l) l.push(h);
+      else byShard.set(h.shard, [h]);
     }
     const byOwner = new Map<string, [number, number][]>();
     for (const [shard, l] of byShard) {
       const o = this.route.owner(shard);
-      if (!o) { this.route.seek(shard); continue; }
+      if (!o) {
+        this.route.seek(shard);
+        continue;
+      }
       const sums = byOwner.get(o) ?? [];
       sums.push([shard, l.reduce((x, h) => (x + placeSum(h.mark, h.seen)) | 0, 0)]);
       byOwner.set(o, sums);
     }
-    await Promise.all([...byOwner].map(async ([o, sums]) => {
-      try {
-        const r = await this.k.reach<HeadsAnswer>(o, 'Heads', { sums });
-        for (const s of r.elsewhere) this.route.seek(s);
-        for (const [shard, told] of r.heads) this.compareHeads(byShard.get(shard) ?? [], new Map(told));
-      } catch { for (const [s] of sums) this.route.seek(s); }
-    }));
+    await Promise.all(
+      [...byOwner].map(async ([o, sums]) => {
+        try {
+          const r = await this.k.reach<HeadsAnswer>(o, 'Heads', { sums });
+          for (const s of r.elsewhere) this.route.seek(s);
+          for (const [shard, told] of r.heads) this.compareHeads(byShard.get(shard) ?? [], new Map(told));
+        } catch {
+          for (const [s] of sums) this.route.seek(s);
+        }
+      }),
+    );
   }
 
   private compareHeads(mine: TopicHold[], theirs: Map<string, number>): void {
@@ -527,7 +758,13 @@
     for (const h of mine) {
       const head = theirs.get(h.topic);
       // The owner does not know that we listen: it is told again.
-      if (head === undefined) { if (h.subs.size) { h.saidUntil = -1; this.dirty.add(h.topic); } continue; }
+      if (head === undefined) {
+        if (h.subs.size) {
+          h.saidUntil = -1;
+          this.dirty.add(h.topic);
+        }
+        continue;
+      }
       h.seen = Math.max(h.seen, head);
       if ([...h.subs].some((s) => s.next <= h.seen)) this.pull(h);
     }
@@ -538,13 +775,18 @@
   private sweepFamilies(): void {
     const v = this.reg.value;
     if (!v) return;
-    for (const h of [...this.topics.values()]) if (!familyOf(v.config, h.topic)) for (const s of [...h.subs]) this.leave(s, 'topic_removed');
+    for (const h of [...this.topics.values()])
+      if (!familyOf(v.config, h.topic)) for (const s of [...h.subs]) this.leave(s, 'topic_removed');
   }
 
   // --- homes: which conn of a consumer is the latest ---
 
   private homeOf(consumer: string): { peer: string; id: string } | undefined {
-    const m = rank(`home/${consumer}`, this.board.live().filter((x) => x.role === 'relay' && x.condition !== 'draining'), (x) => x.peer)[0];
+    const m = rank(
+      `home/${consumer}`,
+      this.board.live().filter((x) => x.role === 'relay' && x.condition !== 'draining'),
+      (x) => x.peer,
+    )[0];
     return m && { peer: m.peer, id: `${m.peer}~${m.inst}` };
   }
 
@@ -574,7 +816,8 @@
       }
       this.homes.set(c.consumer, { conn: c.conn, peer, at, seenAt: now });
     }
-    if (this.homes.size > C.connsN * 2) for (const [c, h] of this.homes) if (now - h.seenAt > C.homeForgetMs) this.homes.delete(c);
+    if (this.homes.size > C.connsN * 2)
+      for (const [c, h] of this.homes) if (now - h.seenAt > C.homeForgetMs) this.homes.delete(c);
     return true;
   }
 
@@ -584,7 +827,8 @@
    */
   private sendAway(spreadMs: number): void {
     this.away = true;
-    for (const c of this.conns.values()) this.k.host.clock.after(this.k.host.rnd.next() * spreadMs, () => this.sendOn(c));
+    for (const c of this.conns.values())
+      this.k.host.clock.after(this.k.host.rnd.next() * spreadMs, () => this.sendOn(c));
   }
 
   private sendOn(c: Conn): void {
@@ -595,7 +839,9 @@
   /** A relay that takes conns: in our domain if there is one, the emptier of two by chance. */
   private refuge(): string | undefined {
     const { rnd, config } = this.k.host;
-    const open = this.board.live().filter((m) => m.role === 'relay' && m.peer !== this.k.self && m.condition === 'ready');
+    const open = this.board
+      .live()
+      .filter((m) => m.role === 'relay' && m.peer !== this.k.self && m.condition === 'ready');
     const near = open.filter((m) => m.domain === config.domain);
     const two = sample(rnd, near.length ? near : open, 2);
     return two.sort((a, b) => a.weight - b.weight)[0]?.client;
@@ -608,7 +854,10 @@
     // New conns still come until the callers' platform has seen that we leave.
     const until = clock.now() + C.drainMs;
     while (clock.now() < until) await sleep(clock, 50);
-    for (const c of [...this.conns.values()]) { this.flush(c); this.close(c, 'stopping'); }
+    for (const c of [...this.conns.values()]) {
+      this.flush(c);
+      this.close(c, 'stopping');
+    }
     await this.sayInterest().catch((e) => faultOf(e, 'Interest', this.k.self));
   }
 
@@ -622,8 +871,18 @@
   }
 
   table(): { topic: string; shard: number; subs: number; gen: string; seen: number }[] {
-    return [...this.topics.values()].map((h) => ({ topic: h.topic, shard: h.shard, subs: h.subs.size, gen: h.gen, seen: h.seen }));
+    return [...this.topics.values()].map((h) => ({
+      topic: h.topic,
+      shard: h.shard,
+      subs: h.subs.size,
+      gen: h.gen,
+      seen: h.seen,
+    }));
   }
 }
 
-register({ name: 'holds', needs: ['board', 'register', 'route'], setup: (k) => new Holds(k, k.use('board'), k.use('register'), k.use('route')) });
+register({
+  name: 'holds',
+  needs: ['board', 'register', 'route'],
+  setup: (k) => new Holds(k, k.use('board'), k.use('register'), k.use('route')),
+});
--- a/packages/data/src/interest.ts
+++ b/packages/data/src/interest.ts
@@ -3,8 +3,20 @@
 import type { Entry } from '@harecross/state';
 
 /** What a relay tells the owner of a topic: a deadline, never who or how many. */
-export interface InterestItem { topic: string; rev: number; expiresAt: number; gen: string }
-export interface FanFrame { topic: string; gen: string; off: number; sender: string; seq: number; body: string }
+export interface InterestItem {
+  topic: string;
+  rev: number;
+  expiresAt: number;
+  gen: string;
+}
+export interface FanFrame {
+  topic: string;
+  gen: string;
+  off: number;
+  sender: string;
+  seq: number;
+  body: string;
+}
 /** On the way both are rows: their fields' names would be most of what is sent. */
 export type FanRow = [topic: string, gen: string, off: number, sender: string, seq: number, body: string];
 export type InterestRow = [topic: string, rev: number, expiresAt: number, gen: string];
@@ -14,7 +26,14 @@
  * @example
  * readFanRow(['pay/7', 'x1.4', 18, 'desk', 7, 'hello']).off; // 18
  */
-export const readFanRow = ([topic, gen, off, sender, seq, body]: FanRow): FanFrame => ({ topic, gen, off, sender, seq, body });
+export const readFanRow = ([topic, gen, off, sender, seq, body]: FanRow): FanFrame => ({
+  topic,
+  gen,
+  off,
+  sender,
+  seq,
+  body,
+});
 /**
  * A deadline for the way.
  * @example
@@ -26,9 +45,20 @@
  * @example
  * readInterestRow(['pay/7', 3, 0, '']).expiresAt; // 0: it has ended
  */
-export const readInterestRow = ([topic, rev, expiresAt, gen]: InterestRow): InterestItem => ({ topic, rev, expiresAt, gen });
+export const readInterestRow = ([topic, rev, expiresAt, gen]: InterestRow): InterestItem => ({
+  topic,
+  rev,
+  expiresAt,
+  gen,
+});
 
-interface Interest { rev: number; deadline: number; gen: string; shard: number; mark: number }
+interface Interest {
+  rev: number;
+  deadline: number;
+  gen: string;
+  shard: number;
+  mark: number;
+}
 
 /**
  * What a topic and a place in it add to the sum by which a relay and an owner see that they know the same of a shard.
@@ -50,7 +80,10 @@
   private fanMost = 0;
   private fanOut = new Map<string, { frames: FanFrame[]; flying: boolean }>();
 
-  constructor(private k: Kernel, private board: Board) {}
+  constructor(
+    private k: Kernel,
+    private board: Board,
+  ) {}
 
   table(): { relay: string; topics: number }[] {
     return [...this.interest].map(([relay, i]) => ({ relay, topics: i.topics.size }));
@@ -66,18 +99,33 @@
     const past = this.k.host.clock.now() - C.holdTtlMs;
     for (const [relay, r] of this.interest) {
       for (const [t, i] of r.topics) if (i.deadline < past) r.topics.delete(t);
-      if (!r.topics.size && !this.board.isLive(relay)) { this.interest.delete(relay); this.fanOut.delete(relay); }
+      if (!r.topics.size && !this.board.isLive(relay)) {
+        this.interest.delete(relay);
+        this.fanOut.delete(relay);
+      }
     }
   }
 
   hear(relay: string, inst: string, items: InterestItem[], toLocal: (t: number) => number): true {
     let r = this.interest.get(relay);
     if (r && inst < r.inst) return true;
-    if (!r || r.inst !== inst) { r = { inst, topics: new Map() }; this.interest.set(relay, r); }
+    if (!r || r.inst !== inst) {
+      r = { inst, topics: new Map() };
+      this.interest.set(relay, r);
+    }
     for (const i of items) {
       const old = r.topics.get(i.topic);
-      if (old && old.rev >= i.rev) { this.k.count('interest.stale'); continue; }
-      r.topics.set(i.topic, { rev: i.rev, gen: i.gen, shard: old?.shard ?? shardOf(i.topic), mark: old?.mark ?? hash(i.topic), deadline: i.expiresAt === 0 ? this.k.host.clock.now() : toLocal(i.expiresAt) + C.holdSkewMs });
+      if (old && old.rev >= i.rev) {
+        this.k.count('interest.stale');
+        continue;
+      }
+      r.topics.set(i.topic, {
+        rev: i.rev,
+        gen: i.gen,
+        shard: old?.shard ?? shardOf(i.topic),
+        mark: old?.mark ?? hash(i.topic),
+        deadline: i.expiresAt === 0 ? this.k.host.clock.now() : toLocal(i.expiresAt) + C.holdSkewMs,
+      });
     }
     return true;
   }
@@ -85,7 +133,8 @@
   /** The topics of a shard in which a relay's interest is live, each with its mark. */
   *liveIn(relay: string, shard: number): Generator<[string, number]> {
     const now = this.k.host.clock.now();
-    for (const [t, i] of this.interest.get(relay)?.topics ?? []) if (i.shard === shard && i.deadline > now) yield [t, i.mark];
+    for (const [t, i] of this.interest.get(relay)?.topics ?? [])
+      if (i.shard === shard && i.deadline > now) yield [t, i.mark];
   }
 
   interested(topic: string): [string, Interest][] {
@@ -106,8 +155,14 @@
   fan(e: Entry): void {
     for (const [relay, i] of this.interested(e.topic)) {
       let o = this.fanOut.get(relay);
-      if (!o) { o = { frames: [], flying: false }; this.fanOut.set(relay, o); }
-      if (o.frames.length >= C.fanHoldingN) { this.k.count('fan.lost'); continue; }
+      if (!o) {
+        o = { frames: [], flying: false };
+        this.fanOut.set(relay, o);
+      }
+      if (o.frames.length >= C.fanHoldingN) {
+        this.k.count('fan.lost');
+        continue;
+      }
       o.frames.push({ topic: e.topic, gen: i.gen, off: e.off, sender: e.sender, seq: e.seq, body: e.body });
       this.fanMost = Math.max(this.fanMost, o.frames.length);
       if (!o.flying) queueMicrotask(() => void this.fanTo(relay, o));
@@ -134,21 +189,27 @@
     // A process that began this lately may not have heard of every relay.
     const young = this.k.host.clock.now() - this.k.startedAt < C.countAllMs;
     // A new owner has not heard of every interest yet: it asks all relays.
-    if (this.k.host.clock.now() - takenAt < C.countAllMs) for (const m of this.board.live()) if (m.role === 'relay') asked.add(m.peer);
+    if (this.k.host.clock.now() - takenAt < C.countAllMs)
+      for (const m of this.board.live()) if (m.role === 'relay') asked.add(m.peer);
     // One that is suspected may have listeners of whom it could not tell us; one that is dead has sent them elsewhere.
     for (const m of this.board.members.values()) {
       if (m.role === 'relay' && m.state === 'suspect') asked.add(m.peer);
       else if (m.state === 'dead') asked.delete(m.peer);
     }
-    const got = await Promise.all([...asked].map(async (relay) => {
-      try {
-        return await this.k.reach<number>(relay, 'CountHolds', { topic }, C.countWaitMs);
-      } catch (e) {
-        // No process there: it has no listeners any more. One that is there and silent, or to which no way leads, makes the answer partial.
-        const f = faultOf(e, 'CountHolds', relay);
-        return f.tag === 'unreachable' && f.detail !== 'ETIMEDOUT' ? 0 : 'silent';
-      }
-    }));
-    return { count: got.reduce<number>((a, n) => a + (n === 'silent' ? 0 : n), 0), partial: young || got.includes('silent') };
+    const got = await Promise.all(
+      [...asked].map(async (relay) => {
+        try {
+          return await this.k.reach<number>(relay, 'CountHolds', { topic }, C.countWaitMs);
+        } catch (e) {
+          // No process there: it has no listeners any more. One that is there and silent, or to which no way leads, makes the answer partial.
+          const f = faultOf(e, 'CountHolds', relay);
+          return f.tag === 'unreachable' && f.detail !== 'ETIMEDOUT' ? 0 : 'silent';
+        }
+      }),
+    );
+    return {
+      count: got.reduce<number>((a, n) => a + (n === 'silent' ? 0 : n), 0),
+      partial: young || got.includes('silent'),
+    };
   }
 }
--- a/packages/data/src/key.ts
+++ b/packages/data/src/key.ts
@@ -1,6 +1,12 @@
 import { NO_FENCE, senderKey, type Base, type Entry, type Fence } from '@harecross/state';
 
-export interface TopicState { head: number; pend: number; since: number; era: number; entries: Entry[] }
+export interface TopicState {
+  head: number;
+  pend: number;
+  since: number;
+  era: number;
+  entries: Entry[];
+}
 
 /** The step of a fault that says: this number is older than what anybody remembers. */
 export const FORGOTTEN = 'forgotten';
@@ -60,8 +66,12 @@
   takenAt = -Infinity;
   constructor(readonly shard: number) {}
 
-  last(): number { return this.base.idx + this.log.length; }
-  fenceAt(idx: number): Fence { return idx === this.base.idx ? this.base.fence : this.log[idx - this.base.idx - 1]!.fence; }
+  last(): number {
+    return this.base.idx + this.log.length;
+  }
+  fenceAt(idx: number): Fence {
+    return idx === this.base.idx ? this.base.fence : this.log[idx - this.base.idx - 1]!.fence;
+  }
   /** The time at which a majority of the copies last answered us. */
   heardAt(): number {
     const ts = this.copies.map((d) => this.ackAt.get(d) ?? -Infinity).sort((a, b) => b - a);
@@ -113,8 +123,15 @@
 
   topicOf(topic: string, era: number): TopicState {
     let t = this.topics.get(topic);
-    if (!t) { t = { head: 0, pend: 0, since: 1, era, entries: [] }; this.topics.set(topic, t); }
-    if (t.era < era) { t.era = era; t.since = t.pend + 1; t.entries = []; }
+    if (!t) {
+      t = { head: 0, pend: 0, since: 1, era, entries: [] };
+      this.topics.set(topic, t);
+    }
+    if (t.era < era) {
+      t.era = era;
+      t.since = t.pend + 1;
+      t.entries = [];
+    }
     return t;
   }
 }
--- a/packages/data/src/node.ts
+++ b/packages/data/src/node.ts
@@ -10,12 +10,14 @@
 export function pluginsOf(role: Role, disk: boolean, uses: DiskUse[] = ['seat', 'copies']): (keyof Faces)[] {
   return [
     ...(disk ? (['state'] as const) : []),
-    'board', 'register',
+    'board',
+    'register',
     ...(disk && uses.includes('seat') ? (['keeper'] as const) : []),
     ...(disk && uses.includes('copies') ? (['copies', 'owner'] as const) : []),
     'route',
     ...(role === 'relay' ? (['holds'] as const) : []),
-    'operators', 'edge',
+    'operators',
+    'edge',
   ];
 }
 
@@ -38,7 +40,9 @@
     if (owner?.forlorn()) illUntil = host.clock.now() + C.illMs;
     return host.clock.now() < illUntil ? 'ill' : 'ready';
   };
-  const say = (): void => { if (kernel.phase === 'running') board.say({ condition: condition() }); };
+  const say = (): void => {
+    if (kernel.phase === 'running') board.say({ condition: condition() });
+  };
   kernel.keep(loop(host.clock, 200, host.rnd, async () => say()));
   kernel.keep(reg.fresh$.subscribe(say));
   return { kernel, edge: kernel.use('edge') };
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -1,25 +1,66 @@
 import {
-  C, Failure, Holding, Kernel, type From, type HoldingInfo, faultOf, gather, loop, never, register, retryAfter, shardOf, sleep, within,
+  C,
+  Failure,
+  Holding,
+  Kernel,
+  type From,
+  type HoldingInfo,
+  faultOf,
+  gather,
+  loop,
+  never,
+  register,
+  retryAfter,
+  shardOf,
+  sleep,
+  within,
 } from '@harecross/kernel';
 import { eraOf, matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, urgencyOf, type Family } from '@harecross/schema';
-import { fold, lastFence, lastIdx, makeFence, NO_FENCE, readFence, senderKey, type Entry, type Fence } from '@harecross/state';
+import {
+  fold,
+  lastFence,
+  lastIdx,
+  makeFence,
+  NO_FENCE,
+  readFence,
+  senderKey,
+  type Entry,
+  type Fence,
+} from '@harecross/state';
 import type { Copies, Fetched, Promised } from './copies.js';
 import { Interests, placeSum, readInterestRow, type InterestRow } from './interest.js';
 import { FORGOTTEN, Key, type KeyState } from './key.js';
 import { Replication } from './replication.js';
 
 declare module '@harecross/kernel' {
-  interface Faces { owner: Owner }
+  interface Faces {
+    owner: Owner;
+  }
 }
 
-export interface HistoryPage { tag: 'page'; head: number; first: number; since: number; entries: { off: number; sender: string; seq: number; body: string }[] }
+export interface HistoryPage {
+  tag: 'page';
+  head: number;
+  first: number;
+  since: number;
+  entries: { off: number; sender: string; seq: number; body: string }[];
+}
 export type HistoryAnswer = HistoryPage | { tag: 'gone' };
 /** `heads`: all topics in which the owner knows interest, for the shards where relay and owner differ. */
-export interface HeadsAnswer { heads: Map<number, [topic: string, head: number][]>; elsewhere: number[] }
+export interface HeadsAnswer {
+  heads: Map<number, [topic: string, head: number][]>;
+  elsewhere: number[];
+}
 
 /** A relay's publish. `after` is a number of the same sender and topic that must be stored first: it went out before this one. */
-export interface Publish { sender: string; topic: string; seq: number; body: string; after?: number }
+export interface Publish {
+  sender: string;
+  topic: string;
+  seq: number;
+  body: string;
+  after?: number;
+}
 
 /**
  * The owner's side of topics: takes keys under a fence, accepts messages once a majority of the copies has them
@@ -42,7 +83,12 @@
   /** When our own loop last went on after it stood still: until then nobody could answer us. */
   private thawedAt = -Infinity;
 
-  constructor(private k: Kernel, private board: Board, private reg: Register, private copies: Copies) {
+  constructor(
+    private k: Kernel,
+    private board: Board,
+    private reg: Register,
+    private copies: Copies,
+  ) {
     const { clock, rnd } = k.host;
     for (let s = 0; s < C.shardsN; s++) this.keys.set(s, new Key(s));
     this.interests = new Interests(k, board);
@@ -51,21 +97,37 @@
       fenced: (key) => this.turn(key, 'none'),
     });
     this.holding = new Holding(C.ownerHoldingN, 512, (v) => this.publish(v));
-    k.on('Publish', (b: Publish) => {
-      const fam = this.family(b.topic, 'Publish');
-      const p = this.holding.offer(b, urgencyOf(this.reg.value!.config, fam) === 'urgent');
-      if (!p) throw new Failure({ tag: 'overloaded', step: 'Publish', peer: k.self, retryAfterMs: retryAfter(rnd, C.retryMs) });
-      return p;
-    }, true);
-    k.on('Interest', (b: { items: InterestRow[] }, f) => this.interests.hear(f.peer, f.inst, b.items.map(readInterestRow), f.toLocal));
+    k.on(
+      'Publish',
+      (b: Publish) => {
+        const fam = this.family(b.topic, 'Publish');
+        const p = this.holding.offer(b, urgencyOf(this.reg.value!.config, fam) === 'urgent');
+        if (!p)
+          throw new Failure({
+            tag: 'overloaded',
+            step: 'Publish',
+            peer: k.self,
+            retryAfterMs: retryAfter(rnd, C.retryMs),
+          });
+        return p;
+      },
+      true,
+    );
+    k.on('Interest', (b: { items: InterestRow[] }, f) =>
+      this.interests.hear(f.peer, f.inst, b.items.map(readInterestRow), f.toLocal),
+    );
     k.on('Open', (b: { topic: string; confirm: boolean }) => this.open(b), true);
     k.on('History', (b: { topic: string; from: number }): Promise<HistoryAnswer> => this.history(b), true);
     k.on('Heads', (b: { sums: [number, number][] }, f) => this.heads(b.sums, f.peer));
-    k.on('Count', async (b: { topic: string }) => {
-      this.family(b.topic, 'Count');
-      await this.settled(b.topic, ['owner']);
-      return this.interests.countListeners(b.topic, this.serving(b.topic, 'Count').takenAt);
-    }, true);
+    k.on(
+      'Count',
+      async (b: { topic: string }) => {
+        this.family(b.topic, 'Count');
+        await this.settled(b.topic, ['owner']);
+        return this.interests.countListeners(b.topic, this.serving(b.topic, 'Count').takenAt);
+      },
+      true,
+    );
     k.on('Yield', (b: { shard: number; disk: string }, f) => this.yieldTo(b.shard, b.disk, f));
     k.on('TakeKey', async (b: { shard: number }) => {
       const key = this.keys.get(b.shard)!;
@@ -73,27 +135,41 @@
       return key.state === 'owner';
     });
     k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
-    k.keep(board.changed$.subscribe((key) => { if (key.startsWith('m/')) this.look(key.slice(2)); }));
+    k.keep(
+      board.changed$.subscribe((key) => {
+        if (key.startsWith('m/')) this.look(key.slice(2));
+      }),
+    );
     k.keep(board.state$.subscribe((m) => this.look(m.peer)));
     // Whoever takes a key asks our copy too: we need not wait for an append to be refused.
-    k.keep(copies.promised$.subscribe((s) => {
-      const key = this.keys.get(s)!;
-      const by = copies.get(s).promised;
-      if (key.fence !== NO_FENCE && by > key.fence) this.turn(key, 'none');
-      if (readFence(by).peer !== k.self) key.promisedTo = { peer: readFence(by).peer, at: clock.now() };
-    }));
+    k.keep(
+      copies.promised$.subscribe((s) => {
+        const key = this.keys.get(s)!;
+        const by = copies.get(s).promised;
+        if (key.fence !== NO_FENCE && by > key.fence) this.turn(key, 'none');
+        if (readFence(by).peer !== k.self) key.promisedTo = { peer: readFence(by).peer, at: clock.now() };
+      }),
+    );
     k.keep(loop(clock, C.beatMs, rnd, async () => this.replication.beats(this.keys.values())));
     k.keep(loop(clock, C.trimMs, rnd, async () => this.trim()));
-    k.keep(k.thawed$.subscribe(() => {
-      this.thawedAt = clock.now();
-      for (const key of this.keys.values()) key.ackAt.clear();
-    }));
-    k.keep(reg.fresh$.subscribe(() => { this.freshSince = Math.min(this.freshSince, clock.now()); }));
+    k.keep(
+      k.thawed$.subscribe(() => {
+        this.thawedAt = clock.now();
+        for (const key of this.keys.values()) key.ackAt.clear();
+      }),
+    );
+    k.keep(
+      reg.fresh$.subscribe(() => {
+        this.freshSince = Math.min(this.freshSince, clock.now());
+      }),
+    );
     k.onStop(() => this.leave());
   }
 
   owned(): { shard: number; fence: Fence; last: number; commit: number; behind: string[] }[] {
-    return [...this.keys.values()].filter((x) => x.state === 'owner').map((x) => ({ shard: x.shard, fence: x.fence, last: x.last(), commit: x.commit, behind: this.behind(x) }));
+    return [...this.keys.values()]
+      .filter((x) => x.state === 'owner')
+      .map((x) => ({ shard: x.shard, fence: x.fence, last: x.last(), commit: x.commit, behind: this.behind(x) }));
   }
   /** Sets the bound of publishes held; operators have no need of it, trials do. */
   bound(n: number): void {
@@ -124,8 +200,19 @@
         this.k.host.log.info(`owner of shard ${key.shard}`, { fence: key.fence });
         break;
       case 'none':
-        if (was === 'owner') { this.k.count('key.given'); this.k.host.log.info(`no longer owner of shard ${key.shard}`); }
-        for (const w of key.waits.splice(0)) w.rej(new Failure({ tag: 'fenced', step: 'Publish', peer: this.k.self, fence: this.copies.get(key.shard).promised }));
+        if (was === 'owner') {
+          this.k.count('key.given');
+          this.k.host.log.info(`no longer owner of shard ${key.shard}`);
+        }
+        for (const w of key.waits.splice(0))
+          w.rej(
+            new Failure({
+              tag: 'fenced',
+              step: 'Publish',
+              peer: this.k.self,
+              fence: this.copies.get(key.shard).promised,
+            }),
+          );
         // Without a fence nothing is sent: a key that is being taken anew must not speak in its old owner's name.
         key.fence = NO_FENCE;
         key.topics.clear();
@@ -146,20 +233,31 @@
    */
   private wanted(not?: string, coming = false): Map<number, string> {
     const { shards } = this.reg.value!;
-    const out = matchOwners(shards, (d) => d !== not && (this.peerAble(d) !== undefined || (coming && this.isComing(d))));
+    const out = matchOwners(
+      shards,
+      (d) => d !== not && (this.peerAble(d) !== undefined || (coming && this.isComing(d))),
+    );
     // Where all copies' machines call themselves ill, one of them must do.
-    if (out.size < shards.size) for (const [s, d] of matchOwners(shards, (x) => x !== not && this.isIll(x))) if (!out.has(s)) out.set(s, d);
+    if (out.size < shards.size)
+      for (const [s, d] of matchOwners(shards, (x) => x !== not && this.isIll(x))) if (!out.has(s)) out.set(s, d);
     return out;
   }
 
   private isIll(disk: string): boolean {
     const m = this.board.ofDisk(disk);
-    return this.reg.value?.disks.get(disk)?.state === 'active' && m !== undefined && m.state === 'live' && m.condition === 'ill';
+    return (
+      this.reg.value?.disks.get(disk)?.state === 'active' &&
+      m !== undefined &&
+      m.state === 'live' &&
+      m.condition === 'ill'
+    );
   }
 
   private isComing(disk: string): boolean {
     const m = this.board.ofDisk(disk);
-    return this.reg.value?.disks.get(disk)?.state === 'active' && (!m || (m.state === 'live' && m.condition === 'joining'));
+    return (
+      this.reg.value?.disks.get(disk)?.state === 'active' && (!m || (m.state === 'live' && m.condition === 'joining'))
+    );
   }
 
   private peerAble(disk: string): string | undefined {
@@ -180,7 +278,10 @@
     }
     if (this.looking) return;
     this.looking = true;
-    this.k.host.clock.after(0, () => { this.looking = false; void this.tick(); });
+    this.k.host.clock.after(0, () => {
+      this.looking = false;
+      void this.tick();
+    });
   }
 
   private async tick(): Promise<void> {
@@ -198,7 +299,8 @@
       if (!here) {
         // Not placed here any more: let go once another owner serves under this placement.
         const c = this.copies.all.get(key.shard);
-        if (c && (c.entries.length || c.base.idx) && rec && rec.gen === p.gen && key.state === 'none') gone.push(key.shard);
+        if (c && (c.entries.length || c.base.idx) && rec && rec.gen === p.gen && key.state === 'none')
+          gone.push(key.shard);
         if (key.state === 'owner' && rec && rec.gen >= p.gen && rec.peer !== this.k.self) this.turn(key, 'none');
         if (key.state !== 'owner' || key.gen === p.gen) continue;
         // Still the owner under an older placement: the new copies must take the key.
@@ -213,10 +315,22 @@
           else this.announce(key);
           break;
         case 'none': {
-          if (wanted.get(key.shard) !== this.copies.disk) { key.wantedAt = undefined; break; }
-          const holder = rec && rec.peer !== this.k.self && this.board.isLive(rec.peer) && this.board.members.get(rec.peer)?.inst === rec.inst ? rec.peer : undefined;
+          if (wanted.get(key.shard) !== this.copies.disk) {
+            key.wantedAt = undefined;
+            break;
+          }
+          const holder =
+            rec &&
+            rec.peer !== this.k.self &&
+            this.board.isLive(rec.peer) &&
+            this.board.members.get(rec.peer)?.inst === rec.inst
+              ? rec.peer
+              : undefined;
           // A holder that serves is asked only once it is sure that the key stays matched to us: each change costs callers a moment.
-          if (holder && this.board.able(holder)) { key.wantedAt ??= now; if (now - key.wantedAt < C.steadyMs) break; }
+          if (holder && this.board.able(holder)) {
+            key.wantedAt ??= now;
+            if (now - key.wantedAt < C.steadyMs) break;
+          }
           if (this.justPromised(key, now)) break;
           if (now - key.triedAt < C.takeRetryMs) break;
           key.triedAt = now;
@@ -247,13 +361,17 @@
       }
     }
     const got = new Map<Key, { n: number; top: Fence }>();
-    await Promise.all([...byPeer].map(async ([peer, ks]) => {
-      const fences = await this.k.call<Fence[]>(peer, 'Who', { shards: ks.map((x) => x.shard) }, C.whoMs).catch(() => []);
-      fences.forEach((f, i) => {
-        const had = got.get(ks[i]!);
-        got.set(ks[i]!, { n: (had?.n ?? 0) + 1, top: had && had.top > f ? had.top : f });
-      });
-    }));
+    await Promise.all(
+      [...byPeer].map(async ([peer, ks]) => {
+        const fences = await this.k
+          .call<Fence[]>(peer, 'Who', { shards: ks.map((x) => x.shard) }, C.whoMs)
+          .catch(() => []);
+        fences.forEach((f, i) => {
+          const had = got.get(ks[i]!);
+          got.set(ks[i]!, { n: (had?.n ?? 0) + 1, top: had && had.top > f ? had.top : f });
+        });
+      }),
+    );
     const out = new Map<Key, string>();
     for (const [key, { n, top }] of got) {
       if (n * 2 > (this.reg.value!.shards.get(key.shard)?.copies.length ?? Infinity)) out.set(key, readFence(top).peer);
@@ -289,7 +407,8 @@
 
   private async letHave(key: Key, holder: string): Promise<void> {
     try {
-      if (await this.k.reach<boolean>(holder, 'Yield', { shard: key.shard, disk: this.copies.disk })) await this.take(key);
+      if (await this.k.reach<boolean>(holder, 'Yield', { shard: key.shard, disk: this.copies.disk }))
+        await this.take(key);
     } catch (e) {
       // not_owner: the board is behind. A holder that calls itself unable is not waited for: it may be our link to it that is
       // broken. We take the key, the fence decides.
@@ -306,7 +425,8 @@
     const { clock } = this.k.host;
     // Who came back only just may go again; but we are no better if we are leaving or can't serve.
     const m = this.board.members.get(f.peer);
-    const steady = m !== undefined && m.inst === f.inst && m.state === 'live' && clock.now() - m.liveSince >= C.steadyMs;
+    const steady =
+      m !== undefined && m.inst === f.inst && m.state === 'live' && clock.now() - m.liveSince >= C.steadyMs;
     if (!steady && this.board.able(this.k.self)) return false;
     if ((key.vain.get(disk) ?? 0) > clock.now()) return false;
     const fence = key.fence;
@@ -327,7 +447,9 @@
   /** Owner of keys whose copies we can't reach, for so long that others should have them: their links may be whole. */
   forlorn(): boolean {
     const now = this.k.host.clock.now();
-    return [...this.keys.values()].some((key) => key.state === 'owner' && now - Math.max(key.heardAt(), key.takenAt, this.thawedAt) > C.forlornMs);
+    return [...this.keys.values()].some(
+      (key) => key.state === 'owner' && now - Math.max(key.heardAt(), key.takenAt, this.thawedAt) > C.forlornMs,
+    );
   }
 
   private async leave(): Promise<void> {
@@ -347,7 +469,9 @@
     const rank = (d: string): number => (this.current(key, d) ? 0 : 2) + (d === first ? 0 : 1);
     const next = able.sort((a, b) => rank(a) - rank(b));
     for (let i = 0; next.length && key.state === 'owner' && clock.now() < until; i++) {
-      const took = await this.k.call<boolean>(this.peerAble(next[i % next.length]!) ?? '', 'TakeKey', { shard: key.shard }, C.callMs).catch(() => false);
+      const took = await this.k
+        .call<boolean>(this.peerAble(next[i % next.length]!) ?? '', 'TakeKey', { shard: key.shard }, C.callMs)
+        .catch(() => false);
       if (!took && key.state === 'owner') await sleep(clock, C.ownerRetryMs);
     }
   }
@@ -370,7 +494,11 @@
         for (const g of got) if (!g.ok) top = Math.max(top, readFence(g.promised).n);
         if (got.some((g) => !g.ok && readFence(g.promised).gen > p.gen)) return;
         if (ok.length * 2 <= p.copies.length || !ok.some((g) => g.disk === this.copies.disk)) {
-          if (got.some((g) => !g.ok)) { top++; await sleep(clock, 20 + 60 * this.k.host.rnd.next()); continue; }
+          if (got.some((g) => !g.ok)) {
+            top++;
+            await sleep(clock, 20 + 60 * this.k.host.rnd.next());
+            continue;
+          }
           return;
         }
         await this.complete(key, fence, p.gen, p.copies, ok as Extract<Promised, { ok: true }>[]);
@@ -402,7 +530,9 @@
         answers: Promise.resolve().then(() => {
           this.fences.delete(disk);
           const peer = this.reg.peerOf(disk);
-          return peer ? this.k.call<Promised[]>(peer, 'Fence', { disk, items }) : Promise.reject(new Error('no address'));
+          return peer
+            ? this.k.call<Promised[]>(peer, 'Fence', { disk, items })
+            : Promise.reject(new Error('no address'));
         }),
       };
       this.fences.set(disk, b);
@@ -411,13 +541,31 @@
     return (await b.answers)[i]!;
   }
 
-  private async complete(key: Key, fence: Fence, gen: number, copies: string[], ok: Extract<Promised, { ok: true }>[]): Promise<void> {
+  private async complete(
+    key: Key,
+    fence: Fence,
+    gen: number,
+    copies: string[],
+    ok: Extract<Promised, { ok: true }>[],
+  ): Promise<void> {
     const mine = this.copies.get(key.shard);
-    const best = ok.reduce((a, b) => (b.lastFence > a.lastFence || (b.lastFence === a.lastFence && b.lastIdx > a.lastIdx) ? b : a));
+    const best = ok.reduce((a, b) =>
+      b.lastFence > a.lastFence || (b.lastFence === a.lastFence && b.lastIdx > a.lastIdx) ? b : a,
+    );
     if (best.lastFence !== lastFence(mine) || best.lastIdx !== lastIdx(mine)) {
       const from = Math.min(lastIdx(mine), best.lastIdx);
-      const fromFence = from >= mine.base.idx ? (from === mine.base.idx ? mine.base.fence : mine.entries[from - mine.base.idx - 1]!.fence) : '?';
-      const f = await this.k.call<Fetched>(this.reg.peerOf(best.disk)!, 'Fetch', { disk: best.disk, shard: key.shard, from, fromFence }, C.snapshotMs);
+      const fromFence =
+        from >= mine.base.idx
+          ? from === mine.base.idx
+            ? mine.base.fence
+            : mine.entries[from - mine.base.idx - 1]!.fence
+          : '?';
+      const f = await this.k.call<Fetched>(
+        this.reg.peerOf(best.disk)!,
+        'Fetch',
+        { disk: best.disk, shard: key.shard, from, fromFence },
+        C.snapshotMs,
+      );
       if (!(await this.copies.take(key.shard, fence, f, from))) return;
     }
     const c = this.copies.get(key.shard);
@@ -425,7 +573,12 @@
     key.fence = fence;
     key.gen = gen;
     key.copies = copies;
-    key.base = { idx: c.base.idx, fence: c.base.fence, topics: new Map([...c.base.topics].map(([t, b]) => [t, { ...b }])), senders: new Map([...c.base.senders].map(([t, b]) => [t, { ...b }])) };
+    key.base = {
+      idx: c.base.idx,
+      fence: c.base.fence,
+      topics: new Map([...c.base.topics].map(([t, b]) => [t, { ...b }])),
+      senders: new Map([...c.base.senders].map(([t, b]) => [t, { ...b }])),
+    };
     key.log = [...c.entries];
     key.commit = 0;
     key.trimTo = c.base.idx;
@@ -435,7 +588,8 @@
     key.flying = new Set();
     key.topics.clear();
     key.senders.clear();
-    for (const [t, b] of key.base.topics) key.topics.set(t, { head: b.head, pend: b.head, since: b.since, era: b.era, entries: [] });
+    for (const [t, b] of key.base.topics)
+      key.topics.set(t, { head: b.head, pend: b.head, since: b.since, era: b.era, entries: [] });
     for (const e of key.log) key.note(e);
     const now = this.k.host.clock.now();
     key.log.push({ idx: key.last() + 1, fence, topic: '', off: 0, era: 0, sender: '', seq: 0, body: '', at: now });
@@ -453,7 +607,13 @@
   }
 
   private announce(key: Key): void {
-    const rec: KeyRec = { fence: key.fence, gen: key.gen, peer: this.k.self, inst: this.k.inst, behind: this.behind(key) };
+    const rec: KeyRec = {
+      fence: key.fence,
+      gen: key.gen,
+      peer: this.k.self,
+      inst: this.k.inst,
+      behind: this.behind(key),
+    };
     const s = JSON.stringify(rec);
     if (s === key.said) return;
     key.said = s;
@@ -522,8 +682,18 @@
     if (!key) return;
     const { clock } = this.k.host;
     const until = clock.now() + C.settleMs;
-    while ((key.state === 'taking' || key.state === 'confirming') && !enough.includes(key.state) && clock.now() < until) {
-      await within(clock, until - clock.now(), new Promise<void>((res) => { key.turned.push(res); }));
+    while (
+      (key.state === 'taking' || key.state === 'confirming') &&
+      !enough.includes(key.state) &&
+      clock.now() < until
+    ) {
+      await within(
+        clock,
+        until - clock.now(),
+        new Promise<void>((res) => {
+          key.turned.push(res);
+        }),
+      );
     }
   }
 
@@ -543,7 +713,14 @@
     return new Promise((res, rej) => {
       const l = key.early.get(k) ?? [];
       key.early.set(k, l);
-      const x = { after, go: (): void => { cancel(); over(); res(); } };
+      const x = {
+        after,
+        go: (): void => {
+          cancel();
+          over();
+          res();
+        },
+      };
       const over = (): void => {
         l.splice(l.indexOf(x), 1);
         if (!l.length && key.early.get(k) === l) key.early.delete(k);
@@ -551,7 +728,14 @@
       const cancel = this.k.host.clock.after(C.followMs, () => {
         over();
         this.k.count('publish.early');
-        rej(new Failure({ tag: 'not_ready', step: 'follow', peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) }));
+        rej(
+          new Failure({
+            tag: 'not_ready',
+            step: 'follow',
+            peer: this.k.self,
+            retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs),
+          }),
+        );
       });
       l.push(x);
     });
@@ -563,7 +747,8 @@
     const fam = this.family(b.topic, 'Publish');
     let key = this.serving(b.topic, 'Publish', takes);
     const limit = fam.limits?.bodyBytes ?? C.bodyBytes;
-    if (Buffer.byteLength(b.body) > limit) throw new Failure({ tag: 'too_large', step: 'Publish', peer: this.k.self, limit });
+    if (Buffer.byteLength(b.body) > limit)
+      throw new Failure({ tag: 'too_large', step: 'Publish', peer: this.k.self, limit });
     if (b.after !== undefined && key.outcome(b.topic, b.sender, b.after).tag === 'new') {
       this.k.count('publish.followed');
       await this.follow(key, b, b.after);
@@ -582,7 +767,12 @@
         throw new Failure({ tag: 'stale_seq', step: 'Publish', peer: this.k.self, last: was.above });
       case 'forgotten':
         this.k.count('publish.forgotten');
-        throw new Failure({ tag: 'outcome_unknown', step: FORGOTTEN, peer: this.k.self, retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs) });
+        throw new Failure({
+          tag: 'outcome_unknown',
+          step: FORGOTTEN,
+          peer: this.k.self,
+          retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs),
+        });
       case 'new':
         break;
       default:
@@ -590,7 +780,17 @@
     }
     const era = eraOf(this.reg.value!.eras, b.topic)!;
     const t = key.topicOf(b.topic, era);
-    const e: Entry = { idx: key.last() + 1, fence: key.fence, topic: b.topic, off: t.pend + 1, era, sender: b.sender, seq: b.seq, body: b.body, at: this.k.host.clock.now() };
+    const e: Entry = {
+      idx: key.last() + 1,
+      fence: key.fence,
+      topic: b.topic,
+      off: t.pend + 1,
+      era,
+      sender: b.sender,
+      seq: b.seq,
+      body: b.body,
+      at: this.k.host.clock.now(),
+    };
     key.log.push(e);
     key.note(e);
     queueMicrotask(() => this.replication.kick(key, false));
@@ -617,7 +817,8 @@
     const { fence } = key;
     if (b.confirm) await this.confirm(key);
     // It may have gone meanwhile, and with it all that we know of its topics.
-    if (key.fence !== fence || key.state !== 'owner') throw new Failure({ tag: 'not_owner', step: 'Open', peer: this.k.self });
+    if (key.fence !== fence || key.state !== 'owner')
+      throw new Failure({ tag: 'not_owner', step: 'Open', peer: this.k.self });
     const { head, first, since } = this.view(key, b.topic);
     return { head, first, since };
   }
@@ -629,7 +830,8 @@
     const fence = key.fence;
     const until = t0 + C.ownerTryMs - 100;
     while (key.heardAt() < t0) {
-      if (key.fence !== fence || key.state !== 'owner' || clock.now() > until) throw new Failure({ tag: 'not_owner', step: 'confirm', peer: this.k.self });
+      if (key.fence !== fence || key.state !== 'owner' || clock.now() > until)
+        throw new Failure({ tag: 'not_owner', step: 'confirm', peer: this.k.self });
       this.replication.kick(key, true);
       await sleep(clock, 4);
     }
@@ -643,7 +845,9 @@
     const v = this.view(key, b.topic);
     const from = Math.max(b.from, v.since);
     const i = Math.max(0, from - v.first);
-    const entries = v.entries.slice(i, i + C.historyPageN).map((e) => ({ off: e.off, sender: e.sender, seq: e.seq, body: e.body }));
+    const entries = v.entries
+      .slice(i, i + C.historyPageN)
+      .map((e) => ({ off: e.off, sender: e.sender, seq: e.seq, body: e.body }));
     return { tag: 'page', head: v.head, first: v.first, since: v.since, entries };
   }
 
@@ -655,7 +859,10 @@
     const elsewhere: number[] = [];
     for (const [shard, sum] of sums) {
       const key = this.keys.get(shard);
-      if (!key || key.state !== 'owner' || !this.reg.fresh()) { elsewhere.push(shard); continue; }
+      if (!key || key.state !== 'owner' || !this.reg.fresh()) {
+        elsewhere.push(shard);
+        continue;
+      }
       const mine: [string, number][] = [];
       let total = 0;
       for (const [t, mark] of this.interests.liveIn(relay, shard)) {
--- a/packages/data/src/replication.ts
+++ b/packages/data/src/replication.ts
@@ -21,7 +21,12 @@
   /** Disks to which beats are under way. */
   private beating = new Set<string>();
 
-  constructor(private k: Kernel, private board: Board, private reg: Register, private hooks: Hooks) {}
+  constructor(
+    private k: Kernel,
+    private board: Board,
+    private reg: Register,
+    private hooks: Hooks,
+  ) {}
 
   /**
    * Keeps in touch with the copies: one call to each disk for all keys, where appends did not say it lately. Without a majority's
@@ -34,10 +39,16 @@
       if (key.state === 'none' || !key.base || key.fence === NO_FENCE) continue;
       for (const d of key.copies) {
         if (key.flying.has(d)) continue;
-        if ((key.next.get(d) ?? key.last() + 1) <= key.last()) { void this.send(key, d, true); continue; }
+        if ((key.next.get(d) ?? key.last() + 1) <= key.last()) {
+          void this.send(key, d, true);
+          continue;
+        }
         if (now - (key.ackAt.get(d) ?? -Infinity) < C.beatMs / 2) continue;
         let ks = quiet.get(d);
-        if (!ks) { ks = []; quiet.set(d, ks); }
+        if (!ks) {
+          ks = [];
+          quiet.set(d, ks);
+        }
         ks.push(key);
       }
       if (key.state !== 'owner' || now - key.heardAt() <= C.doubtMs) continue;
@@ -57,7 +68,8 @@
       const not = new Map(await this.k.call<[number, Appended][]>(peer, 'Beats', { disk, beats }, C.appendMs));
       for (const { key, fence, at } of said) {
         if (key.fence !== fence || key.state === 'none') continue;
-        if (this.took(key, disk, now, at + 1, not.get(key.shard) ?? { tag: 'ok', disk, match: at })) void this.send(key, disk, false);
+        if (this.took(key, disk, now, at + 1, not.get(key.shard) ?? { tag: 'ok', disk, match: at }))
+          void this.send(key, disk, false);
       }
     } catch (e) {
       this.failed(e, 'beat', peer);
@@ -85,10 +97,30 @@
     try {
       let r: Appended;
       if (next <= key.base.idx) {
-        r = await this.k.call<Appended>(peer, 'Install', { disk, shard: key.shard, fence, base: packBase(key.base, now), entries: key.log.map(packEntry(now)) }, C.snapshotMs);
+        r = await this.k.call<Appended>(
+          peer,
+          'Install',
+          { disk, shard: key.shard, fence, base: packBase(key.base, now), entries: key.log.map(packEntry(now)) },
+          C.snapshotMs,
+        );
       } else {
-        const entries: WireEntry[] = key.log.slice(next - key.base.idx - 1, next - key.base.idx - 1 + C.appendN).map(packEntry(now));
-        r = await this.k.call<Appended>(peer, 'Append', { disk, shard: key.shard, fence, prevIdx: next - 1, prevFence: key.fenceAt(next - 1), entries, trimTo: key.trimTo }, C.appendMs);
+        const entries: WireEntry[] = key.log
+          .slice(next - key.base.idx - 1, next - key.base.idx - 1 + C.appendN)
+          .map(packEntry(now));
+        r = await this.k.call<Appended>(
+          peer,
+          'Append',
+          {
+            disk,
+            shard: key.shard,
+            fence,
+            prevIdx: next - 1,
+            prevFence: key.fenceAt(next - 1),
+            entries,
+            trimTo: key.trimTo,
+          },
+          C.appendMs,
+        );
       }
       if (key.fence !== fence || key.state === 'none') return;
       again = this.took(key, disk, now, next, r);
@@ -103,7 +135,8 @@
   private failed(e: unknown, step: 'append' | 'beat', peer: string): void {
     this.k.count(`${step}.fail`);
     const f = faultOf(e, step, peer);
-    if (f.tag === 'internal') this.k.host.log.warn(`${step} failed`, { fault: f, stack: e instanceof Error ? e.stack : undefined });
+    if (f.tag === 'internal')
+      this.k.host.log.warn(`${step} failed`, { fault: f, stack: e instanceof Error ? e.stack : undefined });
   }
 
   /** Takes a copy's answer to what was sent from `next` on, asked at `now`; says whether there is more to send it. */
@@ -130,9 +163,13 @@
     if (n <= key.commit || n <= key.base.idx || key.fenceAt(n) !== key.fence) return;
     const from = Math.max(key.commit, key.base.idx);
     key.commit = n;
-    for (const e of key.log.slice(from - key.base.idx, n - key.base.idx)) this.hooks.agreed(key, e, e.fence === key.fence);
+    for (const e of key.log.slice(from - key.base.idx, n - key.base.idx))
+      this.hooks.agreed(key, e, e.fence === key.fence);
     const left: typeof key.waits = [];
-    for (const w of key.waits) { if (w.idx <= n) w.res(); else left.push(w); }
+    for (const w of key.waits) {
+      if (w.idx <= n) w.res();
+      else left.push(w);
+    }
     key.waits = left;
   }
 }
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -1,4 +1,15 @@
-import { C, Failure, Kernel, RetryBudget, faultOf, register, retryAfter, shardOf, within, type Fault } from '@harecross/kernel';
+import {
+  C,
+  Failure,
+  Kernel,
+  RetryBudget,
+  faultOf,
+  register,
+  retryAfter,
+  shardOf,
+  within,
+  type Fault,
+} from '@harecross/kernel';
 import { notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, urgencyOf } from '@harecross/schema';
 import { readFence, senderKey, type Fence } from '@harecross/state';
@@ -6,11 +17,17 @@
 import { FORGOTTEN } from './key.js';
 
 declare module '@harecross/kernel' {
-  interface Faces { route: Route }
+  interface Faces {
+    route: Route;
+  }
 }
 
 /** A publish on its way; `dropped` once one before it was given up and will be sent again by its caller. */
-interface Sent { seq: number; dropped: boolean; over: Promise<void> }
+interface Sent {
+  seq: number;
+  dropped: boolean;
+  over: Promise<void>;
+}
 
 /**
  * Finds the owner of a topic's shard, and passes visits to it while keys change hands.
@@ -34,13 +51,19 @@
   /** A shard whose owner changed, as far as we know. */
   readonly moved$ = new Subject<number>();
 
-  constructor(private k: Kernel, private board: Board, private reg: Register) {
+  constructor(
+    private k: Kernel,
+    private board: Board,
+    private reg: Register,
+  ) {
     this.budget = new RetryBudget(k.host.clock, { perS: C.retriesPerS, share: C.retriesShare, burst: C.retriesBurstN });
-    k.keep(board.changed$.subscribe((key) => {
-      if (!key.startsWith('key/')) return;
-      const r = board.get(key) as KeyRec;
-      this.hint(Number(key.slice(4)), r.fence, r.peer);
-    }));
+    k.keep(
+      board.changed$.subscribe((key) => {
+        if (!key.startsWith('key/')) return;
+        const r = board.get(key) as KeyRec;
+        this.hint(Number(key.slice(4)), r.fence, r.peer);
+      }),
+    );
   }
 
   private hint(shard: number, fence: Fence, peer: string): void {
@@ -92,9 +115,15 @@
   /** Until a shard is known to have another owner, or for so long. */
   private news(shard: number, ms: number): Promise<void> {
     return new Promise((res) => {
-      const over = (): void => { cancel(); sub.unsubscribe(); res(); };
+      const over = (): void => {
+        cancel();
+        sub.unsubscribe();
+        res();
+      };
       const cancel = this.k.host.clock.after(ms, over);
-      const sub = this.moved$.subscribe((s) => { if (s === shard) over(); });
+      const sub = this.moved$.subscribe((s) => {
+        if (s === shard) over();
+      });
     });
   }
 
@@ -110,10 +139,19 @@
         // What was answered before the news stands.
         clock.after(C.movedGraceMs, () => rej(new Failure({ tag: 'timeout', step, peer })));
       };
-      const sub = this.moved$.subscribe((s) => { if (s === shard && this.hints.get(shard)?.peer !== peer) leave(); });
-      sub.add(this.k.broken$.subscribe((p) => { if (p === peer) leave(); }));
+      const sub = this.moved$.subscribe((s) => {
+        if (s === shard && this.hints.get(shard)?.peer !== peer) leave();
+      });
+      sub.add(
+        this.k.broken$.subscribe((p) => {
+          if (p === peer) leave();
+        }),
+      );
       const slow = clock.after(C.slowVisitMs, () => this.doubt(peer));
-      visit.then(res, rej).finally(() => { slow(); sub.unsubscribe(); });
+      visit.then(res, rej).finally(() => {
+        slow();
+        sub.unsubscribe();
+      });
     });
   }
 
@@ -131,7 +169,10 @@
    * their way and some have to be tried again: each try names the highest number before it that is still on its way, and an owner
    * stores it only behind that one. When one is given up, those behind it are too, so that its caller can bring it again.
    */
-  async publish(b: { sender: string; topic: string; seq: number; body: string }, patienceMs: number): Promise<{ offset: number }> {
+  async publish(
+    b: { sender: string; topic: string; seq: number; body: string },
+    patienceMs: number,
+  ): Promise<{ offset: number }> {
     const k = senderKey(b.topic, b.sender);
     const turned = this.turned.get(k);
     if (turned && b.seq <= turned.seq) this.turned.delete(k);
@@ -141,14 +182,26 @@
     const all = this.sent.get(k) ?? new Set();
     this.sent.set(k, all);
     let over = (): void => {};
-    const mine: Sent = { seq: b.seq, dropped: false, over: new Promise((res) => { over = res; }) };
+    const mine: Sent = {
+      seq: b.seq,
+      dropped: false,
+      over: new Promise((res) => {
+        over = res;
+      }),
+    };
     all.add(mine);
     try {
-      return await this.atOwner<{ offset: number }>(b.topic, 'Publish', () => {
-        let after: number | undefined;
-        for (const s of all) if (s.seq < b.seq && (after === undefined || s.seq > after)) after = s.seq;
-        return after === undefined ? b : { ...b, after };
-      }, patienceMs, mine);
+      return await this.atOwner<{ offset: number }>(
+        b.topic,
+        'Publish',
+        () => {
+          let after: number | undefined;
+          for (const s of all) if (s.seq < b.seq && (after === undefined || s.seq > after)) after = s.seq;
+          return after === undefined ? b : { ...b, after };
+        },
+        patienceMs,
+        mine,
+      );
     } catch (e) {
       const f = faultOf(e, 'Publish', this.k.self);
       switch (f.tag) {
@@ -160,7 +213,8 @@
           this.turnAway(b);
           // Told in order, so that they come again in order.
           await within(
-            clock, Math.max(0, Math.min(C.inOrderMs, until - clock.now())),
+            clock,
+            Math.max(0, Math.min(C.inOrderMs, until - clock.now())),
             Promise.all([...all].filter((s) => s.seq < b.seq).map((s) => s.over)),
           );
           break;
@@ -182,7 +236,9 @@
     const { clock } = this.k.host;
     const x = { seq: Math.min(b.seq, this.turned.get(k)?.seq ?? Infinity), until: clock.now() + C.onTheWayMs };
     this.turned.set(k, x);
-    clock.after(C.onTheWayMs, () => { if (this.turned.get(k) === x) this.turned.delete(k); });
+    clock.after(C.onTheWayMs, () => {
+      if (this.turned.get(k) === x) this.turned.delete(k);
+    });
   }
 
   /**
@@ -224,9 +280,12 @@
         f = faultOf(e, m, peer);
       }
       // Whatever the last try was told, an earlier one may have been stored.
-      const end = (): Failure => new Failure(
-        perhaps && m === 'Publish' ? { tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) } : f,
-      );
+      const end = (): Failure =>
+        new Failure(
+          perhaps && m === 'Publish'
+            ? { tag: 'outcome_unknown', step: m, peer, retryAfterMs: retryAfter(rnd, C.retryMs) }
+            : f,
+        );
       // An owner answers by a configuration that is at least as new as ours. Where ours still has the topic, we do not say that it is
       // gone before we have that one too: another owner, as far as we are, would take it back.
       const newer = f.tag === 'unknown_topic' && familyOf(this.reg.value!.config, topic) !== undefined;
@@ -265,10 +324,16 @@
       await this.news(shard, C.ownerRetryMs);
     }
     const retryAfterMs = retryAfter(rnd, C.retryMs);
-    throw new Failure(perhaps
-      ? { tag: 'outcome_unknown', step: m, peer: this.k.self, retryAfterMs }
-      : { tag: 'not_ready', step: m, peer: this.k.self, retryAfterMs });
+    throw new Failure(
+      perhaps
+        ? { tag: 'outcome_unknown', step: m, peer: this.k.self, retryAfterMs }
+        : { tag: 'not_ready', step: m, peer: this.k.self, retryAfterMs },
+    );
   }
 }
 
-register({ name: 'route', needs: ['board', 'register'], setup: (k) => new Route(k, k.use('board'), k.use('register')) });
+register({
+  name: 'route',
+  needs: ['board', 'register'],
+  setup: (k) => new Route(k, k.use('board'), k.use('register')),
+});
--- a/packages/data/src/run.ts
+++ b/packages/data/src/run.ts
@@ -1,5 +1,15 @@
 import { watchFile, unwatchFile } from 'node:fs';
-import { C, readNodeConfig, realHost, within, realClock, type Host, type Kernel, type NodeConfig, type Role } from '@harecross/kernel';
+import {
+  C,
+  readNodeConfig,
+  realHost,
+  within,
+  realClock,
+  type Host,
+  type Kernel,
+  type NodeConfig,
+  type Role,
+} from '@harecross/kernel';
 import { serveHttp, type Edge } from './edge.js';
 import { startNode } from './node.js';
 
@@ -22,7 +32,8 @@
  */
 export function runNode(role: Role, file: string | undefined, flags: Partial<NodeConfig>): Promise<void> {
   return runProcess({
-    program: `harecross-${role}`, file,
+    program: `harecross-${role}`,
+    file,
     read: () => readNodeConfig(role, file, flags),
     listen: (k, edge, config) => serveHttp(k, edge, config.client),
   });
@@ -50,7 +61,10 @@
   let heard: (() => void) | undefined;
   let early = false;
   let leave = (_sig: string): void => process.exit(0);
-  process.on('SIGHUP', () => { if (heard) heard(); else early = true; });
+  process.on('SIGHUP', () => {
+    if (heard) heard();
+    else early = true;
+  });
   process.on('SIGTERM', () => leave('SIGTERM'));
   process.on('SIGINT', () => leave('SIGINT'));
   let host: Host;
@@ -64,7 +78,12 @@
     process.stderr.write(`${program}: cannot listen at ${config.client}: ${e instanceof Error ? e.message : e}\n`);
     process.exit(1);
   });
-  host.log.info(`${config.role} up`, { peer: config.peer, client: config.client, domain: config.domain, data: config.data });
+  host.log.info(`${config.role} up`, {
+    peer: config.peer,
+    client: config.client,
+    domain: config.domain,
+    data: config.data,
+  });
 
   const reread = (why: string): void => {
     if (!file) return;
--- a/packages/harecross/src/diff.ts
+++ b/packages/harecross/src/diff.ts
@@ -7,14 +7,17 @@
  * diff(now, { families: [...now.families, news] }); // ['+ news/* (news)']
  */
 export function diff(now: FleetConfig, next: FleetConfig): string[] {
-  const settings = ({ topics: _, ...f }: Family): string => JSON.stringify(Object.fromEntries(Object.entries(f).sort()));
-  const of = (c: FleetConfig): Map<string, Family> => new Map(c.families.flatMap((f) => f.topics.map((p): [string, Family] => [p, f])));
+  const settings = ({ topics: _, ...f }: Family): string =>
+    JSON.stringify(Object.fromEntries(Object.entries(f).sort()));
+  const of = (c: FleetConfig): Map<string, Family> =>
+    new Map(c.families.flatMap((f) => f.topics.map((p): [string, Family] => [p, f])));
   const [old, fresh] = [of(now), of(next)];
   const out: string[] = [];
   for (const [p, f] of fresh) {
     const was = old.get(p);
     if (!was) out.push(`+ ${p} (${f.name})`);
-    else if (settings(was) !== settings(f)) out.push(`~ ${p} (${f.name})`, `  - ${settings(was)}`, `  + ${settings(f)}`);
+    else if (settings(was) !== settings(f))
+      out.push(`~ ${p} (${f.name})`, `  - ${settings(was)}`, `  + ${settings(f)}`);
   }
   for (const [p, f] of old) if (!fresh.has(p)) out.push(`- ${p} (${f.name})`);
   const { families: a, ...rest } = now;
--- a/packages/harecross/src/query.ts
+++ b/packages/harecross/src/query.ts
@@ -41,7 +41,8 @@
       case 'where':
       case 'and': {
         const [field, op, value] = ts.splice(0, 3);
-        if (!field || !OPS.includes(op as Op) || value === undefined) return wrong(`after '${w}' comes: field op value, with op one of ${OPS.join(' ')}`);
+        if (!field || !OPS.includes(op as Op) || value === undefined)
+          return wrong(`after '${w}' comes: field op value, with op one of ${OPS.join(' ')}`);
         q.where.push({ field, op: op as Op, value });
         break;
       }
@@ -76,13 +77,20 @@
   const n = Number(value);
   const d = typeof c === 'number' && !Number.isNaN(n) ? c - n : s < value ? -1 : s > value ? 1 : 0;
   switch (op) {
-    case '=': return d === 0;
-    case '!=': return d !== 0;
-    case '<': return d < 0;
-    case '<=': return d <= 0;
-    case '>': return d > 0;
-    case '>=': return d >= 0;
-    case '~': return s.includes(value);
+    case '=':
+      return d === 0;
+    case '!=':
+      return d !== 0;
+    case '<':
+      return d < 0;
+    case '<=':
+      return d <= 0;
+    case '>':
+      return d > 0;
+    case '>=':
+      return d >= 0;
+    case '~':
+      return s.includes(value);
   }
 }
 
@@ -95,12 +103,17 @@
  */
 export function answer(q: Query, rows: Row[]): Answered {
   const fields = [...new Set(rows.flatMap((r) => [...r.keys()]))];
-  const unknown = [...q.where, ...q.sort].map((x) => x.field).concat(q.show).find((f) => !fields.includes(f));
-  if (unknown !== undefined && rows.length) return { tag: 'wrong', why: `no field '${unknown}' in ${q.table}; there are: ${fields.join(', ')}` };
+  const unknown = [...q.where, ...q.sort]
+    .map((x) => x.field)
+    .concat(q.show)
+    .find((f) => !fields.includes(f));
+  if (unknown !== undefined && rows.length)
+    return { tag: 'wrong', why: `no field '${unknown}' in ${q.table}; there are: ${fields.join(', ')}` };
   const out = rows.filter((r) => q.where.every((w) => holds(r.get(w.field), w.op, w.value)));
   out.sort((a, b) => {
     for (const s of q.sort) {
-      const x = a.get(s.field), y = b.get(s.field);
+      const x = a.get(s.field),
+        y = b.get(s.field);
       const d = typeof x === 'number' && typeof y === 'number' ? x - y : String(x ?? '').localeCompare(String(y ?? ''));
       if (d) return s.desc ? -d : d;
     }
@@ -117,6 +130,10 @@
 export function table(fields: string[], rows: Row[]): string {
   const cell = (c: Cell): string => (c === undefined ? '-' : String(c));
   const wide = fields.map((f) => Math.max(f.length, ...rows.map((r) => cell(r.get(f)).length)));
-  const line = (xs: string[]): string => xs.map((x, i) => x.padEnd(wide[i]!)).join('  ').trimEnd() + '\n';
+  const line = (xs: string[]): string =>
+    xs
+      .map((x, i) => x.padEnd(wide[i]!))
+      .join('  ')
+      .trimEnd() + '\n';
   return line(fields) + rows.map((r) => line(fields.map((f) => cell(r.get(f))))).join('');
 }
--- a/packages/kernel/src/disk.ts
+++ b/packages/kernel/src/disk.ts
@@ -89,7 +89,9 @@
   private gather(): void {
     if (this.state !== 'idle') return;
     this.state = 'gathering';
-    this.clock.after(this.gatherMs(), () => { if (this.state === 'gathering') this.flush(); });
+    this.clock.after(this.gatherMs(), () => {
+      if (this.state === 'gathering') this.flush();
+    });
   }
 
   /** Runs what was gathered. */
@@ -119,11 +121,16 @@
       return;
     }
     this.state = 'syncing';
-    this.disk.sync().then(() => {
-      if (this.state !== 'syncing') return;
-      last();
-      this.tidy();
-    }, (e) => { if (this.state === 'syncing') this.fail(e as Error, all); });
+    this.disk.sync().then(
+      () => {
+        if (this.state !== 'syncing') return;
+        last();
+        this.tidy();
+      },
+      (e) => {
+        if (this.state === 'syncing') this.fail(e as Error, all);
+      },
+    );
   }
 
   private goOn(): void {
@@ -132,11 +139,21 @@
 
   private tidy(): void {
     const p = this.disk?.tidy();
-    if (!p) { this.goOn(); return; }
+    if (!p) {
+      this.goOn();
+      return;
+    }
     this.state = 'tidying';
     p.then(
-      () => { if (this.state === 'tidying') { this.state = 'idle'; this.goOn(); } },
-      (e) => { if (this.state === 'tidying') this.fail(e as Error, this.wait.splice(0)); },
+      () => {
+        if (this.state === 'tidying') {
+          this.state = 'idle';
+          this.goOn();
+        }
+      },
+      (e) => {
+        if (this.state === 'tidying') this.fail(e as Error, this.wait.splice(0));
+      },
     );
   }
 
--- a/packages/kernel/src/flags.ts
+++ b/packages/kernel/src/flags.ts
@@ -13,13 +13,18 @@
 export function nodeFlags(role: Role, argv: string[]): { file?: string; flags: Partial<NodeConfig> } {
   const a = yargs(argv)
     .scriptName(`harecross-${role}`)
-    .usage(`$0 --config FILE [flags]\n\nRuns a ${role === 'relay' ? 'relay: an access machine that holds conns' : 'store: a storage machine that keeps copies and owns keys'}. Flags go over the file.`)
+    .usage(
+      `$0 --config FILE [flags]\n\nRuns a ${role === 'relay' ? 'relay: an access machine that holds conns' : 'store: a storage machine that keeps copies and owns keys'}. Flags go over the file.`,
+    )
     .option('config', { type: 'string', describe: 'JSON file: domain, peer, client, seeds, data' })
     .option('domain', { type: 'string', describe: 'domain (zone) of this machine' })
     .option('peer', { type: 'string', describe: 'ip:port for the other processes' })
     .option('client', { type: 'string', describe: 'ip:port for consumers and operators' })
     .option('seeds', { type: 'string', describe: 'three ip:port, comma between; the same at every process' })
-    .option('data', { type: 'string', describe: role === 'relay' ? 'data folder; with one, this relay also keeps copies' : 'data folder' })
+    .option('data', {
+      type: 'string',
+      describe: role === 'relay' ? 'data folder; with one, this relay also keeps copies' : 'data folder',
+    })
     .strict()
     .version(VERSION)
     .fail((msg, err) => {
--- a/packages/kernel/src/flow.ts
+++ b/packages/kernel/src/flow.ts
@@ -28,7 +28,9 @@
  */
 export function loop(clock: Clock, ms: number, rnd: Rnd, round: () => Promise<unknown>): Subscription {
   let busy = false;
-  const over = (): void => { busy = false; };
+  const over = (): void => {
+    busy = false;
+  };
   return every(clock, ms, rnd).subscribe(() => {
     if (busy) return;
     busy = true;
@@ -56,8 +58,14 @@
   return new Promise((res, rej) => {
     const cancel = clock.after(ms, () => res(undefined));
     p.then(
-      (x) => { cancel(); res(x); },
-      (e) => { cancel(); rej(e); },
+      (x) => {
+        cancel();
+        res(x);
+      },
+      (e) => {
+        cancel();
+        rej(e);
+      },
     );
   });
 }
@@ -75,15 +83,27 @@
     if (left === 0) res(got);
     for (const c of calls) {
       c.then(
-        (x) => { got.push(x); left--; if (left === 0 || enough(got)) res(got); },
-        () => { left--; if (left === 0) res(got); },
+        (x) => {
+          got.push(x);
+          left--;
+          if (left === 0 || enough(got)) res(got);
+        },
+        () => {
+          left--;
+          if (left === 0) res(got);
+        },
       );
     }
   });
 }
 
 /** What a node tells of one of its holdings. */
-export interface HoldingInfo { name: string; length: number; most: number; bound: number }
+export interface HoldingInfo {
+  name: string;
+  length: number;
+  most: number;
+  bound: number;
+}
 
 /**
  * A bounded holding that joins two stages: what `offer` takes is worked on by at most `wide` at once,
@@ -102,7 +122,11 @@
   /** The most it ever held. */
   most = 0;
 
-  constructor(private size: number, private wide: number, private work: (a: A) => Promise<B>) {
+  constructor(
+    private size: number,
+    private wide: number,
+    private work: (a: A) => Promise<B>,
+  ) {
     this.go.pipe(mergeMap((f) => from(f()))).subscribe();
   }
 
@@ -130,7 +154,14 @@
     return new Promise((res, rej) => {
       const run = () => {
         this.busy++;
-        this.go.next(() => this.work(a).then(res, rej).finally(() => { this.busy--; this.pump(); }));
+        this.go.next(() =>
+          this.work(a)
+            .then(res, rej)
+            .finally(() => {
+              this.busy--;
+              this.pump();
+            }),
+        );
       };
       (urgent ? this.urgent : this.routine).push(run);
       this.pump();
@@ -158,7 +189,10 @@
   private at: number;
   refused = 0;
 
-  constructor(private clock: Clock, private x: { perS: number; share: number; burst: number }) {
+  constructor(
+    private clock: Clock,
+    private x: { perS: number; share: number; burst: number },
+  ) {
     this.tokens = x.burst;
     this.at = clock.now();
   }
@@ -173,7 +207,10 @@
     const now = this.clock.now();
     this.tokens = Math.min(this.x.burst, this.tokens + ((now - this.at) / 1000) * this.x.perS);
     this.at = now;
-    if (this.tokens < 1 + (urgent ? 0 : this.x.burst / 2)) { this.refused++; return false; }
+    if (this.tokens < 1 + (urgent ? 0 : this.x.burst / 2)) {
+      this.refused++;
+      return false;
+    }
     this.tokens--;
     return true;
   }
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -27,7 +27,14 @@
 
 export type Phase = 'starting' | 'running' | 'draining' | 'stopped';
 
-interface Ask { m: string; from: string; inst: string; rev: number; now: number; body: unknown }
+interface Ask {
+  m: string;
+  from: string;
+  inst: string;
+  rev: number;
+  now: number;
+  body: unknown;
+}
 type Answer = { rev: number; now: number } & ({ ok: unknown } | { err: Fault });
 
 const ASK = /^(\w+) (\S+) (\S+) (\d+) (-?\d+) /;
@@ -43,7 +50,8 @@
   return { m, from, inst, rev: Number(rev), now: Number(now), body: parse(frame.slice(all.length)) };
 }
 
-const packAnswer = (a: Answer): string => `${a.rev} ${Math.round(a.now)} ${'ok' in a ? `+${stringify(a.ok)}` : `-${stringify(a.err)}`}`;
+const packAnswer = (a: Answer): string =>
+  `${a.rev} ${Math.round(a.now)} ${'ok' in a ? `+${stringify(a.ok)}` : `-${stringify(a.err)}`}`;
 /** A peer's answer; undefined when the frame is none. */
 function readAnswer(raw: string): Answer | undefined {
   const h = ANSWER.exec(raw);
@@ -54,11 +62,17 @@
     const head = { rev: Number(rev), now: Number(now) };
     if (sign === '+') return { ...head, ok: x };
     return typeof (x as Fault | undefined)?.tag === 'string' ? { ...head, err: x as Fault } : undefined;
-  } catch { return undefined; }
+  } catch {
+    return undefined;
+  }
 }
 
 /** What a handler learns of the sender. `ageOf` turns the sender's clock into ours. */
-export interface From { peer: string; inst: string; toLocal(t: number): number }
+export interface From {
+  peer: string;
+  inst: string;
+  toLocal(t: number): number;
+}
 export type Handler = (body: any, from: From) => unknown;
 
 /**
@@ -127,11 +141,16 @@
     for (const n of names) await this.load(n);
     await this.host.net.serve((f) => this.answer(f), { broken: (p) => this.onBroken(p), count: (n) => this.count(n) });
     let last = this.host.clock.now();
-    this.keep(every(this.host.clock, C.loopTickMs).subscribe(() => {
-      const now = this.host.clock.now();
-      if (now - last > C.frozenMs) { this.count('loop.frozen'); this.thawed$.next(now - last); }
-      last = now;
-    }));
+    this.keep(
+      every(this.host.clock, C.loopTickMs).subscribe(() => {
+        const now = this.host.clock.now();
+        if (now - last > C.frozenMs) {
+          this.count('loop.frozen');
+          this.thawed$.next(now - last);
+        }
+        last = now;
+      }),
+    );
     this.become('running');
   }
 
@@ -173,7 +192,11 @@
   async stop(): Promise<void> {
     this.become('draining');
     for (const f of [...this.stops].reverse()) {
-      try { await f(); } catch (e) { this.host.log.warn('stop step failed', { fault: faultOf(e, 'stop', this.self) }); }
+      try {
+        await f();
+      } catch (e) {
+        this.host.log.warn('stop step failed', { fault: faultOf(e, 'stop', this.self) });
+      }
     }
     this.end();
     await this.host.net.close();
@@ -201,7 +224,11 @@
       const h = this.handlers.get(m);
       if (!h) throw new Failure({ tag: 'unknown_method', step: m, peer, method: m });
       // The same time limit as on the net: what waits here may wait for others.
-      const got = await within(this.host.clock, timeoutMs, (async () => ({ ok: await h.h(body, { peer, inst: this.inst, toLocal: (t) => t }) }))());
+      const got = await within(
+        this.host.clock,
+        timeoutMs,
+        (async () => ({ ok: await h.h(body, { peer, inst: this.inst, toLocal: (t) => t }) }))(),
+      );
       if (!got) throw new Failure({ tag: 'timeout', step: m, peer });
       return got.ok as T;
     }
@@ -219,7 +246,8 @@
         return await this.call<T>(peer, m, body, timeoutMs);
       } catch (e) {
         const f = faultOf(e, m, peer);
-        if (peer !== this.self && f.peer === peer && (f.tag === 'timeout' || f.tag === 'unreachable')) this.breaks(peer);
+        if (peer !== this.self && f.peer === peer && (f.tag === 'timeout' || f.tag === 'unreachable'))
+          this.breaks(peer);
         throw e;
       }
     }
@@ -228,12 +256,15 @@
     if (helper === undefined) return this.call<T>(peer, m, body, timeoutMs);
     this.count('detour.sent');
     try {
-      const got = await this.ask<T>(peer, m, body, (frame) => this.call<string>(helper, 'Carry', { to: peer, frame, timeoutMs }, timeoutMs));
+      const got = await this.ask<T>(peer, m, body, (frame) =>
+        this.call<string>(helper, 'Carry', { to: peer, frame, timeoutMs }, timeoutMs),
+      );
       if (this.broken.has(peer)) this.broken.set(peer, helper);
       return got;
     } catch (e) {
       const { tag } = faultOf(e, m, peer);
-      if (this.broken.has(peer) && (tag === 'timeout' || tag === 'unreachable' || tag === 'cut')) this.broken.set(peer, '');
+      if (this.broken.has(peer) && (tag === 'timeout' || tag === 'unreachable' || tag === 'cut'))
+        this.broken.set(peer, '');
       throw e;
     }
   }
@@ -251,7 +282,12 @@
     this.broken$.next(peer);
     void (async () => {
       while (this.phase === 'running' && this.helpersTo(peer).length) {
-        try { await this.call(peer, 'Ping', {}, C.probeMs); break; } catch { await sleep(this.host.clock, C.linkTryMs); }
+        try {
+          await this.call(peer, 'Ping', {}, C.probeMs);
+          break;
+        } catch {
+          await sleep(this.host.clock, C.linkTryMs);
+        }
       }
       this.broken.delete(peer);
     })();
@@ -305,18 +341,25 @@
       else if (!(await this.catchUp(a.rev, a.from))) {
         // Who asks knows more than we do: an answer by what we have could take back what its callers were told already.
         this.count('peer.behind');
-        return out({ err: { tag: 'not_ready', step: a.m, peer: this.self, retryAfterMs: retryAfter(this.host.rnd, C.retryMs) } });
+        return out({
+          err: { tag: 'not_ready', step: a.m, peer: this.self, retryAfterMs: retryAfter(this.host.rnd, C.retryMs) },
+        });
       }
     }
     if (!h) return out({ err: { tag: 'unknown_method', step: a.m, peer: this.self, method: a.m } });
     if (this.phase === 'stopped') {
-      return out({ err: { tag: 'not_ready', step: a.m, peer: this.self, retryAfterMs: retryAfter(this.host.rnd, C.retryMs) } });
+      return out({
+        err: { tag: 'not_ready', step: a.m, peer: this.self, retryAfterMs: retryAfter(this.host.rnd, C.retryMs) },
+      });
     }
     try {
       return out({ ok: await h.h(a.body, { peer: a.from, inst: a.inst, toLocal: (t) => t + shift }) });
     } catch (e) {
       const f = faultOf(e, a.m, this.self);
-      if (f.tag === 'internal') { this.count('internal'); this.host.log.warn('handler failed', { fault: f, stack: e instanceof Error ? e.stack : undefined }); }
+      if (f.tag === 'internal') {
+        this.count('internal');
+        this.host.log.warn('handler failed', { fault: f, stack: e instanceof Error ? e.stack : undefined });
+      }
       return out({ err: f });
     }
   }
--- a/packages/kernel/src/node-config.ts
+++ b/packages/kernel/src/node-config.ts
@@ -15,7 +15,9 @@
     seeds: Type.Array(Address, { minItems: 1, maxItems: 3, uniqueItems: true }),
     data: Type.Optional(Type.String({ minLength: 1 })),
     name: Type.Optional(Type.String({ minLength: 1, maxLength: 128 })),
-    diskUses: Type.Optional(Type.Array(Type.Union([Type.Literal('seat'), Type.Literal('copies')]), { minItems: 1, uniqueItems: true })),
+    diskUses: Type.Optional(
+      Type.Array(Type.Union([Type.Literal('seat'), Type.Literal('copies')]), { minItems: 1, uniqueItems: true }),
+    ),
     losses: Type.Optional(Type.Integer({ minimum: 0, maximum: 4 })),
     applyMs: Type.Optional(Type.Number({ minimum: 500, maximum: 600_000 })),
     pingS: Type.Optional(Type.Number({ minimum: 0.2, maximum: 60 })),
@@ -43,7 +45,10 @@
     return `${at}: ${e?.message === 'schema is false' ? 'unknown key' : (e?.message ?? 'invalid')}`;
   }
   const c = x as NodeConfig;
-  for (const [k, a] of [['peer', c.peer], ['client', c.client], ...c.seeds.map((s, i) => [`seeds.${i}`, s])] as [string, string][]) {
+  for (const [k, a] of [['peer', c.peer], ['client', c.client], ...c.seeds.map((s, i) => [`seeds.${i}`, s])] as [
+    string,
+    string,
+  ][]) {
     const [ip, port] = a.split(':') as [string, string];
     if (ip.split('.').some((n) => Number(n) > 255)) return `${k}: '${a}' is not an IP address and port`;
     if (Number(port) < 1 || Number(port) > 65535) return `${k}: port ${port} is out of range 1..65535`;
@@ -65,7 +70,8 @@
     } catch (e) {
       throw new Error(`${file}: ${e instanceof Error ? e.message : e}`);
     }
-    if (typeof base !== 'object' || base === null || Array.isArray(base)) throw new Error(`${file}: must hold a JSON object`);
+    if (typeof base !== 'object' || base === null || Array.isArray(base))
+      throw new Error(`${file}: must hold a JSON object`);
   }
   const x: Record<string, unknown> = { ...base };
   for (const [k, v] of Object.entries(flags)) if (v !== undefined) x[k] = v;
@@ -80,7 +86,8 @@
 export function checkedNodeConfig(role: Role, x: Record<string, unknown>, from?: string): NodeConfig {
   const f = faultInConfig(x);
   if (f) throw new Error(from ? `${from}: ${f}` : f);
-  if (x.role !== undefined && x.role !== role) throw new Error(`role: '${x.role}' in the config, but this program is '${role}'`);
+  if (x.role !== undefined && x.role !== role)
+    throw new Error(`role: '${x.role}' in the config, but this program is '${role}'`);
   if (role !== 'relay' && !x.data) throw new Error(`data: a ${role} needs a data folder`);
   if ((x.seeds as string[]).includes(x.peer as string) && !x.data) {
     throw new Error('data: this machine is a seed, and seeds need a data folder to found the fleet');
--- a/packages/kernel/src/peer-net.ts
+++ b/packages/kernel/src/peer-net.ts
@@ -29,7 +29,10 @@
 class Lines {
   private held: Buffer[] = [];
   private heldBytes = 0;
-  constructor(public limit: number, private line: (s: string) => boolean) {}
+  constructor(
+    public limit: number,
+    private line: (s: string) => boolean,
+  ) {}
 
   /** False once a line was too long or refused; the connection is then of no more use. */
   take(d: Buffer): boolean {
@@ -37,9 +40,15 @@
     for (;;) {
       const to = d.indexOf(10, from);
       const end = to < 0 ? d.length : to;
-      if (this.heldBytes + end - from > this.limit) { this.held = []; return false; }
+      if (this.heldBytes + end - from > this.limit) {
+        this.held = [];
+        return false;
+      }
       if (to < 0) {
-        if (from < d.length) { this.held.push(d.subarray(from)); this.heldBytes += d.length - from; }
+        if (from < d.length) {
+          this.held.push(d.subarray(from));
+          this.heldBytes += d.length - from;
+        }
         return true;
       }
       let s: string;
@@ -85,15 +94,25 @@
   private pieces: Buffer[] = [];
   private piecesBytes = 0;
   /** `moved` is called when a batch or a piece has left; a piece that left is a sign that the other side reads. */
-  constructor(private s: Socket, private moved: (piece: boolean) => void) {}
+  constructor(
+    private s: Socket,
+    private moved: (piece: boolean) => void,
+  ) {}
 
   /** Bytes that have not left. */
-  get waiting(): number { return this.s.writableLength + this.piecesBytes; }
+  get waiting(): number {
+    return this.s.writableLength + this.piecesBytes;
+  }
   /** Whether the next batch may be written. */
-  get free(): boolean { return !this.pieces.length && this.s.writableLength < PIECE; }
+  get free(): boolean {
+    return !this.pieces.length && this.s.writableLength < PIECE;
+  }
 
   write(out: string, bytes: number): void {
-    if (bytes <= 2 * PIECE) { this.s.write(out, 'utf8', () => this.moved(false)); return; }
+    if (bytes <= 2 * PIECE) {
+      this.s.write(out, 'utf8', () => this.moved(false));
+      return;
+    }
     const b = Buffer.from(out);
     for (let i = 0; i < b.length; i += PIECE) this.pieces.push(b.subarray(i, i + PIECE));
     this.piecesBytes = b.length;
@@ -104,7 +123,10 @@
     const p = this.pieces.shift();
     if (!p) return;
     this.piecesBytes -= p.length;
-    this.s.write(p, () => { this.next(); this.moved(true); });
+    this.s.write(p, () => {
+      this.next();
+      this.moved(true);
+    });
   }
 }
 
@@ -138,13 +160,21 @@
   private pinged = false;
   usedAt = 0;
 
-  constructor(private peer: string, private b: PeerNetBounds, private turn: Turn, private news: () => NetNews | undefined) {}
+  constructor(
+    private peer: string,
+    private b: PeerNetBounds,
+    private turn: Turn,
+    private news: () => NetNews | undefined,
+  ) {}
 
   call(frame: string, timeoutMs: number): Promise<string> {
     return new Promise((res, rej) => {
       const bytes = Buffer.byteLength(frame);
       const fail = (f: Fault): void => rej(new Failure(f));
-      if (bytes > this.b.frameBytes) { fail({ tag: 'too_large', step: 'call', peer: this.peer, limit: this.b.frameBytes }); return; }
+      if (bytes > this.b.frameBytes) {
+        fail({ tag: 'too_large', step: 'call', peer: this.peer, limit: this.b.frameBytes });
+        return;
+      }
       const waiting = this.unsentBytes + (this.writer?.waiting ?? 0) + bytes;
       if (waiting > this.b.waitingBytes || this.sent.size + this.unsent.length >= this.b.callsN) {
         this.news()?.count('peer.link.full');
@@ -153,16 +183,26 @@
       }
       this.usedAt = performance.now();
       const c: Call = {
-        id: PING, frame, bytes, over: false, res, rej: fail,
+        id: PING,
+        frame,
+        bytes,
+        over: false,
+        res,
+        rej: fail,
         // What already lies in the socket when our loop comes late is read first.
         timer: setTimeout(() => setImmediate(() => this.giveUp(c)), timeoutMs),
       };
       this.unsent.push(c);
       this.unsentBytes += bytes;
       switch (this.state) {
-        case 'closed': this.open(); break;
-        case 'connecting': break;
-        case 'open': this.turn.note(this); break;
+        case 'closed':
+          this.open();
+          break;
+        case 'connecting':
+          break;
+        case 'open':
+          this.turn.note(this);
+          break;
       }
     });
   }
@@ -179,7 +219,11 @@
   private giveUp(c: Call): void {
     if (c.over) return;
     this.end(c, { tag: 'timeout', step: 'call', peer: this.peer });
-    if (c.id !== PING) { this.sent.delete(c.id); this.abandoned++; return; }
+    if (c.id !== PING) {
+      this.sent.delete(c.id);
+      this.abandoned++;
+      return;
+    }
     this.unsent.splice(this.unsent.indexOf(c), 1);
     this.unsentBytes -= c.bytes;
   }
@@ -189,7 +233,12 @@
     this.greeted = this.heard = this.pinged = false;
     const s = connect({ ...addr(this.peer), noDelay: true, highWaterMark: PIECE } as NetConnectOpts);
     this.socket = s;
-    this.writer = new Writer(s, (piece) => { if (this.socket === s) { this.heard ||= piece; this.flush(); } });
+    this.writer = new Writer(s, (piece) => {
+      if (this.socket === s) {
+        this.heard ||= piece;
+        this.flush();
+      }
+    });
     let why = 'closed by the peer';
     const late = setTimeout(() => this.lost(s, 'ETIMEDOUT'), this.b.connectMs);
     const lines = new Lines(this.b.frameBytes + OVERHEAD, (l) => this.line(l));
@@ -206,15 +255,23 @@
       this.pinged = false;
       if (!lines.take(d)) this.lost(s, 'not a line of a peer');
     });
-    s.on('error', (e: Error & { code?: string }) => { why = e.code ?? e.message; });
+    s.on('error', (e: Error & { code?: string }) => {
+      why = e.code ?? e.message;
+    });
     s.on('end', () => this.lost(s, why));
-    s.on('close', () => { clearTimeout(late); this.lost(s, why); });
+    s.on('close', () => {
+      clearTimeout(late);
+      this.lost(s, why);
+    });
   }
 
   private line(l: string): boolean {
     const r = readLine(l);
     if (!r) return false;
-    if (r.id === PING) { this.abandoned = 0; return true; }
+    if (r.id === PING) {
+      this.abandoned = 0;
+      return true;
+    }
     const c = this.sent.get(r.id);
     if (!c) {
       if (r.id >= this.nextId) return false;
@@ -223,7 +280,10 @@
     }
     this.sent.delete(r.id);
     // The peer could not put its answer into a frame.
-    this.end(c, r.frame === '' ? { tag: 'cut', step: 'call', peer: this.peer, detail: 'its answer is too large' } : r.frame);
+    this.end(
+      c,
+      r.frame === '' ? { tag: 'cut', step: 'call', peer: this.peer, detail: 'its answer is too large' } : r.frame,
+    );
     return true;
   }
 
@@ -262,7 +322,11 @@
       if (this.state !== 'open' || !s || (!this.sent.size && !this.abandoned)) return;
       const late = performance.now() - due > this.b.quietMs / 2;
       if (!this.heard && !late) {
-        if (this.pinged) { this.news()?.count('peer.link.silent'); this.lost(s, 'silent', 'timeout'); return; }
+        if (this.pinged) {
+          this.news()?.count('peer.link.silent');
+          this.lost(s, 'silent', 'timeout');
+          return;
+        }
         this.pinged = true;
         // Behind a batch that does not get out it would only wait too.
         if (this.writer!.free) s.write(`${PING} \n`);
@@ -278,15 +342,20 @@
     this.socket = undefined;
     this.writer = undefined;
     this.state = 'closed';
-    if (this.watch) { clearTimeout(this.watch); this.watch = undefined; }
+    if (this.watch) {
+      clearTimeout(this.watch);
+      this.watch = undefined;
+    }
     s.destroy();
     const sent = [...this.sent.values()];
     this.sent.clear();
     this.abandoned = 0;
     const { peer } = this;
-    for (const c of sent) this.end(c, tag === 'timeout' ? { tag, step: 'call', peer } : { tag, step: 'call', peer, detail });
+    for (const c of sent)
+      this.end(c, tag === 'timeout' ? { tag, step: 'call', peer } : { tag, step: 'call', peer, detail });
     switch (was) {
-      case 'closed': break;
+      case 'closed':
+        break;
       case 'connecting': {
         const all = this.unsent;
         this.unsent = [];
@@ -314,7 +383,10 @@
     this.socket = undefined;
     this.writer = undefined;
     this.state = 'closed';
-    if (this.watch) { clearTimeout(this.watch); this.watch = undefined; }
+    if (this.watch) {
+      clearTimeout(this.watch);
+      this.watch = undefined;
+    }
     const all = [...this.sent.values(), ...this.unsent];
     this.sent.clear();
     this.unsent = [];
@@ -327,9 +399,15 @@
 /** Ends a socket after what was written to it; destroyed when the other side takes too long. */
 function parted(s: Socket, ms: number): Promise<void> {
   return new Promise((res) => {
-    if (s.closed || s.destroyed) { res(); return; }
+    if (s.closed || s.destroyed) {
+      res();
+      return;
+    }
     const t = setTimeout(() => s.destroy(), ms);
-    s.on('close', () => { clearTimeout(t); res(); });
+    s.on('close', () => {
+      clearTimeout(t);
+      res();
+    });
     s.resume();
     s.end();
   });
@@ -354,9 +432,20 @@
     private news: () => NetNews | undefined,
   ) {
     this.lines = new Lines(GREETING.length, (l) => this.line(l));
-    this.writer = new Writer(s, () => { this.flush(); this.pace(); });
-    this.hello = setTimeout(() => setImmediate(() => { if (!this.greeted) this.bad(); }), b.connectMs * 2);
-    s.on('data', (d) => { if (!this.lines.take(d)) this.bad(); });
+    this.writer = new Writer(s, () => {
+      this.flush();
+      this.pace();
+    });
+    this.hello = setTimeout(
+      () =>
+        setImmediate(() => {
+          if (!this.greeted) this.bad();
+        }),
+      b.connectMs * 2,
+    );
+    s.on('data', (d) => {
+      if (!this.lines.take(d)) this.bad();
+    });
     s.on('error', () => undefined);
     s.on('close', () => clearTimeout(this.hello));
   }
@@ -377,12 +466,22 @@
     }
     const r = readLine(l);
     if (!r) return false;
-    if (r.id === PING) { this.say(PING, ''); return true; }
+    if (r.id === PING) {
+      this.say(PING, '');
+      return true;
+    }
     this.busy++;
     this.handle(r.frame).then(
-      (a) => { this.busy--; this.say(r.id, a); this.pace(); },
+      (a) => {
+        this.busy--;
+        this.say(r.id, a);
+        this.pace();
+      },
       // Not a frame of ours: a peer never sends one.
-      () => { this.busy--; this.bad(); },
+      () => {
+        this.busy--;
+        this.bad();
+      },
     );
     this.pace();
     return true;
@@ -391,7 +490,10 @@
   private say(id: number, frame: string): void {
     if (!this.s.writable) return;
     let bytes = Buffer.byteLength(frame);
-    if (bytes > this.b.frameBytes) { frame = ''; bytes = 0; }
+    if (bytes > this.b.frameBytes) {
+      frame = '';
+      bytes = 0;
+    }
     if (this.outBytes + this.writer.waiting + bytes > this.b.waitingBytes) {
       // It asks and does not read.
       this.news()?.count('peer.link.unread');
@@ -434,8 +536,14 @@
  */
 export function peerNet(self: string, bounds: Partial<PeerNetBounds> = {}): Net {
   const b: PeerNetBounds = {
-    connectMs: C.connectMs, quietMs: C.peerQuietMs, frameBytes: C.peerFrameBytes, waitingBytes: C.peerWaitingBytes, callsN: C.peerCallsN,
-    connsN: C.peerConnsN, closeMs: C.peerCloseMs, ...bounds,
+    connectMs: C.connectMs,
+    quietMs: C.peerQuietMs,
+    frameBytes: C.peerFrameBytes,
+    waitingBytes: C.peerWaitingBytes,
+    callsN: C.peerCallsN,
+    connsN: C.peerConnsN,
+    closeMs: C.peerCloseMs,
+    ...bounds,
   };
   const links = new Map<string, PeerLink>();
   const accepted = new Set<Accepted>();
@@ -446,26 +554,42 @@
   // Links to peers we have nothing to say to any more are given back.
   const idle = setInterval(() => {
     const at = performance.now() - C.peerIdleMs;
-    for (const [p, l] of links) if (l.idleSince(at)) { links.delete(p); void l.close(); }
+    for (const [p, l] of links)
+      if (l.idleSince(at)) {
+        links.delete(p);
+        void l.close();
+      }
   }, C.peerIdleMs / 2);
   idle.unref();
   return {
     async serve(handle, n) {
       news = n;
-      const srv = createServer({ noDelay: true, highWaterMark: PIECE, keepAlive: true, keepAliveInitialDelay: C.peerKeepAliveMs }, (s) => {
-        const a = new Accepted(s, b, turn, handle, () => news);
-        accepted.add(a);
-        s.on('close', () => accepted.delete(a));
-      });
+      const srv = createServer(
+        { noDelay: true, highWaterMark: PIECE, keepAlive: true, keepAliveInitialDelay: C.peerKeepAliveMs },
+        (s) => {
+          const a = new Accepted(s, b, turn, handle, () => news);
+          accepted.add(a);
+          s.on('close', () => accepted.delete(a));
+        },
+      );
       srv.maxConnections = b.connsN;
       server = srv;
-      await new Promise<void>((res, rej) => { srv.on('error', rej); srv.listen(addr(self), () => { srv.off('error', rej); res(); }); });
+      await new Promise<void>((res, rej) => {
+        srv.on('error', rej);
+        srv.listen(addr(self), () => {
+          srv.off('error', rej);
+          res();
+        });
+      });
       srv.on('error', () => n?.count('peer.server.error'));
     },
     call(peer, frame, timeoutMs) {
       if (closed) return Promise.reject(new Failure({ tag: 'cut', step: 'call', peer, detail: 'closed by us' }));
       let l = links.get(peer);
-      if (!l) { l = new PeerLink(peer, b, turn, () => news); links.set(peer, l); }
+      if (!l) {
+        l = new PeerLink(peer, b, turn, () => news);
+        links.set(peer, l);
+      }
       return l.call(frame, timeoutMs);
     },
     async close() {
@@ -473,9 +597,16 @@
       clearInterval(idle);
       news = undefined;
       const srv = server;
-      const shut = srv && new Promise<void>((res) => { srv.close(() => res()); });
+      const shut =
+        srv &&
+        new Promise<void>((res) => {
+          srv.close(() => res());
+        });
       turn.run();
-      await Promise.all([...[...links.values()].map((l) => l.close()), ...[...accepted].map((a) => parted(a.s, b.closeMs))]);
+      await Promise.all([
+        ...[...links.values()].map((l) => l.close()),
+        ...[...accepted].map((a) => parted(a.s, b.closeMs)),
+      ]);
       links.clear();
       await shut;
     },
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -32,7 +32,13 @@
   // Level and form are ours to say: left alone, consola changes both where CI or test variables are set.
   const c = createConsola({
     level: 3,
-    reporters: [{ log: (o) => { process.stdout.write(`${o.date.toISOString()} ${o.type} ${o.tag} ${o.args.join(' ')}\n`); } }],
+    reporters: [
+      {
+        log: (o) => {
+          process.stdout.write(`${o.date.toISOString()} ${o.type} ${o.tag} ${o.args.join(' ')}\n`);
+        },
+      },
+    ],
   }).withTag(name);
   return {
     info: (line, data) => (data ? c.info(line, JSON.stringify(data)) : c.info(line)),
@@ -53,9 +59,15 @@
     sql.pragma('journal_mode = WAL');
     sql.pragma('synchronous = FULL');
     const said = String(sql.pragma('quick_check(1)', { simple: true })).replaceAll('\n', ' ');
-    if (said !== 'ok') { sql.close(); return { tag: 'damaged', why: said }; }
+    if (said !== 'ok') {
+      sql.close();
+      return { tag: 'damaged', why: said };
+    }
     const altered = wrongOnDisk(sql);
-    if (altered !== undefined) { sql.close(); return { tag: 'damaged', why: altered }; }
+    if (altered !== undefined) {
+      sql.close();
+      return { tag: 'damaged', why: altered };
+    }
     // A page that must be written and synced, and is given back.
     sql.exec('create table if not exists probe (x blob)');
     const t0 = performance.now();
@@ -64,13 +76,19 @@
   } catch (e) {
     const { code = '', message } = e as Error & { code?: string };
     sql?.close();
-    return { tag: code === 'SQLITE_NOTADB' || code.startsWith('SQLITE_CORRUPT') ? 'damaged' : 'unwritable', why: `${code} ${message}` };
+    return {
+      tag: code === 'SQLITE_NOTADB' || code.startsWith('SQLITE_CORRUPT') ? 'damaged' : 'unwritable',
+      why: `${code} ${message}`,
+    };
   }
 }
 
 /** Resolves when what was written to an open file lasts; another thread waits for the disk. */
 export type SyncFile = (fd: number, file: string) => Promise<void>;
-const syncFile: SyncFile = (fd) => new Promise((res, rej) => { fdatasync(fd, (e) => (e ? rej(e) : res())); });
+const syncFile: SyncFile = (fd) =>
+  new Promise((res, rej) => {
+    fdatasync(fd, (e) => (e ? rej(e) : res()));
+  });
 
 /**
  * The syncs of a database with a write-ahead log, done by us and off the loop instead of by the database. A commit only writes the
@@ -85,7 +103,8 @@
   sql.pragma('wal_autocheckpoint = 0');
   const writeBack = async (): Promise<void> => {
     const [r] = sql.pragma('wal_checkpoint(PASSIVE)') as { busy: number; log: number; checkpointed: number }[];
-    if (!r || r.busy || r.log !== r.checkpointed) throw new Error(`the log could not be written back: ${JSON.stringify(r)}`);
+    if (!r || r.busy || r.log !== r.checkpointed)
+      throw new Error(`the log could not be written back: ${JSON.stringify(r)}`);
     await sync(data, file);
     sql.pragma('wal_checkpoint(TRUNCATE)');
     if (fstatSync(log).size) throw new Error('the log could not be emptied');
@@ -110,7 +129,14 @@
  * @example
  * const db = openDb('/var/lib/harecross', clock, log, (e) => process.exit(3), '10.1.0.4:7100');
  */
-export function openDb(folder: string, clock: Clock, log: Log, onFault: (e: Error) => void, self: string, sync: SyncFile = syncFile): Db {
+export function openDb(
+  folder: string,
+  clock: Clock,
+  log: Log,
+  onFault: (e: Error) => void,
+  self: string,
+  sync: SyncFile = syncFile,
+): Db {
   mkdirSync(folder, { recursive: true });
   const file = join(folder, 'state.db');
   let r = tryOpen(file);
@@ -134,7 +160,10 @@
  */
 export function realHost(config: NodeConfig): Host {
   const log = consolaLog(config.peer);
-  const die = (reason: string): void => { log.warn(`stopping: ${reason}`); process.exit(3); };
+  const die = (reason: string): void => {
+    log.warn(`stopping: ${reason}`);
+    process.exit(3);
+  };
   const host: Host = { clock: realClock, rnd: { next: Math.random }, net: peerNet(config.peer), log, config, die };
   if (config.data) {
     try {
--- a/packages/kernel/src/wal.ts
+++ b/packages/kernel/src/wal.ts
@@ -52,7 +52,10 @@
   let behind = 0;
   for (let at = HEADER, i = 1; at + FRAME + page <= b.length; at += FRAME + page, i++) {
     // Frames of an earlier round of the log have other salts.
-    if (!b.subarray(at + 8, at + 16).equals(salts)) { if (bad < 0) break; continue; }
+    if (!b.subarray(at + 8, at + 16).equals(salts)) {
+      if (bad < 0) break;
+      continue;
+    }
     if (bad < 0) {
       s = sum(b, at, at + 8, big, s);
       s = sum(b, at + FRAME, at + FRAME + page, big, s);
@@ -61,5 +64,7 @@
     if (bad >= 0 && b.readUInt32BE(at + 4) !== 0) behind++;
   }
   if (bad < 0 || behind < 2) return undefined;
-  return bad === 0 ? `the head of the log is altered, ${behind} commits are behind it` : `frame ${bad} of the log is altered, ${behind} commits are behind it`;
+  return bad === 0
+    ? `the head of the log is altered, ${behind} commits are behind it`
+    : `frame ${bad} of the log is altered, ${behind} commits are behind it`;
 }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -47,7 +47,10 @@
 );
 
 /** The machines that keep a shard's copies, by peer address. */
-export const Placed = Type.Object({ shard: Count, nodes: Type.Array(Name(64), { minItems: 1, maxItems: 9, uniqueItems: true }) }, strict);
+export const Placed = Type.Object(
+  { shard: Count, nodes: Type.Array(Name(64), { minItems: 1, maxItems: 9, uniqueItems: true }) },
+  strict,
+);
 
 /** A whole configuration, as operators send it. */
 export const FleetConfig = Type.Object(
@@ -72,20 +75,45 @@
 export const Frame = Type.Union([
   Type.Object({ t: Type.Literal('ATTACHED'), conn: Type.String(), pingS: Type.Number() }, strict),
   Type.Object(
-    { t: Type.Literal('DELIVER'), sub: Type.String(), topic: Topic, sender: Type.String(), seq: Count, offset: Count, body: Type.String() },
+    {
+      t: Type.Literal('DELIVER'),
+      sub: Type.String(),
+      topic: Topic,
+      sender: Type.String(),
+      seq: Count,
+      offset: Count,
+      body: Type.String(),
+    },
     strict,
   ),
   Type.Object(
-    { t: Type.Literal('LEFT'), sub: Type.String(), topic: Topic, reason: Type.Union(['unsubscribed', 'cursor_expired', 'topic_removed', 'hold_ended'].map((x) => Type.Literal(x))) },
+    {
+      t: Type.Literal('LEFT'),
+      sub: Type.String(),
+      topic: Topic,
+      reason: Type.Union(['unsubscribed', 'cursor_expired', 'topic_removed', 'hold_ended'].map((x) => Type.Literal(x))),
+    },
     strict,
   ),
   Type.Object({ t: Type.Literal('GOAWAY'), to: Type.Optional(Type.String()), ...Retry }, strict),
-  Type.Object({ t: Type.Literal('CLOSED'), reason: Type.Union(['replaced', 'silent', 'saturated', 'stopping', 'not_ready'].map((x) => Type.Literal(x))), ...Retry }, strict),
+  Type.Object(
+    {
+      t: Type.Literal('CLOSED'),
+      reason: Type.Union(['replaced', 'silent', 'saturated', 'stopping', 'not_ready'].map((x) => Type.Literal(x))),
+      ...Retry,
+    },
+    strict,
+  ),
 ]);
 export type Frame =
   | { t: 'ATTACHED'; conn: string; pingS: number }
   | { t: 'DELIVER'; sub: string; topic: string; sender: string; seq: number; offset: number; body: string }
-  | { t: 'LEFT'; sub: string; topic: string; reason: 'unsubscribed' | 'cursor_expired' | 'topic_removed' | 'hold_ended' }
+  | {
+      t: 'LEFT';
+      sub: string;
+      topic: string;
+      reason: 'unsubscribed' | 'cursor_expired' | 'topic_removed' | 'hold_ended';
+    }
   /** `to`: the client address of a relay that can take the consumer now. */
   | { t: 'GOAWAY'; to?: string; retryAfterMs: number }
   | { t: 'CLOSED'; reason: 'replaced' | 'silent' | 'saturated' | 'stopping' | 'not_ready'; retryAfterMs: number };
@@ -120,9 +148,15 @@
 ];
 
 /** Every fault that callers may be answered with: its status and its shape. */
-export const FAULTS = new Map(faults.map(([tag, status, fields]) => [
-  tag, { status, shape: Type.Object({ tag: Type.Literal(tag), step: Type.String(), peer: Type.String(), ...fields }, strict) },
-]));
+export const FAULTS = new Map(
+  faults.map(([tag, status, fields]) => [
+    tag,
+    {
+      status,
+      shape: Type.Object({ tag: Type.Literal(tag), step: Type.String(), peer: Type.String(), ...fields }, strict),
+    },
+  ]),
+);
 
 /** Any error's answer: { error: Fault }. Tags and fields as in the kernel's Fault. */
 export const FaultShape = Type.Union([...FAULTS.values()].map((f) => f.shape));
@@ -131,12 +165,19 @@
  * A publish that stored nothing in this try. Only with `final` does it say so of every try of its number, earlier ones and those still
  * on their way: it was never accepted and never will be. Without it the same number may be sent again.
  */
-export const Rejected = Type.Object({ rejected: Type.Object({ reason: Type.String(), final: Type.Boolean(), retryAfterMs: Count }, strict) }, strict);
+export const Rejected = Type.Object(
+  { rejected: Type.Object({ reason: Type.String(), final: Type.Boolean(), retryAfterMs: Count }, strict) },
+  strict,
+);
 
 const Conn = Type.String({ minLength: 1, maxLength: 200 });
 const Sub = Type.String();
 const Maybe = Type.Optional;
-const rpc = <A extends Type.TSchema, B extends Type.TSchema>(about: string, visit: A, answer: B) => ({ about, visit, answer });
+const rpc = <A extends Type.TSchema, B extends Type.TSchema>(about: string, visit: A, answer: B) => ({
+  about,
+  visit,
+  answer,
+});
 const obj = <P extends Type.TProperties>(p: P) => Type.Object(p, strict);
 
 const Name64 = Type.String();
@@ -145,22 +186,59 @@
 
 /** What a node knows of the fleet. */
 export const FleetAnswer = obj({
-  at: Name64, fresh: Type.Boolean(), rev: Count, version: Count, fleet: Maybe(Type.String()),
-  members: List(obj({
-    peer: Name64, name: Type.String(), client: Name64, domain: Type.String(), role: Type.String(), disk: Maybe(Type.String()), state: Type.String(),
-    condition: Type.String(), weight: Count, ageMs: Num,
-  })),
-  disks: List(obj({ id: Type.String(), peer: Name64, domain: Type.String(), state: Type.String(), seat: Type.Boolean(), copies: Count,
-    name: Maybe(Type.String()), uses: Maybe(List(Type.String())), ms: Maybe(Num) })),
-  keys: List(obj({
-    shard: Count, gen: Count, copies: List(Type.String()), fence: Maybe(Type.String()), peer: Maybe(Name64), inst: Maybe(Type.String()),
-    behind: Maybe(List(Type.String())),
-  })),
+  at: Name64,
+  fresh: Type.Boolean(),
+  rev: Count,
+  version: Count,
+  fleet: Maybe(Type.String()),
+  members: List(
+    obj({
+      peer: Name64,
+      name: Type.String(),
+      client: Name64,
+      domain: Type.String(),
+      role: Type.String(),
+      disk: Maybe(Type.String()),
+      state: Type.String(),
+      condition: Type.String(),
+      weight: Count,
+      ageMs: Num,
+    }),
+  ),
+  disks: List(
+    obj({
+      id: Type.String(),
+      peer: Name64,
+      domain: Type.String(),
+      state: Type.String(),
+      seat: Type.Boolean(),
+      copies: Count,
+      name: Maybe(Type.String()),
+      uses: Maybe(List(Type.String())),
+      ms: Maybe(Num),
+    }),
+  ),
+  keys: List(
+    obj({
+      shard: Count,
+      gen: Count,
+      copies: List(Type.String()),
+      fence: Maybe(Type.String()),
+      peer: Maybe(Name64),
+      inst: Maybe(Type.String()),
+      behind: Maybe(List(Type.String())),
+    }),
+  ),
 });
 
 /** What a node says of itself. `version` is missing before its first confirmation. */
 export const NodeAnswer = obj({
-  peer: Name64, inst: Type.String(), phase: Type.String(), version: Maybe(Count), rev: Count, fresh: Type.Boolean(),
+  peer: Name64,
+  inst: Type.String(),
+  phase: Type.String(),
+  version: Maybe(Count),
+  rev: Count,
+  fresh: Type.Boolean(),
   holdings: List(obj({ name: Type.String(), length: Count, most: Count, bound: Count })),
   counters: Type.Record(Type.String(), Num),
   keys: List(obj({ shard: Count, fence: Type.String(), last: Count, commit: Count, behind: List(Type.String()) })),
@@ -185,46 +263,91 @@
   Detach: rpc('Closes a conn; its holds end at once.', obj({ conn: Conn }), obj({})),
   Probe: rpc(
     'Says the consumer is still there; keeps its holds fresh. `sent` counts the frames given to the stream: who got fewer, twice running, has a dead stream and attaches anew.',
-    obj({ conn: Conn }), obj({ sent: Count }),
+    obj({ conn: Conn }),
+    obj({ sent: Count }),
   ),
   Subscribe: rpc(
     'Subscribes a conn to a topic. With a cursor (the last offset received), delivery goes on behind it; without one, behind the head.',
     obj({ conn: Conn, topic: Topic, cursor: Type.Optional(Count) }),
     obj({ sub: Sub, next: Count }),
   ),
-  Unsubscribe: rpc('Ends a subscription; LEFT on the stream is its last frame.', obj({ conn: Conn, topic: Topic }), obj({ left: Type.Boolean() })),
+  Unsubscribe: rpc(
+    'Ends a subscription; LEFT on the stream is its last frame.',
+    obj({ conn: Conn, topic: Topic }),
+    obj({ left: Type.Boolean() }),
+  ),
   Publish: rpc(
     'Publishes one message. seq rises per sender and topic; the same seq may be sent again and has its first outcome.',
-    obj({ sender: Name(128), topic: Topic, seq: Type.Integer({ minimum: 1 }), body: Type.String({ maxLength: 1024 * 1024 }) }),
+    obj({
+      sender: Name(128),
+      topic: Topic,
+      seq: Type.Integer({ minimum: 1 }),
+      body: Type.String({ maxLength: 1024 * 1024 }),
+    }),
     obj({ accepted: obj({ offset: Count }) }),
   ),
-  Listeners: rpc('How many conns listen on a topic now.', obj({ topic: Topic }), obj({ count: Count, partial: Type.Boolean() })),
+  Listeners: rpc(
+    'How many conns listen on a topic now.',
+    obj({ topic: Topic }),
+    obj({ count: Count, partial: Type.Boolean() }),
+  ),
   SubmitConfig: rpc(
-    'Takes a whole configuration. Answered once a majority of disks holds it. With `revision`, the operators\' own number, the highest holds: '
-    + 'one that is not above the revision in force is answered with that one and changes nothing. Without it, `changeId` names the change, '
-    + 'and the same changeId again gets its first outcome. `document` is the operators\' own words, kept whole and given back.',
+    "Takes a whole configuration. Answered once a majority of disks holds it. With `revision`, the operators' own number, the highest holds: " +
+      'one that is not above the revision in force is answered with that one and changes nothing. Without it, `changeId` names the change, ' +
+      "and the same changeId again gets its first outcome. `document` is the operators' own words, kept whole and given back.",
     Type.Object(
       {
-        changeId: Maybe(Name(128)), expect: Maybe(Count), revision: Maybe(Count), document: Maybe(Type.Unknown()), config: Type.Unknown(),
+        changeId: Maybe(Name(128)),
+        expect: Maybe(Count),
+        revision: Maybe(Count),
+        document: Maybe(Type.Unknown()),
+        config: Type.Unknown(),
+      },
+      {
+        ...strict,
+        anyOf: [{ required: ['changeId'] }, { required: ['revision'] }],
+        not: { required: ['expect', 'revision'] },
       },
-      { ...strict, anyOf: [{ required: ['changeId'] }, { required: ['revision'] }], not: { required: ['expect', 'revision'] } },
     ),
     obj({ version: Count, revision: Maybe(Count) }),
   ),
-  CheckConfig: rpc('Checks a configuration and changes nothing.', obj({ config: Type.Unknown() }), obj({ version: Count, faults: Type.Array(obj({ path: Type.String(), fault: Type.String() })) })),
+  CheckConfig: rpc(
+    'Checks a configuration and changes nothing.',
+    obj({ config: Type.Unknown() }),
+    obj({ version: Count, faults: Type.Array(obj({ path: Type.String(), fault: Type.String() })) }),
+  ),
   ReadConfig: rpc(
-    'The configuration in force, confirmed by a majority.', obj({}),
-    obj({ version: Count, changeId: Type.String(), revision: Maybe(Count), document: Maybe(Type.Unknown()), config: Type.Unknown() }),
+    'The configuration in force, confirmed by a majority.',
+    obj({}),
+    obj({
+      version: Count,
+      changeId: Type.String(),
+      revision: Maybe(Count),
+      document: Maybe(Type.Unknown()),
+      config: Type.Unknown(),
+    }),
+  ),
+  EmptyDisk: rpc(
+    'Begins to move copies, keys and seat off a disk. Rejected, with the reason, when what is left cannot hold them.',
+    obj({ disk: DiskName }),
+    EmptyAnswer,
+  ),
+  EmptyStatus: rpc(
+    'How far an emptying has come: `emptied` when nothing is left on the disk.',
+    obj({ disk: Type.String() }),
+    EmptyAnswer,
   ),
-  EmptyDisk: rpc('Begins to move copies, keys and seat off a disk. Rejected, with the reason, when what is left cannot hold them.', obj({ disk: DiskName }), EmptyAnswer),
-  EmptyStatus: rpc('How far an emptying has come: `emptied` when nothing is left on the disk.', obj({ disk: Type.String() }), EmptyAnswer),
   CancelEmpty: rpc('Takes an emptying back.', obj({ disk: Type.String() }), EmptyAnswer),
   PlanMoves: rpc(
     'Replaces the calendar of planned moves in the configuration in force.',
     obj({ changeId: Name(128), expect: Type.Optional(Count), moves: Type.Array(Move, { maxItems: 256 }) }),
     obj({ version: Count }),
   ),
-  Moves: rpc('The calendar, with how far each move has come.', obj({}), obj({ version: Count, moves: List(obj({ ...Move.properties, state: Type.String(), why: Type.String() })) })),
+  Moves: rpc(
+    'The calendar, with how far each move has come.',
+    obj({}),
+    obj({ version: Count, moves: List(obj({ ...Move.properties, state: Type.String(), why: Type.String() })) }),
+  ),
   Fleet: rpc('What this node knows of the fleet.', obj({}), FleetAnswer),
   Node: rpc('Counters and states of this node.', obj({}), NodeAnswer),
 } as const;
@@ -238,20 +361,31 @@
 /** The fields of SubmitConfig by themselves; which may stand together is told in words. */
 const checkSubmit = Compile(Type.Object(Rpcs.SubmitConfig.visit.properties, strict));
 
-export interface PathFault { path: string; fault: string }
+export interface PathFault {
+  path: string;
+  fault: string;
+}
 
 function faultsOf(es: unknown): PathFault[] {
   const all = es as { instancePath: string; message: string; keyword?: string; params?: any }[];
   // Where one of several words is wanted, one fault names them all.
   const words = new Map<string, string[]>();
-  for (const e of all) if (e.keyword === 'const') words.set(e.instancePath, [...(words.get(e.instancePath) ?? []), `'${e.params.allowedValue}'`]);
+  for (const e of all)
+    if (e.keyword === 'const')
+      words.set(e.instancePath, [...(words.get(e.instancePath) ?? []), `'${e.params.allowedValue}'`]);
   const choices = new Set(all.flatMap((e) => (e.keyword === 'anyOf' ? [e.instancePath] : [])));
-  return all.filter((e) => e.keyword !== 'const' || !choices.has(e.instancePath)).map((e) => {
-    const of = e.keyword === 'anyOf' ? words.get(e.instancePath) : undefined;
-    if (of) return { path: e.instancePath, fault: `must be ${of.slice(0, -1).join(', ')} or ${of.at(-1)}` };
-    const extra = e.params?.additionalProperties ?? e.params?.requiredProperties;
-    return { path: e.instancePath || '/', fault: e.message === 'schema is false' ? 'unknown key' : extra ? `${e.message}: ${extra.join(', ')}` : e.message };
-  });
+  return all
+    .filter((e) => e.keyword !== 'const' || !choices.has(e.instancePath))
+    .map((e) => {
+      const of = e.keyword === 'anyOf' ? words.get(e.instancePath) : undefined;
+      if (of) return { path: e.instancePath, fault: `must be ${of.slice(0, -1).join(', ')} or ${of.at(-1)}` };
+      const extra = e.params?.additionalProperties ?? e.params?.requiredProperties;
+      return {
+        path: e.instancePath || '/',
+        fault:
+          e.message === 'schema is false' ? 'unknown key' : extra ? `${e.message}: ${extra.join(', ')}` : e.message,
+      };
+    });
 }
 
 /**
@@ -263,7 +397,12 @@
   const c = checks.get(m)!;
   if (c.Check(body as unknown)) return undefined;
   if (m === 'SubmitConfig' && checkSubmit.Check(body)) {
-    return '/: ' + ((body as { expect?: number }).expect === undefined ? 'needs a changeId or a revision' : 'expect does not go with revision: the highest revision holds');
+    return (
+      '/: ' +
+      ((body as { expect?: number }).expect === undefined
+        ? 'needs a changeId or a revision'
+        : 'expect does not go with revision: the highest revision holds')
+    );
   }
   const f = faultsOf(c.Errors(body))[0];
   return f ? `${f.path}: ${f.fault}` : 'invalid';
@@ -280,20 +419,26 @@
   const out: PathFault[] = [];
   const seen = new Map<string, string>();
   c.families.forEach((f, i) => {
-    if (f.urgency === undefined && f.precedence === undefined) out.push({ path: `/families/${i}`, fault: 'needs an urgency or a precedence' });
+    if (f.urgency === undefined && f.precedence === undefined)
+      out.push({ path: `/families/${i}`, fault: 'needs an urgency or a precedence' });
     f.topics.forEach((p, j) => {
       const path = `/families/${i}/topics/${j}`;
       const first = seen.get(p);
       if (first !== undefined) out.push({ path, fault: `'${p}' is already at ${first}` });
       else seen.set(p, path);
-      if (p.length > 200 && !p.endsWith('*')) out.push({ path, fault: 'no topic is that long: at most 200 characters' });
+      if (p.length > 200 && !p.endsWith('*'))
+        out.push({ path, fault: 'no topic is that long: at most 200 characters' });
     });
   });
   const shards = new Set<number>();
   (c.placement ?? []).forEach((p, i) => {
     if (shards.has(p.shard)) out.push({ path: `/placement/${i}/shard`, fault: `shard ${p.shard} is placed twice` });
     shards.add(p.shard);
-    if (p.nodes.length % 2 === 0) out.push({ path: `/placement/${i}/nodes`, fault: 'must be an odd number of machines: an even one costs a larger majority and bears no more losses' });
+    if (p.nodes.length % 2 === 0)
+      out.push({
+        path: `/placement/${i}/nodes`,
+        fault: 'must be an odd number of machines: an even one costs a larger majority and bears no more losses',
+      });
   });
   const ids = new Set<string>();
   (c.moves ?? []).forEach((m, i) => {
@@ -301,7 +446,11 @@
     ids.add(m.id);
     if (m.until <= m.from) out.push({ path: `/moves/${i}/until`, fault: 'must be after from' });
     (c.moves ?? []).slice(0, i).forEach((o) => {
-      if (m.from < o.until && o.from < m.until) out.push({ path: `/moves/${i}`, fault: `overlaps move '${o.id}': one machine at a time, so that a majority stays` });
+      if (m.from < o.until && o.from < m.until)
+        out.push({
+          path: `/moves/${i}`,
+          fault: `overlaps move '${o.id}': one machine at a time, so that a majority stays`,
+        });
     });
   });
   return out;
@@ -321,7 +470,10 @@
 
   constructor(entries: Iterable<[pattern: string, value: T]>) {
     for (const [p, x] of entries) {
-      if (!p.endsWith('*')) { this.exact.set(p, x); continue; }
+      if (!p.endsWith('*')) {
+        this.exact.set(p, x);
+        continue;
+      }
       const n = p.length - 1;
       const same = this.prefixes.get(n) ?? new Map<string, T>();
       this.prefixes.set(n, same.set(p.slice(0, n), x));
@@ -346,7 +498,10 @@
 }
 
 /** What a configuration says, laid out for looking up; made once for each, since it is looked at several times a message. */
-interface Index { families: Patterns<Family>; top: number | undefined }
+interface Index {
+  families: Patterns<Family>;
+  top: number | undefined;
+}
 const indices = new WeakMap<FleetConfig, Index>();
 
 function indexOf(c: FleetConfig): Index {
