--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -3,7 +3,9 @@
 import type { Statement } from 'better-sqlite3';
 
 declare module '@harecross/kernel' {
-  interface Faces { state: Store }
+  interface Faces {
+    state: Store;
+  }
 }
 
 /** Fences compare as strings: generation of the placement, then number, then the owner that took it. */
@@ -44,8 +46,16 @@
 }
 
 /** `since` is the first offset of the present era: what is older belongs to a family that was removed. */
-export interface TopicBase { head: number; since: number; era: number }
-export interface SenderBase { seq: number; off: number; at: number }
+export interface TopicBase {
+  head: number;
+  since: number;
+  era: number;
+}
+export interface SenderBase {
+  seq: number;
+  off: number;
+  at: number;
+}
 
 /**
  * The key of `Base.senders`.
@@ -95,17 +105,37 @@
 }
 
 /** An acceptor's state in the register. */
-export interface Seat { promised: string; ballot: string; value: string | undefined }
+export interface Seat {
+  promised: string;
+  ballot: string;
+  value: string | undefined;
+}
 
 /** Tables: name, columns, key. Every row has a sum over its columns, so that a flipped bit is no altered message. */
 const TABLES: [name: string, columns: string[], key: string][] = [
   ['meta', ['k text', 'v text not null'], 'k'],
   ['copy', ['shard integer', 'promised text not null', 'idx integer not null', 'fence text not null'], 'shard'],
-  ['entry', ['shard integer', 'idx integer', 'fence text', 'topic text', 'off integer', 'era integer', 'sender text', 'seq integer', 'body text', 'at real'], 'shard, idx'],
+  [
+    'entry',
+    [
+      'shard integer',
+      'idx integer',
+      'fence text',
+      'topic text',
+      'off integer',
+      'era integer',
+      'sender text',
+      'seq integer',
+      'body text',
+      'at real',
+    ],
+    'shard, idx',
+  ],
   ['topic', ['shard integer', 'topic text', 'head integer', 'since integer', 'era integer'], 'shard, topic'],
   ['sender', ['shard integer', 'k text', 'seq integer', 'off integer', 'at real'], 'shard, k'],
 ];
-const columns = (sql: Sql, table: string): string[] => (sql.pragma(`table_info(${table})`) as { name: string }[]).map((c) => c.name);
+const columns = (sql: Sql, table: string): string[] =>
+  (sql.pragma(`table_info(${table})`) as { name: string }[]).map((c) => c.name);
 const sumOf = (xs: unknown[]): number => crc32(xs.join('\0'));
 
 /** Every row whose sum is not that of its columns. */
@@ -114,9 +144,13 @@
     const have = columns(sql, t);
     if (!have.includes('sum')) continue;
     const names = cols.map((c) => c.split(' ')[0]!);
-    for (const row of sql.prepare(`select ${names.join(', ')}, sum from ${t}`).raw().iterate() as Iterable<unknown[]>) {
+    for (const row of sql
+      .prepare(`select ${names.join(', ')}, sum from ${t}`)
+      .raw()
+      .iterate() as Iterable<unknown[]>) {
       const sum = row.pop();
-      if (sum !== null && sum !== sumOf(row)) return `a row of ${t} was altered (${key}: ${row.slice(0, key.split(', ').length).join(', ')})`;
+      if (sum !== null && sum !== sumOf(row))
+        return `a row of ${t} was altered (${key}: ${row.slice(0, key.split(', ').length).join(', ')})`;
     }
   }
   return undefined;
@@ -139,7 +173,10 @@
   /** Statements are compiled once. */
   private q(text: string): Statement {
     let s = this.prepared.get(text);
-    if (!s) { s = this.sql.prepare(text); this.prepared.set(text, s); }
+    if (!s) {
+      s = this.sql.prepare(text);
+      this.prepared.set(text, s);
+    }
     return s;
   }
 
@@ -148,15 +185,24 @@
     this.sql.transaction(() => this.tables())();
   }
   private tables(): void {
-    this.sql.exec(TABLES.map(([t, cols, key]) => `create table if not exists ${t} (${cols.join(', ')}, sum integer, primary key (${key}))${t === 'copy' ? '' : ' without rowid'};`).join('\n'));
+    this.sql.exec(
+      TABLES.map(
+        ([t, cols, key]) =>
+          `create table if not exists ${t} (${cols.join(', ')}, sum integer, primary key (${key}))${t === 'copy' ? '' : ' without rowid'};`,
+      ).join('\n'),
+    );
     // Made before rows had sums: theirs are missing, and they are taken as they are.
-    for (const [t] of TABLES) if (!columns(this.sql, t).includes('sum')) this.sql.exec(`alter table ${t} add column sum integer`);
+    for (const [t] of TABLES)
+      if (!columns(this.sql, t).includes('sum')) this.sql.exec(`alter table ${t} add column sum integer`);
   }
 
   /** Writes a row with its sum; columns by name, because a table that was altered has them in another order. */
   private put(table: string, conflict: string, xs: (string | number)[]): void {
     const names = TABLES.find(([t]) => t === table)![1].map((c) => c.split(' ')[0]!);
-    this.q(`insert into ${table} (${names.join(', ')}, sum) values (${'?, '.repeat(xs.length)}?) ${conflict}`).run(...xs, sumOf(xs));
+    this.q(`insert into ${table} (${names.join(', ')}, sum) values (${'?, '.repeat(xs.length)}?) ${conflict}`).run(
+      ...xs,
+      sumOf(xs),
+    );
   }
 
   get(k: string): string | undefined {
@@ -167,7 +213,11 @@
   }
 
   seat(): Seat {
-    return { promised: this.get('seat.promised') ?? '', ballot: this.get('seat.ballot') ?? '', value: this.get('seat.value') };
+    return {
+      promised: this.get('seat.promised') ?? '',
+      ballot: this.get('seat.ballot') ?? '',
+      value: this.get('seat.value'),
+    };
   }
   saveSeat(s: Seat): void {
     this.set('seat.promised', s.promised);
@@ -181,17 +231,49 @@
    */
   copies(now: number): Map<number, Copy> {
     const out = new Map<number, Copy>();
-    for (const r of this.q('select * from copy').all() as { shard: number; promised: string; idx: number; fence: string }[]) {
-      out.set(r.shard, { shard: r.shard, promised: r.promised, base: { idx: r.idx, fence: r.fence, topics: new Map(), senders: new Map() }, entries: [] });
+    for (const r of this.q('select * from copy').all() as {
+      shard: number;
+      promised: string;
+      idx: number;
+      fence: string;
+    }[]) {
+      out.set(r.shard, {
+        shard: r.shard,
+        promised: r.promised,
+        base: { idx: r.idx, fence: r.fence, topics: new Map(), senders: new Map() },
+        entries: [],
+      });
     }
-    for (const r of this.q('select * from topic').all() as any[]) out.get(r.shard)?.base.topics.set(r.topic, { head: r.head, since: r.since, era: r.era });
-    for (const r of this.q('select * from sender').all() as any[]) out.get(r.shard)?.base.senders.set(r.k, { seq: r.seq, off: r.off, at: now });
+    for (const r of this.q('select * from topic').all() as any[])
+      out.get(r.shard)?.base.topics.set(r.topic, { head: r.head, since: r.since, era: r.era });
+    for (const r of this.q('select * from sender').all() as any[])
+      out.get(r.shard)?.base.senders.set(r.k, { seq: r.seq, off: r.off, at: now });
     // Fences, topics and senders come again and again: one string each.
     const strings = new Map<string, string>();
-    const one = (x: string): string => { const had = strings.get(x); if (had !== undefined) return had; strings.set(x, x); return x; };
-    const rows = this.sql.prepare('select shard, idx, fence, topic, off, era, sender, seq, body from entry order by shard, idx').raw().iterate();
+    const one = (x: string): string => {
+      const had = strings.get(x);
+      if (had !== undefined) return had;
+      strings.set(x, x);
+      return x;
+    };
+    const rows = this.sql
+      .prepare('select shard, idx, fence, topic, off, era, sender, seq, body from entry order by shard, idx')
+      .raw()
+      .iterate();
     for (const r of rows as Iterable<[number, number, string, string, number, number, string, number, string]>) {
-      out.get(r[0])?.entries.push({ idx: r[1], fence: one(r[2]), topic: one(r[3]), off: r[4], era: r[5], sender: one(r[6]), seq: r[7], body: r[8], at: now });
+      out
+        .get(r[0])
+        ?.entries.push({
+          idx: r[1],
+          fence: one(r[2]),
+          topic: one(r[3]),
+          off: r[4],
+          era: r[5],
+          sender: one(r[6]),
+          seq: r[7],
+          body: r[8],
+          at: now,
+        });
     }
     return out;
   }
@@ -201,8 +283,11 @@
     this.saveCopy(c);
   }
   private saveCopy(c: Copy): void {
-    this.put('copy', 'on conflict (shard) do update set promised = excluded.promised, idx = excluded.idx, fence = excluded.fence, sum = excluded.sum',
-      [c.shard, c.promised, c.base.idx, c.base.fence]);
+    this.put(
+      'copy',
+      'on conflict (shard) do update set promised = excluded.promised, idx = excluded.idx, fence = excluded.fence, sum = excluded.sum',
+      [c.shard, c.promised, c.base.idx, c.base.fence],
+    );
   }
 
   /** Cuts everything from idx on. */
@@ -227,7 +312,10 @@
     const senders = new Set<string>();
     for (const e of gone) {
       fold(c.base, e);
-      if (e.topic) { topics.add(e.topic); senders.add(senderKey(e.topic, e.sender)); }
+      if (e.topic) {
+        topics.add(e.topic);
+        senders.add(senderKey(e.topic, e.sender));
+      }
     }
     this.q('delete from entry where shard = ? and idx <= ?').run(c.shard, c.base.idx);
     for (const t of topics) this.saveTopic(c, t);
@@ -241,11 +329,19 @@
   }
   private saveTopic(c: Copy, t: string): void {
     const b = c.base.topics.get(t)!;
-    this.put('topic', 'on conflict (shard, topic) do update set head = excluded.head, since = excluded.since, era = excluded.era, sum = excluded.sum', [c.shard, t, b.head, b.since, b.era]);
+    this.put(
+      'topic',
+      'on conflict (shard, topic) do update set head = excluded.head, since = excluded.since, era = excluded.era, sum = excluded.sum',
+      [c.shard, t, b.head, b.since, b.era],
+    );
   }
   private saveSender(c: Copy, s: string): void {
     const b = c.base.senders.get(s)!;
-    this.put('sender', 'on conflict (shard, k) do update set seq = excluded.seq, off = excluded.off, at = excluded.at, sum = excluded.sum', [c.shard, s, b.seq, b.off, b.at]);
+    this.put(
+      'sender',
+      'on conflict (shard, k) do update set seq = excluded.seq, off = excluded.off, at = excluded.at, sum = excluded.sum',
+      [c.shard, s, b.seq, b.off, b.at],
+    );
   }
 
   /** Replaces a copy by a snapshot; the promise stays. */
--- a/packages/trial/client/day.ts
+++ b/packages/trial/client/day.ts
@@ -5,10 +5,23 @@
 type Frame = components['schemas']['Frame'];
 
 /** What happened, for the test to judge. */
-export interface Day { offsets: number[]; bodies: string[]; rejected: string; conflict: number | undefined; faults: string[]; version: number; count: number; left: string | undefined; owner: boolean; conditions: string[] }
+export interface Day {
+  offsets: number[];
+  bodies: string[];
+  rejected: string;
+  conflict: number | undefined;
+  faults: string[];
+  version: number;
+  count: number;
+  left: string | undefined;
+  owner: boolean;
+  conditions: string[];
+}
 
 /** Calls until the fleet says something else than 'come back', for as long as it says when. */
-async function patient<D, E extends { error?: { tag: string } } | { rejected: object }>(call: () => Promise<{ data?: D; error?: E; response: Response }>): Promise<{ data?: D; error?: E }> {
+async function patient<D, E extends { error?: { tag: string } } | { rejected: object }>(
+  call: () => Promise<{ data?: D; error?: E; response: Response }>,
+): Promise<{ data?: D; error?: E }> {
   for (let i = 0; i < 120; i++) {
     const r = await call();
     if (r.response.status !== 503 && r.response.status !== 504) return r;
@@ -22,7 +35,18 @@
 /** An operator's, a consumer's and a sender's day at one relay. */
 export async function live(baseUrl: string): Promise<Day> {
   const api = createClient<paths>({ baseUrl });
-  const day: Day = { offsets: [], bodies: [], rejected: '', conflict: undefined, faults: [], version: 0, count: 0, left: undefined, owner: false, conditions: [] };
+  const day: Day = {
+    offsets: [],
+    bodies: [],
+    rejected: '',
+    conflict: undefined,
+    faults: [],
+    version: 0,
+    count: 0,
+    left: undefined,
+    owner: false,
+    conditions: [],
+  };
 
   // The operator takes a configuration, meets a conflict and an invalid one, and reads back.
   const config: components['schemas']['FleetConfig'] = {
@@ -32,7 +56,9 @@
   if (!taken.data) throw new Error(JSON.stringify(taken.error));
   const clash = await patient(() => api.POST('/rpc/SubmitConfig', { body: { changeId: 'day-2', expect: 99, config } }));
   if (clash.error && clash.error.error?.tag === 'conflict') day.conflict = clash.error.error.version;
-  const checked = await patient(() => api.POST('/rpc/CheckConfig', { body: { config: { families: [{ ...config.families[0]!, memoryS: -1 }] } } }));
+  const checked = await patient(() =>
+    api.POST('/rpc/CheckConfig', { body: { config: { families: [{ ...config.families[0]!, memoryS: -1 }] } } }),
+  );
   day.faults = checked.data!.faults.map((f) => f.path);
   const read = await patient(() => api.POST('/rpc/ReadConfig', { body: {} }));
   day.version = read.data!.version;
@@ -40,7 +66,11 @@
   // The consumer attaches, and reads the stream line by line.
   const frames: Frame[] = [];
   const stop = new AbortController();
-  const stream = await api.POST('/rpc/Attach', { body: { consumer: 'station-1', pingS: 2 }, parseAs: 'stream', signal: stop.signal });
+  const stream = await api.POST('/rpc/Attach', {
+    body: { consumer: 'station-1', pingS: 2 },
+    parseAs: 'stream',
+    signal: stop.signal,
+  });
   const reader = (stream.data as unknown as ReadableStream<Uint8Array>).getReader();
   const reading = (async () => {
     let rest = '';
@@ -53,7 +83,9 @@
       for (const l of lines) if (l) frames.push(JSON.parse(l) as Frame);
     }
   })().catch(() => undefined);
-  const until = async (ok: () => boolean): Promise<void> => { for (let i = 0; i < 1_200 && !ok(); i++) await new Promise((r) => setTimeout(r, 25)); };
+  const until = async (ok: () => boolean): Promise<void> => {
+    for (let i = 0; i < 1_200 && !ok(); i++) await new Promise((r) => setTimeout(r, 25));
+  };
   await until(() => frames.length > 0);
   const first = frames[0]!;
   if (first.t !== 'ATTACHED') throw new Error(`the first frame is ${first.t}`);
@@ -62,11 +94,16 @@
 
   // The sender publishes; an accepted seq has its first outcome again, a lower one that never was accepted is rejected for good.
   for (const seq of [1, 2, 2, 4, 1]) {
-    const r = await patient(() => api.POST('/rpc/Publish', { body: { sender: 'gauge', topic: 'level/7', seq, body: `level ${seq}` } }));
+    const r = await patient(() =>
+      api.POST('/rpc/Publish', { body: { sender: 'gauge', topic: 'level/7', seq, body: `level ${seq}` } }),
+    );
     if (r.data) day.offsets.push(r.data.accepted.offset);
   }
-  const old = await patient(() => api.POST('/rpc/Publish', { body: { sender: 'gauge', topic: 'level/7', seq: 3, body: 'late' } }));
-  if (old.error && 'rejected' in old.error) day.rejected = `${old.error.rejected.reason}, final ${old.error.rejected.final}`;
+  const old = await patient(() =>
+    api.POST('/rpc/Publish', { body: { sender: 'gauge', topic: 'level/7', seq: 3, body: 'late' } }),
+  );
+  if (old.error && 'rejected' in old.error)
+    day.rejected = `${old.error.rejected.reason}, final ${old.error.rejected.final}`;
   await until(() => frames.filter((f) => f.t === 'DELIVER').length >= 3);
   for (const f of frames) if (f.t === 'DELIVER') day.bodies.push(f.body);
   await patient(() => api.POST('/rpc/Probe', { body: { conn } }));
--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -6,18 +6,33 @@
  * A connection on which several visits may be on their way: when the last of them arrives, and those that arrived and were not read.
  * Answers come back in the order in which they were given.
  */
-export interface Line { name: string; at: number; waiting: (() => void)[] }
+export interface Line {
+  name: string;
+  at: number;
+  waiting: (() => void)[];
+}
 
 /** The outside's way to a fleet; the simulator's and the real one stand behind it. Nodes are client addresses. */
 export interface Way {
   /** With a `line`, visits to one node arrive in the order in which they were made; real ones may not. */
-  visit(node: string, method: string, body: unknown, timeoutMs: number, line?: Line): Promise<{ status: number; body: any } | undefined>;
+  visit(
+    node: string,
+    method: string,
+    body: unknown,
+    timeoutMs: number,
+    line?: Line,
+  ): Promise<{ status: number; body: any } | undefined>;
   attach(node: string, body: unknown, onFrame: (f: Frame) => void, onEnd: () => void): () => void;
   /** What a platform knows: nodes that take conns and call themselves well, in a domain or anywhere. */
   nodes(domain?: string): string[];
 }
 
-export interface World { clock: Clock; rnd: Rnd; way: Way; journal: Journal }
+export interface World {
+  clock: Clock;
+  rnd: Rnd;
+  way: Way;
+  journal: Journal;
+}
 
 /** Every try to publish has a number of its own. */
 let tries = 0;
@@ -48,7 +63,13 @@
   /** Topics wanted now. */
   readonly want: Set<string>;
 
-  constructor(private w: World, readonly name: string, public domain: string, topics: string[], private opts: { pingS?: number; jitterMs?: number } = {}) {
+  constructor(
+    private w: World,
+    readonly name: string,
+    public domain: string,
+    topics: string[],
+    private opts: { pingS?: number; jitterMs?: number } = {},
+  ) {
     this.want = new Set(topics);
   }
 
@@ -102,7 +123,14 @@
   }
 
   private end(why: string, retryMs?: number): void {
-    if (this.conn) this.w.journal.add({ k: 'conn.end', consumer: this.name, conn: this.conn, why, ...(retryMs === undefined ? {} : { retryMs }) });
+    if (this.conn)
+      this.w.journal.add({
+        k: 'conn.end',
+        consumer: this.name,
+        conn: this.conn,
+        why,
+        ...(retryMs === undefined ? {} : { retryMs }),
+      });
     this.conn = undefined;
     const c = this.closeNow;
     this.closeNow = undefined;
@@ -118,7 +146,10 @@
       await sleep(clock, wait);
       if (!this.running || this.runs !== me) return;
       const node = pick(this.w, this.domain);
-      if (!node) { wait = 300 + 300 * rnd.next(); continue; }
+      if (!node) {
+        wait = 300 + 300 * rnd.next();
+        continue;
+      }
       wait = await this.one(node);
       if (!this.running || this.runs !== me) return;
     }
@@ -138,44 +169,83 @@
       };
       this.node = node;
       let attached = false;
-      const cancel = clock.after(3_000, () => { if (!attached) { close(); over('no answer'); } });
-      const close = way.attach(node, { consumer: this.name, pingS: this.opts.pingS ?? 2 }, (f) => {
-        if (this.life !== life) return;
-        this.got++;
-        switch (f.t) {
-          case 'ATTACHED':
-            attached = true;
-            cancel();
-            this.conn = f.conn;
-            this.pingMs = f.pingS * 1000;
-            journal.add({ k: 'conn.open', consumer: this.name, conn: f.conn, node, domain: this.domain });
-            void this.probes(f.conn, life, node);
-            for (const t of this.want) void this.subscribe(f.conn, t, life, node);
-            break;
-          case 'DELIVER':
-            journal.add({ k: 'deliver', consumer: this.name, conn: this.conn!, topic: f.topic, sub: f.sub, sender: f.sender, seq: f.seq, offset: f.offset, body: f.body });
-            this.cursors.set(f.topic, Math.max(f.offset, this.cursors.get(f.topic) ?? 0));
-            break;
-          case 'LEFT':
-            journal.add({ k: 'left', consumer: this.name, conn: this.conn!, topic: f.topic, sub: f.sub, reason: f.reason, cursor: this.cursors.get(f.topic) });
-            if (f.reason === 'cursor_expired' || f.reason === 'topic_removed') this.cursors.delete(f.topic);
-            if (f.reason === 'cursor_expired') void this.subscribe(this.conn!, f.topic, life, node);
-            if (f.reason === 'topic_removed') void sleep(clock, 1_500).then(() => this.subscribe(this.conn!, f.topic, life, node));
-            break;
-          case 'GOAWAY':
-            hint = f.retryAfterMs;
-            close();
-            over('goaway', f.retryAfterMs);
-            break;
-          case 'CLOSED':
-            hint = f.retryAfterMs;
-            close();
-            over(f.reason, f.retryAfterMs);
-            break;
+      const cancel = clock.after(3_000, () => {
+        if (!attached) {
+          close();
+          over('no answer');
         }
-      }, () => { cancel(); over('reset'); });
-      this.closeNow = () => { cancel(); close(); res(hint); };
-      this.forgetNow = () => { cancel(); res(hint); };
+      });
+      const close = way.attach(
+        node,
+        { consumer: this.name, pingS: this.opts.pingS ?? 2 },
+        (f) => {
+          if (this.life !== life) return;
+          this.got++;
+          switch (f.t) {
+            case 'ATTACHED':
+              attached = true;
+              cancel();
+              this.conn = f.conn;
+              this.pingMs = f.pingS * 1000;
+              journal.add({ k: 'conn.open', consumer: this.name, conn: f.conn, node, domain: this.domain });
+              void this.probes(f.conn, life, node);
+              for (const t of this.want) void this.subscribe(f.conn, t, life, node);
+              break;
+            case 'DELIVER':
+              journal.add({
+                k: 'deliver',
+                consumer: this.name,
+                conn: this.conn!,
+                topic: f.topic,
+                sub: f.sub,
+                sender: f.sender,
+                seq: f.seq,
+                offset: f.offset,
+                body: f.body,
+              });
+              this.cursors.set(f.topic, Math.max(f.offset, this.cursors.get(f.topic) ?? 0));
+              break;
+            case 'LEFT':
+              journal.add({
+                k: 'left',
+                consumer: this.name,
+                conn: this.conn!,
+                topic: f.topic,
+                sub: f.sub,
+                reason: f.reason,
+                cursor: this.cursors.get(f.topic),
+              });
+              if (f.reason === 'cursor_expired' || f.reason === 'topic_removed') this.cursors.delete(f.topic);
+              if (f.reason === 'cursor_expired') void this.subscribe(this.conn!, f.topic, life, node);
+              if (f.reason === 'topic_removed')
+                void sleep(clock, 1_500).then(() => this.subscribe(this.conn!, f.topic, life, node));
+              break;
+            case 'GOAWAY':
+              hint = f.retryAfterMs;
+              close();
+              over('goaway', f.retryAfterMs);
+              break;
+            case 'CLOSED':
+              hint = f.retryAfterMs;
+              close();
+              over(f.reason, f.retryAfterMs);
+              break;
+          }
+        },
+        () => {
+          cancel();
+          over('reset');
+        },
+      );
+      this.closeNow = () => {
+        cancel();
+        close();
+        res(hint);
+      };
+      this.forgetNow = () => {
+        cancel();
+        res(hint);
+      };
     });
   }
 
@@ -196,7 +266,10 @@
       if (this.life !== life) return;
       if (r?.status === 410) this.end('unknown_conn');
       // Frames were given to the stream before the last check-in and have not come since: the stream is dead.
-      if (behind !== undefined && this.got < behind) { this.end('dead stream'); return; }
+      if (behind !== undefined && this.got < behind) {
+        this.end('dead stream');
+        return;
+      }
       if (r?.status === 200) behind = r.body.sent > this.got ? r.body.sent : undefined;
     }
   }
@@ -206,7 +279,12 @@
     for (let i = 0; this.life === life && this.want.has(topic); i++) {
       const cursor = this.cursors.get(topic);
       journal.add({ k: 'sub.ask', consumer: this.name, conn, topic, cursor });
-      const r = await way.visit(this.nodeFor(node), 'Subscribe', { conn, topic, ...(cursor === undefined ? {} : { cursor }) }, 8_000);
+      const r = await way.visit(
+        this.nodeFor(node),
+        'Subscribe',
+        { conn, topic, ...(cursor === undefined ? {} : { cursor }) },
+        8_000,
+      );
       if (this.life !== life) return;
       if (r?.status === 200) {
         journal.add({ k: 'sub.ok', consumer: this.name, conn, topic, sub: r.body.sub, cursor, next: r.body.next });
@@ -215,7 +293,10 @@
       }
       const tag: string = r?.body?.error?.tag ?? 'no answer';
       journal.add({ k: 'sub.fail', consumer: this.name, conn, topic, cursor, tag });
-      if (tag === 'unknown_conn') { this.end('unknown_conn'); return; }
+      if (tag === 'unknown_conn') {
+        this.end('unknown_conn');
+        return;
+      }
       if (tag === 'cursor_expired' || tag === 'cursor_ahead') this.cursors.delete(topic);
       await sleep(clock, r?.body?.error?.retryAfterMs ?? 500 + 500 * rnd.next());
     }
@@ -231,13 +312,22 @@
   private seqs = new Map<string, number>();
   private busy = new Set<string>();
   private running = false;
-  constructor(private w: World, readonly name: string, public domain: string, private topics: string[], private everyMs: number, private opts: { triesN?: number; bodyBytes?: number; repeats?: number } = {}) {}
+  constructor(
+    private w: World,
+    readonly name: string,
+    public domain: string,
+    private topics: string[],
+    private everyMs: number,
+    private opts: { triesN?: number; bodyBytes?: number; repeats?: number } = {},
+  ) {}
 
   start(): void {
     this.running = true;
     void this.live();
   }
-  stop(): void { this.running = false; }
+  stop(): void {
+    this.running = false;
+  }
 
   private async live(): Promise<void> {
     const { clock, rnd } = this.w;
@@ -259,13 +349,27 @@
     try {
       for (let i = 0; i < (this.opts.triesN ?? 6); i++) {
         const node = pick(this.w, this.domain);
-        if (!node) { await sleep(clock, 400); continue; }
+        if (!node) {
+          await sleep(clock, 400);
+          continue;
+        }
         const n = ++tries;
         journal.add({ k: 'pub.try', try: n, sender: this.name, topic, seq, body, node, domain: this.domain });
         const r = await way.visit(node, 'Publish', { sender: this.name, topic, seq, body }, 5_000);
         const retryMs: number | undefined = r?.body?.rejected?.retryAfterMs ?? r?.body?.error?.retryAfterMs;
         const say = (out: 'accepted' | 'rejected' | 'unknown', x: { offset?: number; tag?: string } = {}): void =>
-          journal.add({ k: 'pub.answer', try: n, sender: this.name, topic, seq, out, node, ...x, ...(r ? { status: r.status } : {}), ...(retryMs === undefined ? {} : { retryMs }) });
+          journal.add({
+            k: 'pub.answer',
+            try: n,
+            sender: this.name,
+            topic,
+            seq,
+            out,
+            node,
+            ...x,
+            ...(r ? { status: r.status } : {}),
+            ...(retryMs === undefined ? {} : { retryMs }),
+          });
         if (r?.status === 200 && r.body.accepted) {
           say('accepted', { offset: r.body.accepted.offset });
           if (rnd.next() < (this.opts.repeats ?? 0)) void this.repeat(topic, seq, body);
@@ -307,7 +411,11 @@
 
 type Told = { out: 'accepted' | 'rejected' | 'unknown'; tag: string; answered: boolean };
 /** One try to publish, written down. */
-async function publishOnce(w: World, p: { sender: string; topic: string; seq: number; body: string; node: string; domain: string; line?: string }, line?: Line): Promise<Told> {
+async function publishOnce(
+  w: World,
+  p: { sender: string; topic: string; seq: number; body: string; node: string; domain: string; line?: string },
+  line?: Line,
+): Promise<Told> {
   const n = ++tries;
   const { sender, topic, seq, body, node } = p;
   w.journal.add({ k: 'pub.try', try: n, ...p });
@@ -315,10 +423,23 @@
   const retryMs: number | undefined = r?.body?.rejected?.retryAfterMs ?? r?.body?.error?.retryAfterMs;
   const offset: number | undefined = r?.body?.accepted?.offset;
   const tag: string = offset !== undefined ? '' : (r?.body?.rejected?.reason ?? r?.body?.error?.tag ?? 'no answer');
-  const out = offset !== undefined ? 'accepted' : r?.body?.rejected || ['unknown_topic', 'too_large', 'bad_visit'].includes(tag) ? 'rejected' : 'unknown';
+  const out =
+    offset !== undefined
+      ? 'accepted'
+      : r?.body?.rejected || ['unknown_topic', 'too_large', 'bad_visit'].includes(tag)
+        ? 'rejected'
+        : 'unknown';
   w.journal.add({
-    k: 'pub.answer', try: n, sender, topic, seq, out, node, ...(offset === undefined ? { tag } : { offset }),
-    ...(r ? { status: r.status } : {}), ...(retryMs === undefined ? {} : { retryMs }),
+    k: 'pub.answer',
+    try: n,
+    sender,
+    topic,
+    seq,
+    out,
+    node,
+    ...(offset === undefined ? { tag } : { offset }),
+    ...(r ? { status: r.status } : {}),
+    ...(retryMs === undefined ? {} : { retryMs }),
   });
   return { out, tag, answered: r !== undefined };
 }
@@ -337,7 +458,14 @@
   private node?: string;
   private line: Line;
   private lines = 0;
-  constructor(private w: World, readonly name: string, public domain: string, readonly topic: string, private everyMs: number, private windowN = 8) {
+  constructor(
+    private w: World,
+    readonly name: string,
+    public domain: string,
+    readonly topic: string,
+    private everyMs: number,
+    private windowN = 8,
+  ) {
     this.line = this.connection();
   }
   private connection(): Line {
@@ -349,7 +477,9 @@
     this.running = true;
     void this.live();
   }
-  stop(): void { this.running = false; }
+  stop(): void {
+    this.running = false;
+  }
 
   private async live(): Promise<void> {
     const { clock, rnd } = this.w;
@@ -358,7 +488,10 @@
       this.node ??= pick(this.w, this.domain);
       if (!this.node) continue;
       const again = [...this.open].filter(([, x]) => x.again);
-      if (again.length) { for (const [seq] of again) void this.send(seq); continue; }
+      if (again.length) {
+        for (const [seq] of again) void this.send(seq);
+        continue;
+      }
       // Now and then several at once.
       for (let n = rnd.next() < 0.3 ? 5 : 1; n > 0 && this.open.size < this.windowN; n--) {
         const seq = ++this.seq;
@@ -373,8 +506,19 @@
     x.again = false;
     x.tries++;
     const { node, line } = this;
-    const told = await publishOnce(this.w, { sender: this.name, topic: this.topic, seq, body: x.body, node: node!, domain: this.domain, line: line.name }, line);
-    if (told.out === 'accepted' || ['stale_seq', 'unknown_topic', 'too_large', 'bad_visit'].includes(told.tag) || x.tries >= 20) { this.open.delete(seq); return; }
+    const told = await publishOnce(
+      this.w,
+      { sender: this.name, topic: this.topic, seq, body: x.body, node: node!, domain: this.domain, line: line.name },
+      line,
+    );
+    if (
+      told.out === 'accepted' ||
+      ['stale_seq', 'unknown_topic', 'too_large', 'bad_visit'].includes(told.tag) ||
+      x.tries >= 20
+    ) {
+      this.open.delete(seq);
+      return;
+    }
     if (this.open.get(seq) === x) x.again = true;
     if (told.answered || this.line !== line) return;
     // The connection broke: all that was on it is sent again on another.
@@ -390,19 +534,44 @@
  * await new Operator(world, 'op').submit('c1', config, true);
  */
 export class Operator {
-  constructor(private w: World, private name: string) {}
-
-  async submit(changeId: string, config: unknown, valid: boolean, expect?: number): Promise<{ out: string; version?: number }> {
+  constructor(
+    private w: World,
+    private name: string,
+  ) {}
+
+  async submit(
+    changeId: string,
+    config: unknown,
+    valid: boolean,
+    expect?: number,
+  ): Promise<{ out: string; version?: number }> {
     const { clock, journal, way, rnd } = this.w;
     for (let i = 0; i < 25; i++) {
       const node = sample(rnd, way.nodes(), 1)[0];
-      if (!node) { await sleep(clock, 400); continue; }
+      if (!node) {
+        await sleep(clock, 400);
+        continue;
+      }
       journal.add({ k: 'cfg.submit', changeId, expect, config, valid });
-      const r = await way.visit(node, 'SubmitConfig', { changeId, config, ...(expect === undefined ? {} : { expect }) }, 9_000);
+      const r = await way.visit(
+        node,
+        'SubmitConfig',
+        { changeId, config, ...(expect === undefined ? {} : { expect }) },
+        9_000,
+      );
       const tag = r?.body?.error?.tag;
-      if (r?.status === 200) { journal.add({ k: 'cfg.answer', changeId, out: 'taken', version: r.body.version }); return { out: 'taken', version: r.body.version }; }
-      if (tag === 'conflict') { journal.add({ k: 'cfg.answer', changeId, out: 'conflict', version: r!.body.error.version }); return { out: 'conflict' }; }
-      if (tag === 'invalid_config') { journal.add({ k: 'cfg.answer', changeId, out: 'invalid' }); return { out: 'invalid' }; }
+      if (r?.status === 200) {
+        journal.add({ k: 'cfg.answer', changeId, out: 'taken', version: r.body.version });
+        return { out: 'taken', version: r.body.version };
+      }
+      if (tag === 'conflict') {
+        journal.add({ k: 'cfg.answer', changeId, out: 'conflict', version: r!.body.error.version });
+        return { out: 'conflict' };
+      }
+      if (tag === 'invalid_config') {
+        journal.add({ k: 'cfg.answer', changeId, out: 'invalid' });
+        return { out: 'invalid' };
+      }
       journal.add({ k: 'cfg.answer', changeId, out: 'unanswered' });
       await sleep(clock, 300 + 300 * rnd.next());
     }
@@ -413,21 +582,32 @@
    * Sends a configuration with a revision, the same one to any node until it has a clear answer; a second of silence is none. Callers
    * of this kind may be several: the highest revision holds.
    */
-  async revise(revision: number, config: unknown, valid: boolean, document: unknown): Promise<{ out: string; version?: number }> {
+  async revise(
+    revision: number,
+    config: unknown,
+    valid: boolean,
+    document: unknown,
+  ): Promise<{ out: string; version?: number }> {
     const { clock, journal, way, rnd } = this.w;
     const changeId = `revision-${revision}`;
     for (let i = 0; i < 60; i++) {
       const node = sample(rnd, way.nodes(), 1)[0];
-      if (!node) { await sleep(clock, 400); continue; }
+      if (!node) {
+        await sleep(clock, 400);
+        continue;
+      }
       const asked = clock.now();
       journal.add({ k: 'cfg.submit', changeId, revision, document, config, valid });
       const r = await way.visit(node, 'SubmitConfig', { revision, document, config }, 1_000);
       if (r?.status === 200) {
-        const out = r.body.revision === revision ? 'taken' as const : 'overtaken' as const;
+        const out = r.body.revision === revision ? ('taken' as const) : ('overtaken' as const);
         journal.add({ k: 'cfg.answer', changeId, out, version: r.body.version, revision: r.body.revision, asked });
         return { out, version: r.body.version };
       }
-      if (r?.body?.error?.tag === 'invalid_config') { journal.add({ k: 'cfg.answer', changeId, out: 'invalid' }); return { out: 'invalid' }; }
+      if (r?.body?.error?.tag === 'invalid_config') {
+        journal.add({ k: 'cfg.answer', changeId, out: 'invalid' });
+        return { out: 'invalid' };
+      }
       journal.add({ k: 'cfg.answer', changeId, out: 'unanswered' });
       await sleep(clock, Math.min(1_600, 100 * 2 ** i) * (0.5 + rnd.next()));
     }
@@ -440,7 +620,18 @@
       const node = sample(rnd, way.nodes(), 1)[0];
       const asked = clock.now();
       const r = node ? await way.visit(node, 'ReadConfig', {}, 8_000) : undefined;
-      if (r?.status === 200) { journal.add({ k: 'cfg.read', asked, version: r.body.version, revision: r.body.revision, document: r.body.document, config: r.body.config, last }); return r.body.version; }
+      if (r?.status === 200) {
+        journal.add({
+          k: 'cfg.read',
+          asked,
+          version: r.body.version,
+          revision: r.body.revision,
+          document: r.body.document,
+          config: r.body.config,
+          last,
+        });
+        return r.body.version;
+      }
       await sleep(clock, 400);
     }
     return undefined;
@@ -451,7 +642,11 @@
     const { journal } = this.w;
     journal.add({ k: 'cfg.submit', changeId, config: { ...base, moves }, valid: true });
     const r = await this.ask('PlanMoves', { changeId, moves });
-    journal.add(r.status === 200 ? { k: 'cfg.answer', changeId, out: 'taken', version: r.body.version } : { k: 'cfg.answer', changeId, out: 'invalid' });
+    journal.add(
+      r.status === 200
+        ? { k: 'cfg.answer', changeId, out: 'taken', version: r.body.version }
+        : { k: 'cfg.answer', changeId, out: 'invalid' },
+    );
     return r;
   }
 
@@ -470,13 +665,26 @@
   /** Asks nodes which version they serve by. */
   async look(nodes: string[]): Promise<void> {
     const { clock, journal, way } = this.w;
-    await Promise.all(nodes.map(async (node) => {
-      const asked = clock.now();
-      const r = await way.visit(node, 'Node', {}, 3_000);
-      if (r?.status !== 200) { journal.add({ k: 'node.silent', asked, node }); return; }
-      const kept = r.body.copies.reduce((n: number, c: { kept: number }) => n + c.kept, 0);
-      journal.add({ k: 'node.says', asked, node, version: r.body.version, fresh: r.body.fresh, holdings: r.body.holdings, kept });
-    }));
+    await Promise.all(
+      nodes.map(async (node) => {
+        const asked = clock.now();
+        const r = await way.visit(node, 'Node', {}, 3_000);
+        if (r?.status !== 200) {
+          journal.add({ k: 'node.silent', asked, node });
+          return;
+        }
+        const kept = r.body.copies.reduce((n: number, c: { kept: number }) => n + c.kept, 0);
+        journal.add({
+          k: 'node.says',
+          asked,
+          node,
+          version: r.body.version,
+          fresh: r.body.fresh,
+          holdings: r.body.holdings,
+          kept,
+        });
+      }),
+    );
   }
 
   async count(topic: string): Promise<void> {
@@ -488,7 +696,9 @@
     if (r?.status === 200) journal.add({ k: 'count', asked, topic, count: r.body.count, partial: r.body.partial });
   }
 
-  get label(): string { return this.name; }
+  get label(): string {
+    return this.name;
+  }
 }
 
 /**
@@ -501,13 +711,21 @@
   at = 0;
   private running = false;
   private seq = 0;
-  constructor(private w: World, private everyMs = 50) {}
+  constructor(
+    private w: World,
+    private everyMs = 50,
+  ) {}
 
   start(nodes: string[]): void {
     this.running = true;
-    for (const n of nodes) { void this.ask(n, 'Publish'); void this.ask(n, 'Subscribe'); }
+    for (const n of nodes) {
+      void this.ask(n, 'Publish');
+      void this.ask(n, 'Subscribe');
+    }
+  }
+  stop(): void {
+    this.running = false;
   }
-  stop(): void { this.running = false; }
 
   private async ask(node: string, by: 'Publish' | 'Subscribe'): Promise<void> {
     const { clock, way, journal } = this.w;
@@ -526,23 +744,47 @@
           const r = await way.visit(node, 'Publish', { sender: own.sender, topic, seq, body: 'mark' }, 4_000);
           const tag: string = r?.body?.error?.tag ?? r?.body?.rejected?.reason ?? 'no answer';
           const out = r?.body?.accepted ? 'in' : tag === 'unknown_topic' ? 'out' : undefined;
-          if (out === 'in') journal.add({ k: 'pub.answer', ...own, node, out: 'accepted', offset: r!.body.accepted.offset });
-          else journal.add({ k: 'pub.answer', ...own, node, out: out === 'out' || r?.body?.rejected ? 'rejected' : 'unknown', tag });
+          if (out === 'in')
+            journal.add({ k: 'pub.answer', ...own, node, out: 'accepted', offset: r!.body.accepted.offset });
+          else
+            journal.add({
+              k: 'pub.answer',
+              ...own,
+              node,
+              out: out === 'out' || r?.body?.rejected ? 'rejected' : 'unknown',
+              tag,
+            });
           if (out) journal.add({ k: 'mark', asked, node, mark, by, seen: out });
           return;
         }
         if (!conn) {
           conn = '-';
-          const close = way.attach(node, { consumer: `marker-${node}-${++this.seq}`, pingS: 60 }, (f) => { if (f.t === 'ATTACHED') conn = f.conn; }, () => { conn = ''; });
-          void sleep(clock, 3_000).then(() => { if (conn === '-') { close(); conn = ''; } });
+          const close = way.attach(
+            node,
+            { consumer: `marker-${node}-${++this.seq}`, pingS: 60 },
+            (f) => {
+              if (f.t === 'ATTACHED') conn = f.conn;
+            },
+            () => {
+              conn = '';
+            },
+          );
+          void sleep(clock, 3_000).then(() => {
+            if (conn === '-') {
+              close();
+              conn = '';
+            }
+          });
           return;
         }
         if (conn === '-') return;
         const mine = conn;
         const r = await way.visit(node, 'Subscribe', { conn: mine, topic }, 4_000);
         const tag = r?.body?.error?.tag;
-        if (r?.status === 200) { journal.add({ k: 'mark', asked, node, mark, by, seen: 'in' }); void way.visit(node, 'Unsubscribe', { conn: mine, topic }, 4_000); }
-        else if (tag === 'unknown_topic') journal.add({ k: 'mark', asked, node, mark, by, seen: 'out' });
+        if (r?.status === 200) {
+          journal.add({ k: 'mark', asked, node, mark, by, seen: 'in' });
+          void way.visit(node, 'Unsubscribe', { conn: mine, topic }, 4_000);
+        } else if (tag === 'unknown_topic') journal.add({ k: 'mark', asked, node, mark, by, seen: 'out' });
         else if (tag === 'unknown_conn' && conn === mine) conn = '';
       })();
     }
@@ -579,13 +821,20 @@
   // Done when everything has come; the limit is for what never does.
   const owed = new Set<string>();
   for (const s of journal.seen) {
-    if (s.k === 'pub.answer' && s.out === 'accepted' && s.offset! >= (least.get(s.topic) ?? Infinity)) owed.add(`${s.topic}\n${s.offset}`);
+    if (s.k === 'pub.answer' && s.out === 'accepted' && s.offset! >= (least.get(s.topic) ?? Infinity))
+      owed.add(`${s.topic}\n${s.offset}`);
   }
   let at = journal.seen.length;
   for (const until = clock.now() + forMs; owed.size && clock.now() < until;) {
     await sleep(clock, 200);
-    for (; at < journal.seen.length; at++) { const s = journal.seen[at]!; if (s.k === 'deliver' && s.consumer.startsWith(name)) owed.delete(`${s.topic}\n${s.offset}`); }
+    for (; at < journal.seen.length; at++) {
+      const s = journal.seen[at]!;
+      if (s.k === 'deliver' && s.consumer.startsWith(name)) owed.delete(`${s.topic}\n${s.offset}`);
+    }
+  }
+  for (const c of readers) {
+    c.stop();
+    journal.add({ k: 'audit.end', consumer: c.name });
   }
-  for (const c of readers) { c.stop(); journal.add({ k: 'audit.end', consumer: c.name }); }
   return topics.length;
 }
--- a/packages/trial/src/capacity-data.ts
+++ b/packages/trial/src/capacity-data.ts
@@ -5,47 +5,56 @@
 const strict = { additionalProperties: false };
 
 /** One quantity against one size, as it was measured. */
-export const Series = Type.Object({
-  id: Type.String({ pattern: '^[a-z]+(-[a-z]+)*$' }),
-  title: Type.String({ minLength: 1 }),
-  /** What the size counts, and the unit of the quantity. */
-  x: Type.String({ minLength: 1 }),
-  y: Type.String({ minLength: 1 }),
-  /** `virtual`: real code in the simulator; `loopback`: real processes; `direct`: real functions called in one process. */
-  way: Type.Union([Type.Literal('virtual'), Type.Literal('loopback'), Type.Literal('direct')]),
-  command: Type.String({ minLength: 1 }),
-  commit: Type.String({ pattern: '^[0-9a-f]{7,40}$' }),
-  /** The machine's load average over a minute, when the part began: what else ran beside it. */
-  load: Type.Number({ minimum: 0 }),
-  points: Type.Array(Type.Object({ x: Type.Number(), y: Type.Number() }, strict), { minItems: 1 }),
-}, strict);
+export const Series = Type.Object(
+  {
+    id: Type.String({ pattern: '^[a-z]+(-[a-z]+)*$' }),
+    title: Type.String({ minLength: 1 }),
+    /** What the size counts, and the unit of the quantity. */
+    x: Type.String({ minLength: 1 }),
+    y: Type.String({ minLength: 1 }),
+    /** `virtual`: real code in the simulator; `loopback`: real processes; `direct`: real functions called in one process. */
+    way: Type.Union([Type.Literal('virtual'), Type.Literal('loopback'), Type.Literal('direct')]),
+    command: Type.String({ minLength: 1 }),
+    commit: Type.String({ pattern: '^[0-9a-f]{7,40}$' }),
+    /** The machine's load average over a minute, when the part began: what else ran beside it. */
+    load: Type.Number({ minimum: 0 }),
+    points: Type.Array(Type.Object({ x: Type.Number(), y: Type.Number() }, strict), { minItems: 1 }),
+  },
+  strict,
+);
 export type Series = Static<typeof Series>;
 
 /** What became of a fleet in one loss, in virtual time. */
-export const Drill = Type.Object({
-  id: Type.String({ pattern: '^[a-z]+(-[a-z]+)*$' }),
-  title: Type.String({ minLength: 1 }),
-  command: Type.String({ minLength: 1 }),
-  commit: Type.String({ pattern: '^[0-9a-f]{7,40}$' }),
-  nodes: Type.Integer({ minimum: 1 }),
-  /** Shares 0..1 of nodes left that may serve, and of shards with an owner that may serve, 15 s after. */
-  fresh: Type.Number({ minimum: 0, maximum: 1 }),
-  owned: Type.Number({ minimum: 0, maximum: 1 }),
-  /** The longest time any shard was without an owner that may serve, ms; what was so at the end counts to the end. */
-  gapMs: Type.Number({ minimum: 0 }),
-  /** Whether a change of configuration at a node that is left was taken. */
-  change: Type.Boolean(),
-}, strict);
+export const Drill = Type.Object(
+  {
+    id: Type.String({ pattern: '^[a-z]+(-[a-z]+)*$' }),
+    title: Type.String({ minLength: 1 }),
+    command: Type.String({ minLength: 1 }),
+    commit: Type.String({ pattern: '^[0-9a-f]{7,40}$' }),
+    nodes: Type.Integer({ minimum: 1 }),
+    /** Shares 0..1 of nodes left that may serve, and of shards with an owner that may serve, 15 s after. */
+    fresh: Type.Number({ minimum: 0, maximum: 1 }),
+    owned: Type.Number({ minimum: 0, maximum: 1 }),
+    /** The longest time any shard was without an owner that may serve, ms; what was so at the end counts to the end. */
+    gapMs: Type.Number({ minimum: 0 }),
+    /** Whether a change of configuration at a node that is left was taken. */
+    change: Type.Boolean(),
+  },
+  strict,
+);
 export type Drill = Static<typeof Drill>;
 
-export const Measured = Type.Object({
-  /** Cores and memory of the machine, and the Node that ran. */
-  cores: Type.Integer({ minimum: 1 }),
-  memoryGiB: Type.Number({ exclusiveMinimum: 0 }),
-  node: Type.String({ minLength: 1 }),
-  series: Type.Array(Series),
-  drills: Type.Array(Drill),
-}, strict);
+export const Measured = Type.Object(
+  {
+    /** Cores and memory of the machine, and the Node that ran. */
+    cores: Type.Integer({ minimum: 1 }),
+    memoryGiB: Type.Number({ exclusiveMinimum: 0 }),
+    node: Type.String({ minLength: 1 }),
+    series: Type.Array(Series),
+    drills: Type.Array(Drill),
+  },
+  strict,
+);
 export type Measured = Static<typeof Measured>;
 
 const check = Compile(Measured);
@@ -105,7 +114,10 @@
 }
 
 /** What a machine has for a trial. */
-export interface Machine { cores: number; memoryBytes: number }
+export interface Machine {
+  cores: number;
+  memoryBytes: number;
+}
 /** What is asked of it. */
 export interface Demand {
   /** Nodes of the simulated fleet, all in one process. */
@@ -153,17 +165,25 @@
   const checkOne = (what: string, n: number, bytes: number, least: number, most: number): string | undefined => {
     if (!Number.isInteger(n) || n < least) return `${what} ${n}: must be a whole number of at least ${least}`;
     if (n > most) return `${what} ${n}: at most ${most}`;
-    if (n * bytes > room) return `${what} ${n}: needs about ${gib(n * bytes)}, half of this machine's memory is ${gib(room)}`;
+    if (n * bytes > room)
+      return `${what} ${n}: needs about ${gib(n * bytes)}, half of this machine's memory is ${gib(room)}`;
     return undefined;
   };
-  const most = (xs: number[] | undefined, f: (n: number) => string | undefined): string | undefined => xs?.map(f).find((w) => w !== undefined);
-  for (const [what, xs] of Object.entries(d) as [string, number[]][]) if (new Set(xs).size < 3) return `${what} ${xs.join(',')}: a slope \
+  const most = (xs: number[] | undefined, f: (n: number) => string | undefined): string | undefined =>
+    xs?.map(f).find((w) => w !== undefined);
+  for (const [what, xs] of Object.entries(d) as [string, number[]][])
+    if (new Set(xs).size < 3)
+      return `${what} ${xs.join(',')}: a slope \
 needs three different sizes`;
-  return most(d.hollow, (n) => checkOne('hollow', n, BOUNDS.hollowBytes, 12, Infinity))
-    ?? most(d.conns, (n) => checkOne('conns', n, 64 * 1024, 1, BOUNDS.connsN))
-    ?? most(d.processes, (n) => checkOne('processes', n, BOUNDS.processBytes, 5, Math.min(BOUNDS.processesN, m.cores * BOUNDS.processesPerCore)))
-    ?? most(d.shards, (n) => checkOne('shards', n, BOUNDS.shardBytes, 1, Infinity))
-    ?? most(d.peers, (n) => checkOne('peers', n, BOUNDS.peerBytes, 1, BOUNDS.peersN));
+  return (
+    most(d.hollow, (n) => checkOne('hollow', n, BOUNDS.hollowBytes, 12, Infinity)) ??
+    most(d.conns, (n) => checkOne('conns', n, 64 * 1024, 1, BOUNDS.connsN)) ??
+    most(d.processes, (n) =>
+      checkOne('processes', n, BOUNDS.processBytes, 5, Math.min(BOUNDS.processesN, m.cores * BOUNDS.processesPerCore)),
+    ) ??
+    most(d.shards, (n) => checkOne('shards', n, BOUNDS.shardBytes, 1, Infinity)) ??
+    most(d.peers, (n) => checkOne('peers', n, BOUNDS.peerBytes, 1, BOUNDS.peersN))
+  );
 }
 
 /**
--- a/packages/trial/src/capacity-virtual.ts
+++ b/packages/trial/src/capacity-virtual.ts
@@ -14,7 +14,10 @@
 const ZONES = ['north-1', 'north-2', 'south-1', 'south-2'];
 const CONTROL_N = 4;
 
-const cpuMs = (): number => { const c = process.cpuUsage(); return (c.user + c.system) / 1000; };
+const cpuMs = (): number => {
+  const c = process.cpuUsage();
+  return (c.user + c.system) / 1000;
+};
 const heapMiB = (): number => {
   (globalThis as { gc?: () => void }).gc?.();
   return (process.memoryUsage().heapUsed + process.memoryUsage().external) / 1024 ** 2;
@@ -24,9 +27,15 @@
 export function valueOf(shardsN: number, disksN: number): Value {
   const disks = new Map<string, DiskRec>();
   for (let i = 0; i < disksN; i++) {
-    const id = `d${(i * 2654435761 >>> 0).toString(36).padStart(7, '0')}`;
-    disks.set(id, { id, peer: `10.0.${i >> 8}.${i & 255}:7100`, domain: ZONES[i % ZONES.length]!, state: 'active', uses: ['seat',
-      'copies'], name: `10.0.${i >> 8}.${i & 255}:7100` });
+    const id = `d${((i * 2654435761) >>> 0).toString(36).padStart(7, '0')}`;
+    disks.set(id, {
+      id,
+      peer: `10.0.${i >> 8}.${i & 255}:7100`,
+      domain: ZONES[i % ZONES.length]!,
+      state: 'active',
+      uses: ['seat', 'copies'],
+      name: `10.0.${i >> 8}.${i & 255}:7100`,
+    });
   }
   const ids = [...disks.keys()];
   // Which disks hardly matters for what the value weighs; rendezvous over all of them is measured apart.
@@ -35,23 +44,64 @@
   for (let s = 0; s < shardsN; s++) shards.set(s, { gen: 1, copies: sample(rnd, ids, Math.min(C.copiesN, disksN)) });
   const seats = ids.slice(0, Math.min(C.seatsN, disksN));
   return {
-    fleet: 'f', rev: 1, version: 1, changeId: '', config: { families: [] }, eras: new Map(), disks, seats, prevSeats: seats, shards,
-    copies: C.copiesN, changes: new Map(), moves: new Map(),
+    fleet: 'f',
+    rev: 1,
+    version: 1,
+    changeId: '',
+    config: { families: [] },
+    eras: new Map(),
+    disks,
+    seats,
+    prevSeats: seats,
+    shards,
+    copies: C.copiesN,
+    changes: new Map(),
+    moves: new Map(),
   };
 }
 
 /** What the flat table of placements costs: its value, and the orders that are worked out from it. */
 export function takeValue(sizes: number[], say: Say): Taken[] {
-  const weigh: Taken = { id: 'value-bytes', title: 'The register\'s value as it is sent (deflated), 550 disks', x: 'shards', y: 'KiB',
+  const weigh: Taken = {
+    id: 'value-bytes',
+    title: "The register's value as it is sent (deflated), 550 disks",
+    x: 'shards',
+    y: 'KiB',
+    way: 'direct',
+    points: [],
+  };
+  const packing: Taken = {
+    id: 'value-pack',
+    title: 'Packing and unpacking the value once',
+    x: 'shards',
+    y: 'ms of processor',
+    way: 'direct',
+    points: [],
+  };
+  const memory: Taken = {
+    id: 'value-memory',
+    title: 'Memory of the value, unpacked, once',
+    x: 'shards',
+    y: 'MiB',
     way: 'direct',
-    points: [] };
-  const packing: Taken = { id: 'value-pack', title: 'Packing and unpacking the value once', x: 'shards', y: 'ms of processor', way: 'direct',
-    points: [] };
-  const memory: Taken = { id: 'value-memory', title: 'Memory of the value, unpacked, once', x: 'shards', y: 'MiB', way: 'direct', points: [] };
-  const owners: Taken = { id: 'value-owners', title: 'Working out the wanted owners once (each disk\'s node, 4 times a second)', x: 'shards',
-    y: 'ms of processor', way: 'direct', points: [] };
-  const copies: Taken = { id: 'value-copies', title: 'Working out the wanted copies once on 110 disks (the keeper, twice a second)', x: 'shards',
-    y: 'ms of processor', way: 'direct', points: [] };
+    points: [],
+  };
+  const owners: Taken = {
+    id: 'value-owners',
+    title: "Working out the wanted owners once (each disk's node, 4 times a second)",
+    x: 'shards',
+    y: 'ms of processor',
+    way: 'direct',
+    points: [],
+  };
+  const copies: Taken = {
+    id: 'value-copies',
+    title: 'Working out the wanted copies once on 110 disks (the keeper, twice a second)',
+    x: 'shards',
+    y: 'ms of processor',
+    way: 'direct',
+    points: [],
+  };
   for (const n of sizes) {
     for (let again = 0; again < 3; again++) {
       const v = valueOf(n, 550);
@@ -123,7 +173,12 @@
   }
 }
 
-interface Hollow { sim: Sim; control: SimNode[]; rest: SimNode[]; all: SimNode[] }
+interface Hollow {
+  sim: Sim;
+  control: SimNode[];
+  rest: SimNode[];
+  all: SimNode[];
+}
 
 /**
  * A fleet of hollow nodes: four control machines, every fifth of the others with a disk for copies, no callers. Two losses are to be
@@ -131,7 +186,9 @@
  */
 async function hollow(seed: number, size: number, controlSeatsOnly = false): Promise<Hollow> {
   const sim = new Sim(seed);
-  const control = Array.from({ length: CONTROL_N }, (_, i) => sim.add(`control${i + 1}`, { role: 'control', domain: ZONES[i]!, disk: true }));
+  const control = Array.from({ length: CONTROL_N }, (_, i) =>
+    sim.add(`control${i + 1}`, { role: 'control', domain: ZONES[i]!, disk: true }),
+  );
   const rest = Array.from({ length: size - CONTROL_N }, (_, i) => {
     const disk = Math.floor(i / ZONES.length) % 5 === 0;
     const n = sim.add(`node${i + 1}`, { role: 'relay', domain: ZONES[i % ZONES.length]!, disk });
@@ -139,12 +196,16 @@
     return n;
   });
   const all = [...control, ...rest];
-  for (const n of all) { n.config.losses = 2; n.config.seeds = control.slice(0, 3).map((c) => c.config.peer); void sim.clock.after(sim.rnd.next() * 1500,
-    () => void sim.start(n)); }
+  for (const n of all) {
+    n.config.losses = 2;
+    n.config.seeds = control.slice(0, 3).map((c) => c.config.peer);
+    void sim.clock.after(sim.rnd.next() * 1500, () => void sim.start(n));
+  }
   // Until every node may serve and every shard has its owner.
   for (let i = 0; i < 120; i++) {
     await sim.run(sim.now + 500);
-    if (i > 16 && all.every((n) => n.kernel && n.kernel.use('register').fresh()) && owned(all).size === C.shardsN) break;
+    if (i > 16 && all.every((n) => n.kernel && n.kernel.use('register').fresh()) && owned(all).size === C.shardsN)
+      break;
   }
   await sim.run(sim.now + 4_000);
   return { sim, control, rest, all };
@@ -158,25 +219,43 @@
     const o = n.kernel.use('owner');
     const keys = (o as unknown as { keys: Map<number, Key> }).keys;
     // As the owner itself judges before it serves: a majority of the copies answered it lately.
-    for (const k of o.owned()) if (n.kernel.host.clock.now() - keys.get(k.shard)!.heardAt() <= C.doubtMs) out.add(k.shard);
+    for (const k of o.owned())
+      if (n.kernel.host.clock.now() - keys.get(k.shard)!.heardAt() <= C.doubtMs) out.add(k.shard);
   }
   return out;
 }
 
-const CONFIG = { families: [{ name: 'feeds', topics: ['feed/*'], urgency: 'routine', patienceMs: 2_000, memoryS: 35 }] };
+const CONFIG = {
+  families: [{ name: 'feeds', topics: ['feed/*'], urgency: 'routine', patienceMs: 2_000, memoryS: 35 }],
+};
 
 /** The whole control plane at several sizes, in virtual time. */
 export async function takeControl(sizes: number[], seeds: number[], say: Say): Promise<Taken[]> {
-  const one = (id: string, title: string, y: string): Taken => ({ id, title, x: 'nodes', y, way: 'virtual', points: [] });
+  const one = (id: string, title: string, y: string): Taken => ({
+    id,
+    title,
+    x: 'nodes',
+    y,
+    way: 'virtual',
+    points: [],
+  });
   const visits = one('control-requests', 'Requests a node got, quiet fleet, mean of all but the seats', 'a second');
-  const bytes = one('control-bytes', 'Bytes a node sent and got, requests and answers, mean of all but the seats', 'KiB/s');
+  const bytes = one(
+    'control-bytes',
+    'Bytes a node sent and got, requests and answers, mean of all but the seats',
+    'KiB/s',
+  );
   const most = one('control-bytes-most', 'The same at the busiest node without a seat', 'KiB/s');
   const seats = one('seat-requests', 'Requests a seat got', 'a second');
   const seatBytes = one('seat-bytes', 'Bytes a seat sent and got', 'KiB/s');
   const confirms = one('seat-confirms', 'Confirmations a seat answered', 'a second');
   const cpu = one('hollow-cpu', 'Processor time a hollow node and second, simulator included', 'ms');
   const memory = one('hollow-memory', 'Memory a hollow node', 'MiB');
-  const force = one('config-force', 'A configuration at every node after its answer, the slowest node of five changes', 'ms');
+  const force = one(
+    'config-force',
+    'A configuration at every node after its answer, the slowest node of five changes',
+    'ms',
+  );
   const usual = one('config-usual', 'The same, 99 in 100 of nodes', 'ms');
   const frozen = one('frozen-suspected', 'A frozen node suspected by every other', 'ms');
   const sum = <T>(xs: T[], f: (x: T) => number): number => xs.reduce((a, x) => a + f(x), 0);
@@ -208,18 +287,28 @@
       seatBytes.points.push({ x: size, y: sum(sat, kib) / sat.length });
       confirms.points.push({ x: size, y: sum(sat, (n) => meter.requests(n.config.peer, 'RegRead')) / sat.length / S });
 
-      const histogram = buildHistogram({ lowestDiscernibleValue: 1, highestTrackableValue: 600_000, numberOfSignificantValueDigits: 3 });
+      const histogram = buildHistogram({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: 600_000,
+        numberOfSignificantValueDigits: 3,
+      });
       for (let i = 0; i < 5; i++) {
         const at = h.rest[Math.floor(sim.rnd.next() * h.rest.length)]!;
         const from = all[0]!.kernel!.use('register').value!.version;
         let told = 0;
         const inForce = new Map<SimNode, number>();
-        void sim.outside.visit(at.config.client, 'SubmitConfig', { changeId: `s${i}`, config: CONFIG }, 10_000).then(() => { told = sim.now; });
+        void sim.outside
+          .visit(at.config.client, 'SubmitConfig', { changeId: `s${i}`, config: CONFIG }, 10_000)
+          .then(() => {
+            told = sim.now;
+          });
         for (const until = sim.now + 30_000; sim.now < until && (!told || inForce.size < all.length);) {
           await sim.run(sim.now + 10);
-          for (const n of all) if (!inForce.has(n) && (n.kernel!.use('register').value?.version ?? 0) > from) inForce.set(n, sim.now);
+          for (const n of all)
+            if (!inForce.has(n) && (n.kernel!.use('register').value?.version ?? 0) > from) inForce.set(n, sim.now);
         }
-        if (!told || inForce.size < all.length) throw new Error(`${size} nodes: a configuration was in force at ${inForce.size} of them \
+        if (!told || inForce.size < all.length)
+          throw new Error(`${size} nodes: a configuration was in force at ${inForce.size} of them \
 after 30 s`);
         for (const t of inForce.values()) histogram.recordValue(Math.max(1, Math.round(t - told)));
         await sim.run(sim.now + 500);
@@ -230,8 +319,11 @@
       const victim = h.rest.find((n) => !n.config.data)!;
       const at = sim.now;
       sim.freeze(victim);
-      while (sim.now - at < 60_000 && all.some((n) => n !== victim && n.kernel!.use('board').members.get(victim.config.peer)?.state === 'live')) await sim.run(sim.now
-        + 20);
+      while (
+        sim.now - at < 60_000 &&
+        all.some((n) => n !== victim && n.kernel!.use('board').members.get(victim.config.peer)?.state === 'live')
+      )
+        await sim.run(sim.now + 20);
       frozen.points.push({ x: size, y: sim.now - at });
       say(`${size} hollow nodes, seed ${seed}: ${visits.points.at(-1)!.y.toFixed(1)} requests and ${bytes.points.at(-1)!.y.toFixed(2)} KiB \
 a node and s; a seat ${seats.points.at(-1)!.y.toFixed(0)} and ${seatBytes.points.at(-1)!.y.toFixed(1)} KiB; in force everywhere after \
@@ -246,12 +338,22 @@
 
 /** What more shards cost a fleet of one size: the constant is set for this process alone. */
 export async function takeShards(shards: number[], size: number, say: Say): Promise<Taken[]> {
-  const one = (id: string, title: string, y: string): Taken => ({ id, title: `${title}, ${size} nodes`, x: 'shards', y, way: 'virtual',
-    points: [] });
+  const one = (id: string, title: string, y: string): Taken => ({
+    id,
+    title: `${title}, ${size} nodes`,
+    x: 'shards',
+    y,
+    way: 'virtual',
+    points: [],
+  });
   const requests = one('shard-requests', 'Requests all nodes with copies got a second, quiet fleet', 'a second');
   const bytes = one('shard-bytes', 'Bytes all nodes with copies sent and got', 'KiB/s');
   const cpu = one('shard-cpu', 'Processor time of all nodes a second, simulator included', 'ms');
-  const change = one('shard-change', 'Bytes all nodes sent and got for one change of configuration, above the quiet', 'KiB');
+  const change = one(
+    'shard-change',
+    'Bytes all nodes sent and got for one change of configuration, above the quiet',
+    'KiB',
+  );
   const c = C as { shardsN: number };
   const was = c.shardsN;
   try {
@@ -273,7 +375,11 @@
       bytes.points.push({ x: n, y: disks.reduce((a, x) => a + (meter.bytes.get(x.config.peer) ?? 0), 0) / 1024 / S });
       meter.bytes.clear();
       let told = 0;
-      void sim.outside.visit(h.rest[0]!.config.client, 'SubmitConfig', { changeId: 's', config: CONFIG }, 10_000).then(() => { told = sim.now; });
+      void sim.outside
+        .visit(h.rest[0]!.config.client, 'SubmitConfig', { changeId: 's', config: CONFIG }, 10_000)
+        .then(() => {
+          told = sim.now;
+        });
       await sim.run(sim.now + S * 1_000);
       if (!told) throw new Error(`${n} shards: a configuration was not answered`);
       change.points.push({ x: n, y: total() - quiet });
@@ -289,14 +395,24 @@
 
 /** The board by the number of its facts: what one digest weighs, and what a node that comes is sent. */
 export async function takeBoard(sizes: number[], say: Say): Promise<Taken[]> {
-  const one = (id: string, title: string, y: string): Taken => ({ id, title, x: 'facts', y, way: 'virtual', points: [] });
+  const one = (id: string, title: string, y: string): Taken => ({
+    id,
+    title,
+    x: 'facts',
+    y,
+    way: 'virtual',
+    points: [],
+  });
   const digest = one('board-digest', 'One exchange of digests between two boards that differ in one fact', 'KiB');
   const join = one('board-join', 'What a node is sent that comes with an empty board', 'KiB');
   const memory = one('board-memory', 'Memory a node, of the board', 'KiB');
   for (const n of sizes) {
     const sim = new Sim(5);
     const nodes = ['a', 'b', 'c'].map((d, i) => sim.add(`store${i + 1}`, { role: 'store', domain: d, disk: true }));
-    for (const x of nodes) { x.config.seeds = nodes.map((y) => y.config.peer); void sim.start(x); }
+    for (const x of nodes) {
+      x.config.seeds = nodes.map((y) => y.config.peer);
+      void sim.start(x);
+    }
     await sim.run(8_000);
     const before = heapMiB();
     const board = (x: SimNode) => x.kernel!.use('board');
@@ -304,13 +420,18 @@
       // As an owner says of its key: `key/<shard>` under a fence.
       for (let i = from; i < to; i++) {
         const fence = `000000000001.000000000001.10.0.0.1:7100~${'0'.repeat(15)}-${(i * 7919).toString(36)}`;
-        board(nodes[0]!).put(`fact/${i}`, `${fence}/00000001`, { fence, gen: 1, peer: '10.0.0.1:7100', inst: `${'0'.repeat(15)}-${i.toString(36)}`,
-          behind: [] });
+        board(nodes[0]!).put(`fact/${i}`, `${fence}/00000001`, {
+          fence,
+          gen: 1,
+          peer: '10.0.0.1:7100',
+          inst: `${'0'.repeat(15)}-${i.toString(36)}`,
+          behind: [],
+        });
       }
     };
     put(0, n);
-    for (const until = sim.now + 60_000; sim.now < until && nodes.some((x) => board(x).items.size < n);) await sim.run(sim.now
-      + 250);
+    for (const until = sim.now + 60_000; sim.now < until && nodes.some((x) => board(x).items.size < n);)
+      await sim.run(sim.now + 250);
     await sim.run(sim.now + 2_000);
     memory.points.push({ x: n, y: ((heapMiB() - before) * 1024) / nodes.length });
     let digestBytes = 0;
@@ -320,15 +441,18 @@
       const h = x.handle!;
       x.handle = async (f) => {
         const a = await h(f);
-        if (headOf(f).method === 'Gossip' && f.includes('"digest"')) { digests++; digestBytes += f.length + a.length; }
+        if (headOf(f).method === 'Gossip' && f.includes('"digest"')) {
+          digests++;
+          digestBytes += f.length + a.length;
+        }
         if (BOARD.has(headOf(f).method)) news += f.length + a.length;
         return a;
       };
     }
     // A fact that the news did not carry: gossip has to find it. `set` is the board's own, without the passing on.
     (board(nodes[0]!) as unknown as { set(k: string, v: string, x: unknown): boolean }).set('fact/late', '1', 0);
-    for (const until = sim.now + 20_000; sim.now < until && nodes.some((x) => !board(x).items.has('fact/late'));) await sim.run(sim.now
-      + 50);
+    for (const until = sim.now + 20_000; sim.now < until && nodes.some((x) => !board(x).items.has('fact/late'));)
+      await sim.run(sim.now + 50);
     if (!digests) throw new Error(`${n} facts: no digest was exchanged`);
     digest.points.push({ x: n, y: digestBytes / digests / 1024 });
     news = 0;
@@ -336,7 +460,11 @@
     late.config.seeds = nodes.map((x) => x.config.peer);
     await sim.start(late);
     const lh = late.handle!;
-    late.handle = async (f) => { const a = await lh(f); if (BOARD.has(headOf(f).method)) news += f.length + a.length; return a; };
+    late.handle = async (f) => {
+      const a = await lh(f);
+      if (BOARD.has(headOf(f).method)) news += f.length + a.length;
+      return a;
+    };
     for (const until = sim.now + 30_000; sim.now < until && board(late).items.size < n;) await sim.run(sim.now + 50);
     await sim.run(sim.now + 2_000);
     join.points.push({ x: n, y: news / 1024 });
@@ -355,7 +483,12 @@
     const v = h.all.find((n) => n.kernel?.use('register').value)!.kernel!.use('register').value!;
     return new Set(v.seats.map((d) => v.disks.get(d)!.peer));
   };
-  const drill = async (id: string, title: string, act: (h: Hollow) => Promise<SimNode[]>, controlSeatsOnly = false): Promise<void> => {
+  const drill = async (
+    id: string,
+    title: string,
+    act: (h: Hollow) => Promise<SimNode[]>,
+    controlSeatsOnly = false,
+  ): Promise<void> => {
     const h = await hollow(11, size, controlSeatsOnly);
     const { sim } = h;
     const left = await act(h);
@@ -371,10 +504,26 @@
     const fresh = left.filter((n) => n.kernel!.use('register').fresh()).length / left.length;
     const shards = owned(left).size / C.shardsN;
     let ok = false;
-    void sim.outside.visit(left.find((n) => n.config.role === 'relay')!.config.client, 'SubmitConfig', { changeId: 'drill', config: CONFIG },
-      10_000).then((r) => { ok = r?.status === 200; });
+    void sim.outside
+      .visit(
+        left.find((n) => n.config.role === 'relay')!.config.client,
+        'SubmitConfig',
+        { changeId: 'drill', config: CONFIG },
+        10_000,
+      )
+      .then((r) => {
+        ok = r?.status === 200;
+      });
     await sim.run(sim.now + 10_500);
-    out.push({ id, title, nodes: size, fresh, owned: shards, gapMs: Math.round(Math.max(...gap.values())), change: ok });
+    out.push({
+      id,
+      title,
+      nodes: size,
+      fresh,
+      owned: shards,
+      gapMs: Math.round(Math.max(...gap.values())),
+      change: ok,
+    });
     say(`${title}: ${(fresh * 100).toFixed(0)} % of ${left.length} nodes left may serve, ${(shards * 100).toFixed(0)} % of shards are \
 owned, ${Math.round(Math.max(...gap.values()))} ms without an owner at most, a change is ${ok ? 'taken' : 'not taken'}`);
     sim.close();
@@ -383,60 +532,120 @@
     for (const n of gone) h.sim.kill(n);
     return h.all.filter((n) => !gone.includes(n));
   };
-  const apart = (h: Hollow): void => { for (const a of h.all) for (const b of h.all) if (south(a) !== south(b)) h.sim.cut(a.name, b.name,
-    false); };
-  await drill('loss-three', 'Three ordinary machines at once', (h) => lose(h, h.rest.filter((n) => n.config.data).slice(0,
-    1).concat(h.rest.filter((n) => !n.config.data).slice(0, 2))));
-  await drill('loss-rack', 'A rack: a tenth of the machines, one zone, no control machine', (h) => lose(h, h.rest.filter((n) => n.config.domain === ZONES[1]).slice(0,
-    Math.round(size / 10))));
-  await drill('loss-zone', 'A zone with its control machine', (h) => lose(h, h.all.filter((n) => n.config.domain === ZONES[3])));
+  const apart = (h: Hollow): void => {
+    for (const a of h.all) for (const b of h.all) if (south(a) !== south(b)) h.sim.cut(a.name, b.name, false);
+  };
+  await drill('loss-three', 'Three ordinary machines at once', (h) =>
+    lose(
+      h,
+      h.rest
+        .filter((n) => n.config.data)
+        .slice(0, 1)
+        .concat(h.rest.filter((n) => !n.config.data).slice(0, 2)),
+    ),
+  );
+  await drill('loss-rack', 'A rack: a tenth of the machines, one zone, no control machine', (h) =>
+    lose(h, h.rest.filter((n) => n.config.domain === ZONES[1]).slice(0, Math.round(size / 10))),
+  );
+  await drill('loss-zone', 'A zone with its control machine', (h) =>
+    lose(
+      h,
+      h.all.filter((n) => n.config.domain === ZONES[3]),
+    ),
+  );
   await drill('loss-two-control', 'Two control machines at once, both with a seat; five seats', (h) => {
     const s = seatsOf(h);
     return lose(h, h.control.filter((n) => s.has(n.config.peer)).slice(0, 2));
   });
-  await drill('loss-two-seats', 'The same, seats on the control machines alone: three', (h) => {
-    const s = seatsOf(h);
-    return lose(h, h.control.filter((n) => s.has(n.config.peer)).slice(0, 2));
-  }, true);
-  await drill('loss-two-in-turn', 'Seats on the control machines alone, the second 90 s after the first', async (h) => {
-    const s = seatsOf(h);
-    const [a, b] = h.control.filter((n) => s.has(n.config.peer)) as [SimNode, SimNode];
-    h.sim.kill(a);
-    await h.sim.run(h.sim.now + 90_000);
-    return lose(h, [b]).then((left) => left.filter((n) => n !== a));
-  }, true);
+  await drill(
+    'loss-two-seats',
+    'The same, seats on the control machines alone: three',
+    (h) => {
+      const s = seatsOf(h);
+      return lose(h, h.control.filter((n) => s.has(n.config.peer)).slice(0, 2));
+    },
+    true,
+  );
+  await drill(
+    'loss-two-in-turn',
+    'Seats on the control machines alone, the second 90 s after the first',
+    async (h) => {
+      const s = seatsOf(h);
+      const [a, b] = h.control.filter((n) => s.has(n.config.peer)) as [SimNode, SimNode];
+      h.sim.kill(a);
+      await h.sim.run(h.sim.now + 90_000);
+      return lose(h, [b]).then((left) => left.filter((n) => n !== a));
+    },
+    true,
+  );
   await drill('loss-region', 'A region with its two control machines (south)', (h) => lose(h, h.all.filter(south)));
-  await drill('loss-region-other', 'The other region with its two control machines (north)', (h) => lose(h, h.all.filter((n) => !south(n))));
-  await drill('split-north', 'Regions apart: the northern side', async (h) => { apart(h); return h.all.filter((n) => !south(n)); });
-  await drill('split-south', 'Regions apart: the southern side', async (h) => { apart(h); return h.all.filter(south); });
+  await drill('loss-region-other', 'The other region with its two control machines (north)', (h) =>
+    lose(
+      h,
+      h.all.filter((n) => !south(n)),
+    ),
+  );
+  await drill('split-north', 'Regions apart: the northern side', async (h) => {
+    apart(h);
+    return h.all.filter((n) => !south(n));
+  });
+  await drill('split-south', 'Regions apart: the southern side', async (h) => {
+    apart(h);
+    return h.all.filter(south);
+  });
   return out;
 }
 
 /** What listening costs, with nobody saying anything: a relay with so many subscriptions, each to a topic of its own. */
 export async function takeInterest(sizes: number[], say: Say): Promise<Taken[]> {
-  const one = (id: string, title: string, y: string): Taken => ({ id, title, x: 'subscriptions', y, way: 'virtual', points: [] });
-  const bytes = one('interest-bytes', 'Bytes a relay sent and got for its interest (deadlines and heads), nobody publishes', 'KiB/s');
+  const one = (id: string, title: string, y: string): Taken => ({
+    id,
+    title,
+    x: 'subscriptions',
+    y,
+    way: 'virtual',
+    points: [],
+  });
+  const bytes = one(
+    'interest-bytes',
+    'Bytes a relay sent and got for its interest (deadlines and heads), nobody publishes',
+    'KiB/s',
+  );
   const requests = one('interest-requests', 'Requests a relay sent for it, three owners', 'a second');
   const cpu = one('interest-cpu', 'Processor time of the relay and three owners, simulator included', 'ms a second');
-  const memory = one('interest-memory', 'Memory of the relay\'s subscriptions and the owners\' interest together', 'MiB');
+  const memory = one('interest-memory', "Memory of the relay's subscriptions and the owners' interest together", 'MiB');
   for (const n of sizes) {
     const sim = new Sim(9);
     const stores = ['a', 'b', 'c'].map((d, i) => sim.add(`store${i + 1}`, { role: 'store', domain: d, disk: true }));
     const relay = sim.add('relay1', { role: 'relay', domain: 'a' });
-    for (const x of sim.nodes.values()) { x.config.seeds = stores.map((y) => y.config.peer); void sim.start(x); }
+    for (const x of sim.nodes.values()) {
+      x.config.seeds = stores.map((y) => y.config.peer);
+      void sim.start(x);
+    }
     await sim.run(8_000);
     void sim.outside.visit(relay.config.client, 'SubmitConfig', { changeId: 'a', config: CONFIG }, 10_000);
     await sim.run(sim.now + 2_000);
     const before = heapMiB();
     const conns: string[] = [];
     const per = 100;
-    for (let i = 0; i < n / per; i++) sim.outside.attach(relay.config.client, { consumer: `c${i}`, pingS: 60 }, (f) => { if (f.t === 'ATTACHED') conns.push(f.conn); },
-      () => undefined);
+    for (let i = 0; i < n / per; i++)
+      sim.outside.attach(
+        relay.config.client,
+        { consumer: `c${i}`, pingS: 60 },
+        (f) => {
+          if (f.t === 'ATTACHED') conns.push(f.conn);
+        },
+        () => undefined,
+      );
     await sim.run(sim.now + 1_000);
     let subscribed = 0;
     for (const [i, conn] of conns.entries()) {
-      for (let j = 0; j < per; j++) void sim.outside.visit(relay.config.client, 'Subscribe', { conn, topic: `feed/${i * per + j}` },
-        10_000).then((r) => { if (r?.status === 200) subscribed++; });
+      for (let j = 0; j < per; j++)
+        void sim.outside
+          .visit(relay.config.client, 'Subscribe', { conn, topic: `feed/${i * per + j}` }, 10_000)
+          .then((r) => {
+            if (r?.status === 200) subscribed++;
+          });
       await sim.run(sim.now + 20);
     }
     for (const until = sim.now + 20_000; sim.now < until && subscribed < n;) await sim.run(sim.now + 100);
@@ -451,8 +660,10 @@
         const a = await h(f);
         // All that the relay asks owners is for its interest: nobody publishes. Membership and register are left out.
         const { method, from } = headOf(f);
-        if (from === relay.config.peer && !CONTROL.has(method)) { got += f.length
-          + a.length; calls++; }
+        if (from === relay.config.peer && !CONTROL.has(method)) {
+          got += f.length + a.length;
+          calls++;
+        }
         return a;
       };
     }
@@ -475,22 +686,42 @@
 
 /** Bytes between machines of one message: to the owner, to its copies, to the relay of one listener. */
 export async function takeTraffic(rates: number[], say: Say): Promise<Taken[]> {
-  const one = (id: string, title: string): Taken => ({ id, title, x: 'publishes a second', y: 'KiB/s', way: 'virtual', points: [] });
+  const one = (id: string, title: string): Taken => ({
+    id,
+    title,
+    x: 'publishes a second',
+    y: 'KiB/s',
+    way: 'virtual',
+    points: [],
+  });
   const publish = one('traffic-publish', 'Bytes from relay to owner and back, bodies of 100 bytes');
   const append = one('traffic-append', 'Bytes from owner to four copies and back');
   const fan = one('traffic-fan', 'Bytes from owner to the one relay that listens, and back');
   for (const perS of rates) {
     const sim = new Sim(9);
-    const stores = ['a', 'b', 'c', 'd', 'e'].map((d, i) => sim.add(`store${i + 1}`, { role: 'store', domain: d, disk: true }));
+    const stores = ['a', 'b', 'c', 'd', 'e'].map((d, i) =>
+      sim.add(`store${i + 1}`, { role: 'store', domain: d, disk: true }),
+    );
     const relay = sim.add('relay1', { role: 'relay', domain: 'a' });
-    for (const x of sim.nodes.values()) { x.config.seeds = stores.slice(0, 3).map((y) => y.config.peer); void sim.start(x); }
+    for (const x of sim.nodes.values()) {
+      x.config.seeds = stores.slice(0, 3).map((y) => y.config.peer);
+      void sim.start(x);
+    }
     await sim.run(9_000);
     void sim.outside.visit(relay.config.client, 'SubmitConfig', { changeId: 'a', config: CONFIG }, 10_000);
     await sim.run(sim.now + 2_000);
     let conn = '';
-    sim.outside.attach(relay.config.client, { consumer: 'c', pingS: 60 }, (f) => { if (f.t === 'ATTACHED') conn = f.conn; }, () => undefined);
+    sim.outside.attach(
+      relay.config.client,
+      { consumer: 'c', pingS: 60 },
+      (f) => {
+        if (f.t === 'ATTACHED') conn = f.conn;
+      },
+      () => undefined,
+    );
     await sim.run(sim.now + 500);
-    for (let i = 0; i < 100; i++) void sim.outside.visit(relay.config.client, 'Subscribe', { conn, topic: `feed/${i}` }, 10_000);
+    for (let i = 0; i < 100; i++)
+      void sim.outside.visit(relay.config.client, 'Subscribe', { conn, topic: `feed/${i}` }, 10_000);
     await sim.run(sim.now + 2_000);
     const by = new Map<string, number>();
     for (const x of sim.nodes.values()) {
@@ -506,16 +737,32 @@
     const S = 10;
     let accepted = 0;
     for (let i = 0; i < perS * S; i++) {
-      void sim.outside.visit(relay.config.client, 'Publish', { sender: 'desk', topic: `feed/${i % 100}`, seq: i + 1, body: 'x'.repeat(100) },
-        10_000).then((r) => { if (r?.status === 200) accepted++; });
+      void sim.outside
+        .visit(
+          relay.config.client,
+          'Publish',
+          { sender: 'desk', topic: `feed/${i % 100}`, seq: i + 1, body: 'x'.repeat(100) },
+          10_000,
+        )
+        .then((r) => {
+          if (r?.status === 200) accepted++;
+        });
       await sim.run(sim.now + 1_000 / perS);
     }
     await sim.run(sim.now + 1_000);
     if (accepted < perS * S) throw new Error(`${accepted} of ${perS * S} were accepted`);
     const rate = accepted / S;
-    for (const [s, m] of [[publish, 'Publish'], [append, 'Append'], [fan, 'Fan']] as const) s.points.push({ x: rate, y: (by.get(m) ?? 0) / 1024 / S });
-    if ([publish, append, fan].some((s) => s.points.at(-1)!.y <= 0)) throw new Error('publishes without a byte between nodes were \
-measured');
+    for (const [s, m] of [
+      [publish, 'Publish'],
+      [append, 'Append'],
+      [fan, 'Fan'],
+    ] as const)
+      s.points.push({ x: rate, y: (by.get(m) ?? 0) / 1024 / S });
+    if ([publish, append, fan].some((s) => s.points.at(-1)!.y <= 0))
+      throw new Error(
+        'publishes without a byte between nodes were \
+measured',
+      );
     say(`${rate} publishes a second: ${publish.points.at(-1)!.y.toFixed(1)} KiB/s to owners, ${append.points.at(-1)!.y.toFixed(1)} to \
 copies, ${fan.points.at(-1)!.y.toFixed(1)} to the relay`);
     sim.close();
@@ -525,16 +772,34 @@
 
 /** Shards that keep a majority of their copies when a zone or a region of the four zones goes, by the fleet's own placement. */
 export function takePlacement(sizes: number[], say: Say): Taken[] {
-  const one = (id: string, title: string): Taken => ({ id, title, x: 'shards', y: '% of shards', way: 'direct', points: [] });
-  const zone = one('placement-zone', 'Shards with a majority left when the worst zone goes, 5 copies on 110 disks in four zones');
+  const one = (id: string, title: string): Taken => ({
+    id,
+    title,
+    x: 'shards',
+    y: '% of shards',
+    way: 'direct',
+    points: [],
+  });
+  const zone = one(
+    'placement-zone',
+    'Shards with a majority left when the worst zone goes, 5 copies on 110 disks in four zones',
+  );
   const region = one('placement-region', 'Shards with a majority left when the worse of two regions goes');
   for (const n of sizes) {
     const v = valueOf(n, 110);
     const at = matchCopies([...v.disks.values()], C.copiesN, n);
     const left = (gone: (zone: string) => boolean): number =>
-      ([...at.values()].filter((c) => c.filter((d) => !gone(v.disks.get(d)!.domain)).length * 2 > c.length).length / n) * 100;
+      ([...at.values()].filter((c) => c.filter((d) => !gone(v.disks.get(d)!.domain)).length * 2 > c.length).length /
+        n) *
+      100;
     zone.points.push({ x: n, y: Math.min(...ZONES.map((z) => left((x) => x === z))) });
-    region.points.push({ x: n, y: Math.min(left((x) => x.startsWith('north')), left((x) => x.startsWith('south'))) });
+    region.points.push({
+      x: n,
+      y: Math.min(
+        left((x) => x.startsWith('north')),
+        left((x) => x.startsWith('south')),
+      ),
+    });
     say(`${n} shards: ${zone.points.at(-1)!.y.toFixed(0)} % keep a majority without the worst zone, ${region.points.at(-1)!.y.toFixed(0)} \
 % without the worse region`);
   }
--- a/packages/trial/src/day.ts
+++ b/packages/trial/src/day.ts
@@ -14,8 +14,24 @@
 
 const SITES = new Map<string, Site>([SINE_SALOUM, DUNARE, SMALL].map((s) => [s.name, s]));
 const FAULTS = [
-  'kill-relay', 'kill-store', 'freeze', 'slow', 'links', 'reset', 'crowd', 'operators', 'late-change', 'settings', 'rolling', 'remove', 'wipe', 'power',
-  'join', 'join-relay', 'empty', 'closing',
+  'kill-relay',
+  'kill-store',
+  'freeze',
+  'slow',
+  'links',
+  'reset',
+  'crowd',
+  'operators',
+  'late-change',
+  'settings',
+  'rolling',
+  'remove',
+  'wipe',
+  'power',
+  'join',
+  'join-relay',
+  'empty',
+  'closing',
 ] as const;
 type Fault = (typeof FAULTS)[number];
 
@@ -26,12 +42,21 @@
   .option('faults', { type: 'string', default: FAULTS.join(','), describe: 'which, in order; or none' })
   .option('calm-s', { type: 'number', default: 4, describe: 'seconds of plain traffic before each fault' })
   .option('seed', { type: 'number', default: 1 })
-  .option('timed', { type: 'boolean', default: true, describe: 'judge how long things take; not where the machine has other work' })
+  .option('timed', {
+    type: 'boolean',
+    default: true,
+    describe: 'judge how long things take; not where the machine has other work',
+  })
   .option('keep', { type: 'boolean', default: false, describe: 'keep the folder with logs and journal' })
-  .strict().parseSync();
+  .strict()
+  .parseSync();
 const site = SITES.get(a.site)!;
 const faults = (a.faults === 'none' ? [] : a.faults.split(',')) as Fault[];
-for (const f of faults) if (!FAULTS.includes(f)) { process.stderr.write(`no fault ${f}; there are: ${FAULTS.join(', ')}\n`); process.exit(2); }
+for (const f of faults)
+  if (!FAULTS.includes(f)) {
+    process.stderr.write(`no fault ${f}; there are: ${FAULTS.join(', ')}\n`);
+    process.exit(2);
+  }
 
 const folder = mkdtempSync(join(tmpdir(), 'harecross-day-'));
 const fleet = await Fleet.of(site, folder);
@@ -44,7 +69,9 @@
 const cr = crowd(world, site);
 const pause = (ms: number): Promise<void> => sleep(realClock, ms);
 const any = <T>(xs: T[]): T => xs[Math.floor(rnd.next() * xs.length)]!;
-const say = (s: string): void => { consola.info(`${(clock.now() / 1000).toFixed(1)} s: ${s}`); };
+const say = (s: string): void => {
+  consola.info(`${(clock.now() / 1000).toFixed(1)} s: ${s}`);
+};
 const left: number[] = [];
 const failed: string[] = [];
 const stopped = async (p: Proc): Promise<void> => {
@@ -71,27 +98,82 @@
   const disks = fleet.procs.filter((p) => p.config.data);
   const most = here.filter((p) => p.config.data).length * 2 > disks.length;
   const well = most ? here.map((p) => p.config.client).sort() : [];
-  const w = { well, ailing: fleet.procs.filter((p) => p.up && p.stopped).map((p) => p.config.client), able: disks.length - here.filter((p) => p.config.data).length < 3, rough, poor };
+  const w = {
+    well,
+    ailing: fleet.procs.filter((p) => p.up && p.stopped).map((p) => p.config.client),
+    able: disks.length - here.filter((p) => p.config.data).length < 3,
+    rough,
+    poor,
+  };
   if (JSON.stringify(w) === told) return;
   told = JSON.stringify(w);
   journal.add({ k: 'weather', ...w });
 };
 for (const p of fleet.procs) journal.add({ k: 'node', node: p.config.client, domain: p.config.domain, role: p.role });
-void (async () => { while (on) { tell(); await pause(50); } })();
-void (async () => { while (on) { await pause(500); void cr.operator.look(fleet.procs.filter((p) => p.up).map((p) => p.config.client)); } })();
-void (async () => { while (on) { await pause(400); void cr.operator.count(any(cr.topics)); } })();
+void (async () => {
+  while (on) {
+    tell();
+    await pause(50);
+  }
+})();
+void (async () => {
+  while (on) {
+    await pause(500);
+    void cr.operator.look(fleet.procs.filter((p) => p.up).map((p) => p.config.client));
+  }
+})();
+void (async () => {
+  while (on) {
+    await pause(400);
+    void cr.operator.count(any(cr.topics));
+  }
+})();
 // Callers drop off often, by themselves.
-void (async () => { while (on) { await pause(500); const c = any(cr.consumers); if (rnd.next() < 0.4) c.drop(); else if (rnd.next() < 0.3) { c.domain = any(site.domains); c.drop('moved'); } else void c.away(500 + 15_000 * rnd.next()); } })();
+void (async () => {
+  while (on) {
+    await pause(500);
+    const c = any(cr.consumers);
+    if (rnd.next() < 0.4) c.drop();
+    else if (rnd.next() < 0.3) {
+      c.domain = any(site.domains);
+      c.drop('moved');
+    } else void c.away(500 + 15_000 * rnd.next());
+  }
+})();
 
 const run: Record<Fault, () => Promise<void>> = {
-  'kill-relay': async () => { const p = any(fleet.relays); say(`kill -9 ${p.name}`); await fleet.kill(p); await pause(3_000); fleet.start(p); },
-  'kill-store': async () => { const p = any(fleet.stores); say(`kill -9 ${p.name}`); await fleet.kill(p); await pause(4_000); fleet.start(p); },
-  freeze: async () => { const p = any(fleet.procs); say(`freeze ${p.name}`); fleet.signal(p, 'SIGSTOP'); await pause(5_000); fleet.signal(p, 'SIGCONT'); },
+  'kill-relay': async () => {
+    const p = any(fleet.relays);
+    say(`kill -9 ${p.name}`);
+    await fleet.kill(p);
+    await pause(3_000);
+    fleet.start(p);
+  },
+  'kill-store': async () => {
+    const p = any(fleet.stores);
+    say(`kill -9 ${p.name}`);
+    await fleet.kill(p);
+    await pause(4_000);
+    fleet.start(p);
+  },
+  freeze: async () => {
+    const p = any(fleet.procs);
+    say(`freeze ${p.name}`);
+    fleet.signal(p, 'SIGSTOP');
+    await pause(5_000);
+    fleet.signal(p, 'SIGCONT');
+  },
   slow: async () => {
     const p = any(fleet.procs);
     say(`${p.name} is slow: it runs a third of the time`);
     rough = true;
-    for (let i = 0; i < 60 && p.up; i++) { fleet.signal(p, 'SIGSTOP'); p.stopped = false; await pause(70); fleet.signal(p, 'SIGCONT'); await pause(35); }
+    for (let i = 0; i < 60 && p.up; i++) {
+      fleet.signal(p, 'SIGSTOP');
+      p.stopped = false;
+      await pause(70);
+      fleet.signal(p, 'SIGCONT');
+      await pause(35);
+    }
     rough = false;
   },
   links: async () => {
@@ -105,7 +187,10 @@
     await pause(3_000);
     say(`${all((l) => l.halfOpen(0.15, rnd))} die half-open`);
     await pause(6_000);
-    for (let i = 0; i < 20; i++) { any(links).reset(0.05, rnd); await pause(100); }
+    for (let i = 0; i < 20; i++) {
+      any(links).reset(0.05, rnd);
+      await pause(100);
+    }
     say(`${all((l) => l.reset(0.97, rnd))} are reset at once`);
     await pause(6_000);
     all((l) => l.thin(1, rnd, undefined));
@@ -113,7 +198,11 @@
     poor = [];
   },
   crowd: async () => {
-    const more = Array.from({ length: site.consumers }, (_, i) => new Consumer(world, `crowd${i}`, any(site.domains), [cr.topics[i % cr.topics.length]!], { jitterMs: 50 }));
+    const more = Array.from(
+      { length: site.consumers },
+      (_, i) =>
+        new Consumer(world, `crowd${i}`, any(site.domains), [cr.topics[i % cr.topics.length]!], { jitterMs: 50 }),
+    );
     say(`a crowd of ${more.length} arrives at once`);
     for (const c of more) c.start();
     await pause(8_000);
@@ -142,12 +231,20 @@
     if (!fleet.way.nodes().includes(p.config.client)) failed.push(`${p.name} never took conns`);
     await pause(2_000);
   },
-  reset: async () => { say(`reset ${fleet.resetStreams(0.97)} conns`); await pause(4_000); },
+  reset: async () => {
+    say(`reset ${fleet.resetStreams(0.97)} conns`);
+    await pause(4_000);
+  },
   operators: async () => {
-    const extra = (n: string) => configOf(site, [{ name: n, topics: [`${n}/*`], urgency: 'routine', patienceMs: 2_000, memoryS: 30 }]);
+    const extra = (n: string) =>
+      configOf(site, [{ name: n, topics: [`${n}/*`], urgency: 'routine', patienceMs: 2_000, memoryS: 30 }]);
     for (let i = 0; i < 3; i++) {
       const v = await cr.operator.read();
-      const r = await Promise.all([cr.operator.submit(`a${i}`, extra(`a${i}`), true, v), cr.operator.submit(`b${i}`, extra(`b${i}`), true, v), cr.operator.submit(`c${i}`, { families: 5 }, false)]);
+      const r = await Promise.all([
+        cr.operator.submit(`a${i}`, extra(`a${i}`), true, v),
+        cr.operator.submit(`b${i}`, extra(`b${i}`), true, v),
+        cr.operator.submit(`c${i}`, { families: 5 }, false),
+      ]);
       say(`two operators at once: ${r.map((x) => x.out).join(', ')}`);
       await pause(500);
     }
@@ -170,7 +267,10 @@
     const seen = async (d: string): Promise<void> => {
       for (let i = 0; i < 40; i++) {
         const f = (await cr.operator.ask('Fleet', {})).body;
-        if (f.members.some((m: any) => m.peer === p.config.peer && m.domain === d)) { say(`${p.name} is in ${d}`); return; }
+        if (f.members.some((m: any) => m.peer === p.config.peer && m.domain === d)) {
+          say(`${p.name} is in ${d}`);
+          return;
+        }
         await pause(250);
       }
       failed.push(`${p.name} was never seen in ${d}`);
@@ -191,7 +291,12 @@
       fleet.start(p);
       await pause(4_000);
     }
-    for (const p of fleet.relays) { say(`stop ${p.name}`); await stopped(p); fleet.start(p); await pause(2_000); }
+    for (const p of fleet.relays) {
+      say(`stop ${p.name}`);
+      await stopped(p);
+      fleet.start(p);
+      await pause(2_000);
+    }
   },
   remove: async () => {
     const all = configOf(site);
@@ -218,21 +323,38 @@
       await pause(500);
       const r = await cr.operator.ask('Fleet', {});
       const d = r.body.disks.find((x: any) => x.peer === p.config.peer);
-      if (d?.copies) { say(`${p.name} has ${d.copies} copies`); return; }
+      if (d?.copies) {
+        say(`${p.name} has ${d.copies} copies`);
+        return;
+      }
     }
     failed.push(`${p.name} never got a copy`);
   },
   empty: async () => {
     const f = (await cr.operator.ask('Fleet', {})).body;
-    const p = any(fleet.stores.filter((x) => !x.config.seeds.includes(x.config.peer)).concat(fleet.relays.filter((x) => x.config.data)));
+    const p = any(
+      fleet.stores
+        .filter((x) => !x.config.seeds.includes(x.config.peer))
+        .concat(fleet.relays.filter((x) => x.config.data)),
+    );
     const d = f.disks.find((x: any) => x.peer === p.config.peer && x.state === 'active');
     const r = await cr.operator.ask('EmptyDisk', { disk: d?.id ?? 'none' });
     say(`empty the disk of ${p.name}: ${r.status === 200 ? `${r.body.copies} copies` : JSON.stringify(r.body.error)}`);
-    if (r.status !== 200) { failed.push('the emptying was refused'); return; }
+    if (r.status !== 200) {
+      failed.push('the emptying was refused');
+      return;
+    }
     for (let i = 0; i < 120; i++) {
       await pause(500);
       const st = (await cr.operator.ask('EmptyStatus', { disk: d.id })).body;
-      if (st.state === 'emptied') { say(`${p.name} is emptied`); await fleet.kill(p); rmSync(p.config.data!, { recursive: true, force: true }); await pause(2_000); fleet.start(p); return; }
+      if (st.state === 'emptied') {
+        say(`${p.name} is emptied`);
+        await fleet.kill(p);
+        rmSync(p.config.data!, { recursive: true, force: true });
+        await pause(2_000);
+        fleet.start(p);
+        return;
+      }
     }
     failed.push(`${p.name} was never emptied`);
   },
@@ -246,7 +368,10 @@
     await pause(3_000);
   },
 };
-for (const f of faults) { await pause(a.calmS * 1000); await run[f](); }
+for (const f of faults) {
+  await pause(a.calmS * 1000);
+  await run[f]();
+}
 await pause(a.calmS * 1000);
 for (const s of cr.senders) s.stop();
 await pause(2_000);
@@ -263,10 +388,27 @@
 journal.add({ k: 'end' });
 
 // Rules that need no watch: the only ones judged where the machine has other work.
-const TIMELESS: Rule[] = ['once', 'order', 'skipped', 'turned_away', 'invented', 'unasked', 'left', 'lost', 'config_lost', 'fell_back', 'invalid_taken', 'unanswered', 'read_back'];
+const TIMELESS: Rule[] = [
+  'once',
+  'order',
+  'skipped',
+  'turned_away',
+  'invented',
+  'unasked',
+  'left',
+  'lost',
+  'config_lost',
+  'fell_back',
+  'invalid_taken',
+  'unanswered',
+  'read_back',
+];
 const bad = judge(journal.seen, { wayMs: 1_500, timed: a.timed }).filter((v) => a.timed || TIMELESS.includes(v.rule));
 const back = recovery(journal.seen);
-if (back) say(`after the closing fault a quarter and nine tenths were back after ${back.accepted.quarterMs}/${back.accepted.mostMs} ms accepted, ${back.delivered.quarterMs}/${back.delivered.mostMs} ms delivered`);
+if (back)
+  say(
+    `after the closing fault a quarter and nine tenths were back after ${back.accepted.quarterMs}/${back.accepted.mostMs} ms accepted, ${back.delivered.quarterMs}/${back.delivered.mostMs} ms delivered`,
+  );
 const n = (k: string): number => journal.seen.filter((s) => s.k === k).length;
 const outs = new Map<string, number>();
 const tried = new Map<number, number>();
@@ -274,20 +416,47 @@
 const way: number[] = [];
 const firstTry = new Map<string, number>();
 for (const s of journal.seen) {
-  if (s.k === 'pub.try') { tried.set(s.try, s.t); const id = `${s.topic} ${s.sender} ${s.seq}`; if (!firstTry.has(id)) firstTry.set(id, s.t); }
-  if (s.k === 'pub.answer') { const o = s.out === 'accepted' ? s.out : `${s.out}:${s.tag}`; outs.set(o, (outs.get(o) ?? 0) + 1); if (s.out === 'accepted') lat.push(s.t - tried.get(s.try)!); }
-  if (s.k === 'deliver') { const t = firstTry.get(`${s.topic} ${s.sender} ${s.seq}`); if (t !== undefined) way.push(s.t - t); }
+  if (s.k === 'pub.try') {
+    tried.set(s.try, s.t);
+    const id = `${s.topic} ${s.sender} ${s.seq}`;
+    if (!firstTry.has(id)) firstTry.set(id, s.t);
+  }
+  if (s.k === 'pub.answer') {
+    const o = s.out === 'accepted' ? s.out : `${s.out}:${s.tag}`;
+    outs.set(o, (outs.get(o) ?? 0) + 1);
+    if (s.out === 'accepted') lat.push(s.t - tried.get(s.try)!);
+  }
+  if (s.k === 'deliver') {
+    const t = firstTry.get(`${s.topic} ${s.sender} ${s.seq}`);
+    if (t !== undefined) way.push(s.t - t);
+  }
 }
-const q = (xs: number[]): string => { const s = [...xs].sort((x, y) => x - y); return [0.5, 0.9, 0.99, 1].map((p) => `p${p * 100}=${Math.round(s[Math.min(s.length - 1, Math.floor(p * s.length))] ?? NaN)}`).join(' '); };
+const q = (xs: number[]): string => {
+  const s = [...xs].sort((x, y) => x - y);
+  return [0.5, 0.9, 0.99, 1]
+    .map((p) => `p${p * 100}=${Math.round(s[Math.min(s.length - 1, Math.floor(p * s.length))] ?? NaN)}`)
+    .join(' ');
+};
 consola.info(`publishes: ${n('pub.try')} tries; ${[...outs].map(([k, v]) => `${k} ${v}`).join(', ')}`);
-consola.info(`delivered ${n('deliver')}, conns ${n('conn.open')}, counts ${n('count')} (${journal.seen.filter((s) => s.k === 'count' && s.partial).length} partial), node looks ${n('node.says')}`);
+consola.info(
+  `delivered ${n('deliver')}, conns ${n('conn.open')}, counts ${n('count')} (${journal.seen.filter((s) => s.k === 'count' && s.partial).length} partial), node looks ${n('node.says')}`,
+);
 consola.info(`accept ms ${q(lat)}; first try to delivery ms ${q(way)} (this machine, for shape only)`);
 if (left.length) consola.info(`SIGTERM to exit ms: ${left.map((x) => Math.round(x)).join(' ')}`);
-consola.info(`exits not 0: ${fleet.procs.filter((p) => p.exits.some((e) => e > 0)).map((p) => `${p.name} ${p.exits}`).join('; ') || 'none'}`);
+consola.info(
+  `exits not 0: ${
+    fleet.procs
+      .filter((p) => p.exits.some((e) => e > 0))
+      .map((p) => `${p.name} ${p.exits}`)
+      .join('; ') || 'none'
+  }`,
+);
 await fleet.close();
 writeFileSync(join(folder, 'journal.json'), journal.seen.map((s) => JSON.stringify(s)).join('\n'));
 for (const v of bad.slice(0, 20)) consola.error(`${v.rule} at ${v.t}: ${v.what}`);
-for (const f of failed) { consola.error(f); }
+for (const f of failed) {
+  consola.error(f);
+}
 const wrong = bad.length + failed.length;
 consola.info(wrong ? `VERDICT: ${wrong} violations (folder ${folder})` : 'VERDICT: clean');
 if (!a.keep && !wrong) rmSync(folder, { recursive: true, force: true });
--- a/packages/trial/src/disk-writer.ts
+++ b/packages/trial/src/disk-writer.ts
@@ -3,19 +3,48 @@
 
 /** Writes to a node's database as fast as it takes it, and says each thing once it lasts. Killed in mid-write by disk.test.ts. */
 const [folder, shards] = process.argv.slice(2) as [string, string];
-const quiet = { info: () => undefined, warn: (l: string) => { process.stdout.write(`! ${l}\n`); } };
-const db = openDb(folder, realClock, quiet, (e) => { process.stdout.write(`! ${e.message}\n`); process.exit(3); }, '127.0.0.1:1');
+const quiet = {
+  info: () => undefined,
+  warn: (l: string) => {
+    process.stdout.write(`! ${l}\n`);
+  },
+};
+const db = openDb(
+  folder,
+  realClock,
+  quiet,
+  (e) => {
+    process.stdout.write(`! ${e.message}\n`);
+    process.exit(3);
+  },
+  '127.0.0.1:1',
+);
 const st = new Store(db);
 st.init();
 const copies = st.copies(0);
 for (let s = 0; s < Number(shards); s++) {
-  const c: Copy = copies.get(s) ?? { shard: s, promised: NO_FENCE, base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() }, entries: [] };
+  const c: Copy = copies.get(s) ?? {
+    shard: s,
+    promised: NO_FENCE,
+    base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
+    entries: [],
+  };
   void (async () => {
     for (let n = 1; ; n++) {
       const idx = await db.commit(() => {
         const i = lastIdx(c) + 1;
         if (n % 7 === 0) st.promise(c, makeFence(1, i, 'writer~1'));
-        st.add(c, { idx: i, fence: c.promised, topic: `t/${s}`, off: i, era: 1, sender: 's', seq: i, body: `${s}:${i}:`.padEnd(40 + (i * 37) % 900, 'x'), at: i });
+        st.add(c, {
+          idx: i,
+          fence: c.promised,
+          topic: `t/${s}`,
+          off: i,
+          era: 1,
+          sender: 's',
+          seq: i,
+          body: `${s}:${i}:`.padEnd(40 + ((i * 37) % 900), 'x'),
+          at: i,
+        });
         if (i % 50 === 0) st.trim(c, i - 40, 0);
         return i;
       });
--- a/packages/trial/src/fleet.ts
+++ b/packages/trial/src/fleet.ts
@@ -12,7 +12,18 @@
 import type { Site } from './scenario.js';
 
 /** A process of the fleet under test, as the runner sees it. */
-export interface Proc { name: string; role: Role; config: NodeConfig; file: string; child?: ChildProcess; well: boolean; up: boolean; stopped?: boolean; leaving?: boolean; exits: number[] }
+export interface Proc {
+  name: string;
+  role: Role;
+  config: NodeConfig;
+  file: string;
+  child?: ChildProcess;
+  well: boolean;
+  up: boolean;
+  stopped?: boolean;
+  leaving?: boolean;
+  exits: number[];
+}
 
 const program = (role: Role): string => fileURLToPath(new URL(`../../${role}/dist/main.js`, import.meta.url));
 
@@ -22,11 +33,19 @@
  * const [a, b] = await freePorts(2);
  */
 export async function freePorts(n: number): Promise<number[]> {
-  const held = await Promise.all(Array.from({ length: n }, () => new Promise<{ port: number; close: () => Promise<void> }>((res, rej) => {
-    const s = createServer();
-    s.on('error', rej);
-    s.listen(0, '127.0.0.1', () => res({ port: (s.address() as { port: number }).port, close: () => new Promise((r) => s.close(() => r())) }));
-  })));
+  const held = await Promise.all(
+    Array.from(
+      { length: n },
+      () =>
+        new Promise<{ port: number; close: () => Promise<void> }>((res, rej) => {
+          const s = createServer();
+          s.on('error', rej);
+          s.listen(0, '127.0.0.1', () =>
+            res({ port: (s.address() as { port: number }).port, close: () => new Promise((r) => s.close(() => r())) }),
+          );
+        }),
+    ),
+  );
   await Promise.all(held.map((h) => h.close()));
   return held.map((h) => h.port);
 }
@@ -53,13 +72,23 @@
     const make = (role: Role, i: number, disk: boolean): void => {
       const name = `${role}${i + 1}`;
       const k = f.procs.length;
-      const config: NodeConfig = { role, domain: site.domains[i % site.domains.length]!, peer: `127.0.0.1:${ports[2 * k]}`, client: `127.0.0.1:${ports[2 * k + 1]}`, seeds: [], ...(disk ? { data: join(folder, name) } : {}) };
+      const config: NodeConfig = {
+        role,
+        domain: site.domains[i % site.domains.length]!,
+        peer: `127.0.0.1:${ports[2 * k]}`,
+        client: `127.0.0.1:${ports[2 * k + 1]}`,
+        seeds: [],
+        ...(disk ? { data: join(folder, name) } : {}),
+      };
       f.procs.push({ name, role, config, file: join(folder, `${name}.json`), well: false, up: false, exits: [] });
     };
     for (let i = 0; i < site.stores; i++) make('store', i, true);
     for (let i = 0; i < site.relays; i++) make('relay', i, i < site.relayDisks);
     const seeds = f.procs.slice(0, 3).map((p) => p.config.peer);
-    for (const p of f.procs) { p.config.seeds = seeds; f.writeConfig(p); }
+    for (const p of f.procs) {
+      p.config.seeds = seeds;
+      f.writeConfig(p);
+    }
     void f.poll();
     return f;
   }
@@ -70,7 +99,14 @@
     const n = this.procs.filter((p) => p.role === role).length + 1;
     const folder = dirname(this.procs[0]!.file);
     const name = `${role}${n}`;
-    const config: NodeConfig = { role, domain, peer: `127.0.0.1:${a}`, client: `127.0.0.1:${b}`, seeds: this.procs[0]!.config.seeds, ...(role === 'store' ? { data: join(folder, name) } : {}) };
+    const config: NodeConfig = {
+      role,
+      domain,
+      peer: `127.0.0.1:${a}`,
+      client: `127.0.0.1:${b}`,
+      seeds: this.procs[0]!.config.seeds,
+      ...(role === 'store' ? { data: join(folder, name) } : {}),
+    };
     const p: Proc = { name, role, config, file: join(folder, `${name}.json`), well: false, up: false, exits: [] };
     this.procs.push(p);
     this.writeConfig(p);
@@ -85,8 +121,12 @@
     return this.links.get(node)?.address ?? node;
   }
 
-  get stores(): Proc[] { return this.procs.filter((p) => p.role === 'store'); }
-  get relays(): Proc[] { return this.procs.filter((p) => p.role === 'relay'); }
+  get stores(): Proc[] {
+    return this.procs.filter((p) => p.role === 'store');
+  }
+  get relays(): Proc[] {
+    return this.procs.filter((p) => p.role === 'relay');
+  }
 
   writeConfig(p: Proc): void {
     writeFileSync(p.file, JSON.stringify(p.config, null, 2) + '\n');
@@ -101,9 +141,15 @@
     p.child = child;
     p.up = true;
     p.leaving = false;
-    child.on('exit', (code, sig) => { p.up = false; p.well = false; p.exits.push(sig ? -1 : (code ?? -1)); });
+    child.on('exit', (code, sig) => {
+      p.up = false;
+      p.well = false;
+      p.exits.push(sig ? -1 : (code ?? -1));
+    });
+  }
+  startAll(): void {
+    for (const p of this.procs) this.start(p);
   }
-  startAll(): void { for (const p of this.procs) this.start(p); }
 
   signal(p: Proc, s: NodeJS.Signals): void {
     if (s === 'SIGSTOP') p.stopped = true;
@@ -132,14 +178,25 @@
   /** What the callers' platform does: asks each access machine for its condition. */
   private async poll(): Promise<void> {
     while (this.polling) {
-      await Promise.all(this.procs.map(async (p) => {
-        if (!p.up) { p.well = false; return; }
-        try {
-          const r = await request(`http://${p.config.client}/condition`, { dispatcher: this.agent, headersTimeout: 800, bodyTimeout: 800 });
-          await r.body.dump();
-          p.well = r.statusCode === 200;
-        } catch { p.well = false; }
-      }));
+      await Promise.all(
+        this.procs.map(async (p) => {
+          if (!p.up) {
+            p.well = false;
+            return;
+          }
+          try {
+            const r = await request(`http://${p.config.client}/condition`, {
+              dispatcher: this.agent,
+              headersTimeout: 800,
+              bodyTimeout: 800,
+            });
+            await r.body.dump();
+            p.well = r.statusCode === 200;
+          } catch {
+            p.well = false;
+          }
+        }),
+      );
       await sleep(realClock, 250);
     }
   }
@@ -147,29 +204,61 @@
   /** All conns of the stand-ins, or a share of them, are reset. */
   resetStreams(share: number): number {
     let n = 0;
-    for (const f of [...this.conns]) if (Math.random() < share) { f(); n++; }
+    for (const f of [...this.conns])
+      if (Math.random() < share) {
+        f();
+        n++;
+      }
     return n;
   }
 
   readonly way: Way = {
-    nodes: (domain) => this.procs.filter((p) => p.role === 'relay' && p.up && p.well && (domain === undefined || p.config.domain === domain)).map((p) => p.config.client),
+    nodes: (domain) =>
+      this.procs
+        .filter((p) => p.role === 'relay' && p.up && p.well && (domain === undefined || p.config.domain === domain))
+        .map((p) => p.config.client),
     visit: async (node, method, body, timeoutMs) => {
       const ac = new AbortController();
       const t = setTimeout(() => ac.abort(), timeoutMs);
       try {
-        const r = await request(`http://${method === 'Node' ? node : this.front(node)}/rpc/${method}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), dispatcher: this.agent, signal: ac.signal });
+        const r = await request(`http://${method === 'Node' ? node : this.front(node)}/rpc/${method}`, {
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(body),
+          dispatcher: this.agent,
+          signal: ac.signal,
+        });
         return { status: r.statusCode, body: await r.body.json() };
-      } catch { return undefined; } finally { clearTimeout(t); }
+      } catch {
+        return undefined;
+      } finally {
+        clearTimeout(t);
+      }
     },
     attach: (node, body, onFrame, onEnd) => {
       let over = false;
       const raw = JSON.stringify(body);
-      const req = httpRequest(`http://${this.front(node)}/rpc/Attach`, { method: 'POST', agent: this.http, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(raw) } });
-      const reset = (): void => { req.destroy(); };
-      const end = (): void => { if (over) return; over = true; this.conns.delete(reset); onEnd(); };
+      const req = httpRequest(`http://${this.front(node)}/rpc/Attach`, {
+        method: 'POST',
+        agent: this.http,
+        headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(raw) },
+      });
+      const reset = (): void => {
+        req.destroy();
+      };
+      const end = (): void => {
+        if (over) return;
+        over = true;
+        this.conns.delete(reset);
+        onEnd();
+      };
       let rest = '';
       req.on('response', (res) => {
-        if (res.statusCode !== 200) { res.resume(); end(); return; }
+        if (res.statusCode !== 200) {
+          res.resume();
+          end();
+          return;
+        }
         res.setEncoding('utf8');
         res.on('data', (s: string) => {
           rest += s;
@@ -185,13 +274,21 @@
       req.on('close', end);
       req.end(raw);
       this.conns.add(reset);
-      return () => { over = true; this.conns.delete(reset); req.destroy(); };
+      return () => {
+        over = true;
+        this.conns.delete(reset);
+        req.destroy();
+      };
     },
   };
 
   async close(): Promise<void> {
     this.polling = false;
-    for (const p of this.procs) if (p.up) { this.signal(p, 'SIGCONT'); this.signal(p, 'SIGTERM'); }
+    for (const p of this.procs)
+      if (p.up) {
+        this.signal(p, 'SIGCONT');
+        this.signal(p, 'SIGTERM');
+      }
     await Promise.all(this.procs.map((p) => this.gone(p, 6_000)));
     for (const p of this.procs) await this.kill(p);
     await this.agent.destroy();
--- a/packages/trial/src/journal.ts
+++ b/packages/trial/src/journal.ts
@@ -1,6 +1,11 @@
 import type { Role } from '@harecross/kernel';
 /** A holding as a node tells it: its length now, the most it ever had, and its bound. */
-export interface HoldingSeen { name: string; length: number; most: number; bound: number }
+export interface HoldingSeen {
+  name: string;
+  length: number;
+  most: number;
+  bound: number;
+}
 
 /**
  * What callers and operators saw, and what the stage did to the fleet: the oracle judges by this alone.
@@ -8,30 +13,112 @@
  */
 export type Seen =
   /** `line`: the connection of a sender that has several on the way at once, on which visits arrive in order. */
-  | { k: 'pub.try'; t: number; try: number; sender: string; topic: string; seq: number; body: string; node: string; domain: string; line?: string }
   | {
-    k: 'pub.answer'; t: number; try: number; sender: string; topic: string; seq: number; out: 'accepted' | 'rejected' | 'unknown';
-    offset?: number; tag?: string; node: string; status?: number; retryMs?: number;
-  }
+      k: 'pub.try';
+      t: number;
+      try: number;
+      sender: string;
+      topic: string;
+      seq: number;
+      body: string;
+      node: string;
+      domain: string;
+      line?: string;
+    }
+  | {
+      k: 'pub.answer';
+      t: number;
+      try: number;
+      sender: string;
+      topic: string;
+      seq: number;
+      out: 'accepted' | 'rejected' | 'unknown';
+      offset?: number;
+      tag?: string;
+      node: string;
+      status?: number;
+      retryMs?: number;
+    }
   | { k: 'conn.open'; t: number; consumer: string; conn: string; node: string; domain: string }
   | { k: 'probe.lost'; t: number; consumer: string; conn: string; asked: number }
   | { k: 'conn.end'; t: number; consumer: string; conn: string; why: string; retryMs?: number }
   | { k: 'sub.ask'; t: number; consumer: string; conn: string; topic: string; cursor?: number }
-  | { k: 'sub.ok'; t: number; consumer: string; conn: string; topic: string; sub: string; cursor?: number; next: number }
+  | {
+      k: 'sub.ok';
+      t: number;
+      consumer: string;
+      conn: string;
+      topic: string;
+      sub: string;
+      cursor?: number;
+      next: number;
+    }
   | { k: 'sub.fail'; t: number; consumer: string; conn: string; topic: string; cursor?: number; tag: string }
   | { k: 'unsub.ok'; t: number; consumer: string; conn: string; topic: string }
-  | { k: 'left'; t: number; consumer: string; conn: string; topic: string; sub: string; reason: string; cursor?: number }
-  | { k: 'deliver'; t: number; consumer: string; conn: string; topic: string; sub: string; sender: string; seq: number; offset: number; body: string }
+  | {
+      k: 'left';
+      t: number;
+      consumer: string;
+      conn: string;
+      topic: string;
+      sub: string;
+      reason: string;
+      cursor?: number;
+    }
+  | {
+      k: 'deliver';
+      t: number;
+      consumer: string;
+      conn: string;
+      topic: string;
+      sub: string;
+      sender: string;
+      seq: number;
+      offset: number;
+      body: string;
+    }
   | { k: 'count'; t: number; asked: number; topic: string; count: number; partial: boolean }
-  | { k: 'cfg.submit'; t: number; changeId: string; expect?: number; revision?: number; document?: unknown; config: unknown; valid: boolean }
+  | {
+      k: 'cfg.submit';
+      t: number;
+      changeId: string;
+      expect?: number;
+      revision?: number;
+      document?: unknown;
+      config: unknown;
+      valid: boolean;
+    }
   /** `overtaken`: a higher revision is in force; this one may have been before, or never. */
   | {
-    k: 'cfg.answer'; t: number; changeId: string; out: 'taken' | 'overtaken' | 'conflict' | 'invalid' | 'unanswered';
-    version?: number; revision?: number; asked?: number;
-  }
-  | { k: 'cfg.read'; t: number; asked: number; version: number; revision?: number; document?: unknown; config: unknown; last?: boolean }
+      k: 'cfg.answer';
+      t: number;
+      changeId: string;
+      out: 'taken' | 'overtaken' | 'conflict' | 'invalid' | 'unanswered';
+      version?: number;
+      revision?: number;
+      asked?: number;
+    }
+  | {
+      k: 'cfg.read';
+      t: number;
+      asked: number;
+      version: number;
+      revision?: number;
+      document?: unknown;
+      config: unknown;
+      last?: boolean;
+    }
   /** `version` is missing where the node says none. */
-  | { k: 'node.says'; t: number; asked: number; node: string; version?: number; fresh: boolean; holdings?: HoldingSeen[]; kept?: number }
+  | {
+      k: 'node.says';
+      t: number;
+      asked: number;
+      node: string;
+      version?: number;
+      fresh: boolean;
+      holdings?: HoldingSeen[];
+      kept?: number;
+    }
   /** A node that did not answer a look. */
   | { k: 'node.silent'; t: number; asked: number; node: string }
   /** Whether the topic that only configuration `mark` has was in force at a node, by a publish or a subscription there. */
--- a/packages/trial/src/link.ts
+++ b/packages/trial/src/link.ts
@@ -2,7 +2,13 @@
 import { addr } from '@harecross/kernel';
 import type { Rnd } from '@harecross/kernel';
 
-interface Pair { caller: Socket; node: Socket; rate?: number; dead: boolean; stalledTo: number }
+interface Pair {
+  caller: Socket;
+  node: Socket;
+  rate?: number;
+  dead: boolean;
+  stalledTo: number;
+}
 
 /**
  * A caller's poor link: a TCP relay in front of a client address, whose connections can be made thin, stall, be reset or die
@@ -18,7 +24,10 @@
   static async before(target: string): Promise<Link> {
     const l = new Link();
     l.server = createServer({ noDelay: true }, (caller) => l.join(caller, target));
-    await new Promise<void>((res, rej) => { l.server.on('error', rej); l.server.listen(0, '127.0.0.1', res); });
+    await new Promise<void>((res, rej) => {
+      l.server.on('error', rej);
+      l.server.listen(0, '127.0.0.1', res);
+    });
     l.address = `127.0.0.1:${(l.server.address() as { port: number }).port}`;
     return l;
   }
@@ -35,16 +44,31 @@
     };
     const pass = (from: Socket, to: Socket): void => {
       from.on('data', (d) => {
-        if (p.dead) { from.pause(); return; }
+        if (p.dead) {
+          from.pause();
+          return;
+        }
         const ok = to.write(d);
         const wait = Math.max(p.rate === undefined ? 0 : (d.length * 1000) / p.rate, p.stalledTo - performance.now());
-        if (wait > 1) { from.pause(); setTimeout(() => { if (!p.dead) from.resume(); }, wait); }
-        else if (!ok) { from.pause(); to.once('drain', () => { if (!p.dead) from.resume(); }); }
+        if (wait > 1) {
+          from.pause();
+          setTimeout(() => {
+            if (!p.dead) from.resume();
+          }, wait);
+        } else if (!ok) {
+          from.pause();
+          to.once('drain', () => {
+            if (!p.dead) from.resume();
+          });
+        }
       });
     };
     pass(caller, node);
     pass(node, caller);
-    for (const s of [caller, node]) { s.on('error', end); s.on('close', end); }
+    for (const s of [caller, node]) {
+      s.on('error', end);
+      s.on('close', end);
+    }
   }
 
   private some(share: number, rnd: Rnd): Pair[] {
@@ -54,13 +78,21 @@
   /** Resets a share of the connections, on both sides. */
   reset(share: number, rnd: Rnd): number {
     const ps = this.some(share, rnd);
-    for (const p of ps) { this.pairs.delete(p); p.caller.resetAndDestroy(); p.node.resetAndDestroy(); }
+    for (const p of ps) {
+      this.pairs.delete(p);
+      p.caller.resetAndDestroy();
+      p.node.resetAndDestroy();
+    }
     return ps.length;
   }
   /** Nothing more is passed on, and nobody is told. */
   halfOpen(share: number, rnd: Rnd): number {
     const ps = this.some(share, rnd);
-    for (const p of ps) { p.dead = true; p.caller.pause(); p.node.pause(); }
+    for (const p of ps) {
+      p.dead = true;
+      p.caller.pause();
+      p.node.pause();
+    }
     return ps.length;
   }
   /** Nothing is passed on for a while. */
@@ -77,7 +109,11 @@
   }
 
   async close(): Promise<void> {
-    for (const p of this.pairs) { p.dead = true; p.caller.destroy(); p.node.destroy(); }
+    for (const p of this.pairs) {
+      p.dead = true;
+      p.caller.destroy();
+      p.node.destroy();
+    }
     await new Promise<void>((res) => this.server.close(() => res()));
   }
 }
--- a/packages/trial/src/model-key.ts
+++ b/packages/trial/src/model-key.ts
@@ -18,19 +18,42 @@
   planted?: 'takes lower fences' | 'forgets its promise' | 'answers before it has synced' | 'hides its history';
   mostStates?: number;
 }
-export interface KeyResult { states: number; runs: number; whole: boolean; bad?: { what: string; path: string[] } }
+export interface KeyResult {
+  states: number;
+  runs: number;
+  whole: boolean;
+  bad?: { what: string; path: string[] };
+}
 
 const NODES = ['a', 'b', 'c'];
 const TOPIC = 't/1';
 const SHARD = shardOf(TOPIC);
-const CONFIG = { families: [{ name: 'f', topics: ['t/*'], urgency: 'routine' as const, patienceMs: 2_000, memoryS: 30 }] };
-const VALUE = { rev: 1, version: 1, config: CONFIG, eras: erasAfter(new Map(), CONFIG, 1), shards: new Map([[SHARD, { gen: 1,
-  copies: NODES }]]), disks: new Map(NODES.map((d) => [d, { id: d, peer: d, domain: d, state: 'active' }])) };
+const CONFIG = {
+  families: [{ name: 'f', topics: ['t/*'], urgency: 'routine' as const, patienceMs: 2_000, memoryS: 30 }],
+};
+const VALUE = {
+  rev: 1,
+  version: 1,
+  config: CONFIG,
+  eras: erasAfter(new Map(), CONFIG, 1),
+  shards: new Map([[SHARD, { gen: 1, copies: NODES }]]),
+  disks: new Map(NODES.map((d) => [d, { id: d, peer: d, domain: d, state: 'active' }])),
+};
 const turn = (): Promise<void> => new Promise((r) => setImmediate(r));
 
 type Handler = (b: any, f: any) => unknown;
-interface Ask { from: number; to: number; m: string; body: any; res: (x: unknown) => void; rej: (e: unknown) => void }
-interface Step { label: string; go: () => void }
+interface Ask {
+  from: number;
+  to: number;
+  m: string;
+  body: any;
+  res: (x: unknown) => void;
+  rej: (e: unknown) => void;
+}
+interface Step {
+  label: string;
+  go: () => void;
+}
 
 /** Three nodes with the real copies and owners of one key; the search chooses what happens next. */
 class World {
@@ -60,27 +83,65 @@
     const self = NODES[i]!;
     this.handlers[i]!.clear();
     // The clock stands; only pauses between tries are awaited, and the search ends them.
-    const clock: Clock = { now: () => 0, wall: () => 0, after: (ms, fn) => {
-      if (ms <= 1) queueMicrotask(fn);
-      else if (ms < 100) this.sleeps.push({ of: i, life, fn });
-      return () => undefined;
-    } };
+    const clock: Clock = {
+      now: () => 0,
+      wall: () => 0,
+      after: (ms, fn) => {
+        if (ms <= 1) queueMicrotask(fn);
+        else if (ms < 100) this.sleeps.push({ of: i, life, fn });
+        return () => undefined;
+      },
+    };
     const k = {
-      self, inst: String(life), rev: 1, phase: 'running', startedAt: 0, counters: new Map(),
-      host: { clock, rnd: { next: () => 0.5 }, db: {}, config: { seeds: [] }, log: { info: () => undefined, warn: (s: string,
-        x: unknown) => { this.bad ??= `${self}: ${s} ${JSON.stringify(x)}`; } } },
-      keep: (s: { unsubscribe(): void }) => s.unsubscribe(), count: () => undefined, onStop: () => undefined, thawed$: new Subject(),
-      on: (m: string, h: Handler) => { this.handlers[i]!.set(m, h); },
+      self,
+      inst: String(life),
+      rev: 1,
+      phase: 'running',
+      startedAt: 0,
+      counters: new Map(),
+      host: {
+        clock,
+        rnd: { next: () => 0.5 },
+        db: {},
+        config: { seeds: [] },
+        log: {
+          info: () => undefined,
+          warn: (s: string, x: unknown) => {
+            this.bad ??= `${self}: ${s} ${JSON.stringify(x)}`;
+          },
+        },
+      },
+      keep: (s: { unsubscribe(): void }) => s.unsubscribe(),
+      count: () => undefined,
+      onStop: () => undefined,
+      thawed$: new Subject(),
+      on: (m: string, h: Handler) => {
+        this.handlers[i]!.set(m, h);
+      },
       call: (peer: string, m: string, body: any) => this.call(i, life, NODES.indexOf(peer), m, body),
       reach: (peer: string, m: string, body: any) => this.call(i, life, NODES.indexOf(peer), m, body),
     };
     const member = (d: string) => ({ peer: d, disk: d, state: 'live', condition: 'ready', inst: '1', liveSince: 0 });
     const board = {
-      changed$: new Subject(), state$: new Subject(), members: new Map(NODES.map((d) => [d, member(d)])), get: () => undefined,
-        put: () => undefined,
-      isLive: () => true, able: () => true, ofDisk: member, live: () => NODES.map(member), say: () => undefined,
+      changed$: new Subject(),
+      state$: new Subject(),
+      members: new Map(NODES.map((d) => [d, member(d)])),
+      get: () => undefined,
+      put: () => undefined,
+      isLive: () => true,
+      able: () => true,
+      ofDisk: member,
+      live: () => NODES.map(member),
+      say: () => undefined,
+    };
+    const reg = {
+      value: VALUE,
+      value$: new Subject(),
+      fresh$: new Subject(),
+      fresh: () => true,
+      peerOf: (d: string) => d,
+      disk: self,
     };
-    const reg = { value: VALUE, value$: new Subject(), fresh$: new Subject(), fresh: () => true, peerOf: (d: string) => d, disk: self };
     const st = new Store({ sql: undefined, commit: async (f: () => unknown) => f() } as any);
     // The real store without its file: what it keeps in memory is what the file would have.
     const none = { run: () => undefined, get: () => undefined, all: () => [] };
@@ -94,7 +155,9 @@
   }
 
   private handle(to: number, m: string, body: any, from: number): Promise<unknown> {
-    return Promise.resolve().then(() => this.handlers[to]!.get(m)!(body, { peer: NODES[from], inst: '1', toLocal: (t: number) => t }));
+    return Promise.resolve().then(() =>
+      this.handlers[to]!.get(m)!(body, { peer: NODES[from], inst: '1', toLocal: (t: number) => t }),
+    );
   }
 
   private call(from: number, life: number, to: number, m: string, body: any): Promise<unknown> {
@@ -103,7 +166,11 @@
     const fence: string = m === 'Fence' ? body.items[0].fence : (body.fence ?? this.said[from]!.fence);
     this.notes(from, fence, `> ${m} ${to} ${text}`);
     return new Promise((res, rej) => {
-      const alive = (fn: (x: any) => void) => (x: unknown): void => { if (this.lives[from] === life) fn(x); };
+      const alive =
+        (fn: (x: any) => void) =>
+        (x: unknown): void => {
+          if (this.lives[from] === life) fn(x);
+        };
       this.asks.push({ from, to, m, body: JSON.parse(text), res: alive(res), rej: alive(rej) });
     });
   }
@@ -118,13 +185,15 @@
   private arrives(a: Ask, answer: (x: unknown) => void): void {
     const { planted } = this.plan;
     const c = this.disks[a.to]!.get(SHARD);
-    if (planted === 'takes lower fences' && a.m === 'Append' && c && a.body.fence < c.promised) c.promised = a.body.fence;
-    void this.handle(a.to, a.m, a.body, a.from).catch((e) => (e instanceof Failure ? e : new Failure(faultOf(e, a.m,
-      NODES[a.to]!)))).then((x) => {
-      if (planted === 'hides its history' && a.m === 'Fence') x = (x as any[]).map((p) => (p.ok ? { ...p, lastIdx: 0, lastFence: '',
-        baseIdx: 0 } : p));
-      answer(x);
-    });
+    if (planted === 'takes lower fences' && a.m === 'Append' && c && a.body.fence < c.promised)
+      c.promised = a.body.fence;
+    void this.handle(a.to, a.m, a.body, a.from)
+      .catch((e) => (e instanceof Failure ? e : new Failure(faultOf(e, a.m, NODES[a.to]!))))
+      .then((x) => {
+        if (planted === 'hides its history' && a.m === 'Fence')
+          x = (x as any[]).map((p) => (p.ok ? { ...p, lastIdx: 0, lastFence: '', baseIdx: 0 } : p));
+        answer(x);
+      });
   }
 
   private send(seq: number, i: number): void {
@@ -132,22 +201,28 @@
     const tag = `${seq}@${i}.${this.lives[i]}`;
     this.waiting.push(tag);
     const life = this.lives[i];
-    const over = (): boolean => { this.waiting.splice(this.waiting.indexOf(tag), 1); return this.lives[i] === life; };
-    this.handle(i, 'Publish', { sender: 's', topic: TOPIC, seq, body: `m${seq}` }, i).then((x) => {
-      if (!over()) return;
-      const { offset } = x as { offset: number };
-      const had = this.accepted.get(seq);
-      if (had !== undefined && had !== offset) this.bad = `message ${seq} was accepted at ${had} and at ${offset}`;
-      for (const [s, o] of this.accepted) if (s !== seq && o === offset) this.bad =
-        `messages ${s} and ${seq} were both accepted at ${offset}`;
-      if (this.refused.has(seq)) this.bad = `message ${seq} was refused for good, and accepted`;
-      this.accepted.set(seq, offset);
-    }, (e) => {
-      if (!over()) return;
-      if (faultOf(e, 'Publish', NODES[i]!).tag !== 'stale_seq') return;
-      if (this.accepted.has(seq)) this.bad = `message ${seq} was accepted, and refused for good`;
-      this.refused.add(seq);
-    });
+    const over = (): boolean => {
+      this.waiting.splice(this.waiting.indexOf(tag), 1);
+      return this.lives[i] === life;
+    };
+    this.handle(i, 'Publish', { sender: 's', topic: TOPIC, seq, body: `m${seq}` }, i).then(
+      (x) => {
+        if (!over()) return;
+        const { offset } = x as { offset: number };
+        const had = this.accepted.get(seq);
+        if (had !== undefined && had !== offset) this.bad = `message ${seq} was accepted at ${had} and at ${offset}`;
+        for (const [s, o] of this.accepted)
+          if (s !== seq && o === offset) this.bad = `messages ${s} and ${seq} were both accepted at ${offset}`;
+        if (this.refused.has(seq)) this.bad = `message ${seq} was refused for good, and accepted`;
+        this.accepted.set(seq, offset);
+      },
+      (e) => {
+        if (!over()) return;
+        if (faultOf(e, 'Publish', NODES[i]!).tag !== 'stale_seq') return;
+        if (this.accepted.has(seq)) this.bad = `message ${seq} was accepted, and refused for good`;
+        this.refused.add(seq);
+      },
+    );
   }
 
   /** Whoever owns the key, by the promises of a majority, has what was accepted, and not what was refused for good. */
@@ -158,10 +233,12 @@
       if (this.disks.filter((d) => d.get(SHARD)?.promised === key.fence).length * 2 <= NODES.length) return;
       for (const [seq, off] of this.accepted) {
         const o = key.outcome(TOPIC, 's', seq);
-        if (o.tag !== 'stored' || o.off !== off) this.bad ??= `${n} owns the key, and message ${seq}, accepted at ${off}, is ${o.tag}`;
+        if (o.tag !== 'stored' || o.off !== off)
+          this.bad ??= `${n} owns the key, and message ${seq}, accepted at ${off}, is ${o.tag}`;
       }
-      for (const seq of this.refused) if (key.outcome(TOPIC, 's',
-        seq).tag === 'stored') this.bad ??= `${n} owns the key and has message ${seq}, which was refused for good`;
+      for (const seq of this.refused)
+        if (key.outcome(TOPIC, 's', seq).tag === 'stored')
+          this.bad ??= `${n} owns the key and has message ${seq}, which was refused for good`;
     });
   }
 
@@ -170,54 +247,115 @@
     const out: Step[] = [];
     for (const a of this.asks) {
       const label = `${a.m} ${NODES[a.from]}>${NODES[a.to]} ${JSON.stringify(a.body).replace(/0000+/g, '').slice(0, 90)}`;
-      const off = (): void => { this.asks.splice(this.asks.indexOf(a), 1); };
-      const fails = (): void => { this.lost++; this.notes(a.from, this.said[a.from]!.fence, `lost ${label}`);
-        a.rej(new Failure({ tag: 'timeout', step: a.m, peer: NODES[a.to]! })); };
-      out.push({ label, go: () => { off(); this.arrives(a, (x) => { this.notes(a.from, this.said[a.from]!.fence,
-        `< ${a.m} ${a.to} ${JSON.stringify(x)}`); if (x instanceof Failure) a.rej(x); else a.res(x); }); } });
+      const off = (): void => {
+        this.asks.splice(this.asks.indexOf(a), 1);
+      };
+      const fails = (): void => {
+        this.lost++;
+        this.notes(a.from, this.said[a.from]!.fence, `lost ${label}`);
+        a.rej(new Failure({ tag: 'timeout', step: a.m, peer: NODES[a.to]! }));
+      };
+      out.push({
+        label,
+        go: () => {
+          off();
+          this.arrives(a, (x) => {
+            this.notes(a.from, this.said[a.from]!.fence, `< ${a.m} ${a.to} ${JSON.stringify(x)}`);
+            if (x instanceof Failure) a.rej(x);
+            else a.res(x);
+          });
+        },
+      });
       if (this.lost < plan.losses) {
-        out.push({ label: `lost: ${label}`, go: () => { off(); fails(); } });
-        out.push({ label: `its answer lost: ${label}`, go: () => { off(); this.arrives(a, fails); } });
+        out.push({
+          label: `lost: ${label}`,
+          go: () => {
+            off();
+            fails();
+          },
+        });
+        out.push({
+          label: `its answer lost: ${label}`,
+          go: () => {
+            off();
+            this.arrives(a, fails);
+          },
+        });
       }
     }
-    for (const s of this.sleeps) out.push({ label: `${NODES[s.of]} tries again`, go: () => { this.sleeps.splice(this.sleeps.indexOf(s),
-      1); if (this.lives[s.of] === s.life) s.fn(); } });
+    for (const s of this.sleeps)
+      out.push({
+        label: `${NODES[s.of]} tries again`,
+        go: () => {
+          this.sleeps.splice(this.sleeps.indexOf(s), 1);
+          if (this.lives[s.of] === s.life) s.fn();
+        },
+      });
     NODES.forEach((n, i) => {
       const { state } = this.key1(i);
-      if (this.took < plan.takes && state !== 'taking' && state !== 'confirming' && i < 2) out.push({ label: `${n} takes the key`,
-        go: () => { this.took++; void this.handle(i, 'TakeKey', { shard: SHARD }, i); } });
+      if (this.took < plan.takes && state !== 'taking' && state !== 'confirming' && i < 2)
+        out.push({
+          label: `${n} takes the key`,
+          go: () => {
+            this.took++;
+            void this.handle(i, 'TakeKey', { shard: SHARD }, i);
+          },
+        });
       if (this.sent.length < plan.sends && (state === 'owner' || state === 'confirming')) {
         const next = Math.max(0, ...this.sent) + 1;
         for (let seq = 1; seq <= Math.min(next, plan.messages); seq++) {
-          if (!this.waiting.includes(`${seq}@${i}.${this.lives[i]}`)) out.push({ label: `message ${seq} to ${n}`, go: () => this.send(seq,
-            i) });
+          if (!this.waiting.includes(`${seq}@${i}.${this.lives[i]}`))
+            out.push({ label: `message ${seq} to ${n}`, go: () => this.send(seq, i) });
         }
       }
       if (this.restarted < plan.restarts) {
-        out.push({ label: `${n} begins anew`, go: () => {
-          this.restarted++;
-          const c = this.disks[i]!.get(SHARD);
-          if (c && plan.planted === 'forgets its promise') c.promised = '';
-          if (c && plan.planted === 'answers before it has synced') c.entries.pop();
-          this.asks = this.asks.filter((a) => a.from !== i);
-          this.said[i] = { fence: '', lines: new Set() };
-          this.disks[i] = structuredClone(this.disks[i]!);
-          this.begin(i);
-        } });
+        out.push({
+          label: `${n} begins anew`,
+          go: () => {
+            this.restarted++;
+            const c = this.disks[i]!.get(SHARD);
+            if (c && plan.planted === 'forgets its promise') c.promised = '';
+            if (c && plan.planted === 'answers before it has synced') c.entries.pop();
+            this.asks = this.asks.filter((a) => a.from !== i);
+            this.said[i] = { fence: '', lines: new Set() };
+            this.disks[i] = structuredClone(this.disks[i]!);
+            this.begin(i);
+          },
+        });
       }
     });
     return out;
   }
 
   key(): string {
-    const copy = (c: Copy | undefined): unknown => c && [c.promised, c.base.idx, c.entries.map((e) => [e.idx, e.fence, e.off, e.seq])];
+    const copy = (c: Copy | undefined): unknown =>
+      c && [c.promised, c.base.idx, c.entries.map((e) => [e.idx, e.fence, e.off, e.seq])];
     return JSON.stringify([
       this.disks.map((d) => copy(d.get(SHARD))),
-      NODES.map((_, i) => { const x = this.key1(i); return [x.state, x.fence, x.commit, x.log.map((e) => [e.fence, e.off, e.seq]),
-        [...x.match].sort(), [...x.next].sort(), [...x.flying].sort(), x.waits.map((w) => w.idx)]; }),
-      this.said.map((s) => [s.fence, ...[...s.lines].sort()]), this.lives,
-      this.asks.map((a) => `${a.from}${a.to}${a.m}${JSON.stringify(a.body)}`).sort(), this.sleeps.map((s) => s.of).sort(),
-      this.took, this.sent, [...this.waiting].sort(), this.lost, this.restarted, [...this.accepted].sort(), [...this.refused].sort(),
+      NODES.map((_, i) => {
+        const x = this.key1(i);
+        return [
+          x.state,
+          x.fence,
+          x.commit,
+          x.log.map((e) => [e.fence, e.off, e.seq]),
+          [...x.match].sort(),
+          [...x.next].sort(),
+          [...x.flying].sort(),
+          x.waits.map((w) => w.idx),
+        ];
+      }),
+      this.said.map((s) => [s.fence, ...[...s.lines].sort()]),
+      this.lives,
+      this.asks.map((a) => `${a.from}${a.to}${a.m}${JSON.stringify(a.body)}`).sort(),
+      this.sleeps.map((s) => s.of).sort(),
+      this.took,
+      this.sent,
+      [...this.waiting].sort(),
+      this.lost,
+      this.restarted,
+      [...this.accepted].sort(),
+      [...this.refused].sort(),
     ]);
   }
 }
@@ -279,7 +417,9 @@
     const r = await exploreKey({ ...plan, mostStates: most === undefined ? 1_000_000 : Number(most) });
     const bad = r.bad ? `\nBAD: ${r.bad.what}\n  ${r.bad.path.join('\n  ')}` : '';
     const whole = r.whole ? 'all of them' : 'not all';
-    process.stdout.write(`${n}: ${r.states} states, ${r.runs} runs, ${whole}, ${((Date.now() - from) / 1000).toFixed(1)} s${bad}\n`);
+    process.stdout.write(
+      `${n}: ${r.states} states, ${r.runs} runs, ${whole}, ${((Date.now() - from) / 1000).toFixed(1)} s${bad}\n`,
+    );
     if (r.bad) process.exitCode = 1;
   }
 }
--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -4,7 +4,10 @@
 import { pathToFileURL } from 'node:url';
 
 /** A change that a proposer makes: the seats it asks for, if any; each change leaves its name in the value. */
-export interface Change { name: string; seats?: (s: string[]) => string[] }
+export interface Change {
+  name: string;
+  seats?: (s: string[]) => string[];
+}
 
 export interface ModelPlan {
   /** Seats that are there; the value begins with the first three. */
@@ -22,13 +25,21 @@
   /** The search ends after this many states. */
   mostStates?: number;
 }
-export interface ModelResult { states: number; runs: number; whole: boolean; bad?: { what: string; path: string[] } }
+export interface ModelResult {
+  states: number;
+  runs: number;
+  whole: boolean;
+  bad?: { what: string; path: string[] };
+}
 
 type Handler = (b: any) => unknown;
 type Event =
   | { t: 'ask'; from: number; disk: string; m: string; body: any; res: (x: unknown) => void; rej: (e: unknown) => void }
   | { t: 'wake'; from: number; fn: () => void };
-interface Step { label: string; go: () => void }
+interface Step {
+  label: string;
+  go: () => void;
+}
 
 const diskOf = (i: number): string => `d${i}`;
 const turn = (): Promise<void> => new Promise((r) => setImmediate(r));
@@ -36,9 +47,19 @@
 
 function genesis(): Value {
   return {
-    fleet: 'model', rev: 1, version: 0, changeId: '', config: { families: [] }, eras: new Map(), seats: [0, 1, 2].map(diskOf),
-      prevSeats: [0, 1, 2].map(diskOf),
-    disks: new Map(), shards: new Map(), copies: 3, changes: new Map(), moves: new Map(),
+    fleet: 'model',
+    rev: 1,
+    version: 0,
+    changeId: '',
+    config: { families: [] },
+    eras: new Map(),
+    seats: [0, 1, 2].map(diskOf),
+    prevSeats: [0, 1, 2].map(diskOf),
+    disks: new Map(),
+    shards: new Map(),
+    copies: 3,
+    changes: new Map(),
+    moves: new Map(),
   };
 }
 
@@ -73,7 +94,9 @@
       this.wakes.push(0);
       const reg = new Register(this.kernel(i, undefined) as any, this.board() as any);
       this.regs.push(reg);
-      reg.value$.subscribe((v) => { if (v) this.learns(i, v); });
+      reg.value$.subscribe((v) => {
+        if (v) this.learns(i, v);
+      });
       (reg as unknown as { learn(v: Value): void }).learn(genesis());
       void this.work(i, reg, changes);
     });
@@ -83,19 +106,32 @@
     for (const c of changes) {
       try {
         await reg.change((v) => ({
-          next: v.changes.has(c.name) ? undefined : { ...v, seats: c.seats ? c.seats(v.seats) : v.seats,
-            changes: new Map(v.changes).set(c.name, { tag: 'taken', version: v.rev }) },
+          next: v.changes.has(c.name)
+            ? undefined
+            : {
+                ...v,
+                seats: c.seats ? c.seats(v.seats) : v.seats,
+                changes: new Map(v.changes).set(c.name, { tag: 'taken', version: v.rev }),
+              },
           out: c.name,
         }));
-      } catch { return; }
+      } catch {
+        return;
+      }
       this.done.push(c.name);
       if (!reg.value!.changes.has(c.name)) this.bad = `${c.name} was said to be done and is not in the value`;
     }
   }
 
   private board(): object {
-    return { say: () => undefined, pass: () => undefined, somePeers: () => [], contacts: () => [], ofDisk: (d: string) => ({ peer: d }),
-      live: () => [] };
+    return {
+      say: () => undefined,
+      pass: () => undefined,
+      somePeers: () => [],
+      contacts: () => [],
+      ofDisk: (d: string) => ({ peer: d }),
+      live: () => [],
+    };
   }
 
   /** The seat's real handlers over what its disk has. */
@@ -123,23 +159,49 @@
   /** What the register needs of a kernel: handlers for a seat (negative), calls for a proposer. */
   private kernel(i: number, st: object | undefined): object {
     const self = i < 0 ? diskOf(-1 - i) : `p${i}`;
-    const clock: Clock = i < 0 ? idle : { ...idle, after: (ms, fn) => { if (ms <= 900 && this.ready) this.pending.push({ t: 'wake',
-      from: i, fn }); return () => undefined; } };
+    const clock: Clock =
+      i < 0
+        ? idle
+        : {
+            ...idle,
+            after: (ms, fn) => {
+              if (ms <= 900 && this.ready) this.pending.push({ t: 'wake', from: i, fn });
+              return () => undefined;
+            },
+          };
     return {
-      self, inst: '1', rev: 0, phase: 'running', startedAt: 0,
-      host: { clock, rnd: { next: () => 0.5 }, db: st ? {} : undefined, config: { seeds: [], applyMs: 3_000 },
-        log: { info: () => undefined, warn: () => undefined } },
-      use: () => st, keep: (s: { unsubscribe(): void }) => { s.unsubscribe(); }, count: () => undefined,
-      on: (m: string, h: Handler) => { if (i < 0) this.handlers[-1 - i]!.set(m, h); },
-      call: (_peer: string, m: string, body: any) => new Promise((res, rej) => {
-        this.notes(i, body.ballot, `> ${m} ${body.disk} ${body.value ?? ''}`);
-        this.pending.push({ t: 'ask', from: i, disk: body.disk, m, body, res, rej });
-      }),
+      self,
+      inst: '1',
+      rev: 0,
+      phase: 'running',
+      startedAt: 0,
+      host: {
+        clock,
+        rnd: { next: () => 0.5 },
+        db: st ? {} : undefined,
+        config: { seeds: [], applyMs: 3_000 },
+        log: { info: () => undefined, warn: () => undefined },
+      },
+      use: () => st,
+      keep: (s: { unsubscribe(): void }) => {
+        s.unsubscribe();
+      },
+      count: () => undefined,
+      on: (m: string, h: Handler) => {
+        if (i < 0) this.handlers[-1 - i]!.set(m, h);
+      },
+      call: (_peer: string, m: string, body: any) =>
+        new Promise((res, rej) => {
+          this.notes(i, body.ballot, `> ${m} ${body.disk} ${body.value ?? ''}`);
+          this.pending.push({ t: 'ask', from: i, disk: body.disk, m, body, res, rej });
+        }),
     };
   }
   /** Loops that begin with the register are none of ours: only what a change waits for is. */
   private ready = false;
-  begin(): void { this.ready = true; }
+  begin(): void {
+    this.ready = true;
+  }
 
   /** What belongs to an earlier ballot can only raise the number of the next one; see `key`. */
   private notes(i: number, ballot: string, text: string): void {
@@ -153,53 +215,85 @@
     const text = pack(v);
     for (const x of this.learned) {
       const [low, high] = x.v.rev <= v.rev ? [x.v, v] : [v, x.v];
-      if (x.v.rev === v.rev && x.text !== text) this.bad =
-        `two values of revision ${v.rev}: [${[...x.v.changes.keys()]}] at p${x.by}, [${[...v.changes.keys()]}] at p${by}`;
-      else if ([...low.changes.keys()].some((c) => !high.changes.has(c))) this.bad =
-        `revision ${high.rev} [${[...high.changes.keys()]}] has not all of revision ${low.rev} [${[...low.changes.keys()]}]`;
+      if (x.v.rev === v.rev && x.text !== text)
+        this.bad = `two values of revision ${v.rev}: [${[...x.v.changes.keys()]}] at p${x.by}, [${[...v.changes.keys()]}] at p${by}`;
+      else if ([...low.changes.keys()].some((c) => !high.changes.has(c)))
+        this.bad = `revision ${high.rev} [${[...high.changes.keys()]}] has not all of revision ${low.rev} [${[...low.changes.keys()]}]`;
     }
-    for (const c of this.done) if (!v.changes.has(c) && !this.learned.some((x) => x.v.rev > v.rev))
-      this.bad = `${c} was done and is gone at revision ${v.rev}`;
+    for (const c of this.done)
+      if (!v.changes.has(c) && !this.learned.some((x) => x.v.rev > v.rev))
+        this.bad = `${c} was done and is gone at revision ${v.rev}`;
     this.learned.push({ by, v, text });
   }
 
   /** What may happen next. */
   steps(): Step[] {
     const out: Step[] = [];
-    const take = (e: Event): void => { this.pending.splice(this.pending.indexOf(e), 1); };
+    const take = (e: Event): void => {
+      this.pending.splice(this.pending.indexOf(e), 1);
+    };
     for (const e of this.pending) {
       switch (e.t) {
         case 'ask': {
           const label = `${e.m.slice(3)} p${e.from}>${e.disk} ${e.body.ballot.slice(8, 15)}`;
-          const fails = (): void => { this.lost++; this.notes(e.from, e.body.ballot, `lost ${e.m} ${e.disk}`);
-            e.rej(new Failure({ tag: 'timeout', step: e.m, peer: e.disk })); };
-          out.push({ label, go: () => {
-            take(e);
-            this.arrives(e, (x) => {
-              this.notes(e.from, e.body.ballot, `< ${e.m} ${e.disk} ${JSON.stringify(x)}`);
-              if (x instanceof Failure) e.rej(x); else e.res(x);
-            });
-          } });
+          const fails = (): void => {
+            this.lost++;
+            this.notes(e.from, e.body.ballot, `lost ${e.m} ${e.disk}`);
+            e.rej(new Failure({ tag: 'timeout', step: e.m, peer: e.disk }));
+          };
+          out.push({
+            label,
+            go: () => {
+              take(e);
+              this.arrives(e, (x) => {
+                this.notes(e.from, e.body.ballot, `< ${e.m} ${e.disk} ${JSON.stringify(x)}`);
+                if (x instanceof Failure) e.rej(x);
+                else e.res(x);
+              });
+            },
+          });
           if (this.lost < this.plan.losses) {
-            out.push({ label: `lost: ${label}`, go: () => { take(e); fails(); } });
-            out.push({ label: `its answer lost: ${label}`, go: () => { take(e); this.arrives(e, fails); } });
+            out.push({
+              label: `lost: ${label}`,
+              go: () => {
+                take(e);
+                fails();
+              },
+            });
+            out.push({
+              label: `its answer lost: ${label}`,
+              go: () => {
+                take(e);
+                this.arrives(e, fails);
+              },
+            });
           }
           break;
         }
         case 'wake':
-          if (this.wakes[e.from]! < this.plan.retries) out.push({ label: `p${e.from} again`, go: () => { take(e); this.wakes[e.from]!++;
-            e.fn(); } });
+          if (this.wakes[e.from]! < this.plan.retries)
+            out.push({
+              label: `p${e.from} again`,
+              go: () => {
+                take(e);
+                this.wakes[e.from]!++;
+                e.fn();
+              },
+            });
           break;
       }
     }
     if (this.restarted < this.plan.restarts) {
       for (let i = 0; i < this.plan.seats; i++) {
-        out.push({ label: `${diskOf(i)} restarts`, go: () => {
-          this.restarted++;
-          if (this.plan.planted === 'comes back older') this.saved[i] = i < 3 ? { ...this.first } : { promised: '', ballot: '',
-            value: undefined };
-          this.seat(i);
-        } });
+        out.push({
+          label: `${diskOf(i)} restarts`,
+          go: () => {
+            this.restarted++;
+            if (this.plan.planted === 'comes back older')
+              this.saved[i] = i < 3 ? { ...this.first } : { promised: '', ballot: '', value: undefined };
+            this.seat(i);
+          },
+        });
       }
     }
     return out;
@@ -209,16 +303,28 @@
   private arrives(e: Extract<Event, { t: 'ask' }>, answer: (x: unknown) => void): void {
     const h = this.handlers[Number(e.disk.slice(1))]!.get(e.m)!;
     const hides = this.plan.planted === 'hides what it accepted' && e.m === 'RegPrepare';
-    const told = (x: unknown): void => answer(hides ? { ...(x as object), ballot: this.first.ballot, value: this.first.value } : x);
-    Promise.resolve().then(() => h(e.body)).then(told, told);
+    const told = (x: unknown): void =>
+      answer(hides ? { ...(x as object), ballot: this.first.ballot, value: this.first.value } : x);
+    Promise.resolve()
+      .then(() => h(e.body))
+      .then(told, told);
   }
 
   /** Two worlds with the same key go on alike: what disks have, what proposers sent and heard, what is on the way. */
   key(): string {
-    const way = this.pending.map((e) => (e.t === 'wake' ? `w${e.from}`
-      : `${e.from}${e.disk}${e.m}${e.body.ballot}${e.body.value ?? ''}`)).sort();
-    return JSON.stringify([this.saved, this.history.map((h) => [h.ballot, ...[...h.said].sort()]),
-      this.regs.map((r) => [(r as unknown as { n: number }).n, r.value!.rev]), this.done, way, this.lost, this.restarted, this.wakes]);
+    const way = this.pending
+      .map((e) => (e.t === 'wake' ? `w${e.from}` : `${e.from}${e.disk}${e.m}${e.body.ballot}${e.body.value ?? ''}`))
+      .sort();
+    return JSON.stringify([
+      this.saved,
+      this.history.map((h) => [h.ballot, ...[...h.said].sort()]),
+      this.regs.map((r) => [(r as unknown as { n: number }).n, r.value!.rev]),
+      this.done,
+      way,
+      this.lost,
+      this.restarted,
+      this.wakes,
+    ]);
   }
 }
 
@@ -265,7 +371,10 @@
   return { states: seen.size, runs, whole: true };
 }
 
-const swap: Change[] = [{ name: 'in', seats: (s) => [...s, 'd3'] }, { name: 'out', seats: (s) => s.filter((d) => d !== 'd0') }];
+const swap: Change[] = [
+  { name: 'in', seats: (s) => [...s, 'd3'] },
+  { name: 'out', seats: (s) => s.filter((d) => d !== 'd0') },
+];
 
 /** What is searched, by name. */
 export const PLANS = new Map<string, ModelPlan>([
@@ -286,7 +395,9 @@
     const r = await explore({ ...plan, mostStates: most === undefined ? 1_000_000 : Number(most) });
     const bad = r.bad ? `\nBAD: ${r.bad.what}\n  ${r.bad.path.join('\n  ')}` : '';
     const whole = r.whole ? 'all of them' : 'not all';
-    process.stdout.write(`${n}: ${r.states} states, ${r.runs} runs, ${whole}, ${((Date.now() - from) / 1000).toFixed(1)} s${bad}\n`);
+    process.stdout.write(
+      `${n}: ${r.states} states, ${r.runs} runs, ${whole}, ${((Date.now() - from) / 1000).toFixed(1)} s${bad}\n`,
+    );
     if (r.bad) process.exitCode = 1;
   }
 }
--- a/packages/trial/src/scale.ts
+++ b/packages/trial/src/scale.ts
@@ -6,19 +6,46 @@
 
 const a = yargs(process.argv.slice(2))
   .scriptName('scale')
-  .usage('$0 [flags]\n\nMeasures the control plane at several sizes, in the simulator: virtual time, the same result every time.')
+  .usage(
+    '$0 [flags]\n\nMeasures the control plane at several sizes, in the simulator: virtual time, the same result every time.',
+  )
   .option('sizes', { type: 'string', default: '15,60,200' })
   .option('seed', { type: 'number', default: 1 })
   .option('methods', { type: 'boolean', default: false, describe: 'visits per node and second, by method' })
-  .option('families', { type: 'string', describe: 'instead, what a configuration of so many families costs a fleet of 15; comma between' })
-  .strict().parseSync();
+  .option('families', {
+    type: 'string',
+    describe: 'instead, what a configuration of so many families costs a fleet of 15; comma between',
+  })
+  .strict()
+  .parseSync();
 
 /** A configuration with the operators' own words for it, about as long. */
 function large(n: number): { config: FleetConfig; document: unknown } {
   const of = [...Array(n).keys()];
   return {
-    config: { families: of.map((i) => ({ name: `r-${i}`, topics: [`kafi${i}.*`], precedence: i % 2, patienceMs: 1_500, aimMs: 150, memoryS: 35, order: 'sender' })) },
-    document: { routes: of.map((i) => ({ name: `r-${i}`, prefix: `kafi${i}.`, kind: 'kept', expires: 1_500, target: 150, precedence: i % 2, seconds: 35, order: 'sender' })) },
+    config: {
+      families: of.map((i) => ({
+        name: `r-${i}`,
+        topics: [`kafi${i}.*`],
+        precedence: i % 2,
+        patienceMs: 1_500,
+        aimMs: 150,
+        memoryS: 35,
+        order: 'sender',
+      })),
+    },
+    document: {
+      routes: of.map((i) => ({
+        name: `r-${i}`,
+        prefix: `kafi${i}.`,
+        kind: 'kept',
+        expires: 1_500,
+        target: 150,
+        precedence: i % 2,
+        seconds: 35,
+        order: 'sender',
+      })),
+    },
   };
 }
 
@@ -36,15 +63,20 @@
   await sim.run(15_000);
   const ups = [...sim.nodes.values()];
   const { config, document } = large(n);
-  const told: number[] = [], all: number[] = [], kib: number[] = [];
+  const told: number[] = [],
+    all: number[] = [],
+    kib: number[] = [];
   for (let i = 1; i <= 5; i++) {
     sim.traffic.clear();
     sim.answers.clear();
     sim.measure = true;
     const from = sim.now;
-    let answered = 0, everywhere = 0;
+    let answered = 0,
+      everywhere = 0;
     const at = ups[Math.floor(sim.rnd.next() * ups.length)]!;
-    void sim.outside.visit(at.config.client, 'SubmitConfig', { revision: i, config, document }, 10_000).then(() => { answered = sim.now; });
+    void sim.outside.visit(at.config.client, 'SubmitConfig', { revision: i, config, document }, 10_000).then(() => {
+      answered = sim.now;
+    });
     while (!answered || !everywhere) {
       await sim.run(sim.now + 5);
       if (!everywhere && ups.every((x) => (x.kernel!.use('register').value?.revision ?? 0) >= i)) everywhere = sim.now;
@@ -60,10 +92,16 @@
   const v = ups[0]!.kernel!.use('register').value!;
   const text = toText(v);
   const ms = (xs: number[]): string => `${Math.round(Math.min(...xs))} to ${Math.round(Math.max(...xs))} ms`;
-  process.stdout.write(`${n} families: value as text ${(text.length / 1024).toFixed(1)} KiB; a change answered after ${ms(told)}, at all 15 nodes after ${ms(all)}, `
-    + `${Math.round(Math.min(...kib))} KiB sent for it; to text ${took(() => toText(v)).toFixed(2)} ms, from text ${took(() => fromText(text)).toFixed(2)} ms, `
-    + `checked in ${took(() => configFaults(config)).toFixed(2)} ms, laid out in ${took(() => familyOf(structuredClone(v.config), 'kafi7.1')).toFixed(2)} ms, `
-    + `a topic's family in ${(took(() => { for (let i = 0; i < 10_000; i++) familyOf(v.config, 'kafi7.1'); }) / 10).toFixed(3)} us\n`);
+  process.stdout.write(
+    `${n} families: value as text ${(text.length / 1024).toFixed(1)} KiB; a change answered after ${ms(told)}, at all 15 nodes after ${ms(all)}, ` +
+      `${Math.round(Math.min(...kib))} KiB sent for it; to text ${took(() => toText(v)).toFixed(2)} ms, from text ${took(() => fromText(text)).toFixed(2)} ms, ` +
+      `checked in ${took(() => configFaults(config)).toFixed(2)} ms, laid out in ${took(() => familyOf(structuredClone(v.config), 'kafi7.1')).toFixed(2)} ms, ` +
+      `a topic's family in ${(
+        took(() => {
+          for (let i = 0; i < 10_000; i++) familyOf(v.config, 'kafi7.1');
+        }) / 10
+      ).toFixed(3)} us\n`,
+  );
   sim.close();
 }
 
@@ -74,26 +112,50 @@
 
 for (const size of a.sizes.split(',').map(Number)) {
   const stores = Math.max(3, Math.round(size / 5));
-  const site: Site = { ...SMALL, domains: ['a', 'b', 'c', 'd', 'e'], stores, relays: size - stores, relayDisks: Math.round(size / 15), consumers: 0 };
+  const site: Site = {
+    ...SMALL,
+    domains: ['a', 'b', 'c', 'd', 'e'],
+    stores,
+    relays: size - stores,
+    relayDisks: Math.round(size / 15),
+    consumers: 0,
+  };
   const sim = new Sim(a.seed);
   const m = await build(sim, site);
   await sim.run(15_000);
   const reg = (n: (typeof m.stores)[number]) => n.kernel!.use('register');
   const ups = [...sim.nodes.values()];
-  const owners = (): Map<number, string> => new Map(m.disks.filter((d) => d.up && !d.frozen).flatMap((d) => d.kernel!.use('owner').owned().map((k) => [k.shard, d.name] as [number, string])));
+  const owners = (): Map<number, string> =>
+    new Map(
+      m.disks
+        .filter((d) => d.up && !d.frozen)
+        .flatMap((d) =>
+          d
+            .kernel!.use('owner')
+            .owned()
+            .map((k) => [k.shard, d.name] as [number, string]),
+        ),
+    );
 
   // Quiet traffic over ten seconds.
   sim.measure = true;
   await sim.run(25_000);
   sim.measure = false;
-  const total = [...sim.traffic.values()].reduce((x, t) => ({ n: x.n + t.n, bytes: x.bytes + t.bytes }), { n: 0, bytes: 0 });
+  const total = [...sim.traffic.values()].reduce((x, t) => ({ n: x.n + t.n, bytes: x.bytes + t.bytes }), {
+    n: 0,
+    bytes: 0,
+  });
 
   // A configuration: from its answer until the last node has it in force.
   const spread: number[] = [];
   for (let i = 0; i < 5; i++) {
     const at = ups[Math.floor(sim.rnd.next() * ups.length)]!;
     let told = 0;
-    void sim.outside.visit(at.config.client, 'SubmitConfig', { changeId: `s${i}`, config: configOf(site) }, 10_000).then(() => { told = sim.now; });
+    void sim.outside
+      .visit(at.config.client, 'SubmitConfig', { changeId: `s${i}`, config: configOf(site) }, 10_000)
+      .then(() => {
+        told = sim.now;
+      });
     const version = i + 1;
     let all = 0;
     while (!told || !all) {
@@ -108,14 +170,20 @@
   // A frozen machine (nobody refuses a connection): until the first and the last node suspect it, and its keys are served again.
   await sim.run(sim.now + 3_000);
   const before = owners();
-  const victim = m.stores.find((s) => [...before.values()].includes(s.name) && !s.config.seeds.includes(s.config.peer)) ?? m.stores[0]!;
+  const victim =
+    m.stores.find((s) => [...before.values()].includes(s.name) && !s.config.seeds.includes(s.config.peer)) ??
+    m.stores[0]!;
   const lost = [...before].filter(([, o]) => o === victim.name).map(([s]) => s);
   const t0 = sim.now;
   sim.freeze(victim);
-  let first = 0, last = 0, served = 0;
+  let first = 0,
+    last = 0,
+    served = 0;
   while (!last || !served) {
     await sim.run(sim.now + 20);
-    const sus = ups.filter((n) => n !== victim && n.kernel!.use('board').members.get(victim.config.peer)?.state !== 'live').length;
+    const sus = ups.filter(
+      (n) => n !== victim && n.kernel!.use('board').members.get(victim.config.peer)?.state !== 'live',
+    ).length;
     if (sus && !first) first = sim.now - t0;
     if (sus === ups.length - 1 && !last) last = sim.now - t0;
     const o = owners();
@@ -124,7 +192,13 @@
   }
   const after = owners();
   const movedElse = [...before].filter(([s, o]) => o !== victim.name && after.get(s) !== o).length;
-  process.stdout.write(`${size} nodes (${m.disks.length} disks): ${(total.n / size / 10).toFixed(1)} peer visits and ${(total.bytes / size / 10 / 1024).toFixed(1)} KiB per node and s; configuration everywhere ${spread.map((x) => Math.round(x)).join('/')} ms after its answer; frozen machine suspected by the first after ${Math.round(first)} ms, by all after ${Math.round(last)} ms; its ${lost.length} keys served after ${Math.round(served)} ms; ${movedElse} other keys moved\n`);
-  if (a.methods) for (const [k, t] of [...sim.traffic].sort((x, y) => y[1].bytes - x[1].bytes)) process.stdout.write(`   ${k}: ${(t.n / size / 10).toFixed(2)} visits, ${(t.bytes / size / 10 / 1024).toFixed(2)} KiB per node and s\n`);
+  process.stdout.write(
+    `${size} nodes (${m.disks.length} disks): ${(total.n / size / 10).toFixed(1)} peer visits and ${(total.bytes / size / 10 / 1024).toFixed(1)} KiB per node and s; configuration everywhere ${spread.map((x) => Math.round(x)).join('/')} ms after its answer; frozen machine suspected by the first after ${Math.round(first)} ms, by all after ${Math.round(last)} ms; its ${lost.length} keys served after ${Math.round(served)} ms; ${movedElse} other keys moved\n`,
+  );
+  if (a.methods)
+    for (const [k, t] of [...sim.traffic].sort((x, y) => y[1].bytes - x[1].bytes))
+      process.stdout.write(
+        `   ${k}: ${(t.n / size / 10).toFixed(2)} visits, ${(t.bytes / size / 10 / 1024).toFixed(2)} KiB per node and s\n`,
+      );
   sim.close();
 }
--- a/packages/trial/src/scenario.ts
+++ b/packages/trial/src/scenario.ts
@@ -14,19 +14,37 @@
   relayDisks: number;
   stores: number;
   consumers: number;
-  families: { name: string; prefix: string; topics: number; urgency: 'urgent' | 'routine'; perS: number; memoryS: number; patienceMs: number }[];
+  families: {
+    name: string;
+    prefix: string;
+    topics: number;
+    urgency: 'urgent' | 'routine';
+    perS: number;
+    memoryS: number;
+    patienceMs: number;
+  }[];
 }
 
 /** The two deployments of the brief at full size. */
 export const SINE_SALOUM: Site = {
-  name: 'sine-saloum', domains: ['kaolack', 'fatick', 'foundiougne'], relays: 12, relayDisks: 3, stores: 3, consumers: 400,
+  name: 'sine-saloum',
+  domains: ['kaolack', 'fatick', 'foundiougne'],
+  relays: 12,
+  relayDisks: 3,
+  stores: 3,
+  consumers: 400,
   families: [
     { name: 'payments', prefix: 'pay/', topics: 420, urgency: 'routine', perS: 70, memoryS: 35, patienceMs: 3_000 },
     { name: 'warnings', prefix: 'warn/', topics: 30, urgency: 'urgent', perS: 25, memoryS: 25, patienceMs: 2_000 },
   ],
 };
 export const DUNARE: Site = {
-  name: 'dunare-carpati', domains: ['galati', 'braila', 'tulcea', 'focsani'], relays: 11, relayDisks: 4, stores: 4, consumers: 410,
+  name: 'dunare-carpati',
+  domains: ['galati', 'braila', 'tulcea', 'focsani'],
+  relays: 11,
+  relayDisks: 4,
+  stores: 4,
+  consumers: 410,
   families: [
     { name: 'levels', prefix: 'level/', topics: 260, urgency: 'routine', perS: 50, memoryS: 35, patienceMs: 3_000 },
     { name: 'floods', prefix: 'flood/', topics: 30, urgency: 'urgent', perS: 25, memoryS: 25, patienceMs: 2_000 },
@@ -34,7 +52,12 @@
 };
 /** A site of the same shape, small enough for many seeds. */
 export const SMALL: Site = {
-  name: 'small', domains: ['a', 'b', 'c'], relays: 6, relayDisks: 2, stores: 3, consumers: 24,
+  name: 'small',
+  domains: ['a', 'b', 'c'],
+  relays: 6,
+  relayDisks: 2,
+  stores: 3,
+  consumers: 24,
   families: [
     { name: 'routine', prefix: 'r/', topics: 24, urgency: 'routine', perS: 14, memoryS: 35, patienceMs: 3_000 },
     { name: 'urgent', prefix: 'u/', topics: 6, urgency: 'urgent', perS: 6, memoryS: 25, patienceMs: 2_000 },
@@ -47,14 +70,30 @@
  * configOf(SMALL, [{ name: 'x', topics: ['x/*'], urgency: 'routine', patienceMs: 2000, memoryS: 30 }])
  */
 export function configOf(site: Site, extra: FleetConfig['families'] = []): FleetConfig {
-  return { families: [...site.families.map((f) => ({ name: f.name, topics: [`${f.prefix}*`], urgency: f.urgency, patienceMs: f.patienceMs, memoryS: f.memoryS })), ...extra] };
+  return {
+    families: [
+      ...site.families.map((f) => ({
+        name: f.name,
+        topics: [`${f.prefix}*`],
+        urgency: f.urgency,
+        patienceMs: f.patienceMs,
+        memoryS: f.memoryS,
+      })),
+      ...extra,
+    ],
+  };
 }
 
 /** Some topics have messages and nobody who follows them. */
 const followed = (topics: number): number => Math.max(1, topics - Math.ceil(topics / 10));
 
 /** Stand-ins for a site's callers. */
-export interface Crowd { consumers: Consumer[]; senders: (Sender | Pipeliner)[]; operator: Operator; topics: string[] }
+export interface Crowd {
+  consumers: Consumer[];
+  senders: (Sender | Pipeliner)[];
+  operator: Operator;
+  topics: string[];
+}
 
 /**
  * The stand-ins of a site: consumers by domain, senders at the site's rates, an operator.
@@ -70,7 +109,8 @@
     // A household follows its own feed, a desk several; everyone follows some of the urgent topics.
     for (const f of site.families) {
       mine.add(`${f.prefix}${i % followed(f.topics)}`);
-      if (i % 8 === 0) for (const n of sample(w.rnd, [...Array(followed(f.topics)).keys()], 3)) mine.add(`${f.prefix}${n}`);
+      if (i % 8 === 0)
+        for (const n of sample(w.rnd, [...Array(followed(f.topics)).keys()], 3)) mine.add(`${f.prefix}${n}`);
       if (f.urgency === 'urgent') mine.add(`${f.prefix}0`);
     }
     consumers.push(new Consumer(w, `c${i}`, site.domains[i % site.domains.length]!, [...mine]));
@@ -79,17 +119,43 @@
     const n = Math.max(2, Math.min(20, Math.floor(f.topics / 3)));
     for (let i = 0; i < n; i++) {
       // Two senders share a topic here and there; each still numbers its own messages.
-      const own = Array.from({ length: f.topics }, (_, t) => t).filter((t) => t % n === i || (t % 7 === 0 && t % n === (i + 1) % n)).map((t) => `${f.prefix}${t}`);
-      senders.push(new Sender(w, `${f.name}-${i}`, site.domains[i % site.domains.length]!, own, (1000 * n) / f.perS, { triesN: 8, repeats: 0.15 }));
+      const own = Array.from({ length: f.topics }, (_, t) => t)
+        .filter((t) => t % n === i || (t % 7 === 0 && t % n === (i + 1) % n))
+        .map((t) => `${f.prefix}${t}`);
+      senders.push(
+        new Sender(w, `${f.name}-${i}`, site.domains[i % site.domains.length]!, own, (1000 * n) / f.perS, {
+          triesN: 8,
+          repeats: 0.15,
+        }),
+      );
     }
     // Some have several on the way at once on one topic.
-    for (const i of [0, 1]) senders.push(new Pipeliner(w, `${f.name}-pipe${i}`, site.domains[i % site.domains.length]!, `${f.prefix}${i}`, 200));
+    for (const i of [0, 1])
+      senders.push(
+        new Pipeliner(w, `${f.name}-pipe${i}`, site.domains[i % site.domains.length]!, `${f.prefix}${i}`, 200),
+      );
   }
   return { consumers, senders, operator: new Operator(w, 'op'), topics };
 }
 
-export interface Stage { sim: Sim; world: World; site: Site; crowd: Crowd; stores: SimNode[]; relays: SimNode[]; disks: SimNode[]; rnd: { next(): number }; note(s: string): void }
-export interface Run { seen: Seen[]; bad: Violation[]; sim: Sim; notes: string[]; counters: Map<string, number> }
+export interface Stage {
+  sim: Sim;
+  world: World;
+  site: Site;
+  crowd: Crowd;
+  stores: SimNode[];
+  relays: SimNode[];
+  disks: SimNode[];
+  rnd: { next(): number };
+  note(s: string): void;
+}
+export interface Run {
+  seen: Seen[];
+  bad: Violation[];
+  sim: Sim;
+  notes: string[];
+  counters: Map<string, number>;
+}
 
 export interface Scenario {
   site?: Site;
@@ -107,10 +173,28 @@
  * @example
  * const { stores, relays, disks } = await build(sim, SMALL);
  */
-export async function build(sim: Sim, site: Site, skewMs = 0): Promise<{ stores: SimNode[]; relays: SimNode[]; disks: SimNode[] }> {
+export async function build(
+  sim: Sim,
+  site: Site,
+  skewMs = 0,
+): Promise<{ stores: SimNode[]; relays: SimNode[]; disks: SimNode[] }> {
   const skew = (): number => (skewMs ? Math.round((sim.rnd.next() * 2 - 1) * skewMs) : 0);
-  const stores = Array.from({ length: site.stores }, (_, i) => sim.add(`store${i + 1}`, { role: 'store', domain: site.domains[i % site.domains.length]!, disk: true, skewMs: skew() }));
-  const relays = Array.from({ length: site.relays }, (_, i) => sim.add(`relay${i + 1}`, { role: 'relay', domain: site.domains[i % site.domains.length]!, disk: i < site.relayDisks, skewMs: skew() }));
+  const stores = Array.from({ length: site.stores }, (_, i) =>
+    sim.add(`store${i + 1}`, {
+      role: 'store',
+      domain: site.domains[i % site.domains.length]!,
+      disk: true,
+      skewMs: skew(),
+    }),
+  );
+  const relays = Array.from({ length: site.relays }, (_, i) =>
+    sim.add(`relay${i + 1}`, {
+      role: 'relay',
+      domain: site.domains[i % site.domains.length]!,
+      disk: i < site.relayDisks,
+      skewMs: skew(),
+    }),
+  );
   const seeds = stores.slice(0, 3).map((n) => n.config.peer);
   for (const n of sim.nodes.values()) n.config.seeds = seeds;
   for (const n of sim.nodes.values()) void sim.clock.after(sim.rnd.next() * 1500, () => void sim.start(n));
@@ -133,13 +217,34 @@
   const nodes = [...sim.nodes.values()];
   const v = valueOf(sim);
   const up = nodes.filter((n) => n.up && !n.frozen && n.edge !== undefined);
-  const at = new Map(up.flatMap((n) => { const d = diskOf(n); return d === undefined ? [] : [[d, n] as const]; }));
-  const linked = (a: SimNode, b: SimNode): boolean => a === b || (!sim.cuts.has(`${a.name}>${b.name}`) && !sim.cuts.has(`${b.name}>${a.name}`));
-  const most = (disks: string[], of: (n: SimNode) => boolean): boolean => disks.filter((d) => { const n = at.get(d); return n !== undefined && of(n); }).length * 2 > disks.length;
+  const at = new Map(
+    up.flatMap((n) => {
+      const d = diskOf(n);
+      return d === undefined ? [] : [[d, n] as const];
+    }),
+  );
+  const linked = (a: SimNode, b: SimNode): boolean =>
+    a === b || (!sim.cuts.has(`${a.name}>${b.name}`) && !sim.cuts.has(`${b.name}>${a.name}`));
+  const most = (disks: string[], of: (n: SimNode) => boolean): boolean =>
+    disks.filter((d) => {
+      const n = at.get(d);
+      return n !== undefined && of(n);
+    }).length *
+      2 >
+    disks.length;
   const well = v ? up.filter((n) => [v.seats, v.prevSeats].every((s) => most(s, (m) => linked(n, m)))) : [];
   const able = v !== undefined && [...v.shards.values()].every((p) => most(p.copies, (n) => well.includes(n)));
-  const ailing = nodes.filter((n) => n.up && !well.includes(n)).map((n) => n.config.client).sort();
-  return { well: well.map((n) => n.config.client).sort(), ailing, able, rough: sim.rough(), poor: [...sim.thin.keys(), ...sim.deaf] };
+  const ailing = nodes
+    .filter((n) => n.up && !well.includes(n))
+    .map((n) => n.config.client)
+    .sort();
+  return {
+    well: well.map((n) => n.config.client).sort(),
+    ailing,
+    able,
+    rough: sim.rough(),
+    poor: [...sim.thin.keys(), ...sim.deaf],
+  };
 }
 
 /** A machine with a disk that may die now: every shard, and the register, keeps a majority without it. */
@@ -148,7 +253,12 @@
   const v = valueOf(sim);
   const at = new Map(nodes.filter((n) => n.up && !n.frozen).map((n) => [diskOf(n), n]));
   const sets = v ? [v.seats, v.prevSeats, ...[...v.shards.values()].map((p) => p.copies)] : [];
-  const may = [...at].filter(([d, n]) => d !== undefined && sets.every((s) => s.filter((x) => x !== d && at.has(x)).length * 2 > s.length) && n.config.data);
+  const may = [...at].filter(
+    ([d, n]) =>
+      d !== undefined &&
+      sets.every((s) => s.filter((x) => x !== d && at.has(x)).length * 2 > s.length) &&
+      n.config.data,
+  );
   return may[Math.floor(rnd.next() * may.length)]?.[1];
 }
 
@@ -165,20 +275,40 @@
   const world: World = { clock: sim.clock, rnd: seeded(seed ^ 0x5eed), way: sim.outside, journal };
   const cr = crowd(world, site);
   const notes: string[] = [];
-  const stage: Stage = { sim, world, site, crowd: cr, ...m, rnd: seeded(seed ^ 0xfa17), note: (s) => { notes.push(`${(sim.now / 1000).toFixed(3)} ${s}`); sim.lines.push(`${(sim.now / 1000).toFixed(3)} ** ${s}`); } };
+  const stage: Stage = {
+    sim,
+    world,
+    site,
+    crowd: cr,
+    ...m,
+    rnd: seeded(seed ^ 0xfa17),
+    note: (s) => {
+      notes.push(`${(sim.now / 1000).toFixed(3)} ${s}`);
+      sim.lines.push(`${(sim.now / 1000).toFixed(3)} ** ${s}`);
+    },
+  };
   await sim.run(6_000);
   let fault: unknown;
   /** Lets virtual time pass until a promise is kept, or gives up on it. */
   const drive = async (p: Promise<unknown>, limitMs: number): Promise<boolean> => {
     let kept = false;
-    p.then(() => { kept = true; }, (e) => { fault = e; kept = true; });
+    p.then(
+      () => {
+        kept = true;
+      },
+      (e) => {
+        fault = e;
+        kept = true;
+      },
+    );
     for (const until = sim.now + limitMs; !kept && sim.now < until;) await sim.run(sim.now + 250);
     return kept;
   };
   const first = cr.operator.submit('first', configOf(site), true);
   await sim.run(12_000);
   if (!(await drive(first, 60_000))) notes.push('the first configuration was never answered');
-  for (const n of sim.nodes.values()) journal.add({ k: 'node', node: n.config.client, domain: n.config.domain, role: n.config.role });
+  for (const n of sim.nodes.values())
+    journal.add({ k: 'node', node: n.config.client, domain: n.config.domain, role: n.config.role });
   let told = '';
   const tell = (): void => {
     const w = weatherOf(sim);
@@ -190,9 +320,24 @@
   for (const c of cr.consumers) c.start();
   for (const s of cr.senders) s.start();
   let watching = true;
-  void (async () => { while (watching) { await sleep(sim.clock, 100); tell(); } })();
-  void (async () => { while (watching) { await sleep(sim.clock, 400); void cr.operator.look([...sim.nodes.values()].map((n) => n.config.client)); } })();
-  void (async () => { while (watching) { await sleep(sim.clock, 500); void cr.operator.count(cr.topics[Math.floor(world.rnd.next() * cr.topics.length)]!); } })();
+  void (async () => {
+    while (watching) {
+      await sleep(sim.clock, 100);
+      tell();
+    }
+  })();
+  void (async () => {
+    while (watching) {
+      await sleep(sim.clock, 400);
+      void cr.operator.look([...sim.nodes.values()].map((n) => n.config.client));
+    }
+  })();
+  void (async () => {
+    while (watching) {
+      await sleep(sim.clock, 500);
+      void cr.operator.count(cr.topics[Math.floor(world.rnd.next() * cr.topics.length)]!);
+    }
+  })();
   await sim.run(17_000);
   const from = sim.now;
   if (!(await drive(sc.faults(stage), (sc.forMs ?? 20_000) + 120_000))) notes.push('the faults never ended');
@@ -217,7 +362,8 @@
   journal.add({ k: 'end' });
   const bad = judge(journal.seen);
   const counters = new Map<string, number>();
-  for (const n of sim.nodes.values()) for (const [k, v] of n.kernel?.counters ?? []) counters.set(k, (counters.get(k) ?? 0) + v);
+  for (const n of sim.nodes.values())
+    for (const [k, v] of n.kernel?.counters ?? []) counters.set(k, (counters.get(k) ?? 0) + v);
   for (const n of notes.filter((x) => x.includes('never'))) bad.push({ rule: 'unanswered', t: 0, what: n });
   for (const e of sim.errors) bad.push({ rule: 'served', t: 0, what: `unexpected error: ${e}` });
   sim.close();
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -1,6 +1,16 @@
 import '@harecross/control';
 import { frameLines, startNode, type Edge } from '@harecross/data';
-import { Db, Failure, type Clock, type Host, type Kernel, type Net, type NodeConfig, type Rnd, type Role } from '@harecross/kernel';
+import {
+  Db,
+  Failure,
+  type Clock,
+  type Host,
+  type Kernel,
+  type Net,
+  type NodeConfig,
+  type Rnd,
+  type Role,
+} from '@harecross/kernel';
 import type { Frame } from '@harecross/schema';
 import Database from 'better-sqlite3';
 import type { Way } from './actors.js';
@@ -26,14 +36,24 @@
 /** Machines' clocks begin at some time of the year 2026. */
 const EPOCH_MS = 1_790_000_000_000;
 
-interface Ev { at: number; n: number; fn: () => void; off: boolean }
+interface Ev {
+  at: number;
+  n: number;
+  fn: () => void;
+  off: boolean;
+}
 
 class Heap {
   private a: Ev[] = [];
-  get size(): number { return this.a.length; }
-  get top(): Ev | undefined { return this.a[0]; }
+  get size(): number {
+    return this.a.length;
+  }
+  get top(): Ev | undefined {
+    return this.a[0];
+  }
   private less(i: number, j: number): boolean {
-    const x = this.a[i]!, y = this.a[j]!;
+    const x = this.a[i]!,
+      y = this.a[j]!;
     return x.at < y.at || (x.at === y.at && x.n < y.n);
   }
   push(e: Ev): void {
@@ -55,7 +75,8 @@
       a[0] = end;
       let i = 0;
       for (;;) {
-        const l = 2 * i + 1, r = l + 1;
+        const l = 2 * i + 1,
+          r = l + 1;
         let m = i;
         if (l < a.length && this.less(l, m)) m = l;
         if (r < a.length && this.less(r, m)) m = r;
@@ -97,7 +118,11 @@
   streams: Set<() => void>;
 }
 
-export interface SimOpts { delayMs?: [number, number]; loss?: number; log?: boolean }
+export interface SimOpts {
+  delayMs?: [number, number];
+  loss?: number;
+  log?: boolean;
+}
 
 /**
  * A fleet of the real code in virtual time. One seed, one run. What is not real: the clock, the net, the random
@@ -131,7 +156,10 @@
   /** Unexpected errors of node code. */
   readonly errors: string[] = [];
 
-  constructor(readonly seed: number, private opts: SimOpts = {}) {
+  constructor(
+    readonly seed: number,
+    private opts: SimOpts = {},
+  ) {
     this.rnd = seeded(seed);
     this.delay = opts.delayMs ?? [0.5, 6];
     this.loss = opts.loss ?? 0;
@@ -140,7 +168,9 @@
   private at(ms: number, fn: () => void): () => void {
     const e: Ev = { at: this.now + Math.max(0, ms), n: this.n++, fn, off: false };
     this.heap.push(e);
-    return () => { e.off = true; };
+    return () => {
+      e.off = true;
+    };
   }
 
   /** The clock of the outside world. */
@@ -166,8 +196,29 @@
   add(name: string, x: { role: Role; domain: string; disk?: boolean; skewMs?: number }): SimNode {
     const i = this.nodes.size + 1;
     const peer = `10.0.${i >> 8}.${i & 255}:7100`;
-    const config: NodeConfig = { role: x.role, domain: x.domain, peer, client: peer.replace('7100', '7000'), seeds: [], ...(x.disk ? { data: name } : {}) };
-    const node: SimNode = { name, config, skewMs: x.skewMs ?? 0, life: 0, up: false, frozen: false, frozenWork: [], slowMs: 0, diskMs: 2, rate: 1, stepMs: 0, calls: new Set(), streams: new Set() };
+    const config: NodeConfig = {
+      role: x.role,
+      domain: x.domain,
+      peer,
+      client: peer.replace('7100', '7000'),
+      seeds: [],
+      ...(x.disk ? { data: name } : {}),
+    };
+    const node: SimNode = {
+      name,
+      config,
+      skewMs: x.skewMs ?? 0,
+      life: 0,
+      up: false,
+      frozen: false,
+      frozenWork: [],
+      slowMs: 0,
+      diskMs: 2,
+      rate: 1,
+      stepMs: 0,
+      calls: new Set(),
+      streams: new Set(),
+    };
     this.nodes.set(name, node);
     this.byPeer.set(peer, node);
     this.byClient.set(config.client, node);
@@ -182,7 +233,10 @@
 
   private work(n: SimNode, life: number, fn: () => void): void {
     if (!n.up || n.life !== life) return;
-    if (n.frozen) { n.frozenWork.push(() => this.work(n, life, fn)); return; }
+    if (n.frozen) {
+      n.frozenWork.push(() => this.work(n, life, fn));
+      return;
+    }
     fn();
   }
 
@@ -213,10 +267,17 @@
     this.cuts.delete(`${a}>${b}`);
     this.cuts.delete(`${b}>${a}`);
   }
-  heal(): void { this.cuts.clear(); }
+  heal(): void {
+    this.cuts.clear();
+  }
   /** Whether some machine or way is worse than it should be. */
   rough(): boolean {
-    return this.loss > 0 || this.cuts.size > 0 || this.delay[1] > 20 || [...this.nodes.values()].some((n) => n.slowMs > 0 || n.diskMs > 10 || n.stallMs !== undefined);
+    return (
+      this.loss > 0 ||
+      this.cuts.size > 0 ||
+      this.delay[1] > 20 ||
+      [...this.nodes.values()].some((n) => n.slowMs > 0 || n.diskMs > 10 || n.stallMs !== undefined)
+    );
   }
 
   async start(n: SimNode): Promise<void> {
@@ -233,39 +294,62 @@
       after: (ms, fn) => this.at(ms / n.rate + n.slowMs * rnd.next(), () => this.work(n, life, fn)),
     };
     const net: Net = {
-      serve: async (h) => { n.handle = h; },
+      serve: async (h) => {
+        n.handle = h;
+      },
       call: (peer, frame, timeoutMs) => this.call(n, life, peer, frame, timeoutMs),
-      close: async () => { n.handle = undefined; },
+      close: async () => {
+        n.handle = undefined;
+      },
     };
-    const note = (kind: string) => (line: string, data?: Record<string, unknown>): void => {
-      const s = `${(this.now / 1000).toFixed(3)} ${n.name} ${kind}${line} ${data ? JSON.stringify(data) : ''}`;
-      this.lines.push(s);
-      if (this.opts.log) process.stdout.write(s + '\n');
-      if (data && (data.fault as { tag?: string } | undefined)?.tag === 'internal') this.errors.push(s);
+    const note =
+      (kind: string) =>
+      (line: string, data?: Record<string, unknown>): void => {
+        const s = `${(this.now / 1000).toFixed(3)} ${n.name} ${kind}${line} ${data ? JSON.stringify(data) : ''}`;
+        this.lines.push(s);
+        if (this.opts.log) process.stdout.write(s + '\n');
+        if (data && (data.fault as { tag?: string } | undefined)?.tag === 'internal') this.errors.push(s);
+      };
+    const host: Host = {
+      clock,
+      rnd,
+      net,
+      config: n.config,
+      log: { info: note(''), warn: note('! ') },
+      die: () => this.kill(n),
     };
-    const host: Host = { clock, rnd, net, config: n.config, log: { info: note(''), warn: note('! ') }, die: () => this.kill(n) };
     if (n.config.data) {
       n.sql ??= new Database(':memory:');
       // A sync may stop the whole loop: nothing else of the node runs meanwhile, and only then is it done.
       const blocking: Clock = {
         ...clock,
-        after: (ms, fn) => clock.after(ms, () => {
-          const by = n.stallMs;
-          if (!by) { fn(); return; }
-          n.frozen = true;
-          this.at(by[0] + (by[1] - by[0]) * rnd.next(), () => {
-            if (!n.up || n.life !== life) return;
-            n.frozen = false;
-            fn();
-            this.runFrozen(n);
-          });
-        }),
+        after: (ms, fn) =>
+          clock.after(ms, () => {
+            const by = n.stallMs;
+            if (!by) {
+              fn();
+              return;
+            }
+            n.frozen = true;
+            this.at(by[0] + (by[1] - by[0]) * rnd.next(), () => {
+              if (!n.up || n.life !== life) return;
+              n.frozen = false;
+              fn();
+              this.runFrozen(n);
+            });
+          }),
       };
-      const db = new Db(n.sql, blocking, () => n.diskMs * (0.5 + rnd.next()), (e) => {
-        this.lines.push(`${(this.now / 1000).toFixed(3)} ${n.name} disk fault: ${e.message}`);
-        if (!n.fullDisk) this.errors.push(`${n.name} disk: ${e.message}`);
-        this.kill(n);
-      }, n.config.peer);
+      const db = new Db(
+        n.sql,
+        blocking,
+        () => n.diskMs * (0.5 + rnd.next()),
+        (e) => {
+          this.lines.push(`${(this.now / 1000).toFixed(3)} ${n.name} disk fault: ${e.message}`);
+          if (!n.fullDisk) this.errors.push(`${n.name} disk: ${e.message}`);
+          this.kill(n);
+        },
+        n.config.peer,
+      );
       db.openMs = n.diskMs;
       n.db = host.db = db;
     }
@@ -294,13 +378,20 @@
   async stop(n: SimNode): Promise<boolean> {
     const life = n.life;
     let left = false;
-    const hard = this.at(6_000, () => { if (n.life === life) this.kill(n); });
+    const hard = this.at(6_000, () => {
+      if (n.life === life) this.kill(n);
+    });
     const k = n.kernel!;
     const sql = n.sql;
     // The process's own bound, as in the program.
     await Promise.race([
-      (async () => { await stopButDisk(k); left = true; })(),
-      new Promise<void>((r) => { this.at(6_001, r); }),
+      (async () => {
+        await stopButDisk(k);
+        left = true;
+      })(),
+      new Promise<void>((r) => {
+        this.at(6_001, r);
+      }),
     ]);
     hard();
     if (n.life === life) this.kill(n);
@@ -321,7 +412,9 @@
     n.sql!.pragma(`max_page_count = ${full ? Number(n.sql!.pragma('page_count', { simple: true })) : 1_073_741_823}`);
   }
 
-  freeze(n: SimNode): void { if (n.up) n.frozen = true; }
+  freeze(n: SimNode): void {
+    if (n.up) n.frozen = true;
+  }
   thaw(n: SimNode): void {
     if (!n.frozen) return;
     n.frozen = false;
@@ -357,22 +450,39 @@
         this.work(from, life, fn);
       };
       const stop = this.at(timeoutMs, () => end(() => rej(new Failure({ tag: 'timeout', step: 'call', peer }))));
-      if (!to) { this.at(1, () => end(() => rej(new Failure({ tag: 'unreachable', step: 'call', peer, detail: 'no route' })))); return; }
+      if (!to) {
+        this.at(1, () => end(() => rej(new Failure({ tag: 'unreachable', step: 'call', peer, detail: 'no route' }))));
+        return;
+      }
       const conn = `${from.name}/${life}>${to.name}/${to.life}`;
       this.at(this.inOrder(conn, this.way(from.slowMs + to.slowMs)), () => {
         if (this.isCut(from.name, to.name)) return; // silence until the time limit
-        if (!to.up || !to.handle) { this.at(this.way(), () => end(() => rej(new Failure({ tag: 'unreachable', step: 'call', peer, detail: 'refused' })))); return; }
+        if (!to.up || !to.handle) {
+          this.at(this.way(), () =>
+            end(() => rej(new Failure({ tag: 'unreachable', step: 'call', peer, detail: 'refused' }))),
+          );
+          return;
+        }
         const toLife = to.life;
-        broken = () => { this.at(this.way(), () => { if (!this.isCut(to.name, from.name)) end(() => rej(new Failure({ tag: 'cut', step: 'call', peer, detail: 'reset' }))); }); };
+        broken = () => {
+          this.at(this.way(), () => {
+            if (!this.isCut(to.name, from.name))
+              end(() => rej(new Failure({ tag: 'cut', step: 'call', peer, detail: 'reset' })));
+          });
+        };
         to.calls.add(broken);
         this.work(to, toLife, () => {
           to.handle!(frame).then(
             (s) => {
               if (m) this.answers.set(m, (this.answers.get(m) ?? 0) + s.length);
               if (!to.up || to.life !== toLife) return;
-              this.at(this.inOrder(`${conn} back`, this.way(from.slowMs + to.slowMs)), () => { if (!this.isCut(to.name, from.name)) end(() => res(s)); });
+              this.at(this.inOrder(`${conn} back`, this.way(from.slowMs + to.slowMs)), () => {
+                if (!this.isCut(to.name, from.name)) end(() => res(s));
+              });
+            },
+            (e) => {
+              this.errors.push(`${to.name} handler: ${e}`);
             },
-            (e) => { this.errors.push(`${to.name} handler: ${e}`); },
           );
         });
       });
@@ -381,42 +491,77 @@
 
   /** The outside's way in. `outside` is the name cuts use for it. */
   readonly outside: Way = {
-    nodes: (domain) => [...this.nodes.values()].filter((n) => n.up && !n.frozen && n.config.role === 'relay' && n.edge?.ready() && (domain === undefined || n.config.domain === domain)).map((n) => n.config.client),
-    visit: (node, method, body, timeoutMs, line) => new Promise((res) => {
-      const to = this.byClient.get(node)!;
-      const life = to.life;
-      let over = false;
-      const end = (x: { status: number; body: any } | undefined): void => { if (!over) { over = true; stop(); to.calls.delete(broken); res(x); } };
-      const broken = (): void => { this.at(this.way(), () => end(undefined)); };
-      const stop = this.at(timeoutMs, () => end(undefined));
-      const sent = JSON.stringify(body);
-      let way = this.way(to.slowMs);
-      // What is written to one connection arrives in order.
-      if (line) { way = Math.max(way, line.at - this.now); line.at = this.now + way; }
-      const back = (w: number): number => (line ? this.inOrder(`${node} ${line.name} back`, w) : w);
-      this.at(way, () => {
-        if (!to.up || to.life !== life || !to.edge) { end(undefined); return; }
-        to.calls.add(broken);
-        const taken = (): void => {
-          void to.edge!.visit(method, JSON.parse(sent)).then((r) => {
-            if (!to.up || to.life !== life) return;
-            const raw = JSON.stringify(r.body);
-            this.at(back(this.way(to.slowMs)), () => end({ status: r.status, body: JSON.parse(raw) }));
-          });
+    nodes: (domain) =>
+      [...this.nodes.values()]
+        .filter(
+          (n) =>
+            n.up &&
+            !n.frozen &&
+            n.config.role === 'relay' &&
+            n.edge?.ready() &&
+            (domain === undefined || n.config.domain === domain),
+        )
+        .map((n) => n.config.client),
+    visit: (node, method, body, timeoutMs, line) =>
+      new Promise((res) => {
+        const to = this.byClient.get(node)!;
+        const life = to.life;
+        let over = false;
+        const end = (x: { status: number; body: any } | undefined): void => {
+          if (!over) {
+            over = true;
+            stop();
+            to.calls.delete(broken);
+            res(x);
+          }
         };
-        line?.waiting.push(taken);
-        // Work of a node that stood still is done in any order, but a connection is read from its beginning.
-        this.work(to, life, () => { (line ? line.waiting.shift()! : taken)(); });
-      });
-    }),
+        const broken = (): void => {
+          this.at(this.way(), () => end(undefined));
+        };
+        const stop = this.at(timeoutMs, () => end(undefined));
+        const sent = JSON.stringify(body);
+        let way = this.way(to.slowMs);
+        // What is written to one connection arrives in order.
+        if (line) {
+          way = Math.max(way, line.at - this.now);
+          line.at = this.now + way;
+        }
+        const back = (w: number): number => (line ? this.inOrder(`${node} ${line.name} back`, w) : w);
+        this.at(way, () => {
+          if (!to.up || to.life !== life || !to.edge) {
+            end(undefined);
+            return;
+          }
+          to.calls.add(broken);
+          const taken = (): void => {
+            void to.edge!.visit(method, JSON.parse(sent)).then((r) => {
+              if (!to.up || to.life !== life) return;
+              const raw = JSON.stringify(r.body);
+              this.at(back(this.way(to.slowMs)), () => end({ status: r.status, body: JSON.parse(raw) }));
+            });
+          };
+          line?.waiting.push(taken);
+          // Work of a node that stood still is done in any order, but a connection is read from its beginning.
+          this.work(to, life, () => {
+            (line ? line.waiting.shift()! : taken)();
+          });
+        });
+      }),
     attach: (node, body, onFrame, onEnd) => {
       const to = this.byClient.get(node)!;
       const life = to.life;
       let closed = false;
       let id = '';
       let last = 0;
-      const ended = (): void => { if (closed) return; closed = true; to.streams.delete(reset); onEnd(); };
-      const reset = (): void => { this.at(this.way(), ended); };
+      const ended = (): void => {
+        if (closed) return;
+        closed = true;
+        to.streams.delete(reset);
+        onEnd();
+      };
+      const reset = (): void => {
+        this.at(this.way(), ended);
+      };
       const name = (body as { consumer?: string }).consumer ?? '';
       this.deaf.delete(name);
       // One stream is one TCP connection: what is written arrives in order.
@@ -427,7 +572,10 @@
       };
       this.at(this.way(to.slowMs), () => {
         if (closed) return;
-        if (!to.up || to.life !== life || !to.edge) { ended(); return; }
+        if (!to.up || to.life !== life || !to.edge) {
+          ended();
+          return;
+        }
         to.streams.add(reset);
         this.work(to, life, () => {
           if (closed) return;
@@ -442,10 +590,16 @@
                 toClient(() => {
                   const was = backlog;
                   backlog -= s.length;
-                  if (was > 65_536 && backlog <= 65_536) this.work(to, life, () => { if (id) to.edge!.drained(id); });
+                  if (was > 65_536 && backlog <= 65_536)
+                    this.work(to, life, () => {
+                      if (id) to.edge!.drained(id);
+                    });
                 });
               }
-              toClient(() => { for (const line of s.split('\n')) if (line && !closed && !this.deaf.has(name)) onFrame(JSON.parse(line) as Frame); });
+              toClient(() => {
+                for (const line of s.split('\n'))
+                  if (line && !closed && !this.deaf.has(name)) onFrame(JSON.parse(line) as Frame);
+              });
               return backlog <= 65_536;
             },
             close: () => toClient(ended),
@@ -459,18 +613,30 @@
         closed = true;
         to.streams.delete(reset);
         // The node sees the close unless it is gone; frozen ones see it later.
-        this.at(this.way(), () => this.work(to, life, () => { if (id) to.edge!.gone(id); }));
+        this.at(this.way(), () =>
+          this.work(to, life, () => {
+            if (id) to.edge!.gone(id);
+          }),
+        );
       };
     },
   };
 
   /** Resets conns of callers; the callers come back by themselves. */
   resetStreams(share: number): void {
-    for (const n of this.nodes.values()) for (const f of [...n.streams]) if (this.rnd.next() < share) { n.streams.delete(f); f(); }
+    for (const n of this.nodes.values())
+      for (const f of [...n.streams])
+        if (this.rnd.next() < share) {
+          n.streams.delete(f);
+          f();
+        }
   }
 
   close(): void {
-    for (const n of this.nodes.values()) { this.kill(n); n.sql?.close(); }
+    for (const n of this.nodes.values()) {
+      this.kill(n);
+      n.sql?.close();
+    }
   }
 }
 
