--- a/packages/trial/src/storm.ts
+++ b/packages/trial/src/storm.ts
@@ -4,7 +4,11 @@
 import { seeded, type SimNode } from './sim.js';
 
 /** One fault of a storm: when it begins, what it is, and the number by which it picks its victims. */
-export interface Step { at: number; fault: string; pick: number }
+export interface Step {
+  at: number;
+  fault: string;
+  pick: number;
+}
 
 const pause = (s: Stage, ms: number): Promise<void> => sleep(s.sim.clock, ms);
 const ups = (ns: SimNode[]): SimNode[] => ns.filter((n) => n.up && !n.frozen);
@@ -17,7 +21,8 @@
 type Fault = (s: Stage, rnd: { next(): number }) => Promise<void>;
 const any = <T>(rnd: { next(): number }, xs: T[]): T | undefined => xs[Math.floor(rnd.next() * xs.length)];
 /** The configuration as the day has it: faults that change it must not undo each other's families for good. */
-const extra = (s: Stage, name: string) => configOf(s.site, [{ name, topics: [`${name}/*`], urgency: 'routine', patienceMs: 2_000, memoryS: 30 }]);
+const extra = (s: Stage, name: string) =>
+  configOf(s.site, [{ name, topics: [`${name}/*`], urgency: 'routine', patienceMs: 2_000, memoryS: 30 }]);
 
 /** One of these machines is killed and comes back. */
 async function killed(s: Stage, rnd: { next(): number }, ns: SimNode[]): Promise<void> {
@@ -33,172 +38,256 @@
 export const FAULTS = new Map<string, Fault>([
   ['kill-store', (s, rnd) => killed(s, rnd, s.stores)],
   ['kill-relay', (s, rnd) => killed(s, rnd, s.relays)],
-  ['lose-disk', async (s, rnd) => {
-    const n = any(rnd, free(s, s.stores));
-    if (!n) return;
-    s.note(`disk of ${n.name} dies`);
-    s.sim.loseDisk(n);
-    await pause(s, 2_000 + 3_000 * rnd.next());
-    await s.sim.start(n);
-  }],
-  ['restart', async (s, rnd) => {
-    const n = any(rnd, free(s, [...s.stores, ...s.relays]));
-    if (!n) return;
-    s.note(`stop ${n.name}`);
-    await s.sim.stop(n);
-    await pause(s, 1_500);
-    await s.sim.start(n);
-  }],
-  ['roll', async (s, rnd) => {
-    for (const n of [...s.stores].sort(() => rnd.next() - 0.5)) {
-      if (!n.up || n.frozen || !free(s, [n]).length) continue;
-      s.note(`roll ${n.name}`);
+  [
+    'lose-disk',
+    async (s, rnd) => {
+      const n = any(rnd, free(s, s.stores));
+      if (!n) return;
+      s.note(`disk of ${n.name} dies`);
+      s.sim.loseDisk(n);
+      await pause(s, 2_000 + 3_000 * rnd.next());
+      await s.sim.start(n);
+    },
+  ],
+  [
+    'restart',
+    async (s, rnd) => {
+      const n = any(rnd, free(s, [...s.stores, ...s.relays]));
+      if (!n) return;
+      s.note(`stop ${n.name}`);
       await s.sim.stop(n);
       await pause(s, 1_500);
       await s.sim.start(n);
+    },
+  ],
+  [
+    'roll',
+    async (s, rnd) => {
+      for (const n of [...s.stores].sort(() => rnd.next() - 0.5)) {
+        if (!n.up || n.frozen || !free(s, [n]).length) continue;
+        s.note(`roll ${n.name}`);
+        await s.sim.stop(n);
+        await pause(s, 1_500);
+        await s.sim.start(n);
+        await pause(s, 3_000);
+      }
+    },
+  ],
+  [
+    'freeze',
+    async (s, rnd) => {
+      const n = any(rnd, free(s, [...s.stores, ...s.relays]));
+      if (!n) return;
+      s.note(`freeze ${n.name}`);
+      s.sim.freeze(n);
+      await pause(s, 1_000 + 6_000 * rnd.next());
+      s.sim.thaw(n);
+    },
+  ],
+  [
+    'slow',
+    async (s, rnd) => {
+      const n = any(rnd, ups([...s.stores, ...s.relays]));
+      if (!n) return;
+      s.note(`${n.name} is slow in bursts`);
+      for (let i = 0; i < 4; i++) {
+        n.slowMs = 200;
+        n.diskMs = 150;
+        await pause(s, 300 + 1_500 * rnd.next());
+        n.slowMs = 0;
+        n.diskMs = 2;
+        await pause(s, 300 + 700 * rnd.next());
+      }
+    },
+  ],
+  [
+    'stall',
+    async (s, rnd) => {
+      const n = any(rnd, ups(s.disks));
+      if (!n) return;
+      s.note(`syncs of ${n.name} stop its loop`);
+      n.stallMs = [1_000, 3_000];
+      await pause(s, 6_000);
+      n.stallMs = undefined;
+    },
+  ],
+  [
+    'cut',
+    async (s, rnd) => {
+      const n = any(rnd, free(s, [...s.stores, ...s.relays]));
+      if (!n) return;
+      s.note(`cut off ${n.name}`);
+      const both = rnd.next() < 0.5;
+      const others = [...s.sim.nodes.values()].filter((o) => o !== n);
+      for (const o of others) s.sim.cut(n.name, o.name, both);
+      await pause(s, 2_000 + 6_000 * rnd.next());
+      for (const o of others) s.sim.mend(n.name, o.name);
+    },
+  ],
+  [
+    'link',
+    async (s, rnd) => {
+      const r = any(rnd, ups(s.relays));
+      const d = any(rnd, ups(s.stores));
+      if (!r || !d) return;
+      s.note(`the link between ${r.name} and ${d.name} breaks`);
+      s.sim.cut(r.name, d.name);
+      await pause(s, 8_000);
+      s.sim.mend(r.name, d.name);
+    },
+  ],
+  [
+    'loss',
+    async (s) => {
+      s.note('links lose packets');
+      const was = s.sim.loss;
+      s.sim.loss = 0.05;
+      await pause(s, 6_000);
+      s.sim.loss = was;
+    },
+  ],
+  [
+    'power',
+    async (s) => {
+      s.note('all power fails');
+      const here = [...s.sim.nodes.values()].filter((n) => n.up);
+      for (const n of here) s.sim.kill(n);
+      await pause(s, 1_500);
+      for (const n of here) await s.sim.start(n);
+      await pause(s, 4_000);
+    },
+  ],
+  [
+    'resets',
+    async (s) => {
+      for (let i = 0; i < 6; i++) {
+        s.sim.resetStreams(0.1);
+        await pause(s, 400);
+      }
+      s.note('mass reset');
+      s.sim.resetStreams(0.97);
+      await pause(s, 2_000);
+    },
+  ],
+  [
+    'crowd',
+    async (s, rnd) => {
+      s.note('a crowd arrives at once');
+      const k = s.sim.now.toFixed(0);
+      const more = Array.from(
+        { length: 150 },
+        (_, i) =>
+          new Consumer(
+            s.world,
+            `crowd${k}-${i}`,
+            any(rnd, s.site.domains)!,
+            [s.crowd.topics[i % s.crowd.topics.length]!],
+            { jitterMs: 50 },
+          ),
+      );
+      for (const c of more) c.start();
+      await pause(s, 6_000);
+      for (const c of more) c.stop();
+    },
+  ],
+  [
+    'move',
+    async (s, rnd) => {
+      const [from, to] = [any(rnd, s.site.domains)!, any(rnd, s.site.domains)!];
+      s.note(`the callers of ${from} move to ${to}`);
+      for (const c of s.crowd.consumers)
+        if (c.domain === from) {
+          c.domain = to;
+          c.drop('moved');
+        }
       await pause(s, 3_000);
-    }
-  }],
-  ['freeze', async (s, rnd) => {
-    const n = any(rnd, free(s, [...s.stores, ...s.relays]));
-    if (!n) return;
-    s.note(`freeze ${n.name}`);
-    s.sim.freeze(n);
-    await pause(s, 1_000 + 6_000 * rnd.next());
-    s.sim.thaw(n);
-  }],
-  ['slow', async (s, rnd) => {
-    const n = any(rnd, ups([...s.stores, ...s.relays]));
-    if (!n) return;
-    s.note(`${n.name} is slow in bursts`);
-    for (let i = 0; i < 4; i++) {
-      n.slowMs = 200; n.diskMs = 150;
-      await pause(s, 300 + 1_500 * rnd.next());
-      n.slowMs = 0; n.diskMs = 2;
-      await pause(s, 300 + 700 * rnd.next());
-    }
-  }],
-  ['stall', async (s, rnd) => {
-    const n = any(rnd, ups(s.disks));
-    if (!n) return;
-    s.note(`syncs of ${n.name} stop its loop`);
-    n.stallMs = [1_000, 3_000];
-    await pause(s, 6_000);
-    n.stallMs = undefined;
-  }],
-  ['cut', async (s, rnd) => {
-    const n = any(rnd, free(s, [...s.stores, ...s.relays]));
-    if (!n) return;
-    s.note(`cut off ${n.name}`);
-    const both = rnd.next() < 0.5;
-    const others = [...s.sim.nodes.values()].filter((o) => o !== n);
-    for (const o of others) s.sim.cut(n.name, o.name, both);
-    await pause(s, 2_000 + 6_000 * rnd.next());
-    for (const o of others) s.sim.mend(n.name, o.name);
-  }],
-  ['link', async (s, rnd) => {
-    const r = any(rnd, ups(s.relays));
-    const d = any(rnd, ups(s.stores));
-    if (!r || !d) return;
-    s.note(`the link between ${r.name} and ${d.name} breaks`);
-    s.sim.cut(r.name, d.name);
-    await pause(s, 8_000);
-    s.sim.mend(r.name, d.name);
-  }],
-  ['loss', async (s) => {
-    s.note('links lose packets');
-    const was = s.sim.loss;
-    s.sim.loss = 0.05;
-    await pause(s, 6_000);
-    s.sim.loss = was;
-  }],
-  ['power', async (s) => {
-    s.note('all power fails');
-    const here = [...s.sim.nodes.values()].filter((n) => n.up);
-    for (const n of here) s.sim.kill(n);
-    await pause(s, 1_500);
-    for (const n of here) await s.sim.start(n);
-    await pause(s, 4_000);
-  }],
-  ['resets', async (s) => {
-    for (let i = 0; i < 6; i++) { s.sim.resetStreams(0.1); await pause(s, 400); }
-    s.note('mass reset');
-    s.sim.resetStreams(0.97);
-    await pause(s, 2_000);
-  }],
-  ['crowd', async (s, rnd) => {
-    s.note('a crowd arrives at once');
-    const k = s.sim.now.toFixed(0);
-    const more = Array.from({ length: 150 }, (_, i) => new Consumer(s.world, `crowd${k}-${i}`, any(rnd, s.site.domains)!, [s.crowd.topics[i % s.crowd.topics.length]!], { jitterMs: 50 }));
-    for (const c of more) c.start();
-    await pause(s, 6_000);
-    for (const c of more) c.stop();
-  }],
-  ['move', async (s, rnd) => {
-    const [from, to] = [any(rnd, s.site.domains)!, any(rnd, s.site.domains)!];
-    s.note(`the callers of ${from} move to ${to}`);
-    for (const c of s.crowd.consumers) if (c.domain === from) { c.domain = to; c.drop('moved'); }
-    await pause(s, 3_000);
-  }],
-  ['vanish', async (s, rnd) => {
-    s.note('phones vanish without closing');
-    const gone = s.crowd.consumers.filter(() => rnd.next() < 0.3);
-    for (const c of gone) c.vanish();
-    await pause(s, 3_000 + 6_000 * rnd.next());
-    for (const c of gone) c.start();
-  }],
-  ['operators', async (s, rnd) => {
-    const op = s.crowd.operator;
-    const k = s.sim.now.toFixed(0);
-    for (let i = 0; i < 2; i++) {
-      const v = await op.read();
-      await Promise.all([
-        op.submit(`a${k}-${i}`, extra(s, `a${i}`), true, v),
-        op.submit(`b${k}-${i}`, extra(s, `b${i}`), true, v),
-        op.submit(`bad${k}-${i}`, { families: [{ name: rnd.next() }] }, false),
-      ]);
-      await pause(s, 800);
-    }
-    await op.submit(`a${k}-0`, extra(s, 'a0'), true);
-  }],
-  ['remove', async (s) => {
-    const k = s.sim.now.toFixed(0);
-    const all = configOf(s.site).families;
-    await s.crowd.operator.submit(`remove${k}`, { families: all.slice(0, 1) }, true);
-    await pause(s, 5_000);
-    await s.crowd.operator.submit(`again${k}`, { families: all }, true);
-  }],
-  ['empty', async (s, rnd) => {
-    const n = any(rnd, ups(s.disks));
-    const disk = n?.kernel?.use('register').disk;
-    if (!n || !disk) return;
-    s.note(`empty the disk of ${n.name}`);
-    await s.crowd.operator.ask('EmptyDisk', { disk });
-    await pause(s, 6_000);
-    await s.crowd.operator.ask('CancelEmpty', { disk });
-  }],
-  ['join', async (s, rnd) => {
-    const n = s.sim.add(`new${s.sim.nodes.size}`, { role: 'store', domain: any(rnd, s.site.domains)!, disk: true });
-    n.config.seeds = s.stores.slice(0, 3).map((x) => x.config.peer);
-    s.note(`${n.name} joins`);
-    await s.sim.start(n);
-    await pause(s, 6_000);
-  }],
-  ['clock', async (s, rnd) => {
-    const n = any(rnd, ups([...s.stores, ...s.relays]));
-    if (!n) return;
-    const by = (rnd.next() < 0.5 ? -1 : 1) * (1_000 + 600_000 * rnd.next());
-    s.note(`the clock of ${n.name} is corrected by ${Math.round(by)} ms and runs 3 % off`);
-    n.stepMs += by;
-    s.sim.setRate(n, rnd.next() < 0.5 ? 0.97 : 1.03);
-    await pause(s, 8_000);
-  }],
+    },
+  ],
+  [
+    'vanish',
+    async (s, rnd) => {
+      s.note('phones vanish without closing');
+      const gone = s.crowd.consumers.filter(() => rnd.next() < 0.3);
+      for (const c of gone) c.vanish();
+      await pause(s, 3_000 + 6_000 * rnd.next());
+      for (const c of gone) c.start();
+    },
+  ],
+  [
+    'operators',
+    async (s, rnd) => {
+      const op = s.crowd.operator;
+      const k = s.sim.now.toFixed(0);
+      for (let i = 0; i < 2; i++) {
+        const v = await op.read();
+        await Promise.all([
+          op.submit(`a${k}-${i}`, extra(s, `a${i}`), true, v),
+          op.submit(`b${k}-${i}`, extra(s, `b${i}`), true, v),
+          op.submit(`bad${k}-${i}`, { families: [{ name: rnd.next() }] }, false),
+        ]);
+        await pause(s, 800);
+      }
+      await op.submit(`a${k}-0`, extra(s, 'a0'), true);
+    },
+  ],
+  [
+    'remove',
+    async (s) => {
+      const k = s.sim.now.toFixed(0);
+      const all = configOf(s.site).families;
+      await s.crowd.operator.submit(`remove${k}`, { families: all.slice(0, 1) }, true);
+      await pause(s, 5_000);
+      await s.crowd.operator.submit(`again${k}`, { families: all }, true);
+    },
+  ],
+  [
+    'empty',
+    async (s, rnd) => {
+      const n = any(rnd, ups(s.disks));
+      const disk = n?.kernel?.use('register').disk;
+      if (!n || !disk) return;
+      s.note(`empty the disk of ${n.name}`);
+      await s.crowd.operator.ask('EmptyDisk', { disk });
+      await pause(s, 6_000);
+      await s.crowd.operator.ask('CancelEmpty', { disk });
+    },
+  ],
+  [
+    'join',
+    async (s, rnd) => {
+      const n = s.sim.add(`new${s.sim.nodes.size}`, { role: 'store', domain: any(rnd, s.site.domains)!, disk: true });
+      n.config.seeds = s.stores.slice(0, 3).map((x) => x.config.peer);
+      s.note(`${n.name} joins`);
+      await s.sim.start(n);
+      await pause(s, 6_000);
+    },
+  ],
+  [
+    'clock',
+    async (s, rnd) => {
+      const n = any(rnd, ups([...s.stores, ...s.relays]));
+      if (!n) return;
+      const by = (rnd.next() < 0.5 ? -1 : 1) * (1_000 + 600_000 * rnd.next());
+      s.note(`the clock of ${n.name} is corrected by ${Math.round(by)} ms and runs 3 % off`);
+      n.stepMs += by;
+      s.sim.setRate(n, rnd.next() < 0.5 ? 0.97 : 1.03);
+      await pause(s, 8_000);
+    },
+  ],
 ]);
 
 /** Pairs that every sweep begins with; behind them the seed chooses. */
 const FIRST: [string, string][] = [
-  ['lose-disk', 'restart'], ['operators', 'roll'], ['crowd', 'move'], ['remove', 'empty'], ['power', 'empty'], ['stall', 'kill-store'],
-  ['operators', 'power'], ['vanish', 'kill-store'], ['join', 'remove'], ['link', 'freeze'],
+  ['lose-disk', 'restart'],
+  ['operators', 'roll'],
+  ['crowd', 'move'],
+  ['remove', 'empty'],
+  ['power', 'empty'],
+  ['stall', 'kill-store'],
+  ['operators', 'power'],
+  ['vanish', 'kill-store'],
+  ['join', 'remove'],
+  ['link', 'freeze'],
 ];
 
 /**
@@ -210,7 +299,11 @@
   const rnd = seeded(seed ^ 0x9a1e5);
   const names = [...FAULTS.keys()];
   const two = FIRST[seed - 1] ?? [any(rnd, names)!, any(rnd, names)!];
-  return two.map((fault, i) => ({ at: i * Math.round(3_000 * rnd.next()), fault, pick: Math.floor(rnd.next() * 2 ** 31) }));
+  return two.map((fault, i) => ({
+    at: i * Math.round(3_000 * rnd.next()),
+    fault,
+    pick: Math.floor(rnd.next() * 2 ** 31),
+  }));
 }
 
 /**
@@ -221,11 +314,15 @@
 export function planOf(seed: number, n: number): Step[] {
   const rnd = seeded(seed ^ 0x570e3);
   const names = [...FAULTS.keys()];
-  return Array.from({ length: n }, () => ({ at: Math.round(5_000 * n * rnd.next() * 0.6), fault: any(rnd, names)!, pick: Math.floor(rnd.next() * 2 ** 31) }))
-    .sort((a, b) => a.at - b.at);
+  return Array.from({ length: n }, () => ({
+    at: Math.round(5_000 * n * rnd.next() * 0.6),
+    fault: any(rnd, names)!,
+    pick: Math.floor(rnd.next() * 2 ** 31),
+  })).sort((a, b) => a.at - b.at);
 }
 
-export const showPlan = (steps: Step[]): string => steps.map((x) => `${x.fault} at +${(x.at / 1000).toFixed(1)} s`).join(', ');
+export const showPlan = (steps: Step[]): string =>
+  steps.map((x) => `${x.fault} at +${(x.at / 1000).toFixed(1)} s`).join(', ');
 
 /**
  * A day with these faults.
@@ -237,10 +334,12 @@
     ...(site ? { site } : {}),
     forMs: 20_000,
     faults: async (s) => {
-      await Promise.all(steps.map(async (x) => {
-        await pause(s, x.at);
-        await FAULTS.get(x.fault)!(s, seeded(x.pick));
-      }));
+      await Promise.all(
+        steps.map(async (x) => {
+          await pause(s, x.at);
+          await FAULTS.get(x.fault)!(s, seeded(x.pick));
+        }),
+      );
       // What changed the configuration may have ended in any order: the day ends with all families.
       await s.crowd.operator.submit('whole again', configOf(s.site), true);
       await pause(s, 6_000);
@@ -253,7 +352,11 @@
  * @example
  * await shrink(steps, async (some) => (await play(seed, storm(some))).bad.map((v) => v.rule), 'lost');
  */
-export async function shrink(steps: Step[], rulesOf: (some: Step[]) => Promise<string[]>, rule: string): Promise<Step[]> {
+export async function shrink(
+  steps: Step[],
+  rulesOf: (some: Step[]) => Promise<string[]>,
+  rule: string,
+): Promise<Step[]> {
   let now = steps;
   for (let i = 0; i < now.length && now.length > 1;) {
     const less = now.filter((_, j) => j !== i);
--- a/packages/trial/src/test/acknowledged.test.ts
+++ b/packages/trial/src/test/acknowledged.test.ts
@@ -3,12 +3,13 @@
 import { FAMILIES } from './small-fleet.js';
 import type { SimNode } from '../sim.js';
 
-const submit = (f: ControlFleet, n: SimNode, revision: number) => f.ask(n, 'SubmitConfig', { revision, document: { n: revision },
-  config: { families: FAMILIES } });
-const publish = (f: ControlFleet, n: SimNode, topic: string, seq: number) => f.ask(n, 'Publish', { sender: 'desk', topic, seq,
-  body: `message ${seq}` });
+const submit = (f: ControlFleet, n: SimNode, revision: number) =>
+  f.ask(n, 'SubmitConfig', { revision, document: { n: revision }, config: { families: FAMILIES } });
+const publish = (f: ControlFleet, n: SimNode, topic: string, seq: number) =>
+  f.ask(n, 'Publish', { sender: 'desk', topic, seq, body: `message ${seq}` });
 const topics = Array.from({ length: 40 }, (_, i) => `feed/${i}`);
-const revisionAt = async (f: ControlFleet, n: SimNode): Promise<number> => (await f.ask(n, 'ReadConfig', {})).body.revision;
+const revisionAt = async (f: ControlFleet, n: SimNode): Promise<number> =>
+  (await f.ask(n, 'ReadConfig', {})).body.revision;
 
 test('who acknowledged a configuration loses its disk at once, and all others their power: it is in force again', async (t) => {
   for (const seed of [31, 32, 33, 34, 35, 36]) {
@@ -32,15 +33,17 @@
   let seq = 0;
   for (const store of f.stores) {
     seq++;
-    for (const topic of topics) t.deepEqual((await publish(f, relay, topic, seq)).body, { accepted: { offset: seq } }, `${topic} ${seq}`);
+    for (const topic of topics)
+      t.deepEqual((await publish(f, relay, topic, seq)).body, { accepted: { offset: seq } }, `${topic} ${seq}`);
     f.sim.loseDisk(store);
     await f.pass(1_500);
     void f.sim.start(store);
     // The next loss may come this long after its return.
     await f.pass(4_000);
   }
-  for (let s = 1; s <= seq; s++) for (const topic of topics) t.deepEqual((await publish(f, relay, topic, s)).body,
-    { accepted: { offset: s } }, `${topic} ${s} again`);
+  for (let s = 1; s <= seq; s++)
+    for (const topic of topics)
+      t.deepEqual((await publish(f, relay, topic, s)).body, { accepted: { offset: s } }, `${topic} ${s} again`);
   f.sim.close();
 });
 
@@ -64,9 +67,14 @@
     await f.pass(1_500);
     void f.sim.start(wiped);
     await f.pass(3_500);
-    for (const topic of topics) t.deepEqual((await publish(f, relay, topic, 1)).body, { accepted: { offset: 1 } }, `seed ${seed} ${topic}`);
+    for (const topic of topics)
+      t.deepEqual((await publish(f, relay, topic, 1)).body, { accepted: { offset: 1 } }, `seed ${seed} ${topic}`);
     // Three stores are left for three copies: the next one may not go.
-    t.is((await f.ask(f.controls[1]!, 'EmptyDisk', { disk: f.stores.find((s) => s !== gone && s !== wiped)!.name })).status, 409);
+    t.is(
+      (await f.ask(f.controls[1]!, 'EmptyDisk', { disk: f.stores.find((s) => s !== gone && s !== wiped)!.name }))
+        .status,
+      409,
+    );
     t.is((await f.ask(f.controls[1]!, 'EmptyDisk', { disk: 'nobody' })).status, 404);
     f.sim.close();
   }
@@ -78,8 +86,12 @@
     const lone = f.controls[seed % 3]!;
     const others = f.controls.filter((c) => c !== lone);
     for (const c of others) f.sim.cut(lone.name, c.name);
-    const vain = f.sim.outside.visit(lone.config.client, 'SubmitConfig', { revision: 8, document: { n: 8 },
-      config: { families: FAMILIES } }, 3_000);
+    const vain = f.sim.outside.visit(
+      lone.config.client,
+      'SubmitConfig',
+      { revision: 8, document: { n: 8 }, config: { families: FAMILIES } },
+      3_000,
+    );
     t.is((await submit(f, others[0]!, 9)).status, 200);
     await f.pass(3_500);
     const r = await vain;
--- a/packages/trial/src/test/ci.test.ts
+++ b/packages/trial/src/test/ci.test.ts
@@ -8,7 +8,12 @@
 const script = new URL('../../../../.ci/verdict.mjs', import.meta.url);
 const { knownRed, readTap, verdict } = (await import(script.href)) as {
   knownRed(text: string): { known: Map<string, { cause: string; issue: string }>; wrong: string[] };
-  readTap(text: string): { tests: { title: string; outcome: string }[]; ended: boolean; failN: number; exit: number | undefined };
+  readTap(text: string): {
+    tests: { title: string; outcome: string }[];
+    ended: boolean;
+    failN: number;
+    exit: number | undefined;
+  };
   verdict(run: unknown, list: unknown): { ok: boolean; lines: string[] };
 };
 
@@ -16,10 +21,13 @@
 function tap(tests: string[], x: { fail?: number; exit?: number | null; ended?: boolean } = {}): string {
   const bad = tests.filter((l) => l.startsWith('not ok'));
   const fail = x.fail ?? bad.length;
-  return ['> harecross-workspace test', 'TAP version 13',
+  return [
+    '> harecross-workspace test',
+    'TAP version 13',
     ...tests.flatMap((l) => (l.startsWith('not ok') ? [l, '  ---', '    message: why', '  ...'] : [l])),
     ...(x.ended === false ? [] : ['', `1..${tests.length}`, `# tests ${tests.length}`, `# fail ${fail}`, '']),
-    ...(x.exit === null ? [] : [`# exit ${x.exit ?? (fail ? 1 : 0)}`])].join('\n');
+    ...(x.exit === null ? [] : [`# exit ${x.exit ?? (fail ? 1 : 0)}`]),
+  ].join('\n');
 }
 const judge = (run: string, list = ''): string => {
   const v = verdict(readTap(run), knownRed(list));
@@ -30,58 +38,91 @@
 test('a run holds when nothing fails, or just what is listed', (t) => {
   t.is(judge(tap(GOOD)), 'holds\n2 passed, 0 failed');
   t.is(judge(tap(GOOD), '\n# nothing is red\n\n'), 'holds\n2 passed, 0 failed');
-  t.is(judge(tap([...GOOD, 'not ok 3 - sim › three: four']), 'sim › three: four | a beat is lost | 12'),
-    'holds\nknown red, passed over: sim › three: four (a beat is lost; issue 12)\n2 passed, 0 failed');
-  t.is(judge(tap([...GOOD, 'ok 3 - sim › later # SKIP', 'not ok 4 - sim › some day # TODO'], { exit: 0 })),
-    'holds\n2 skipped\n2 passed, 0 failed');
+  t.is(
+    judge(tap([...GOOD, 'not ok 3 - sim › three: four']), 'sim › three: four | a beat is lost | 12'),
+    'holds\nknown red, passed over: sim › three: four (a beat is lost; issue 12)\n2 passed, 0 failed',
+  );
+  t.is(
+    judge(tap([...GOOD, 'ok 3 - sim › later # SKIP', 'not ok 4 - sim › some day # TODO'], { exit: 0 })),
+    'holds\n2 skipped\n2 passed, 0 failed',
+  );
 });
 
 test('anything else fails', (t) => {
   t.is(judge(tap([...GOOD, 'not ok 3 - sim › three'])), 'fails\nfailed: sim › three\n2 passed, 1 failed');
-  t.is(judge(tap([...GOOD, 'not ok 3 - sim › three']), 'sim › thre | a beat is lost | 12'),
-    'fails\nfailed: sim › three\nlisted in KNOWN-RED.txt, but was not run: sim › thre\n2 passed, 2 failed', 'another title');
-  t.is(judge(tap([...GOOD, 'not ok 3 - sim › three', 'not ok 4 - sim › four']), 'sim › three | a beat is lost | 12'),
-    'fails\nknown red, passed over: sim › three (a beat is lost; issue 12)\nfailed: sim › four\n2 passed, 1 failed');
-  t.is(judge(tap(GOOD), 'sim › one | mended | 12'), 'fails\nlisted in KNOWN-RED.txt, but passes: sim › one\n2 passed, 1 failed');
-  t.is(judge(tap([...GOOD, 'ok 3 - sim › three # SKIP']), 'sim › three | put off | 12'),
-    'fails\nlisted in KNOWN-RED.txt, but was not run: sim › three\n1 skipped\n2 passed, 1 failed', 'a skipped test is not a red one');
-  t.is(judge(tap([...GOOD, 'not ok 3 - Error: boom', 'not ok 4 - sim.test.js exited with a non-zero exit code: 1'], { fail: 3 })),
-    'fails\nfailed: Error: boom\nfailed: sim.test.js exited with a non-zero exit code: 1\n1 more failed or were not finished\n'
-    + '2 passed, 3 failed');
-  t.is(judge(tap([...GOOD, 'not ok 3 - sim › three'], { fail: 2 }), 'sim › three | a beat is lost | 12'),
-    'fails\nknown red, passed over: sim › three (a beat is lost; issue 12)\n1 more failed or were not finished\n2 passed, 1 failed');
+  t.is(
+    judge(tap([...GOOD, 'not ok 3 - sim › three']), 'sim › thre | a beat is lost | 12'),
+    'fails\nfailed: sim › three\nlisted in KNOWN-RED.txt, but was not run: sim › thre\n2 passed, 2 failed',
+    'another title',
+  );
+  t.is(
+    judge(tap([...GOOD, 'not ok 3 - sim › three', 'not ok 4 - sim › four']), 'sim › three | a beat is lost | 12'),
+    'fails\nknown red, passed over: sim › three (a beat is lost; issue 12)\nfailed: sim › four\n2 passed, 1 failed',
+  );
+  t.is(
+    judge(tap(GOOD), 'sim › one | mended | 12'),
+    'fails\nlisted in KNOWN-RED.txt, but passes: sim › one\n2 passed, 1 failed',
+  );
+  t.is(
+    judge(tap([...GOOD, 'ok 3 - sim › three # SKIP']), 'sim › three | put off | 12'),
+    'fails\nlisted in KNOWN-RED.txt, but was not run: sim › three\n1 skipped\n2 passed, 1 failed',
+    'a skipped test is not a red one',
+  );
+  t.is(
+    judge(
+      tap([...GOOD, 'not ok 3 - Error: boom', 'not ok 4 - sim.test.js exited with a non-zero exit code: 1'], {
+        fail: 3,
+      }),
+    ),
+    'fails\nfailed: Error: boom\nfailed: sim.test.js exited with a non-zero exit code: 1\n1 more failed or were not finished\n' +
+      '2 passed, 3 failed',
+  );
+  t.is(
+    judge(tap([...GOOD, 'not ok 3 - sim › three'], { fail: 2 }), 'sim › three | a beat is lost | 12'),
+    'fails\nknown red, passed over: sim › three (a beat is lost; issue 12)\n1 more failed or were not finished\n2 passed, 1 failed',
+  );
   t.is(judge(tap(GOOD, { ended: false })), 'fails\nthe run was cut short\n2 passed, 1 failed');
   t.is(judge(tap(GOOD, { exit: 1 })), 'fails\nthe run ended with 1\n2 passed, 1 failed');
   t.is(judge(tap(GOOD, { exit: null })), 'fails\nthe run did not say how it ended\n2 passed, 1 failed');
   t.is(judge(tap([])), 'fails\nno test was run\n0 passed, 1 failed');
-  t.is(judge('src/x.ts(1,1): error TS2304\n# exit 2'), 'fails\nthe run was cut short\nthe run ended with 2\n0 passed, 2 failed',
-    'a build that fails');
+  t.is(
+    judge('src/x.ts(1,1): error TS2304\n# exit 2'),
+    'fails\nthe run was cut short\nthe run ended with 2\n0 passed, 2 failed',
+    'a build that fails',
+  );
 });
 
 test('a list that cannot be read fails, with the line', (t) => {
-  for (const [line, said] of [['sim › one', 'line 1: not \'title | cause | issue\''],
-    ['sim › one | cause', 'line 1: not \'title | cause | issue\''],
-    ['sim › one || 12', 'line 1: not \'title | cause | issue\''], ['sim › one | a | b | c', 'line 1: not \'title | cause | issue\'']]) {
+  for (const [line, said] of [
+    ['sim › one', "line 1: not 'title | cause | issue'"],
+    ['sim › one | cause', "line 1: not 'title | cause | issue'"],
+    ['sim › one || 12', "line 1: not 'title | cause | issue'"],
+    ['sim › one | a | b | c', "line 1: not 'title | cause | issue'"],
+  ]) {
     t.deepEqual(knownRed(line!).wrong, [said!]);
     t.regex(judge(tap(GOOD), line), /^fails\n.*KNOWN-RED\.txt, line 1/s);
   }
-  t.deepEqual(knownRed('# x\na › b | c | 1\n\na › b | d | 2').wrong, ['line 4: \'a › b\' stands there twice']);
+  t.deepEqual(knownRed('# x\na › b | c | 1\n\na › b | d | 2').wrong, ["line 4: 'a › b' stands there twice"]);
 });
 
 test('what the tests themselves write decides nothing', (t) => {
-  t.is(judge(tap([...GOOD, '#   ok 7 - sim › three', '    not ok 8 - sim › four', '  # exit 0'])), 'holds\n2 passed, 0 failed');
+  t.is(
+    judge(tap([...GOOD, '#   ok 7 - sim › three', '    not ok 8 - sim › four', '  # exit 0'])),
+    'holds\n2 passed, 0 failed',
+  );
 });
 
 test('the script passes the run on, prints the verdict last, and ends with it; the list may be missing', async (t) => {
   const folder = mkdtempSync(join(tmpdir(), 'harecross-test-'));
   t.teardown(() => rmSync(folder, { recursive: true, force: true }));
   const list = join(folder, 'KNOWN-RED.txt');
-  const run = (input: string): Promise<{ code: number; out: string[] }> => new Promise((res) => {
-    const p = execFile(process.execPath, [fileURLToPath(script), list], (e, out) => {
-      res({ code: (e?.code as number | undefined) ?? 0, out: out.trim().split('\n') });
+  const run = (input: string): Promise<{ code: number; out: string[] }> =>
+    new Promise((res) => {
+      const p = execFile(process.execPath, [fileURLToPath(script), list], (e, out) => {
+        res({ code: (e?.code as number | undefined) ?? 0, out: out.trim().split('\n') });
+      });
+      p.stdin!.end(input);
     });
-    p.stdin!.end(input);
-  });
   const good = await run(tap(GOOD));
   t.is(good.code, 0);
   t.is(good.out.at(-1), '2 passed, 0 failed');
@@ -93,6 +134,9 @@
   writeFileSync(list, 'sim › three | a beat is lost | 12\n');
   const over = await run(red);
   t.is(over.code, 0);
-  t.deepEqual(over.out.slice(-2), ['known red, passed over: sim › three (a beat is lost; issue 12)', '2 passed, 0 failed']);
+  t.deepEqual(over.out.slice(-2), [
+    'known red, passed over: sim › three (a beat is lost; issue 12)',
+    '2 passed, 0 failed',
+  ]);
   t.is((await run(tap(GOOD))).code, 1, 'listed, but gone');
 });
--- a/packages/trial/src/test/client.test.ts
+++ b/packages/trial/src/test/client.test.ts
@@ -15,8 +15,15 @@
 /** What a strict compiler says of a program beside the generated types. */
 function compile(dir: string, file: string): string[] {
   const options: ts.CompilerOptions = {
-    strict: true, target: ts.ScriptTarget.ES2022, module: ts.ModuleKind.NodeNext, moduleResolution: ts.ModuleResolutionKind.NodeNext,
-    outDir: join(dir, 'out'), skipLibCheck: true, noUncheckedIndexedAccess: true, types: [], lib: ['lib.es2023.d.ts', 'lib.dom.d.ts', 'lib.dom.iterable.d.ts'],
+    strict: true,
+    target: ts.ScriptTarget.ES2022,
+    module: ts.ModuleKind.NodeNext,
+    moduleResolution: ts.ModuleResolutionKind.NodeNext,
+    outDir: join(dir, 'out'),
+    skipLibCheck: true,
+    noUncheckedIndexedAccess: true,
+    types: [],
+    lib: ['lib.es2023.d.ts', 'lib.dom.d.ts', 'lib.dom.iterable.d.ts'],
   };
   const p = ts.createProgram([file], options);
   const said = ts.getPreEmitDiagnostics(p).map((d) => ts.flattenDiagnosticMessageText(d.messageText, ' '));
@@ -46,14 +53,30 @@
     writeFileSync(join(dir, 'harecross.d.ts'), astToString(await openapiTS(schema)));
     copyFileSync(source, join(dir, 'day.ts'));
     t.deepEqual(compile(dir, join(dir, 'day.ts')), []);
-    writeFileSync(join(dir, 'wrong.ts'), readFileSync(source, 'utf8').replace("sender: 'gauge', topic: 'level/7', seq, body", "sender: 'gauge', topik: 'level/7', seq, body"));
+    writeFileSync(
+      join(dir, 'wrong.ts'),
+      readFileSync(source, 'utf8').replace(
+        "sender: 'gauge', topic: 'level/7', seq, body",
+        "sender: 'gauge', topik: 'level/7', seq, body",
+      ),
+    );
     t.regex(compile(dir, join(dir, 'wrong.ts')).join('\n'), /topik/, 'a wrong field does not compile');
     f.startAll();
     for (let i = 0; i < 1_200 && !f.way.nodes().length; i++) await new Promise((r) => setTimeout(r, 50));
-    const { live } = (await import(pathToFileURL(join(dir, 'out', 'day.js')).href)) as { live: (base: string) => Promise<unknown> };
+    const { live } = (await import(pathToFileURL(join(dir, 'out', 'day.js')).href)) as {
+      live: (base: string) => Promise<unknown>;
+    };
     t.deepEqual(await live(`http://${f.relays[0]!.config.client}`), {
-      offsets: [1, 2, 2, 3, 1], bodies: ['level 1', 'level 2', 'level 4'], rejected: 'stale_seq, final true', conflict: 1, faults: ['/families/0/memoryS'],
-      version: 1, count: 1, left: 'unsubscribed', owner: true, conditions: ['ready'],
+      offsets: [1, 2, 2, 3, 1],
+      bodies: ['level 1', 'level 2', 'level 4'],
+      rejected: 'stale_seq, final true',
+      conflict: 1,
+      faults: ['/families/0/memoryS'],
+      version: 1,
+      count: 1,
+      left: 'unsubscribed',
+      owner: true,
+      conditions: ['ready'],
     });
   } finally {
     await f.close();
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -10,42 +10,78 @@
 
 /** Short topics of few letters, so that patterns often meet. */
 const topic = fc.stringMatching(/^[ab*]{1,4}$/);
-const pattern = fc.oneof(topic, fc.stringMatching(/^[ab*]{0,3}$/).map((p) => `${p}*`));
+const pattern = fc.oneof(
+  topic,
+  fc.stringMatching(/^[ab*]{0,3}$/).map((p) => `${p}*`),
+);
 const holds = (p: string, t: string): boolean => (p.endsWith('*') ? t.startsWith(p.slice(0, -1)) : p === t);
 /** The rule in its plainest words: an exact name, else the longest prefix. */
 const naive = (patterns: string[], t: string): string | undefined =>
-  patterns.find((p) => p === t && !p.endsWith('*')) ?? patterns.filter((p) => p.endsWith('*') && holds(p, t)).sort((a, b) => b.length - a.length)[0];
-const family = (name: string, topics: string[], x: Partial<Family> = {}): Family => ({ name, topics, urgency: 'routine', patienceMs: 2_000, memoryS: 30, ...x });
+  patterns.find((p) => p === t && !p.endsWith('*')) ??
+  patterns.filter((p) => p.endsWith('*') && holds(p, t)).sort((a, b) => b.length - a.length)[0];
+const family = (name: string, topics: string[], x: Partial<Family> = {}): Family => ({
+  name,
+  topics,
+  urgency: 'routine',
+  patienceMs: 2_000,
+  memoryS: 30,
+  ...x,
+});
 /** Patterns dealt out to families. */
 const families = fc.uniqueArray(pattern, { maxLength: 8 }).chain((ps) =>
-  fc.array(fc.nat({ max: 2 }), { minLength: ps.length, maxLength: ps.length }).map((of) => [0, 1, 2].flatMap((n) => {
-    const topics = ps.filter((_, i) => of[i] === n);
-    return topics.length ? [family(`f${n}`, topics)] : [];
-  })));
+  fc.array(fc.nat({ max: 2 }), { minLength: ps.length, maxLength: ps.length }).map((of) =>
+    [0, 1, 2].flatMap((n) => {
+      const topics = ps.filter((_, i) => of[i] === n);
+      return topics.length ? [family(`f${n}`, topics)] : [];
+    }),
+  ),
+);
 
 test('the family of a topic is that of its exact name, else of the longest prefix, as a plain model has it', (t) => {
   let found = 0;
-  fc.assert(fc.property(families, fc.array(topic, { minLength: 1, maxLength: 20 }), (fs, topics) => {
-    const config: FleetConfig = { families: fs };
-    for (const x of topics) {
-      const want = naive(fs.flatMap((f) => f.topics), x);
-      const got = familyOf(config, x);
-      if (got) found++;
-      if (got !== (want === undefined ? undefined : fs.find((f) => f.topics.includes(want)))) return false;
-    }
-    return true;
-  }), { seed: SEED, numRuns: 2_000 });
+  fc.assert(
+    fc.property(families, fc.array(topic, { minLength: 1, maxLength: 20 }), (fs, topics) => {
+      const config: FleetConfig = { families: fs };
+      for (const x of topics) {
+        const want = naive(
+          fs.flatMap((f) => f.topics),
+          x,
+        );
+        const got = familyOf(config, x);
+        if (got) found++;
+        if (got !== (want === undefined ? undefined : fs.find((f) => f.topics.includes(want)))) return false;
+      }
+      return true;
+    }),
+    { seed: SEED, numRuns: 2_000 },
+  );
   t.true(found > 1_000, `${found} were found`);
 });
 
 test('a table of patterns also says what begins alike', (t) => {
-  const x = new Patterns([['*', 0], ['a.*', 1], ['a.b.*', 2], ['a.b.c', 3], ['a.b.c*', 4]]);
-  t.deepEqual(['', 'b', 'a.', 'a.b', 'a.b.c', 'a.b.cc'].map((p) => x.within(p)), [0, 0, 1, 1, 4, 4]);
-  t.deepEqual(['b', 'a.', 'a.b.', 'a.b.c', 'a.b.cc'].map((p) => x.find(p)), [0, 1, 2, 3, 4]);
+  const x = new Patterns([
+    ['*', 0],
+    ['a.*', 1],
+    ['a.b.*', 2],
+    ['a.b.c', 3],
+    ['a.b.c*', 4],
+  ]);
+  t.deepEqual(
+    ['', 'b', 'a.', 'a.b', 'a.b.c', 'a.b.cc'].map((p) => x.within(p)),
+    [0, 0, 1, 1, 4, 4],
+  );
+  t.deepEqual(
+    ['b', 'a.', 'a.b.', 'a.b.c', 'a.b.cc'].map((p) => x.find(p)),
+    [0, 1, 2, 3, 4],
+  );
 });
 
 test('urgency is as the family says, else of the highest precedence where there are two', (t) => {
-  const fs = [family('a', ['a'], { urgency: undefined, precedence: 1 }), family('b', ['b'], { urgency: undefined, precedence: 2 }), family('c', ['c'], { precedence: 2 })];
+  const fs = [
+    family('a', ['a'], { urgency: undefined, precedence: 1 }),
+    family('b', ['b'], { urgency: undefined, precedence: 2 }),
+    family('c', ['c'], { precedence: 2 }),
+  ];
   const of = (families: Family[]): string => families.map((f) => urgencyOf({ families }, f)[0]).join('');
   t.is(of(fs), 'rur');
   t.is(of([fs[0]!]), 'r', 'one level by itself is above nothing');
@@ -56,43 +92,74 @@
 });
 
 test('a topic has its era from when it was last missing, whatever families and patterns held it, as a plain model has it', (t) => {
-  const all = ['a', 'b', '*'].flatMap((x) => ['', 'a', 'b', '*'].flatMap((y) => ['', 'a', 'b', '*'].map((z) => x + y + z)));
+  const all = ['a', 'b', '*'].flatMap((x) =>
+    ['', 'a', 'b', '*'].flatMap((y) => ['', 'a', 'b', '*'].map((z) => x + y + z)),
+  );
   let kept = 0;
   let anew = 0;
   let most = 0;
-  fc.assert(fc.property(fc.array(families, { minLength: 2, maxLength: 8 }), (configs) => {
-    let eras: Eras = new Map();
-    let want = new Map<string, number>();
-    const ever = new Set<string>();
-    for (const [i, fs] of configs.entries()) {
-      const before = want;
-      want = new Map();
-      for (const x of all) if (familyOf({ families: fs }, x)) want.set(x, before.get(x) ?? i + 1);
-      eras = erasAfter(eras, { families: fs }, i + 1);
-      for (const [x, era] of want) {
-        if (eraOf(eras, x) !== era) return false;
-        if (era <= i) kept++;
-        else if (ever.has(x)) anew++;
-        ever.add(x);
+  fc.assert(
+    fc.property(fc.array(families, { minLength: 2, maxLength: 8 }), (configs) => {
+      let eras: Eras = new Map();
+      let want = new Map<string, number>();
+      const ever = new Set<string>();
+      for (const [i, fs] of configs.entries()) {
+        const before = want;
+        want = new Map();
+        for (const x of all) if (familyOf({ families: fs }, x)) want.set(x, before.get(x) ?? i + 1);
+        eras = erasAfter(eras, { families: fs }, i + 1);
+        for (const [x, era] of want) {
+          if (eraOf(eras, x) !== era) return false;
+          if (era <= i) kept++;
+          else if (ever.has(x)) anew++;
+          ever.add(x);
+        }
+        most = Math.max(most, eras.size);
       }
-      most = Math.max(most, eras.size);
-    }
-    return true;
-  }), { seed: SEED, numRuns: 2_000 });
+      return true;
+    }),
+    { seed: SEED, numRuns: 2_000 },
+  );
   t.true(kept > 1_000 && anew > 1_000, `${kept} kept, ${anew} made anew`);
   t.log(`at most ${most} regions for at most 8 patterns`);
 });
 
 test('regions that nothing needs any more are let go', (t) => {
-  const after = (eras: Eras, version: number, ...patterns: string[]): Eras => erasAfter(eras, { families: patterns.length ? [family('f', patterns)] : [] }, version);
+  const after = (eras: Eras, version: number, ...patterns: string[]): Eras =>
+    erasAfter(eras, { families: patterns.length ? [family('f', patterns)] : [] }, version);
   let e = after(new Map(), 1, 'a.*', 'b');
-  t.deepEqual([...e], [['a.*', 1], ['b', 1]]);
+  t.deepEqual(
+    [...e],
+    [
+      ['a.*', 1],
+      ['b', 1],
+    ],
+  );
   e = after(e, 2, '*');
-  t.deepEqual([...e].sort(), [['*', 2], ['a.*', 1], ['b', 1]], 'what was there is older than what now holds it');
+  t.deepEqual(
+    [...e].sort(),
+    [
+      ['*', 2],
+      ['a.*', 1],
+      ['b', 1],
+    ],
+    'what was there is older than what now holds it',
+  );
   e = after(e, 3, '*', 'a.c.*', 'c');
-  t.deepEqual([...e].sort(), [['*', 2], ['a.*', 1], ['b', 1]], 'what is cut off from another is as old as that');
+  t.deepEqual(
+    [...e].sort(),
+    [
+      ['*', 2],
+      ['a.*', 1],
+      ['b', 1],
+    ],
+    'what is cut off from another is as old as that',
+  );
   e = after(e, 4, 'a.c.*', 'c');
-  t.deepEqual([...e].sort(), [['a.c.*', 1], ['c', 2]]);
+  t.deepEqual([...e].sort(), [
+    ['a.c.*', 1],
+    ['c', 2],
+  ]);
   e = after(e, 5);
   t.deepEqual([...e], []);
 });
@@ -100,28 +167,66 @@
 test('by revision: the highest holds, a lower or equal one is answered with it and changes nothing, and all is read back', async (t) => {
   const s = await smallFleet(101);
   const [r1, r2] = s.relays as [SimNode, SimNode];
-  const submit = (n: SimNode, revision: number, x: object = {}) => s.ask(n, 'SubmitConfig', { revision, config: { families: FAMILIES }, ...x });
-  const document = { routes: [{ 'name': 'r-1', 'path_prefix': 'a.' }], empty: [], none: null, 'ü': 0.1, '__proto__x': { constructor: 1 } };
+  const submit = (n: SimNode, revision: number, x: object = {}) =>
+    s.ask(n, 'SubmitConfig', { revision, config: { families: FAMILIES }, ...x });
+  const document = {
+    routes: [{ name: 'r-1', path_prefix: 'a.' }],
+    empty: [],
+    none: null,
+    ü: 0.1,
+    __proto__x: { constructor: 1 },
+  };
 
   t.deepEqual(await submit(r1, 7, { document }), { status: 200, body: { version: 2, revision: 7 } });
-  t.deepEqual(await submit(r2, 7, { document }), { status: 200, body: { version: 2, revision: 7 } }, 'resent to another node');
-  t.deepEqual(await submit(s.stores[0]!, 3, { config: { families: [] } }), { status: 200, body: { version: 2, revision: 7 } }, 'an old one, late');
-  t.deepEqual((await s.ask(r2, 'ReadConfig', {})).body, { version: 2, changeId: 'revision-7', revision: 7, document, config: { families: FAMILIES } });
+  t.deepEqual(
+    await submit(r2, 7, { document }),
+    { status: 200, body: { version: 2, revision: 7 } },
+    'resent to another node',
+  );
+  t.deepEqual(
+    await submit(s.stores[0]!, 3, { config: { families: [] } }),
+    { status: 200, body: { version: 2, revision: 7 } },
+    'an old one, late',
+  );
+  t.deepEqual((await s.ask(r2, 'ReadConfig', {})).body, {
+    version: 2,
+    changeId: 'revision-7',
+    revision: 7,
+    document,
+    config: { families: FAMILIES },
+  });
 
-  t.is((await submit(r1, 3, { config: { families: 1 } })).body.error.tag, 'invalid_config', 'what is wrong is never acknowledged, however old');
+  t.is(
+    (await submit(r1, 3, { config: { families: 1 } })).body.error.tag,
+    'invalid_config',
+    'what is wrong is never acknowledged, however old',
+  );
   t.is((await submit(r1, 9, { config: { families: 1 } })).body.error.tag, 'invalid_config');
   t.is((await submit(r1, 9, { expect: 2 })).body.error.tag, 'bad_visit');
   t.is((await s.ask(r1, 'ReadConfig', {})).body.revision, 7);
 
   // Without a revision the one in force stays, and with it what is above it.
-  t.deepEqual((await s.ask(r1, 'SubmitConfig', { changeId: 'by hand', expect: 2, config: { families: [] } })).body, { version: 3 });
-  t.deepEqual((await s.ask(r2, 'ReadConfig', {})).body, { version: 3, changeId: 'by hand', revision: 7, config: { families: [] } });
+  t.deepEqual((await s.ask(r1, 'SubmitConfig', { changeId: 'by hand', expect: 2, config: { families: [] } })).body, {
+    version: 3,
+  });
+  t.deepEqual((await s.ask(r2, 'ReadConfig', {})).body, {
+    version: 3,
+    changeId: 'by hand',
+    revision: 7,
+    config: { families: [] },
+  });
   t.deepEqual((await submit(r2, 7)).body, { version: 3, revision: 7 });
   t.deepEqual((await submit(r2, 8, { changeId: 'named' })).body, { version: 4, revision: 8 });
   // A calendar changes neither the revision nor the operators' words.
   t.deepEqual((await submit(r2, 20, { document: 'words' })).body, { version: 5, revision: 20 });
   t.is((await s.ask(r1, 'PlanMoves', { changeId: 'plan', moves: [] })).body.version, 6);
-  t.deepEqual((await s.ask(r1, 'ReadConfig', {})).body, { version: 6, changeId: 'plan', revision: 20, document: 'words', config: { families: FAMILIES, moves: [] } });
+  t.deepEqual((await s.ask(r1, 'ReadConfig', {})).body, {
+    version: 6,
+    changeId: 'plan',
+    revision: 20,
+    document: 'words',
+    config: { families: FAMILIES, moves: [] },
+  });
   s.sim.close();
 });
 
@@ -155,7 +260,11 @@
     await say(s, r2, 'feed/1', `after ${i}`);
     await s.pass(500);
     const late = await s.attach(r2, `late${i}`);
-    t.deepEqual((await s.ask(r2, 'Subscribe', { conn: late.conn, topic: 'feed/1', cursor: 0 })).body.next, 1, `step ${i}`);
+    t.deepEqual(
+      (await s.ask(r2, 'Subscribe', { conn: late.conn, topic: 'feed/1', cursor: 0 })).body.next,
+      1,
+      `step ${i}`,
+    );
     await s.pass(1_000);
     t.deepEqual(bodiesOf(late.frames), ['first', ...steps.slice(0, i + 1).map((_, j) => `after ${j}`)], `step ${i}`);
   }
@@ -172,10 +281,19 @@
   await say(s, r2, 'feed/1', 'old 1', 'old 2');
   await s.pass(500);
   const all = [family('feeds', ['feed/*'])];
-  t.is((await s.ask(r2, 'SubmitConfig', { revision: 1, config: { families: [family('feeds', ['food/*'])] } })).status, 200);
+  t.is(
+    (await s.ask(r2, 'SubmitConfig', { revision: 1, config: { families: [family('feeds', ['food/*'])] } })).status,
+    200,
+  );
   await s.pass(3_000);
-  t.deepEqual(live.frames.filter((f) => f.t === 'LEFT').map((f) => f.reason), ['topic_removed']);
-  t.is((await s.ask(r1, 'Publish', { sender: 'desk', topic: 'feed/1', seq: ++seqs, body: 'gone' })).body.error.tag, 'unknown_topic');
+  t.deepEqual(
+    live.frames.filter((f) => f.t === 'LEFT').map((f) => f.reason),
+    ['topic_removed'],
+  );
+  t.is(
+    (await s.ask(r1, 'Publish', { sender: 'desk', topic: 'feed/1', seq: ++seqs, body: 'gone' })).body.error.tag,
+    'unknown_topic',
+  );
   t.is((await s.ask(r1, 'Subscribe', { conn: live.conn, topic: 'feed/1' })).body.error.tag, 'unknown_topic');
   t.is((await s.ask(r2, 'SubmitConfig', { revision: 2, config: { families: all } })).status, 200);
   await s.pass(500);
@@ -195,7 +313,11 @@
   k.onNewer = () => new Promise(() => undefined);
   reg.learn = () => undefined;
   reg.read = () => Promise.reject(new Error('held back'));
-  return () => { k.onNewer = onNewer; reg.learn = learn; reg.read = read; };
+  return () => {
+    k.onNewer = onNewer;
+    reg.learn = learn;
+    reg.read = read;
+  };
 }
 
 test('an owner that is behind does not refuse what is there: it waits for the newer configuration, and says that it cannot tell', async (t) => {
@@ -217,7 +339,10 @@
     s.ask(r1, 'Subscribe', { conn, topic: 'new/1' }),
     s.ask(r1, 'Listeners', { topic: 'new/1' }),
   ]);
-  t.deepEqual(got.map((r) => r.body.rejected?.reason ?? r.body.error?.tag), ['not_ready', 'not_ready', 'not_ready']);
+  t.deepEqual(
+    got.map((r) => r.body.rejected?.reason ?? r.body.error?.tag),
+    ['not_ready', 'not_ready', 'not_ready'],
+  );
   free();
   await s.pass(1_500);
   t.is((await s.ask(r1, 'Publish', { sender: 'desk', topic: 'new/1', seq: 1, body: 'x' })).status, 200);
@@ -237,38 +362,79 @@
   await s.pass(200);
   t.true(owner.kernel!.use('register').fresh());
   t.is(owner.kernel!.use('register').value!.version, 1);
-  t.is((await s.ask(r1, 'Publish', { sender: 'desk', topic: 'feed/1', seq: 1, body: 'x' })).body.rejected?.reason, 'not_ready');
+  t.is(
+    (await s.ask(r1, 'Publish', { sender: 'desk', topic: 'feed/1', seq: 1, body: 'x' })).body.rejected?.reason,
+    'not_ready',
+  );
   free();
   s.sim.close();
 });
 
 /** One configuration of an operator, and when it is sent for the first time and, perhaps, once more. */
-interface Order { revision: number; at: number; again?: number; valid: boolean; config: unknown; document: unknown }
-interface Trouble { at: number; forMs: number; node: number; kind: 'kill' | 'freeze' | 'cut' }
+interface Order {
+  revision: number;
+  at: number;
+  again?: number;
+  valid: boolean;
+  config: unknown;
+  document: unknown;
+}
+interface Trouble {
+  at: number;
+  forMs: number;
+  node: number;
+  kind: 'kill' | 'freeze' | 'cut';
+}
 
 /** Two operators, one with even and one with odd numbers, that rise by uneven steps; not every number is sent in its turn. */
-const orders: fc.Arbitrary<Order[]> = fc.array(fc.record({
-  step: fc.integer({ min: 1, max: 4 }), at: fc.nat({ max: 9_000 }), again: fc.option(fc.nat({ max: 14_000 }), { nil: undefined }),
-  valid: fc.integer({ min: 0, max: 3 }).map((n) => n > 0), families, document: fc.jsonValue(),
-}), { minLength: 5, maxLength: 12 }).map((xs) => {
-  const next = [0, 1];
-  return xs.map(({ step, at, again, valid, families: fs, document }, i) => {
-    const revision = (next[i % 2]! += 2 * step);
-    return { revision, at, again, valid, config: valid ? { families: fs } : { families: [...fs, family('spoilt', [])] }, document };
+const orders: fc.Arbitrary<Order[]> = fc
+  .array(
+    fc.record({
+      step: fc.integer({ min: 1, max: 4 }),
+      at: fc.nat({ max: 9_000 }),
+      again: fc.option(fc.nat({ max: 14_000 }), { nil: undefined }),
+      valid: fc.integer({ min: 0, max: 3 }).map((n) => n > 0),
+      families,
+      document: fc.jsonValue(),
+    }),
+    { minLength: 5, maxLength: 12 },
+  )
+  .map((xs) => {
+    const next = [0, 1];
+    return xs.map(({ step, at, again, valid, families: fs, document }, i) => {
+      const revision = (next[i % 2]! += 2 * step);
+      return {
+        revision,
+        at,
+        again,
+        valid,
+        config: valid ? { families: fs } : { families: [...fs, family('spoilt', [])] },
+        document,
+      };
+    });
   });
-});
-const troubles: fc.Arbitrary<Trouble[]> = fc.array(fc.record({
-  at: fc.nat({ max: 9_000 }), forMs: fc.integer({ min: 200, max: 4_000 }), node: fc.nat({ max: 4 }), kind: fc.constantFrom('kill', 'freeze', 'cut'),
-}), { maxLength: 3 });
+const troubles: fc.Arbitrary<Trouble[]> = fc.array(
+  fc.record({
+    at: fc.nat({ max: 9_000 }),
+    forMs: fc.integer({ min: 200, max: 4_000 }),
+    node: fc.nat({ max: 4 }),
+    kind: fc.constantFrom('kill', 'freeze', 'cut'),
+  }),
+  { maxLength: 3 },
+);
 
 /** What befalls the node that gives the n-th acknowledgement, at once: its power fails, or all power, or its disk is gone for good. */
-const afterAck = fc.option(fc.record({ n: fc.nat({ max: 5 }), kind: fc.constantFrom('power', 'all power', 'wipe') }), { nil: undefined });
+const afterAck = fc.option(fc.record({ n: fc.nat({ max: 5 }), kind: fc.constantFrom('power', 'all power', 'wipe') }), {
+  nil: undefined,
+});
 
 test('two operators, any order, resends, late old ones, and machines in trouble: the highest revision holds and is read back whole', async (t) => {
   let befell = 0;
   let overtaken = 0;
   let tries = 0;
-  for (const [i, [os, ts, after]] of fc.sample(fc.tuple(orders, troubles, afterAck), { seed: SEED, numRuns: 32 }).entries()) {
+  for (const [i, [os, ts, after]] of fc
+    .sample(fc.tuple(orders, troubles, afterAck), { seed: SEED, numRuns: 32 })
+    .entries()) {
     const s = await smallFleet(200 + i);
     const { sim } = s;
     const nodes = [...s.stores, ...s.relays];
@@ -282,10 +448,18 @@
         const asked = sim.now;
         tries++;
         const at = nodes[Math.floor(rnd.next() * nodes.length)]!;
-        const r = await sim.outside.visit(at.config.client, 'SubmitConfig', { revision: o.revision, document: o.document, config: o.config }, 1_000);
+        const r = await sim.outside.visit(
+          at.config.client,
+          'SubmitConfig',
+          { revision: o.revision, document: o.document, config: o.config },
+          1_000,
+        );
         if (r && r.status < 500) {
           t.is(r.status, o.valid ? 200 : 400, what(r));
-          if (!o.valid) { t.is(r.body.error.tag, 'invalid_config'); return; }
+          if (!o.valid) {
+            t.is(r.body.error.tag, 'invalid_config');
+            return;
+          }
           t.true(r.body.revision >= o.revision && sent.get(r.body.revision)?.valid, what([o.revision, r.body]));
           // Nothing that was told before this was asked is taken back.
           for (const x of told) if (x.t < asked) t.true(r.body.revision >= x.revision, what([r.body, x]));
@@ -293,8 +467,12 @@
           if (after && told.length === after.n + 1) {
             befell++;
             const hit = after.kind === 'all power' ? nodes : [at];
-            for (const n of hit) if (after.kind === 'wipe' && n.sql) sim.loseDisk(n); else sim.kill(n);
-            sim.clock.after(1_000, () => { for (const n of hit) void sim.start(n); });
+            for (const n of hit)
+              if (after.kind === 'wipe' && n.sql) sim.loseDisk(n);
+              else sim.kill(n);
+            sim.clock.after(1_000, () => {
+              for (const n of hit) void sim.start(n);
+            });
           }
           if (r.body.revision > o.revision) overtaken++;
           return;
@@ -303,15 +481,39 @@
       }
     };
     for (const o of os) {
-      for (const at of [o.at, o.again]) if (at !== undefined) { left++; sim.clock.after(at, () => void send(o).then(() => { left--; }, (e) => { t.fail(String(e)); })); }
+      for (const at of [o.at, o.again])
+        if (at !== undefined) {
+          left++;
+          sim.clock.after(
+            at,
+            () =>
+              void send(o).then(
+                () => {
+                  left--;
+                },
+                (e) => {
+                  t.fail(String(e));
+                },
+              ),
+          );
+        }
     }
     for (const x of ts) {
       const n = nodes[x.node]!;
       sim.clock.after(x.at, () => {
         switch (x.kind) {
-          case 'kill': sim.kill(n); sim.clock.after(x.forMs, () => void sim.start(n)); break;
-          case 'freeze': sim.freeze(n); sim.clock.after(x.forMs, () => sim.thaw(n)); break;
-          case 'cut': for (const o of nodes) if (o !== n) sim.cut(o.name, n.name); sim.clock.after(x.forMs, () => sim.heal()); break;
+          case 'kill':
+            sim.kill(n);
+            sim.clock.after(x.forMs, () => void sim.start(n));
+            break;
+          case 'freeze':
+            sim.freeze(n);
+            sim.clock.after(x.forMs, () => sim.thaw(n));
+            break;
+          case 'cut':
+            for (const o of nodes) if (o !== n) sim.cut(o.name, n.name);
+            sim.clock.after(x.forMs, () => sim.heal());
+            break;
         }
       });
     }
@@ -329,7 +531,10 @@
         seen.set(n.kernel!, { rev: v.rev, revision: v.revision! });
       }
     };
-    for (let ms = 0; ms < 60_000 && (ms < 16_000 || left); ms += 20) { await sim.run(sim.now + 20); look(); }
+    for (let ms = 0; ms < 60_000 && (ms < 16_000 || left); ms += 20) {
+      await sim.run(sim.now + 20);
+      look();
+    }
     t.is(left, 0, what('every call was answered'));
     await s.pass(3_000);
     const top = Math.max(...os.filter((o) => o.valid).map((o) => o.revision));
@@ -341,7 +546,9 @@
     }
     sim.close();
   }
-  t.log(`${tries} tries, ${overtaken} answered with a higher revision, ${befell} machines hit right after they answered`);
+  t.log(
+    `${tries} tries, ${overtaken} answered with a higher revision, ${befell} machines hit right after they answered`,
+  );
   t.true(overtaken > 50 && befell > 10);
 });
 
@@ -350,12 +557,19 @@
   const nodes = [...s.stores, ...s.relays];
   const submit = async (n: SimNode, revision: number): Promise<{ ms: number; revision: number }> => {
     const from = s.sim.now;
-    const r = await s.sim.outside.visit(n.config.client, 'SubmitConfig', { revision, config: { families: FAMILIES } }, 10_000);
+    const r = await s.sim.outside.visit(
+      n.config.client,
+      'SubmitConfig',
+      { revision, config: { families: FAMILIES } },
+      10_000,
+    );
     return { ms: s.sim.now - from, revision: r!.body.revision };
   };
   const all = async (of: (i: number) => number): Promise<{ ms: number; revision: number }[]> => {
     let got: { ms: number; revision: number }[] | undefined;
-    void Promise.all(nodes.map((n, i) => submit(n, of(i)))).then((x) => { got = x; });
+    void Promise.all(nodes.map((n, i) => submit(n, of(i)))).then((x) => {
+      got = x;
+    });
     while (!got) await s.pass(10);
     return got;
   };
@@ -369,7 +583,9 @@
     took.push(...same.map((x) => x.ms), ...apart.map((x) => x.ms));
   }
   took.sort((a, b) => a - b);
-  t.log(`${took.length} answers, ms of virtual time: half within ${took[took.length >> 1]}, 99 in 100 within ${took[Math.floor(took.length * 0.99)]}, all within ${took.at(-1)}`);
+  t.log(
+    `${took.length} answers, ms of virtual time: half within ${took[took.length >> 1]}, 99 in 100 within ${took[Math.floor(took.length * 0.99)]}, all within ${took.at(-1)}`,
+  );
   t.true(took[Math.floor(took.length * 0.99)]! < 1_000);
   s.sim.close();
 });
@@ -394,7 +610,10 @@
   t.true(late.body.error.retryAfterMs > 0);
   // One that is not above the revision in force is acknowledged, if late: whether something higher is in force nobody can tell.
   const from = s.sim.now;
-  t.deepEqual((await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: [] } })).body, { version: 2, revision: 5 });
+  t.deepEqual((await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: [] } })).body, {
+    version: 2,
+    revision: 5,
+  });
   t.true(s.sim.now - from > 9_000);
   s.sim.close();
 });
@@ -407,8 +626,19 @@
     const r = await s.ask(r1, 'Subscribe', { conn, topic: topicName });
     return r.body.error?.tag ?? r.status;
   };
-  t.deepEqual([await subscribe('feed/1'), await subscribe('feed/2'), await subscribe('feed/3'), await subscribe('feed/1')], [200, 200, 'overloaded', 200]);
-  t.is((await s.ask(r1, 'SubmitConfig', { revision: 1, config: { families: FAMILIES, limits: { subscriptionsPerConn: 300 } } })).status, 200);
+  t.deepEqual(
+    [await subscribe('feed/1'), await subscribe('feed/2'), await subscribe('feed/3'), await subscribe('feed/1')],
+    [200, 200, 'overloaded', 200],
+  );
+  t.is(
+    (
+      await s.ask(r1, 'SubmitConfig', {
+        revision: 1,
+        config: { families: FAMILIES, limits: { subscriptionsPerConn: 300 } },
+      })
+    ).status,
+    200,
+  );
   for (let i = 3; i <= 300; i++) t.is(await subscribe(`feed/${i}`), 200);
   t.is(await subscribe('feed/301'), 'overloaded');
   s.sim.close();
@@ -439,7 +669,11 @@
   for (const n of nodes) void sim.start(n);
   await sim.run(100);
   let told: { status: number; body: unknown } | undefined;
-  void sim.outside.visit(nodes[2]!.config.client, 'SubmitConfig', { revision: 2, config: { families: FAMILIES } }, 9_000).then((r) => { told = r; });
+  void sim.outside
+    .visit(nodes[2]!.config.client, 'SubmitConfig', { revision: 2, config: { families: FAMILIES } }, 9_000)
+    .then((r) => {
+      told = r;
+    });
   await sim.run(900);
   t.is(told, undefined);
   await sim.run(8_000);
@@ -453,10 +687,15 @@
   for (const n of s.stores) s.sim.kill(n);
   const got: string[] = [];
   const send = (revision: number): void => {
-    void s.sim.outside.visit(r1.config.client, 'SubmitConfig', { revision, config: { families: FAMILIES } }, 30_000).then((r) => got.push(`${r!.status} ${r!.body.error?.tag ?? r!.body.revision}`));
+    void s.sim.outside
+      .visit(r1.config.client, 'SubmitConfig', { revision, config: { families: FAMILIES } }, 30_000)
+      .then((r) => got.push(`${r!.status} ${r!.body.error?.tag ?? r!.body.revision}`));
   };
   for (let i = 0; i < 100; i++) send(3);
-  for (let i = 0; i < C.submissionsN + 2; i++) { await s.pass(10); send(4 + i); }
+  for (let i = 0; i < C.submissionsN + 2; i++) {
+    await s.pass(10);
+    send(4 + i);
+  }
   // Longer than one try, so that the highest is at work.
   await s.pass(C.submitTryMs + 500);
   t.deepEqual(got, ['503 overloaded', '503 overloaded', '503 overloaded']);
--- a/packages/trial/src/test/control-fleet.ts
+++ b/packages/trial/src/test/control-fleet.ts
@@ -17,40 +17,61 @@
 
 export const seatsOf = (n: SimNode): string[] => n.kernel!.use('register').value!.seats;
 export const diskOf = (n: SimNode): string => n.kernel!.use('register').disk!;
-export const copiesAt = (n: SimNode): string[][] => [...n.kernel!.use('register').value!.shards.values()].map((p) => p.copies);
+export const copiesAt = (n: SimNode): string[][] =>
+  [...n.kernel!.use('register').value!.shards.values()].map((p) => p.copies);
 
-export async function controlFleet(seed: number, x: { controls?: number; stores?: number; relays?: number; losses?: number;
-  log?: boolean } = {}): Promise<ControlFleet> {
+export async function controlFleet(
+  seed: number,
+  x: { controls?: number; stores?: number; relays?: number; losses?: number; log?: boolean } = {},
+): Promise<ControlFleet> {
   const sim = new Sim(seed, { log: x.log, delayMs: [0.5, 2] });
   let n = 0;
   const add = (role: 'control' | 'store' | 'relay', domain: string): SimNode => {
     const m = sim.add(`${role}${++n}`, { role, domain, disk: role !== 'relay' });
-    Object.assign(m.config, { losses: x.losses ?? 1, name: m.name, ...(role === 'relay' ? {} : { diskUses: role === 'store' ? ['copies',
-      'seat'] : ['seat'] }) });
+    Object.assign(m.config, {
+      losses: x.losses ?? 1,
+      name: m.name,
+      ...(role === 'relay' ? {} : { diskUses: role === 'store' ? ['copies', 'seat'] : ['seat'] }),
+    });
     return m;
   };
-  const several = (role: 'control' | 'store' | 'relay', count: number): SimNode[] => Array.from({ length: count }, (_, i) => add(role,
-    'abcd'[i % 4]!));
+  const several = (role: 'control' | 'store' | 'relay', count: number): SimNode[] =>
+    Array.from({ length: count }, (_, i) => add(role, 'abcd'[i % 4]!));
   const controls = several('control', x.controls ?? 3);
   const stores = several('store', x.stores ?? 3);
   const relays = several('relay', x.relays ?? 3);
   const seeds = controls.slice(0, 3).map((c) => c.config.peer);
-  for (const m of sim.nodes.values()) { m.config.seeds = seeds; m.config.firstStart = true; void sim.start(m); }
+  for (const m of sim.nodes.values()) {
+    m.config.seeds = seeds;
+    m.config.firstStart = true;
+    void sim.start(m);
+  }
   await sim.run(8_000);
   for (const m of sim.nodes.values()) m.config.firstStart = false;
   const f: ControlFleet = {
-    sim, controls, stores, relays,
+    sim,
+    controls,
+    stores,
+    relays,
     spare: (role, domain) => {
       const m = add(role, domain);
       m.config.seeds = controls.slice(0, 3).map((c) => c.config.peer);
       m.config.firstStart = false;
       return m;
     },
-    ask: async (m, method, body) => (await settled(sim, sim.outside.visit(m.config.client, method, body, 6_000))) ?? { status: 0,
-      body: undefined },
-    pass: async (ms) => { const p = sleep(sim.clock, ms); await sim.run(sim.now + ms); await p; },
+    ask: async (m, method, body) =>
+      (await settled(sim, sim.outside.visit(m.config.client, method, body, 6_000))) ?? { status: 0, body: undefined },
+    pass: async (ms) => {
+      const p = sleep(sim.clock, ms);
+      await sim.run(sim.now + ms);
+      await p;
+    },
   };
-  const r = await f.ask(controls[0]!, 'SubmitConfig', { revision: 1, document: { n: 1 }, config: { families: FAMILIES } });
+  const r = await f.ask(controls[0]!, 'SubmitConfig', {
+    revision: 1,
+    document: { n: 1 },
+    config: { families: FAMILIES },
+  });
   if (r.status !== 200) throw new Error(JSON.stringify(r.body));
   await f.pass(1_000);
   return f;
--- a/packages/trial/src/test/copies.test.ts
+++ b/packages/trial/src/test/copies.test.ts
@@ -10,12 +10,15 @@
     const key = `${live} of ${p.copies.length}`;
     n.set(key, (n.get(key) ?? 0) + 1);
   }
-  return [...n].map(([k, x]) => `${x}: ${k}`).sort().join(', ');
+  return [...n]
+    .map(([k, x]) => `${x}: ${k}`)
+    .sort()
+    .join(', ');
 }
-const publish = async (s: Small, seq: number): Promise<number> => (
-  await s.ask(s.relays[0]!, 'Publish', { sender: 'desk', topic: 'feed/1', seq, body: `m${seq}` })).status;
+const publish = async (s: Small, seq: number): Promise<number> =>
+  (await s.ask(s.relays[0]!, 'Publish', { sender: 'desk', topic: 'feed/1', seq, body: `m${seq}` })).status;
 
-test('a store that is dead for long leaves its copies\' places: what is accepted meanwhile outlives the next loss', async (t) => {
+test("a store that is dead for long leaves its copies' places: what is accepted meanwhile outlives the next loss", async (t) => {
   const s = await smallFleet(91);
   t.is(copiesOf(s), '32: 3 of 3');
   t.is(await publish(s, 1), 200);
@@ -38,7 +41,7 @@
   s.sim.close();
 });
 
-test('a lost disk\'s copies go to another as soon as there is one', async (t) => {
+test("a lost disk's copies go to another as soon as there is one", async (t) => {
   const s = await smallFleet(92);
   const [a, b] = s.stores as [Small['stores'][0], Small['stores'][0], Small['stores'][0]];
   s.sim.kill(a);
@@ -58,7 +61,10 @@
   const [a, b, c] = s.stores as [Small['stores'][0], Small['stores'][0], Small['stores'][0]];
   const seats = (): string => {
     const v = c.kernel!.use('register').value!;
-    return v.seats.map((d) => s.stores.findIndex((x) => x.config.peer === v.disks.get(d)!.peer) + 1).sort().join();
+    return v.seats
+      .map((d) => s.stores.findIndex((x) => x.config.peer === v.disks.get(d)!.peer) + 1)
+      .sort()
+      .join();
   };
   s.sim.kill(a);
   await s.pass(70_000);
--- a/packages/trial/src/test/cost.test.ts
+++ b/packages/trial/src/test/cost.test.ts
@@ -11,7 +11,10 @@
   s.sim.traffic.clear();
   s.sim.measure = true;
   await s.pass(10_000);
-  t.deepEqual(s.stores.map((n) => n.db!.commits), before);
+  t.deepEqual(
+    s.stores.map((n) => n.db!.commits),
+    before,
+  );
   t.true(commits() > 0);
   t.is(s.sim.traffic.get('Append'), undefined);
   const pairs = s.stores.length * (s.stores.length - 1);
@@ -25,7 +28,12 @@
 test('a copy that missed entries while it was cut off is brought up by the beats alone', async (t) => {
   const s = await smallFleet(42);
   const shard = shardOf('feed/1');
-  const owner = s.stores.find((n) => n.kernel!.use('owner').owned().some((k) => k.shard === shard))!;
+  const owner = s.stores.find((n) =>
+    n
+      .kernel!.use('owner')
+      .owned()
+      .some((k) => k.shard === shard),
+  )!;
   const copy = s.stores.find((n) => n !== owner && n.kernel!.use('copies').all.get(shard))!;
   s.sim.cut(owner.name, copy.name);
   const r = await s.ask(s.relays[0]!, 'Publish', { sender: 'a', topic: 'feed/1', seq: 1, body: 'x' });
--- a/packages/trial/src/test/disk.test.ts
+++ b/packages/trial/src/test/disk.test.ts
@@ -1,5 +1,19 @@
 import { spawn } from 'node:child_process';
-import { copyFileSync, mkdtempSync, readdirSync, rmSync, truncateSync, fdatasyncSync, writeFileSync, statSync, openSync, writeSync, closeSync, readFileSync, readSync } from 'node:fs';
+import {
+  copyFileSync,
+  mkdtempSync,
+  readdirSync,
+  rmSync,
+  truncateSync,
+  fdatasyncSync,
+  writeFileSync,
+  statSync,
+  openSync,
+  writeSync,
+  closeSync,
+  readFileSync,
+  readSync,
+} from 'node:fs';
 import { tmpdir } from 'node:os';
 import { basename, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -10,8 +24,23 @@
 
 const folder = (): string => mkdtempSync(join(tmpdir(), 'harecross-disk-'));
 const told: string[] = [];
-const log: Log = { info: () => undefined, warn: (l) => { told.push(l); } };
-const entry = (idx: number): Entry => ({ idx, fence: '1', topic: 't', off: idx, era: 1, sender: 's', seq: idx, body: 'x'.repeat(500), at: 1_000 + idx });
+const log: Log = {
+  info: () => undefined,
+  warn: (l) => {
+    told.push(l);
+  },
+};
+const entry = (idx: number): Entry => ({
+  idx,
+  fence: '1',
+  topic: 't',
+  off: idx,
+  era: 1,
+  sender: 's',
+  seq: idx,
+  body: 'x'.repeat(500),
+  at: 1_000 + idx,
+});
 
 async function filled(dir: string): Promise<void> {
   const db = openDb(dir, realClock, log, () => undefined, '127.0.0.1:1');
@@ -19,7 +48,12 @@
   st.init();
   await db.commit(() => {
     st.set('disk', 'd1');
-    const c = { shard: 3, promised: NO_FENCE, base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() }, entries: [] };
+    const c = {
+      shard: 3,
+      promised: NO_FENCE,
+      base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
+      entries: [],
+    };
     st.promise(c, '1');
     for (let i = 1; i <= 400; i++) st.add(c, entry(i));
     st.trim(c, 100, 0);
@@ -49,7 +83,14 @@
 for (const [what, damage] of [
   ['overwritten', (f: string) => writeFileSync(f, 'not a database, by far'.repeat(300))],
   ['cut short', (f: string) => truncateSync(f, Math.floor(statSync(f).size / 2))],
-  ['changed in the middle', (f: string) => { const h = openSync(f, 'r+'); writeSync(h, Buffer.alloc(8_192, 0xa5), 0, 8_192, 8_192); closeSync(h); }],
+  [
+    'changed in the middle',
+    (f: string) => {
+      const h = openSync(f, 'r+');
+      writeSync(h, Buffer.alloc(8_192, 0xa5), 0, 8_192, 8_192);
+      closeSync(h);
+    },
+  ],
 ] as const) {
   test.serial(`a database file that was ${what} is noticed, moved aside and begun anew`, async (t) => {
     const dir = folder();
@@ -71,7 +112,9 @@
 test.serial('a folder that cannot be written is an error with its reason', (t) => {
   const dir = folder();
   writeFileSync(join(dir, 'file'), '');
-  t.throws(() => openDb(join(dir, 'file'), realClock, log, () => undefined, '127.0.0.1:1'), { message: /EEXIST|ENOTDIR|not a directory/ });
+  t.throws(() => openDb(join(dir, 'file'), realClock, log, () => undefined, '127.0.0.1:1'), {
+    message: /EEXIST|ENOTDIR|not a directory/,
+  });
   rmSync(dir, { recursive: true });
 });
 
@@ -85,7 +128,8 @@
   t.is(db.commits, 1);
   db.sql.pragma(`max_page_count = ${Number(db.sql.pragma('page_count', { simple: true }))}`);
   const works = [db.commit(() => st.set('a', 'v')), db.commit(() => st.set('big', 'x'.repeat(1_000_000)))];
-  for (const w of works) t.is((await t.throwsAsync(w) as unknown as { fault: { tag: string } }).fault.tag, 'disk_ill');
+  for (const w of works)
+    t.is(((await t.throwsAsync(w)) as unknown as { fault: { tag: string } }).fault.tag, 'disk_ill');
   t.is(faults.length, 1);
   t.is(st.get('a'), undefined, 'nothing of it lasts');
   db.sql.close();
@@ -98,8 +142,16 @@
   const db = openDb(dir, realClock, log, () => undefined, '127.0.0.1:1');
   const st = new Store(db);
   st.init();
-  const c = { shard: 3, promised: NO_FENCE, base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() }, entries: [] };
-  await db.commit(() => { st.set('disk', 'd1'); st.promise(c, '1'); });
+  const c = {
+    shard: 3,
+    promised: NO_FENCE,
+    base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
+    entries: [],
+  };
+  await db.commit(() => {
+    st.set('disk', 'd1');
+    st.promise(c, '1');
+  });
   for (let i = 1; i <= entries; i++) await db.commit(() => st.add(c, entry(i)));
   const left = folder();
   for (const x of ['', '-wal']) copyFileSync(join(dir, `state.db${x}`), join(left, `state.db${x}`));
@@ -123,115 +175,185 @@
   return { disk: st.get('disk'), last: c ? lastIdx(c) : 0, db };
 };
 
-test.serial('what was answered is on the disk when the power goes, whatever else is, and only one commit is on its way there', async (t) => {
-  const dir = folder();
-  // What the last sync of each file that ended had found: all that a loss of power surely leaves of it.
-  const safe = new Map<string, Buffer>();
-  let held: (() => void) | undefined;
-  let file = '';
-  let whenHeld = (): void => {};
-  const db = openDb(dir, realClock, log, () => undefined, '127.0.0.1:1', (fd, f) => {
-    const found = readFileSync(f);
-    return new Promise((res) => {
-      file = f;
-      held = () => { fdatasyncSync(fd); safe.set(f, found); held = undefined; res(); };
-      whenHeld();
-    });
-  });
-  const [main, wal] = [join(dir, 'state.db'), join(dir, 'state.db-wal')];
-  t.is(db.sql.pragma('journal_mode', { simple: true }), 'wal');
-  t.is(db.sql.pragma('locking_mode', { simple: true }), 'exclusive');
-  for (const f of [main, wal]) safe.set(f, readFileSync(f));
-  const st = new Store(db);
-  st.init();
-  const c = { shard: 3, promised: NO_FENCE, base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() }, entries: [] };
-  let answered = 0;
-  let n = 0;
-  const write = (k: number): void => {
-    for (let i = 0; i < k; i++) {
-      const idx = ++n;
-      void db.commit(() => { if (idx === 1) st.promise(c, '1'); st.add(c, entry(idx)); if (idx % 97 === 0) st.trim(c, idx - 60, 0); }).then(() => { answered = Math.max(answered, idx); });
-    }
-  };
-  const turns = async (): Promise<void> => { for (let i = 0; i < 5; i++) await new Promise((r) => setImmediate(r)); };
-  /** A file of which each block, and its cut, is as it was synced last or as it was made since. */
-  const rnd = seeded(7);
-  const mixed = (f: string, lost: number): Buffer => {
-    const [synced, is] = [safe.get(f)!, readFileSync(f)];
-    const was = rnd.next() < lost ? synced : synced.subarray(0, is.length);
-    const out = Buffer.alloc(Math.max(was.length, is.length));
-    was.copy(out);
-    let length = was.length;
-    for (let at = 0; at < is.length; at += 4_096) {
-      if (rnd.next() < lost) continue;
-      is.copy(out, at, at, at + 4_096);
-      length = Math.max(length, Math.min(is.length, at + 4_096));
-    }
-    return out.subarray(0, length);
-  };
-  /** The power goes now. */
-  const outage = (): void => {
-    for (const [m, w] of [[0, 0], [1, 0], [0, 1], [1, 1], [0.5, 0.5], [0.5, 0.1], [0.1, 0.9], [0.9, 0.5]] as const) {
-      const copy = folder();
-      for (const [f, lost] of [[main, m], [wal, w]] as const) writeFileSync(join(copy, basename(f)), mixed(f, lost));
-      const o = open(copy);
-      t.deepEqual(told, []);
-      t.true(o.last >= answered, `${o.last} lasts, ${answered} was answered; lost of the file ${m}, of the log ${w}`);
-      o.db.close();
-      rmSync(copy, { recursive: true });
-    }
-  };
-  const written = (): Buffer => Buffer.concat([readFileSync(main), readFileSync(wal)]);
-  let backs = 0;
-  let since = 0;
-  write(40);
-  for (let round = 1; backs < 3 && round < 1_000; round++) {
-    if (held === undefined) await new Promise<void>((res) => { whenHeld = res; });
-    if (file === main) { backs++; since = 0; }
-    const [was, before] = [answered, written()];
+test.serial(
+  'what was answered is on the disk when the power goes, whatever else is, and only one commit is on its way there',
+  async (t) => {
+    const dir = folder();
+    // What the last sync of each file that ended had found: all that a loss of power surely leaves of it.
+    const safe = new Map<string, Buffer>();
+    let held: (() => void) | undefined;
+    let file = '';
+    let whenHeld = (): void => {};
+    const db = openDb(
+      dir,
+      realClock,
+      log,
+      () => undefined,
+      '127.0.0.1:1',
+      (fd, f) => {
+        const found = readFileSync(f);
+        return new Promise((res) => {
+          file = f;
+          held = () => {
+            fdatasyncSync(fd);
+            safe.set(f, found);
+            held = undefined;
+            res();
+          };
+          whenHeld();
+        });
+      },
+    );
+    const [main, wal] = [join(dir, 'state.db'), join(dir, 'state.db-wal')];
+    t.is(db.sql.pragma('journal_mode', { simple: true }), 'wal');
+    t.is(db.sql.pragma('locking_mode', { simple: true }), 'exclusive');
+    for (const f of [main, wal]) safe.set(f, readFileSync(f));
+    const st = new Store(db);
+    st.init();
+    const c = {
+      shard: 3,
+      promised: NO_FENCE,
+      base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
+      entries: [],
+    };
+    let answered = 0;
+    let n = 0;
+    const write = (k: number): void => {
+      for (let i = 0; i < k; i++) {
+        const idx = ++n;
+        void db
+          .commit(() => {
+            if (idx === 1) st.promise(c, '1');
+            st.add(c, entry(idx));
+            if (idx % 97 === 0) st.trim(c, idx - 60, 0);
+          })
+          .then(() => {
+            answered = Math.max(answered, idx);
+          });
+      }
+    };
+    const turns = async (): Promise<void> => {
+      for (let i = 0; i < 5; i++) await new Promise((r) => setImmediate(r));
+    };
+    /** A file of which each block, and its cut, is as it was synced last or as it was made since. */
+    const rnd = seeded(7);
+    const mixed = (f: string, lost: number): Buffer => {
+      const [synced, is] = [safe.get(f)!, readFileSync(f)];
+      const was = rnd.next() < lost ? synced : synced.subarray(0, is.length);
+      const out = Buffer.alloc(Math.max(was.length, is.length));
+      was.copy(out);
+      let length = was.length;
+      for (let at = 0; at < is.length; at += 4_096) {
+        if (rnd.next() < lost) continue;
+        is.copy(out, at, at, at + 4_096);
+        length = Math.max(length, Math.min(is.length, at + 4_096));
+      }
+      return out.subarray(0, length);
+    };
+    /** The power goes now. */
+    const outage = (): void => {
+      for (const [m, w] of [
+        [0, 0],
+        [1, 0],
+        [0, 1],
+        [1, 1],
+        [0.5, 0.5],
+        [0.5, 0.1],
+        [0.1, 0.9],
+        [0.9, 0.5],
+      ] as const) {
+        const copy = folder();
+        for (const [f, lost] of [
+          [main, m],
+          [wal, w],
+        ] as const)
+          writeFileSync(join(copy, basename(f)), mixed(f, lost));
+        const o = open(copy);
+        t.deepEqual(told, []);
+        t.true(o.last >= answered, `${o.last} lasts, ${answered} was answered; lost of the file ${m}, of the log ${w}`);
+        o.db.close();
+        rmSync(copy, { recursive: true });
+      }
+    };
+    const written = (): Buffer => Buffer.concat([readFileSync(main), readFileSync(wal)]);
+    let backs = 0;
+    let since = 0;
     write(40);
-    await turns();
-    t.is(answered, was, 'nothing is answered while it is on its way');
-    t.true(written().equals(before), 'nothing is written meanwhile');
-    if (round % 40 === 0 || since++ < 4) outage();
-    held!();
-    await turns();
-  }
-  t.is(backs, 3, 'the log was written back on the way');
-  db.drop();
-  db.sql.close();
-  rmSync(dir, { recursive: true });
-});
+    for (let round = 1; backs < 3 && round < 1_000; round++) {
+      if (held === undefined)
+        await new Promise<void>((res) => {
+          whenHeld = res;
+        });
+      if (file === main) {
+        backs++;
+        since = 0;
+      }
+      const [was, before] = [answered, written()];
+      write(40);
+      await turns();
+      t.is(answered, was, 'nothing is answered while it is on its way');
+      t.true(written().equals(before), 'nothing is written meanwhile');
+      if (round % 40 === 0 || since++ < 4) outage();
+      held!();
+      await turns();
+    }
+    t.is(backs, 3, 'the log was written back on the way');
+    db.drop();
+    db.sql.close();
+    rmSync(dir, { recursive: true });
+  },
+);
 
-test.serial('work that changes nothing is not synced; what is told from memory waits for what is on its way', async (t) => {
-  const dir = folder();
-  let syncs = 0;
-  let held = (): void => {};
-  const db = openDb(dir, realClock, log, () => undefined, '127.0.0.1:1', () => new Promise((res) => { syncs++; held = res; }));
-  const st = new Store(db);
-  st.init();
-  t.is(await db.commit(() => st.get('disk')), undefined);
-  await db.settled();
-  t.is(syncs, 0);
-  const order: string[] = [];
-  const done = db.commit(() => st.set('disk', 'd1')).then(() => order.push('written'));
-  while (syncs === 0) await new Promise((r) => setImmediate(r));
-  const settled = db.settled().then(() => order.push('settled'));
-  const read = db.commit(() => st.get('disk')).then((x) => order.push(`read ${x}`));
-  await new Promise((r) => setImmediate(r));
-  t.deepEqual(order, []);
-  held();
-  await Promise.all([done, settled, read]);
-  t.deepEqual(order, ['written', 'settled', 'read d1']);
-  t.is(syncs, 1);
-  db.close();
-  rmSync(dir, { recursive: true });
-});
+test.serial(
+  'work that changes nothing is not synced; what is told from memory waits for what is on its way',
+  async (t) => {
+    const dir = folder();
+    let syncs = 0;
+    let held = (): void => {};
+    const db = openDb(
+      dir,
+      realClock,
+      log,
+      () => undefined,
+      '127.0.0.1:1',
+      () =>
+        new Promise((res) => {
+          syncs++;
+          held = res;
+        }),
+    );
+    const st = new Store(db);
+    st.init();
+    t.is(await db.commit(() => st.get('disk')), undefined);
+    await db.settled();
+    t.is(syncs, 0);
+    const order: string[] = [];
+    const done = db.commit(() => st.set('disk', 'd1')).then(() => order.push('written'));
+    while (syncs === 0) await new Promise((r) => setImmediate(r));
+    const settled = db.settled().then(() => order.push('settled'));
+    const read = db.commit(() => st.get('disk')).then((x) => order.push(`read ${x}`));
+    await new Promise((r) => setImmediate(r));
+    t.deepEqual(order, []);
+    held();
+    await Promise.all([done, settled, read]);
+    t.deepEqual(order, ['written', 'settled', 'read d1']);
+    t.is(syncs, 1);
+    db.close();
+    rmSync(dir, { recursive: true });
+  },
+);
 
 test.serial('a sync that fails rejects what it was for, and the disk takes no more', async (t) => {
   const dir = folder();
   const faults: string[] = [];
-  const db = openDb(dir, realClock, log, (e) => faults.push(e.message), '127.0.0.1:1', () => Promise.reject(new Error('EIO')));
+  const db = openDb(
+    dir,
+    realClock,
+    log,
+    (e) => faults.push(e.message),
+    '127.0.0.1:1',
+    () => Promise.reject(new Error('EIO')),
+  );
   const st = new Store(db);
   st.init();
   t.like(await t.throwsAsync(db.commit(() => st.set('a', 'v'))), { fault: { tag: 'disk_ill' } });
@@ -249,18 +371,21 @@
   rmSync(dir, { recursive: true });
 });
 
-test.serial('a bit flipped in the middle of the log is noticed: the disk is begun anew, not taken back in time', async (t) => {
-  for (const share of [0.02, 0.3, 0.7]) {
-    const dir = await killed(60);
-    const wal = join(dir, 'state.db-wal');
-    flip(wal, Math.floor(statSync(wal).size * share));
-    const o = open(dir);
-    t.is(o.disk, undefined, `at ${share}`);
-    t.regex(told.join(), /log is altered, \d+ commits are behind it/);
-    o.db.close();
-    rmSync(dir, { recursive: true });
-  }
-});
+test.serial(
+  'a bit flipped in the middle of the log is noticed: the disk is begun anew, not taken back in time',
+  async (t) => {
+    for (const share of [0.02, 0.3, 0.7]) {
+      const dir = await killed(60);
+      const wal = join(dir, 'state.db-wal');
+      flip(wal, Math.floor(statSync(wal).size * share));
+      const o = open(dir);
+      t.is(o.disk, undefined, `at ${share}`);
+      t.regex(told.join(), /log is altered, \d+ commits are behind it/);
+      o.db.close();
+      rmSync(dir, { recursive: true });
+    }
+  },
+);
 
 test.serial('a last commit that was torn is left out and nothing else', async (t) => {
   const dir = await killed(60);
@@ -307,49 +432,57 @@
 });
 
 test.serial('a writer killed with -9 in mid-write, 200 times: what it said lasts is there', async (t) => {
-  const SHARDS = 3, LANES = 4, KILLS = 50;
+  const SHARDS = 3,
+    LANES = 4,
+    KILLS = 50;
   t.log(`seeds 1..${LANES}`);
   const writer = fileURLToPath(new URL('../disk-writer.js', import.meta.url));
-  await Promise.all(Array.from({ length: LANES }, async (_, lane) => {
-    const dir = folder();
-    const rnd = seeded(lane + 1);
-    const last = Array<number>(SHARDS).fill(0);
-    const promised = Array<string>(SHARDS).fill(NO_FENCE);
-    for (let i = 0; i < KILLS; i++) {
-      const after = 3 + Math.floor(rnd.next() * 60);
-      await new Promise<void>((res) => {
-        const p = spawn(process.execPath, [writer, dir, String(SHARDS)], { stdio: ['ignore', 'pipe', 'inherit'] });
-        let rest = '', n = 0;
-        p.stdout.on('data', (d: Buffer) => {
-          const lines = (rest + d.toString()).split('\n');
-          rest = lines.pop()!;
-          for (const l of lines) {
-            if (l.startsWith('!')) { t.fail(l); continue; }
-            const [s, idx, f] = l.split(' ') as [string, string, string];
-            last[Number(s)] = Number(idx);
-            if (f > promised[Number(s)]!) promised[Number(s)] = f;
-            if (++n === after) p.kill('SIGKILL');
-          }
+  await Promise.all(
+    Array.from({ length: LANES }, async (_, lane) => {
+      const dir = folder();
+      const rnd = seeded(lane + 1);
+      const last = Array<number>(SHARDS).fill(0);
+      const promised = Array<string>(SHARDS).fill(NO_FENCE);
+      for (let i = 0; i < KILLS; i++) {
+        const after = 3 + Math.floor(rnd.next() * 60);
+        await new Promise<void>((res) => {
+          const p = spawn(process.execPath, [writer, dir, String(SHARDS)], { stdio: ['ignore', 'pipe', 'inherit'] });
+          let rest = '',
+            n = 0;
+          p.stdout.on('data', (d: Buffer) => {
+            const lines = (rest + d.toString()).split('\n');
+            rest = lines.pop()!;
+            for (const l of lines) {
+              if (l.startsWith('!')) {
+                t.fail(l);
+                continue;
+              }
+              const [s, idx, f] = l.split(' ') as [string, string, string];
+              last[Number(s)] = Number(idx);
+              if (f > promised[Number(s)]!) promised[Number(s)] = f;
+              if (++n === after) p.kill('SIGKILL');
+            }
+          });
+          p.on('close', () => res());
         });
-        p.on('close', () => res());
-      });
-    }
-    const db = openDb(dir, realClock, log, () => undefined, '127.0.0.1:1');
-    const st = new Store(db);
-    st.init();
-    const copies = st.copies(0);
-    t.false(readdirSync(dir).some((f) => f.includes('damaged')));
-    for (let s = 0; s < SHARDS; s++) {
-      const c = copies.get(s)!;
-      t.true(last[s]! > KILLS, 'it wrote');
-      t.true(lastIdx(c) >= last[s]!, `shard ${s}: ${lastIdx(c)} is there, ${last[s]} was said to last`);
-      t.true(c.promised >= promised[s]!);
-      c.entries.forEach((e, i) => {
-        t.is(e.idx, c.base.idx + 1 + i);
-        t.is(e.body, `${s}:${e.idx}:`.padEnd(40 + (e.idx * 37) % 900, 'x'));
-      });
-    }
-    db.close();
-    rmSync(dir, { recursive: true });
-  }));
+      }
+      const db = openDb(dir, realClock, log, () => undefined, '127.0.0.1:1');
+      const st = new Store(db);
+      st.init();
+      const copies = st.copies(0);
+      t.false(readdirSync(dir).some((f) => f.includes('damaged')));
+      for (let s = 0; s < SHARDS; s++) {
+        const c = copies.get(s)!;
+        t.true(last[s]! > KILLS, 'it wrote');
+        t.true(lastIdx(c) >= last[s]!, `shard ${s}: ${lastIdx(c)} is there, ${last[s]} was said to last`);
+        t.true(c.promised >= promised[s]!);
+        c.entries.forEach((e, i) => {
+          t.is(e.idx, c.base.idx + 1 + i);
+          t.is(e.body, `${s}:${e.idx}:`.padEnd(40 + ((e.idx * 37) % 900), 'x'));
+        });
+      }
+      db.close();
+      rmSync(dir, { recursive: true });
+    }),
+  );
 });
--- a/packages/trial/src/test/holds.test.ts
+++ b/packages/trial/src/test/holds.test.ts
@@ -4,8 +4,10 @@
 import type { SimNode } from '../sim.js';
 import { smallFleet, type Small } from './small-fleet.js';
 
-const publish = (s: Small, seq: number, topic = 'feed/1') => s.ask(s.relays[1]!, 'Publish', { sender: 'desk', topic, seq, body: `m${seq}` });
-const delivered = (frames: { t: string }[]): number[] => frames.flatMap((f) => (f.t === 'DELIVER' ? [(f as unknown as { offset: number }).offset] : []));
+const publish = (s: Small, seq: number, topic = 'feed/1') =>
+  s.ask(s.relays[1]!, 'Publish', { sender: 'desk', topic, seq, body: `m${seq}` });
+const delivered = (frames: { t: string }[]): number[] =>
+  frames.flatMap((f) => (f.t === 'DELIVER' ? [(f as unknown as { offset: number }).offset] : []));
 /** The owner's side: deadline of our relay's interest, by the owner's clock. */
 const interest = (s: Small, topic: string): { deadline: number; gen: string; rev: number } | undefined =>
   (s.ownerOf(topic).kernel!.use('owner') as any).interests.interest.get(s.relays[0]!.config.peer)?.topics.get(topic);
@@ -17,11 +19,19 @@
   for (const n of s.stores) {
     const handlers = (n.kernel as any).handlers as Map<string, { h: (b: any, f: any) => unknown; current: boolean }>;
     const old = handlers.get('Interest')!;
-    handlers.set('Interest', { ...old, h: (b: { items: InterestRow[] }, f) => {
-      for (const r of b.items) t.deepEqual(r.map((x) => typeof x), ['string', 'number', 'number', 'string'], 'nothing but topic, revision, end, generation');
-      said.push(...b.items.map(readInterestRow));
-      return old.h(b, f);
-    } });
+    handlers.set('Interest', {
+      ...old,
+      h: (b: { items: InterestRow[] }, f) => {
+        for (const r of b.items)
+          t.deepEqual(
+            r.map((x) => typeof x),
+            ['string', 'number', 'number', 'string'],
+            'nothing but topic, revision, end, generation',
+          );
+        said.push(...b.items.map(readInterestRow));
+        return old.h(b, f);
+      },
+    });
   }
   // A ping of 40 s: silence alone would close the conn only after two minutes.
   const c = await s.attach(s.relays[0]!, 'phone', 40);
@@ -39,7 +49,10 @@
   await s.pass(C.holdTtlMs - 3_000);
   t.false(c.frames.some((f) => f.t === 'LEFT'));
   await s.pass(4_000);
-  t.like(c.frames.find((f) => f.t === 'LEFT'), { topic: 'feed/1', reason: 'hold_ended' });
+  t.like(
+    c.frames.find((f) => f.t === 'LEFT'),
+    { topic: 'feed/1', reason: 'hold_ended' },
+  );
   await publish(s, 1);
   await s.pass(1_000);
   t.deepEqual(delivered(c.frames), [], 'nothing is kept for the lapsed');
@@ -80,7 +93,15 @@
   t.deepEqual(gens(), ['g5'], 'an older revision came late');
   o.hear('r', '0001-a', [{ topic: 'feed/1', rev: 6, expiresAt: 0, gen: 'g5' }], same);
   t.deepEqual(gens(), []);
-  o.hear('r', '0001-a', [{ topic: 'feed/1', rev: 7, expiresAt: at + 50_000, gen: 'g7' }, { topic: 'feed/2', rev: 8, expiresAt: at + 50_000, gen: 'g8' }], same);
+  o.hear(
+    'r',
+    '0001-a',
+    [
+      { topic: 'feed/1', rev: 7, expiresAt: at + 50_000, gen: 'g7' },
+      { topic: 'feed/2', rev: 8, expiresAt: at + 50_000, gen: 'g8' },
+    ],
+    same,
+  );
   o.hear('r', '0002-b', [{ topic: 'feed/1', rev: 1, expiresAt: at + 50_000, gen: 'new' }], same);
   t.deepEqual(gens(), ['new']);
   t.is(o.interested('feed/2').length, 0, 'the other topic went with the old instance');
@@ -118,7 +139,10 @@
   t.is(conn.buf.length, 1, 'the message waits for the flush');
   holds.unsubscribe(c.conn, 'feed/1');
   await s.pass(600);
-  t.deepEqual(c.frames.map((f) => f.t), ['ATTACHED', 'LEFT']);
+  t.deepEqual(
+    c.frames.map((f) => f.t),
+    ['ATTACHED', 'LEFT'],
+  );
   // And it is owed when the consumer comes again with its cursor.
   await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1', cursor: 0 });
   await s.pass(600);
@@ -170,7 +194,10 @@
   const [a, b] = s.relays as [SimNode, SimNode];
   await s.ask(a, 'Publish', { sender: 's', topic: 'feed/1', seq: 1, body: 'one' });
   const { conn, frames } = await s.attach(a, 'phone');
-  const [x, y] = await Promise.all([s.ask(a, 'Subscribe', { conn, topic: 'feed/1', cursor: 0 }), s.ask(b, 'Subscribe', { conn, topic: 'feed/1', cursor: 0 })]);
+  const [x, y] = await Promise.all([
+    s.ask(a, 'Subscribe', { conn, topic: 'feed/1', cursor: 0 }),
+    s.ask(b, 'Subscribe', { conn, topic: 'feed/1', cursor: 0 }),
+  ]);
   t.is(x.status, 200);
   t.is(y.status, 200);
   t.is(x.body.sub, y.body.sub);
--- a/packages/trial/src/test/model.test.ts
+++ b/packages/trial/src/test/model.test.ts
@@ -11,7 +11,10 @@
   t.is(r.bad, undefined);
   t.true(r.whole);
   t.log(`${r.states} states`);
-  t.true(r.states > 10_000, 'a search that sees far fewer states than the 12,767 of before has lost sight of something');
+  t.true(
+    r.states > 10_000,
+    'a search that sees far fewer states than the 12,767 of before has lost sight of something',
+  );
 });
 
 test('changes with a message or an answer lost and a seat begun anew, in every order', async (t) => {
--- a/packages/trial/src/test/peer-net.test.ts
+++ b/packages/trial/src/test/peer-net.test.ts
@@ -6,21 +6,40 @@
 import { freePorts } from '../fleet.js';
 
 const LONG = 60_000;
-const fault = (p: Promise<unknown>): Promise<Fault | 'answered'> => p.then(() => 'answered' as const, (e: Failure) => e.fault);
-const tag = async (p: Promise<unknown>): Promise<string> => { const f = await fault(p); return f === 'answered' ? f : f.tag; };
+const fault = (p: Promise<unknown>): Promise<Fault | 'answered'> =>
+  p.then(
+    () => 'answered' as const,
+    (e: Failure) => e.fault,
+  );
+const tag = async (p: Promise<unknown>): Promise<string> => {
+  const f = await fault(p);
+  return f === 'answered' ? f : f.tag;
+};
 const address = async (): Promise<string> => `127.0.0.1:${(await freePorts(1))[0]}`;
 
 /** Counts, and lets a test wait for them. */
 class News implements NetNews {
   readonly lines: string[] = [];
   private waits: (() => void)[] = [];
-  count(name: string): void { this.lines.push(name); for (const w of this.waits.splice(0)) w(); }
-  broken(peer: string): void { this.count(`broken ${peer}`); }
-  async until(name: string): Promise<void> { while (!this.lines.includes(name)) await new Promise<void>((r) => this.waits.push(r)); }
+  count(name: string): void {
+    this.lines.push(name);
+    for (const w of this.waits.splice(0)) w();
+  }
+  broken(peer: string): void {
+    this.count(`broken ${peer}`);
+  }
+  async until(name: string): Promise<void> {
+    while (!this.lines.includes(name)) await new Promise<void>((r) => this.waits.push(r));
+  }
 }
 
 type Node = { net: Net; at: string; news: News };
-async function node(t: ExecutionContext, handle: (f: string) => Promise<string>, bounds: Partial<PeerNetBounds> = {}, at?: string): Promise<Node> {
+async function node(
+  t: ExecutionContext,
+  handle: (f: string) => Promise<string>,
+  bounds: Partial<PeerNetBounds> = {},
+  at?: string,
+): Promise<Node> {
   // A port that the OS called free may be another process's by now: then the next one.
   for (let tries = 0; ; tries++) {
     const self = at ?? (await address());
@@ -41,10 +60,17 @@
 /** A peer that speaks as the test says. */
 async function raw(t: ExecutionContext, onSocket: (s: Socket) => void): Promise<{ at: string; server: Server }> {
   const sockets = new Set<Socket>();
-  const server = createServer((s) => { sockets.add(s); s.on('error', () => undefined); onSocket(s); });
+  const server = createServer((s) => {
+    sockets.add(s);
+    s.on('error', () => undefined);
+    onSocket(s);
+  });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
-  t.teardown(() => { for (const s of sockets) s.destroy(); server.close(); });
+  t.teardown(() => {
+    for (const s of sockets) s.destroy();
+    server.close();
+  });
   return { at: `127.0.0.1:${(server.address() as { port: number }).port}`, server };
 }
 function caller(at: string): Socket {
@@ -54,34 +80,52 @@
 }
 const lines = (s: Socket, on: (l: string) => void): void => {
   let rest = '';
-  s.setEncoding('utf8').on('data', (d: string) => { const ls = (rest + d).split('\n'); rest = ls.pop()!; ls.forEach(on); });
+  s.setEncoding('utf8').on('data', (d: string) => {
+    const ls = (rest + d).split('\n');
+    rest = ls.pop()!;
+    ls.forEach(on);
+  });
 };
 const echo = async (f: string): Promise<string> => `<${f}>`;
 
 test('many calls at once: seen in order, answered out of order, each gets its own', async (t) => {
   const seen: string[] = [];
   const held: (() => void)[] = [];
-  const b = await node(t, (f) => new Promise((res) => {
-    seen.push(f);
-    held.push(() => res(`<${f}>`));
-    if (held.length === 200) for (const h of held.reverse()) h();
-  }));
+  const b = await node(
+    t,
+    (f) =>
+      new Promise((res) => {
+        seen.push(f);
+        held.push(() => res(`<${f}>`));
+        if (held.length === 200) for (const h of held.reverse()) h();
+      }),
+  );
   const a = await node(t, echo);
   const asked = Array.from({ length: 200 }, (_, i) => `frame ${i} é\\n`);
-  t.deepEqual(await Promise.all(asked.map((f) => a.net.call(b.at, f, LONG))), asked.map((f) => `<${f}>`));
+  t.deepEqual(
+    await Promise.all(asked.map((f) => a.net.call(b.at, f, LONG))),
+    asked.map((f) => `<${f}>`),
+  );
   t.deepEqual(seen, asked);
   t.is(a.news.lines.filter((l) => l === 'peer.link.opened').length, 1);
 });
 
 test('what is said in one turn of the loop is one write, after the greeting', async (t) => {
   const got: string[] = [];
-  const p = await raw(t, (s) => s.setEncoding('utf8').on('data', (d: string) => {
-    got.push(d);
-    for (const l of d.split('\n')) if (/^\d/.test(l)) s.write(`${l}\n`);
-  }));
+  const p = await raw(t, (s) =>
+    s.setEncoding('utf8').on('data', (d: string) => {
+      got.push(d);
+      for (const l of d.split('\n')) if (/^\d/.test(l)) s.write(`${l}\n`);
+    }),
+  );
   const a = await node(t, echo);
   await Promise.all([a.net.call(p.at, 'a', LONG), a.net.call(p.at, 'b', LONG)]);
-  await Promise.all(['c', 'd', 'e'].map(async (x) => { await null; return a.net.call(p.at, x, LONG); }));
+  await Promise.all(
+    ['c', 'd', 'e'].map(async (x) => {
+      await null;
+      return a.net.call(p.at, x, LONG);
+    }),
+  );
   t.deepEqual(got, ['harecross-peer/1\n1 a\n2 b\n', '3 c\n4 d\n5 e\n']);
 });
 
@@ -92,7 +136,8 @@
 
   // A listener whose loop stands still and whose queue of new connections is full.
   const gate = new Int32Array(new SharedArrayBuffer(4));
-  const w = new Worker(`
+  const w = new Worker(
+    `
     const { workerData: gate, parentPort } = require('worker_threads');
     const seen = [];
     const s = require('net').createServer((c) => {
@@ -104,15 +149,27 @@
       parentPort.postMessage({ port: s.address().port });
       setImmediate(() => { Atomics.wait(gate, 0, 0); });
     });
-  `, { eval: true, workerData: gate });
-  t.teardown(() => { Atomics.store(gate, 0, 1); Atomics.notify(gate, 0); return w.terminate(); });
+  `,
+    { eval: true, workerData: gate },
+  );
+  t.teardown(() => {
+    Atomics.store(gate, 0, 1);
+    Atomics.notify(gate, 0);
+    return w.terminate();
+  });
   const [{ port }] = (await once(w, 'message')) as [{ port: number }];
   const at = `127.0.0.1:${port}`;
   const fill: Socket[] = [];
   for (;;) {
     const s = caller(at);
-    const up = await Promise.race([once(s, 'connect').then(() => true), tag(a.net.call(at, 'full?', LONG)).then((x) => x !== 'unreachable')]);
-    if (!up) { s.destroy(); break; }
+    const up = await Promise.race([
+      once(s, 'connect').then(() => true),
+      tag(a.net.call(at, 'full?', LONG)).then((x) => x !== 'unreachable'),
+    ]);
+    if (!up) {
+      s.destroy();
+      break;
+    }
     fill.push(s);
   }
   t.like(await fault(a.net.call(at, 'never', LONG)), { tag: 'unreachable', detail: 'ETIMEDOUT' });
@@ -127,7 +184,10 @@
   let n = 0;
   const p = await raw(t, (s) => {
     n++;
-    lines(s, (l) => { if (l === '1 die') s.resetAndDestroy(); else if (l.endsWith('live')) s.write(`${l}\n`); });
+    lines(s, (l) => {
+      if (l === '1 die') s.resetAndDestroy();
+      else if (l.endsWith('live')) s.write(`${l}\n`);
+    });
   });
   const a = await node(t, echo);
   t.like(await fault(a.net.call(p.at, 'die', LONG)), { tag: 'cut', peer: p.at, detail: 'ECONNRESET' });
@@ -139,7 +199,10 @@
 test('half a line and an end: a cut for the caller, nothing for the one who serves', async (t) => {
   const p = await raw(t, (s) => s.on('data', () => s.end('1 hal')));
   const seen: string[] = [];
-  const b = await node(t, async (f) => { seen.push(f); return echo(f); });
+  const b = await node(t, async (f) => {
+    seen.push(f);
+    return echo(f);
+  });
   t.is(await tag(b.net.call(p.at, 'x', LONG)), 'cut');
   const s = caller(b.at);
   s.end('harecross-peer/1\n1 whole\n2 hal');
@@ -150,7 +213,14 @@
 test('frames beyond the bound: too_large at once there, a cut for an answer, and the end for a stranger', async (t) => {
   const bounds = { frameBytes: 1_000 };
   const seen: number[] = [];
-  const b = await node(t, async (f) => { seen.push(f.length); return f === 'much' ? 'y'.repeat(1_001) : 'y'.repeat(1_000); }, bounds);
+  const b = await node(
+    t,
+    async (f) => {
+      seen.push(f.length);
+      return f === 'much' ? 'y'.repeat(1_001) : 'y'.repeat(1_000);
+    },
+    bounds,
+  );
   const a = await node(t, echo, bounds);
   t.like(await fault(a.net.call(b.at, 'é'.repeat(501), LONG)), { tag: 'too_large', limit: 1_000 });
   t.like(await fault(a.net.call(b.at, 'much', LONG)), { tag: 'cut', detail: 'its answer is too large' });
@@ -166,21 +236,40 @@
 
 test('a large frame goes piece by piece and arrives whole, and small ones behind it in order', async (t) => {
   const order: number[] = [];
-  const b = await node(t, async (f) => { order.push(f.length); return f; });
+  const b = await node(t, async (f) => {
+    order.push(f.length);
+    return f;
+  });
   const a = await node(t, echo);
   const big = 'é'.repeat(3_000_000);
-  const got = await Promise.all([a.net.call(b.at, 'x', LONG), a.net.call(b.at, big, LONG), a.net.call(b.at, 'yy', LONG)]);
+  const got = await Promise.all([
+    a.net.call(b.at, 'x', LONG),
+    a.net.call(b.at, big, LONG),
+    a.net.call(b.at, 'yy', LONG),
+  ]);
   t.true(got[1] === big);
   t.deepEqual(order, [1, 3_000_000, 2]);
 });
 
 test('garbage ends the connection it came on and harms no other', async (t) => {
   const seen: string[] = [];
-  const b = await node(t, async (f) => { seen.push(f); if (f === 'not a frame') throw new Error('not a frame'); return echo(f); });
+  const b = await node(t, async (f) => {
+    seen.push(f);
+    if (f === 'not a frame') throw new Error('not a frame');
+    return echo(f);
+  });
   const a = await node(t, echo);
   t.is(await a.net.call(b.at, '1', LONG), '<1>');
   const hello = 'harecross-peer/1\n';
-  for (const x of ['GET / HTTP/1.1\r\nHost: a\r\n\r\n', '\0'.repeat(500), 'harecross-peer/2\n', `${hello}x y\n`, `${hello}\n`, `${hello}-1 a\n`, `${hello}7 not a frame\n`]) {
+  for (const x of [
+    'GET / HTTP/1.1\r\nHost: a\r\n\r\n',
+    '\0'.repeat(500),
+    'harecross-peer/2\n',
+    `${hello}x y\n`,
+    `${hello}\n`,
+    `${hello}-1 a\n`,
+    `${hello}7 not a frame\n`,
+  ]) {
     const s = caller(b.at);
     s.write(x);
     await once(s.resume(), 'close');
@@ -202,7 +291,9 @@
 });
 
 test('a peer that does not read: what waits for it is bounded, and the rest fails at once', async (t) => {
-  const p = await raw(t, (s) => { s.pause(); });
+  const p = await raw(t, (s) => {
+    s.pause();
+  });
   const a = await node(t, echo, { waitingBytes: 8_000_000, quietMs: LONG });
   const frame = 'x'.repeat(100_000);
   const calls = Array.from({ length: 300 }, () => fault(a.net.call(p.at, frame, LONG)));
@@ -216,7 +307,14 @@
 
 test('a peer that asks and reads no answers is not read from, and what it is owed stays bounded', async (t) => {
   let n = 0;
-  const b = await node(t, async () => { n++; return 'y'.repeat(100_000); }, { waitingBytes: 30_000_000 });
+  const b = await node(
+    t,
+    async () => {
+      n++;
+      return 'y'.repeat(100_000);
+    },
+    { waitingBytes: 30_000_000 },
+  );
   const s = caller(b.at);
   s.pause();
   const frame = '1 x\n'.repeat(10_000);
@@ -238,9 +336,15 @@
   t.is(await a.net.call(b1.at, 'x', LONG), 'second');
 });
 
-test('a call that timed out is over: its late answer is nobody else\'s', async (t) => {
+test("a call that timed out is over: its late answer is nobody else's", async (t) => {
   let release = (_: string): void => {};
-  const b = await node(t, (f) => (f === 'slow' ? new Promise((res) => { release = res; }) : echo(f)));
+  const b = await node(t, (f) =>
+    f === 'slow'
+      ? new Promise((res) => {
+          release = res;
+        })
+      : echo(f),
+  );
   const a = await node(t, echo);
   t.like(await fault(a.net.call(b.at, 'slow', 20)), { tag: 'timeout', step: 'call', peer: b.at });
   release('late');
@@ -253,7 +357,10 @@
   const dead = await raw(t, (s) => {
     conns++;
     if (conns === 1) s.resume();
-    else lines(s, (l) => { if (/^\d/.test(l)) s.write(`${l}\n`); });
+    else
+      lines(s, (l) => {
+        if (/^\d/.test(l)) s.write(`${l}\n`);
+      });
   });
   const a = await node(t, echo, { quietMs: 20 });
   t.like(await fault(a.net.call(dead.at, 'x', LONG)), { tag: 'timeout', peer: dead.at });
@@ -263,12 +370,18 @@
   t.is(conns, 2);
 
   let pings = 0;
-  const slow = await raw(t, (s) => lines(s, (l) => { if (l === '0 ') s.write(++pings === 4 ? '0 \n1 at last\n' : '0 \n'); }));
+  const slow = await raw(t, (s) =>
+    lines(s, (l) => {
+      if (l === '0 ') s.write(++pings === 4 ? '0 \n1 at last\n' : '0 \n');
+    }),
+  );
   t.is(await a.net.call(slow.at, 'x', LONG), 'at last');
 });
 
 test('calls given up one by one do not hide that the peer is silent', async (t) => {
-  const dead = await raw(t, (s) => { s.resume(); });
+  const dead = await raw(t, (s) => {
+    s.resume();
+  });
   const a = await node(t, echo, { quietMs: 20 });
   for (;;) {
     t.is(await tag(a.net.call(dead.at, 'x', 5)), 'timeout');
@@ -279,7 +392,10 @@
 
 test('closing ends what is under way, after the last words are out', async (t) => {
   const seen: string[] = [];
-  const b = await node(t, (f) => { seen.push(f); return f === 'last words' ? echo(f) : new Promise<string>(() => undefined); });
+  const b = await node(t, (f) => {
+    seen.push(f);
+    return f === 'last words' ? echo(f) : new Promise<string>(() => undefined);
+  });
   const a = await node(t, echo);
   const under = fault(a.net.call(b.at, 'held', LONG));
   t.is(await a.net.call(b.at, 'last words', LONG), '<last words>');
--- a/packages/trial/src/test/plant-tests.ts
+++ b/packages/trial/src/test/plant-tests.ts
@@ -8,10 +8,19 @@
 import { play, type Scenario } from '../scenario.js';
 
 /** Puts a fault into the code itself, runs days until one shows it, and puts the code back. */
-async function planted(proto: object, patch: Record<string, (old: any) => unknown>, sc: Scenario, seeds: number[], rules: Rule[]): Promise<Map<Rule, number>> {
+async function planted(
+  proto: object,
+  patch: Record<string, (old: any) => unknown>,
+  sc: Scenario,
+  seeds: number[],
+  rules: Rule[],
+): Promise<Map<Rule, number>> {
   const p = proto as Record<string, unknown>;
   const old = new Map(Object.keys(patch).map((k) => [k, p[k]]));
-  for (const [k, f] of Object.entries(patch)) { if (typeof p[k] !== 'function') throw new Error(`no method ${k}`); p[k] = f(p[k]); }
+  for (const [k, f] of Object.entries(patch)) {
+    if (typeof p[k] !== 'function') throw new Error(`no method ${k}`);
+    p[k] = f(p[k]);
+  }
   const out = new Map<Rule, number>();
   try {
     for (const s of seeds) {
@@ -25,147 +34,584 @@
 }
 const of = (name: string): Scenario => SCENARIOS.get(name)!;
 
-interface Plant { what: string; proto: object; patch: Record<string, (old: any) => unknown>; sc: string; seeds: number[]; rules: Rule[] }
+interface Plant {
+  what: string;
+  proto: object;
+  patch: Record<string, (old: any) => unknown>;
+  sc: string;
+  seeds: number[];
+  rules: Rule[];
+}
 const plants: Plant[] = [
-  { what: 'a disk that answers before it has synced', proto: Db.prototype, sc: 'blackout', seeds: [1, 2, 3], rules: ['lost', 'skipped', 'once'],
+  {
+    what: 'a disk that answers before it has synced',
+    proto: Db.prototype,
+    sc: 'blackout',
+    seeds: [1, 2, 3],
+    rules: ['lost', 'skipped', 'once'],
     patch: {
       // The transaction is left open for 600 ms; a loss of power rolls it back.
-      commit: () => function (this: any, fn: any) {
-        if (this.dead) return new Promise(() => undefined);
-        if (!this.sql.inTransaction) { this.sql.exec('begin'); this.clock.after(600, () => { if (!this.dead) this.sql.exec('commit'); }); }
-        return Promise.resolve(fn(this.sql));
-      },
-      drop: (old) => function (this: any) { old.call(this); if (this.sql.open && this.sql.inTransaction) this.sql.exec('rollback'); },
-    } },
-  { what: 'an owner that accepts on its own copy alone', proto: Replication.prototype, sc: 'split', seeds: [1, 2, 3, 4], rules: ['lost', 'skipped', 'once'],
-    patch: { advance: (old) => function (this: any, key: any) { const c = key.copies; key.copies = [this.reg.disk]; old.call(this, key); key.copies = c; } } },
-  { what: 'a copy that takes appends under any fence', proto: Copies.prototype, sc: 'stale-owner', seeds: Array.from({ length: 24 }, (_, i) => i + 1), rules: ['lost', 'skipped', 'once', 'order'],
-    patch: { append: (old) => function (this: any, b: any) { const c = this.get(b.shard); return old.call(this, { ...b, fence: b.fence < c.promised ? c.promised : b.fence }); } } },
-  { what: 'an owner that forgets what senders said', proto: Owner.prototype, sc: 'mixed', seeds: [1, 2, 3, 4], rules: ['once', 'order'],
-    patch: { publish: (old) => function (this: any, b: any) { for (const k of this.keys.values()) k.senders.clear(); return old.call(this, b); } } },
-  { what: 'an owner that knows only the last number of each sender', proto: Key.prototype, sc: 'calm', seeds: [1], rules: ['final'],
-    patch: { outcome: (old) => function (this: any, topic: string, sender: string, seq: number) {
-      const last = this.senders.get(senderKey(topic, sender))?.at(-1);
-      return last && seq < last.seq ? { tag: 'passed', above: last.seq, idx: 0 } : old.call(this, topic, sender, seq);
-    } } },
-  { what: 'an owner that forgets the outcome of some repeats', proto: Key.prototype, sc: 'calm', seeds: [1], rules: ['repeat'],
-    patch: { outcome: (old) => function (this: any, topic: string, sender: string, seq: number) {
-      const r = old.call(this, topic, sender, seq);
-      return r.tag === 'stored' && seq % 2 ? { tag: 'forgotten' } : r;
-    } } },
-  { what: 'an owner that stores publishes as they come', proto: Owner.prototype, sc: 'handovers', seeds: [1, 2, 3], rules: ['overtaken'],
-    patch: { publish: (old) => function (this: any, { after, ...b }: any) { return old.call(this, b); } } },
-  { what: 'an owner that accepts on its own copy, and tells the others at its next beat', proto: Replication.prototype,
-    sc: 'blackout-lost-disk', seeds: [1, 2, 3, 4, 5, 6], rules: ['lost', 'skipped', 'once'],
-    patch: Object.fromEntries(['advance', 'kick'].map((m) => [m, (old: any) => function (this: any, key: any, beat: boolean) {
-      const c = key.copies;
-      if (!beat) key.copies = [this.reg.disk];
-      old.call(this, key, beat);
-      key.copies = c;
-    }])) },
-  { what: 'a disk whose matter comes back an hour old', proto: Store.prototype, sc: 'cursors', seeds: [1, 2], rules: ['resume'],
-    patch: { copies: (old) => function (this: any, now: number) {
-      const out = old.call(this, now);
-      for (const c of out.values()) for (const e of c.entries) e.at = now - 3_600_000;
-      return out;
-    } } },
-  { what: 'a relay that never reads history', proto: Holds.prototype, sc: 'churn', seeds: [1, 2], rules: ['lost', 'skipped'],
-    patch: { pull: () => () => undefined } },
-  { what: 'a node that serves by a configuration it cannot confirm', proto: Register.prototype, sc: 'cut-config', seeds: [1, 2], rules: ['config_late', 'removed_flow'],
-    patch: { fresh: () => function (this: any) { return this.value !== undefined; } } },
-  { what: 'a final send that does not look at holds', proto: Holds.prototype, sc: 'churn', seeds: [1, 2, 3], rules: ['left'],
-    patch: { drop: () => () => undefined, end: () => function (this: any, s: any) { s.conn.subs.delete(s.topic); } } },
-  { what: 'an owner that counts nobody', proto: Interests.prototype, sc: 'calm', seeds: [1], rules: ['counts'],
-    patch: { countListeners: () => async () => ({ count: 0, partial: false }) } },
-  { what: 'history trimmed after a few seconds', proto: Owner.prototype, sc: 'churn', seeds: [1, 2], rules: ['resume'],
-    patch: { trim: (old) => async function (this: any) {
-      const { memorySlack, memorySlackMs } = C;
-      Object.assign(C, { memorySlack: 0.1, memorySlackMs: 0 });
-      try { await old.call(this); } finally { Object.assign(C, { memorySlack, memorySlackMs }); }
-    } } },
-  { what: 'an edge that calls some stored messages rejected', proto: Edge.prototype, sc: 'calm', seeds: [1], rules: ['turned_away'],
-    patch: { answer: (old) => async function (this: any, m: string, b: any) {
-      const r = await old.call(this, m, b);
-      if (m === 'Publish' && b.seq % 5 === 0) throw new Failure({ tag: 'not_ready', step: m, peer: 'planted', retryAfterMs: 100 });
-      return r;
-    } } },
-  { what: 'a register that answers before a majority has the value', proto: Register.prototype, sc: 'operators', seeds: [1, 2, 3], rules: ['config_lost', 'read_back', 'config_late'],
-    patch: { round: (old) => async function (this: any, h: any, fn: any) {
-      const r = await old.call(this, h, fn);
-      if (r.tag === 'done' || this.n % 3) return r;
-      return { tag: 'done', out: fn(h).out };
-    } } },
-  { what: 'a node that takes any value it is told', proto: Register.prototype, sc: 'late-change', seeds: [1, 2], rules: ['fell_back', 'config_late', 'config_lost', 'read_back'],
-    patch: { learn: (old) => function (this: any, v: any) {
-      this.older ??= v;
-      old.call(this, v);
-      if (this.k.host.rnd.next() < 0.3) this.value$.next(this.older);
-    } } },
-  { what: 'a store of state that loses the register', proto: Store.prototype, sc: 'blackout', seeds: [1], rules: ['read_back', 'config_lost', 'served', 'fell_back', 'lost'],
-    patch: { saveSeat: (old) => function (this: any, s: any) { old.call(this, { ...s, value: undefined }); } } },
-  { what: 'a register that stops confirming after a while', proto: Register.prototype, sc: 'closing', seeds: [1], rules: ['served'],
-    patch: { confirm: (old) => async function (this: any) {
-      this.since ??= this.k.host.clock.now();
-      return this.k.host.clock.now() - this.since < 24_000 ? old.call(this) : false;
-    } } },
-  { what: 'an owner that alters some messages', proto: Interests.prototype, sc: 'calm', seeds: [1], rules: ['invented'],
-    patch: { fan: (old) => function (this: any, e: any) { old.call(this, e.seq % 7 === 0 ? { ...e, body: `${e.body}!` } : e); } } },
-  { what: 'a relay that sends every new conn one topic it never asked for', proto: Holds.prototype, sc: 'churn', seeds: [1], rules: ['unasked'],
-    patch: { attach: (old) => function (this: any, ...a: any[]) { const id = old.apply(this, a); void this.subscribe(id, 'u/3', undefined).catch(() => undefined); return id; } } },
-  { what: 'an operator visit that takes what is invalid', proto: Operators.prototype, sc: 'operators', seeds: [1], rules: ['invalid_taken'],
-    patch: { submit: (old) => function (this: any, b: any) { return old.call(this, Array.isArray(b.config?.families) && b.config.families[0]?.topics ? b : { ...b, config: { families: [] } }); } } },
-  { what: 'an operator visit that calls some valid configurations invalid', proto: Operators.prototype, sc: 'operators', seeds: [1], rules: ['unanswered'],
-    patch: { submit: (old) => function (this: any, b: any) {
-      if (b.changeId.startsWith('free')) throw new Failure({ tag: 'invalid_config', step: 'SubmitConfig', peer: 'planted', faults: [] });
-      return old.call(this, b);
-    } } },
-  { what: 'an operator visit that answers an overtaken revision as if it were in force', proto: Operators.prototype, sc: 'revisions', seeds: [1, 2], rules: ['config_lost'],
-    patch: { tell: () => async function (this: any, revision: number, _until: number, waits: any[]) { for (const w of waits) w.res({ version: this.reg.value.version, revision }); } } },
-  { what: 'an operator visit that keeps no words of the operators', proto: Operators.prototype, sc: 'revisions', seeds: [1], rules: ['read_back'],
-    patch: { taken: (old) => function (this: any, v: any, x: any) { return old.call(this, v, { ...x, document: undefined }); } } },
-  { what: 'a configuration that makes all topics anew', proto: Operators.prototype, sc: 'revisions', seeds: [1, 2], rules: ['lost', 'skipped', 'resume'],
-    patch: { taken: (old) => function (this: any, v: any, x: any) { const n = old.call(this, v, x); return { ...n, eras: new Map(x.config.families.flatMap((f: any) => f.topics.map((p: string) => [p, n.version]))) }; } } },
-  { what: 'a relay that sends some frames twice', proto: Holds.prototype, sc: 'calm', seeds: [1], rules: ['once'],
-    patch: { push: (old) => function (this: any, c: any, w: any) { old.call(this, c, w); if (w.sub && w.sub.next % 9 === 0) old.call(this, c, { ...w }); } } },
-  { what: 'a relay that sends what waits in a conn backwards', proto: Holds.prototype, sc: 'resets', seeds: [1, 2], rules: ['order'],
-    patch: { flush: (old) => function (this: any, c: any) { c.buf.reverse(); old.call(this, c); } } },
-  { what: 'an owner that keeps no history of what nobody listens to', proto: Owner.prototype, sc: 'calm', seeds: [1], rules: ['lost'],
-    patch: { apply: (old) => function (this: any, key: any, e: any, fan: boolean) {
-      old.call(this, key, e, fan);
-      if (e.topic && !this.interests.interested(e.topic).length) key.topicOf(e.topic, e.era).entries.pop();
-    } } },
-  { what: 'a node that takes up an old value when it thaws', proto: Register.prototype, sc: 'marks', seeds: [1, 2], rules: ['fell_back'],
-    patch: { learn: (old) => function (this: any, v: any) {
-      const was = this.value;
-      old.call(this, v);
-      // For a fifth of a second, once per change, the old value again.
-      if (!was || this.value === was || this.k.host.rnd.next() < 0.7) return;
-      this.k.host.clock.after(400, () => { const now = this.value; this.value$.next(was); this.k.host.clock.after(200, () => { if (this.value === was) this.value$.next(now); }); });
-    } } },
-  { what: 'a node that falls silent for six seconds when the configuration changes', proto: Register.prototype, sc: 'late-change', seeds: [1], rules: ['config_late'],
-    patch: {
-      learn: (old) => function (this: any, v: any) { if (this.value && v.version > this.value.version) this.quietTo = this.k.host.clock.now() + 6_000; old.call(this, v); },
-      fresh: (old) => function (this: any) { return old.call(this) && !(this.k.self.endsWith('.7:7100') && this.k.host.clock.now() < (this.quietTo ?? 0)); },
-    } },
-  { what: 'relays that deliver nothing once many conns were lost', proto: Holds.prototype, sc: 'closing', seeds: [1], rules: ['served'],
-    patch: { push: (old) => function (this: any, c: any, w: any) { if (w.sub && this.board.live().length < 8) return; old.call(this, c, w); } } },
-  { what: 'a relay that counts one listener too many', proto: Holds.prototype, sc: 'calm', seeds: [1], rules: ['counts'],
-    patch: { count: (old) => function (this: any, t: string) { const n = old.call(this, t); return n ? n + 1 : 0; } } },
-  { what: 'a relay that holds a rejection to the deadline', proto: Route.prototype, sc: 'overload', seeds: [1, 2], rules: ['held'],
-    patch: { atOwner: (old) => async function (this: any, t: string, m: string, b: any, ms: number, sent: any) {
-      const t0 = this.k.host.clock.now();
-      try { return await old.call(this, t, m, b, ms, sent); } catch (e) {
-        const left = ms - 50 - (this.k.host.clock.now() - t0);
-        if (left > 0 && m === 'Publish') await new Promise<void>((res) => { this.k.host.clock.after(left, res); });
-        throw e;
-      }
-    } } },
-  { what: 'an edge that tells everyone the same time to come back', proto: Edge.prototype, sc: 'overload', seeds: [1, 2], rules: ['come_back'],
-    patch: { failed: (old) => function (this: any, m: string, e: any) { const r = old.call(this, m, e); for (const x of [r.body.error, r.body.rejected]) if (x?.retryAfterMs) x.retryAfterMs = 500; return r; } } },
-  { what: 'a relay that sits on frames for two seconds', proto: Holds.prototype, sc: 'calm', seeds: [1], rules: ['late'],
-    patch: { arm: (old) => function (this: any, c: any, ms: number) { old.call(this, c, ms + 2_000); } } },
-  { what: 'a conn buffer with four times its bound', proto: Holds.prototype, sc: 'thin-links', seeds: [1], rules: ['bounds'],
-    patch: { push: (old) => function (this: any, c: any, w: any) { if (c.consumer !== 'thin0') { old.call(this, c, w); return; } const { std } = c; c.std = std / 4; old.call(this, c, w); if (c.state !== 'closed') { c.std = std + w.bytes; this.mostStd = Math.max(this.mostStd, c.std); } } } },
+      commit: () =>
+        function (this: any, fn: any) {
+          if (this.dead) return new Promise(() => undefined);
+          if (!this.sql.inTransaction) {
+            this.sql.exec('begin');
+            this.clock.after(600, () => {
+              if (!this.dead) this.sql.exec('commit');
+            });
+          }
+          return Promise.resolve(fn(this.sql));
+        },
+      drop: (old) =>
+        function (this: any) {
+          old.call(this);
+          if (this.sql.open && this.sql.inTransaction) this.sql.exec('rollback');
+        },
+    },
+  },
+  {
+    what: 'an owner that accepts on its own copy alone',
+    proto: Replication.prototype,
+    sc: 'split',
+    seeds: [1, 2, 3, 4],
+    rules: ['lost', 'skipped', 'once'],
+    patch: {
+      advance: (old) =>
+        function (this: any, key: any) {
+          const c = key.copies;
+          key.copies = [this.reg.disk];
+          old.call(this, key);
+          key.copies = c;
+        },
+    },
+  },
+  {
+    what: 'a copy that takes appends under any fence',
+    proto: Copies.prototype,
+    sc: 'stale-owner',
+    seeds: Array.from({ length: 24 }, (_, i) => i + 1),
+    rules: ['lost', 'skipped', 'once', 'order'],
+    patch: {
+      append: (old) =>
+        function (this: any, b: any) {
+          const c = this.get(b.shard);
+          return old.call(this, { ...b, fence: b.fence < c.promised ? c.promised : b.fence });
+        },
+    },
+  },
+  {
+    what: 'an owner that forgets what senders said',
+    proto: Owner.prototype,
+    sc: 'mixed',
+    seeds: [1, 2, 3, 4],
+    rules: ['once', 'order'],
+    patch: {
+      publish: (old) =>
+        function (this: any, b: any) {
+          for (const k of this.keys.values()) k.senders.clear();
+          return old.call(this, b);
+        },
+    },
+  },
+  {
+    what: 'an owner that knows only the last number of each sender',
+    proto: Key.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['final'],
+    patch: {
+      outcome: (old) =>
+        function (this: any, topic: string, sender: string, seq: number) {
+          const last = this.senders.get(senderKey(topic, sender))?.at(-1);
+          return last && seq < last.seq
+            ? { tag: 'passed', above: last.seq, idx: 0 }
+            : old.call(this, topic, sender, seq);
+        },
+    },
+  },
+  {
+    what: 'an owner that forgets the outcome of some repeats',
+    proto: Key.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['repeat'],
+    patch: {
+      outcome: (old) =>
+        function (this: any, topic: string, sender: string, seq: number) {
+          const r = old.call(this, topic, sender, seq);
+          return r.tag === 'stored' && seq % 2 ? { tag: 'forgotten' } : r;
+        },
+    },
+  },
+  {
+    what: 'an owner that stores publishes as they come',
+    proto: Owner.prototype,
+    sc: 'handovers',
+    seeds: [1, 2, 3],
+    rules: ['overtaken'],
+    patch: {
+      publish: (old) =>
+        function (this: any, { after, ...b }: any) {
+          return old.call(this, b);
+        },
+    },
+  },
+  {
+    what: 'an owner that accepts on its own copy, and tells the others at its next beat',
+    proto: Replication.prototype,
+    sc: 'blackout-lost-disk',
+    seeds: [1, 2, 3, 4, 5, 6],
+    rules: ['lost', 'skipped', 'once'],
+    patch: Object.fromEntries(
+      ['advance', 'kick'].map((m) => [
+        m,
+        (old: any) =>
+          function (this: any, key: any, beat: boolean) {
+            const c = key.copies;
+            if (!beat) key.copies = [this.reg.disk];
+            old.call(this, key, beat);
+            key.copies = c;
+          },
+      ]),
+    ),
+  },
+  {
+    what: 'a disk whose matter comes back an hour old',
+    proto: Store.prototype,
+    sc: 'cursors',
+    seeds: [1, 2],
+    rules: ['resume'],
+    patch: {
+      copies: (old) =>
+        function (this: any, now: number) {
+          const out = old.call(this, now);
+          for (const c of out.values()) for (const e of c.entries) e.at = now - 3_600_000;
+          return out;
+        },
+    },
+  },
+  {
+    what: 'a relay that never reads history',
+    proto: Holds.prototype,
+    sc: 'churn',
+    seeds: [1, 2],
+    rules: ['lost', 'skipped'],
+    patch: { pull: () => () => undefined },
+  },
+  {
+    what: 'a node that serves by a configuration it cannot confirm',
+    proto: Register.prototype,
+    sc: 'cut-config',
+    seeds: [1, 2],
+    rules: ['config_late', 'removed_flow'],
+    patch: {
+      fresh: () =>
+        function (this: any) {
+          return this.value !== undefined;
+        },
+    },
+  },
+  {
+    what: 'a final send that does not look at holds',
+    proto: Holds.prototype,
+    sc: 'churn',
+    seeds: [1, 2, 3],
+    rules: ['left'],
+    patch: {
+      drop: () => () => undefined,
+      end: () =>
+        function (this: any, s: any) {
+          s.conn.subs.delete(s.topic);
+        },
+    },
+  },
+  {
+    what: 'an owner that counts nobody',
+    proto: Interests.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['counts'],
+    patch: { countListeners: () => async () => ({ count: 0, partial: false }) },
+  },
+  {
+    what: 'history trimmed after a few seconds',
+    proto: Owner.prototype,
+    sc: 'churn',
+    seeds: [1, 2],
+    rules: ['resume'],
+    patch: {
+      trim: (old) =>
+        async function (this: any) {
+          const { memorySlack, memorySlackMs } = C;
+          Object.assign(C, { memorySlack: 0.1, memorySlackMs: 0 });
+          try {
+            await old.call(this);
+          } finally {
+            Object.assign(C, { memorySlack, memorySlackMs });
+          }
+        },
+    },
+  },
+  {
+    what: 'an edge that calls some stored messages rejected',
+    proto: Edge.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['turned_away'],
+    patch: {
+      answer: (old) =>
+        async function (this: any, m: string, b: any) {
+          const r = await old.call(this, m, b);
+          if (m === 'Publish' && b.seq % 5 === 0)
+            throw new Failure({ tag: 'not_ready', step: m, peer: 'planted', retryAfterMs: 100 });
+          return r;
+        },
+    },
+  },
+  {
+    what: 'a register that answers before a majority has the value',
+    proto: Register.prototype,
+    sc: 'operators',
+    seeds: [1, 2, 3],
+    rules: ['config_lost', 'read_back', 'config_late'],
+    patch: {
+      round: (old) =>
+        async function (this: any, h: any, fn: any) {
+          const r = await old.call(this, h, fn);
+          if (r.tag === 'done' || this.n % 3) return r;
+          return { tag: 'done', out: fn(h).out };
+        },
+    },
+  },
+  {
+    what: 'a node that takes any value it is told',
+    proto: Register.prototype,
+    sc: 'late-change',
+    seeds: [1, 2],
+    rules: ['fell_back', 'config_late', 'config_lost', 'read_back'],
+    patch: {
+      learn: (old) =>
+        function (this: any, v: any) {
+          this.older ??= v;
+          old.call(this, v);
+          if (this.k.host.rnd.next() < 0.3) this.value$.next(this.older);
+        },
+    },
+  },
+  {
+    what: 'a store of state that loses the register',
+    proto: Store.prototype,
+    sc: 'blackout',
+    seeds: [1],
+    rules: ['read_back', 'config_lost', 'served', 'fell_back', 'lost'],
+    patch: {
+      saveSeat: (old) =>
+        function (this: any, s: any) {
+          old.call(this, { ...s, value: undefined });
+        },
+    },
+  },
+  {
+    what: 'a register that stops confirming after a while',
+    proto: Register.prototype,
+    sc: 'closing',
+    seeds: [1],
+    rules: ['served'],
+    patch: {
+      confirm: (old) =>
+        async function (this: any) {
+          this.since ??= this.k.host.clock.now();
+          return this.k.host.clock.now() - this.since < 24_000 ? old.call(this) : false;
+        },
+    },
+  },
+  {
+    what: 'an owner that alters some messages',
+    proto: Interests.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['invented'],
+    patch: {
+      fan: (old) =>
+        function (this: any, e: any) {
+          old.call(this, e.seq % 7 === 0 ? { ...e, body: `${e.body}!` } : e);
+        },
+    },
+  },
+  {
+    what: 'a relay that sends every new conn one topic it never asked for',
+    proto: Holds.prototype,
+    sc: 'churn',
+    seeds: [1],
+    rules: ['unasked'],
+    patch: {
+      attach: (old) =>
+        function (this: any, ...a: any[]) {
+          const id = old.apply(this, a);
+          void this.subscribe(id, 'u/3', undefined).catch(() => undefined);
+          return id;
+        },
+    },
+  },
+  {
+    what: 'an operator visit that takes what is invalid',
+    proto: Operators.prototype,
+    sc: 'operators',
+    seeds: [1],
+    rules: ['invalid_taken'],
+    patch: {
+      submit: (old) =>
+        function (this: any, b: any) {
+          return old.call(
+            this,
+            Array.isArray(b.config?.families) && b.config.families[0]?.topics ? b : { ...b, config: { families: [] } },
+          );
+        },
+    },
+  },
+  {
+    what: 'an operator visit that calls some valid configurations invalid',
+    proto: Operators.prototype,
+    sc: 'operators',
+    seeds: [1],
+    rules: ['unanswered'],
+    patch: {
+      submit: (old) =>
+        function (this: any, b: any) {
+          if (b.changeId.startsWith('free'))
+            throw new Failure({ tag: 'invalid_config', step: 'SubmitConfig', peer: 'planted', faults: [] });
+          return old.call(this, b);
+        },
+    },
+  },
+  {
+    what: 'an operator visit that answers an overtaken revision as if it were in force',
+    proto: Operators.prototype,
+    sc: 'revisions',
+    seeds: [1, 2],
+    rules: ['config_lost'],
+    patch: {
+      tell: () =>
+        async function (this: any, revision: number, _until: number, waits: any[]) {
+          for (const w of waits) w.res({ version: this.reg.value.version, revision });
+        },
+    },
+  },
+  {
+    what: 'an operator visit that keeps no words of the operators',
+    proto: Operators.prototype,
+    sc: 'revisions',
+    seeds: [1],
+    rules: ['read_back'],
+    patch: {
+      taken: (old) =>
+        function (this: any, v: any, x: any) {
+          return old.call(this, v, { ...x, document: undefined });
+        },
+    },
+  },
+  {
+    what: 'a configuration that makes all topics anew',
+    proto: Operators.prototype,
+    sc: 'revisions',
+    seeds: [1, 2],
+    rules: ['lost', 'skipped', 'resume'],
+    patch: {
+      taken: (old) =>
+        function (this: any, v: any, x: any) {
+          const n = old.call(this, v, x);
+          return {
+            ...n,
+            eras: new Map(x.config.families.flatMap((f: any) => f.topics.map((p: string) => [p, n.version]))),
+          };
+        },
+    },
+  },
+  {
+    what: 'a relay that sends some frames twice',
+    proto: Holds.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['once'],
+    patch: {
+      push: (old) =>
+        function (this: any, c: any, w: any) {
+          old.call(this, c, w);
+          if (w.sub && w.sub.next % 9 === 0) old.call(this, c, { ...w });
+        },
+    },
+  },
+  {
+    what: 'a relay that sends what waits in a conn backwards',
+    proto: Holds.prototype,
+    sc: 'resets',
+    seeds: [1, 2],
+    rules: ['order'],
+    patch: {
+      flush: (old) =>
+        function (this: any, c: any) {
+          c.buf.reverse();
+          old.call(this, c);
+        },
+    },
+  },
+  {
+    what: 'an owner that keeps no history of what nobody listens to',
+    proto: Owner.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['lost'],
+    patch: {
+      apply: (old) =>
+        function (this: any, key: any, e: any, fan: boolean) {
+          old.call(this, key, e, fan);
+          if (e.topic && !this.interests.interested(e.topic).length) key.topicOf(e.topic, e.era).entries.pop();
+        },
+    },
+  },
+  {
+    what: 'a node that takes up an old value when it thaws',
+    proto: Register.prototype,
+    sc: 'marks',
+    seeds: [1, 2],
+    rules: ['fell_back'],
+    patch: {
+      learn: (old) =>
+        function (this: any, v: any) {
+          const was = this.value;
+          old.call(this, v);
+          // For a fifth of a second, once per change, the old value again.
+          if (!was || this.value === was || this.k.host.rnd.next() < 0.7) return;
+          this.k.host.clock.after(400, () => {
+            const now = this.value;
+            this.value$.next(was);
+            this.k.host.clock.after(200, () => {
+              if (this.value === was) this.value$.next(now);
+            });
+          });
+        },
+    },
+  },
+  {
+    what: 'a node that falls silent for six seconds when the configuration changes',
+    proto: Register.prototype,
+    sc: 'late-change',
+    seeds: [1],
+    rules: ['config_late'],
+    patch: {
+      learn: (old) =>
+        function (this: any, v: any) {
+          if (this.value && v.version > this.value.version) this.quietTo = this.k.host.clock.now() + 6_000;
+          old.call(this, v);
+        },
+      fresh: (old) =>
+        function (this: any) {
+          return old.call(this) && !(this.k.self.endsWith('.7:7100') && this.k.host.clock.now() < (this.quietTo ?? 0));
+        },
+    },
+  },
+  {
+    what: 'relays that deliver nothing once many conns were lost',
+    proto: Holds.prototype,
+    sc: 'closing',
+    seeds: [1],
+    rules: ['served'],
+    patch: {
+      push: (old) =>
+        function (this: any, c: any, w: any) {
+          if (w.sub && this.board.live().length < 8) return;
+          old.call(this, c, w);
+        },
+    },
+  },
+  {
+    what: 'a relay that counts one listener too many',
+    proto: Holds.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['counts'],
+    patch: {
+      count: (old) =>
+        function (this: any, t: string) {
+          const n = old.call(this, t);
+          return n ? n + 1 : 0;
+        },
+    },
+  },
+  {
+    what: 'a relay that holds a rejection to the deadline',
+    proto: Route.prototype,
+    sc: 'overload',
+    seeds: [1, 2],
+    rules: ['held'],
+    patch: {
+      atOwner: (old) =>
+        async function (this: any, t: string, m: string, b: any, ms: number, sent: any) {
+          const t0 = this.k.host.clock.now();
+          try {
+            return await old.call(this, t, m, b, ms, sent);
+          } catch (e) {
+            const left = ms - 50 - (this.k.host.clock.now() - t0);
+            if (left > 0 && m === 'Publish')
+              await new Promise<void>((res) => {
+                this.k.host.clock.after(left, res);
+              });
+            throw e;
+          }
+        },
+    },
+  },
+  {
+    what: 'an edge that tells everyone the same time to come back',
+    proto: Edge.prototype,
+    sc: 'overload',
+    seeds: [1, 2],
+    rules: ['come_back'],
+    patch: {
+      failed: (old) =>
+        function (this: any, m: string, e: any) {
+          const r = old.call(this, m, e);
+          for (const x of [r.body.error, r.body.rejected]) if (x?.retryAfterMs) x.retryAfterMs = 500;
+          return r;
+        },
+    },
+  },
+  {
+    what: 'a relay that sits on frames for two seconds',
+    proto: Holds.prototype,
+    sc: 'calm',
+    seeds: [1],
+    rules: ['late'],
+    patch: {
+      arm: (old) =>
+        function (this: any, c: any, ms: number) {
+          old.call(this, c, ms + 2_000);
+        },
+    },
+  },
+  {
+    what: 'a conn buffer with four times its bound',
+    proto: Holds.prototype,
+    sc: 'thin-links',
+    seeds: [1],
+    rules: ['bounds'],
+    patch: {
+      push: (old) =>
+        function (this: any, c: any, w: any) {
+          if (c.consumer !== 'thin0') {
+            old.call(this, c, w);
+            return;
+          }
+          const { std } = c;
+          c.std = std / 4;
+          old.call(this, c, w);
+          if (c.state !== 'closed') {
+            c.std = std + w.bytes;
+            this.mostStd = Math.max(this.mostStd, c.std);
+          }
+        },
+    },
+  },
 ];
 
 /** Runs every n-th plant; each test file is a process of its own. */
@@ -176,7 +622,10 @@
       const got = await planted(p.proto, p.patch, of(p.sc), p.seeds, p.rules);
       const figures = [...got].map(([r, n]) => `${r} ${n}`).join(', ') || 'nothing';
       t.log(`${p.sc}, seeds up to ${p.seeds.at(-1)}: ${figures}`);
-      t.true(p.rules.some((r) => got.has(r)), `got ${figures}`);
+      t.true(
+        p.rules.some((r) => got.has(r)),
+        `got ${figures}`,
+      );
     });
   });
 }
--- a/packages/trial/src/test/platform-access.test.ts
+++ b/packages/trial/src/test/platform-access.test.ts
@@ -15,12 +15,18 @@
 class HandClock implements Clock {
   private at = 0;
   private due: { at: number; fn: () => void }[] = [];
-  now(): number { return this.at; }
-  wall(): number { return this.at; }
+  now(): number {
+    return this.at;
+  }
+  wall(): number {
+    return this.at;
+  }
   after(ms: number, fn: () => void): () => void {
     const d = { at: this.at + ms, fn };
     this.due.push(d);
-    return () => { this.due = this.due.filter((x) => x !== d); };
+    return () => {
+      this.due = this.due.filter((x) => x !== d);
+    };
   }
   pass(ms: number): void {
     const until = this.at + ms;
@@ -35,7 +41,11 @@
   }
 }
 
-interface Visited { method: string; body: any; answer(r: Reply): void }
+interface Visited {
+  method: string;
+  body: any;
+  answer(r: Reply): void;
+}
 
 /** The product's face, answering as the test says. */
 class FakeEdge {
@@ -60,30 +70,52 @@
     this.sinks.set(id, sink);
     return { id };
   }
-  starting(): Promise<void> | undefined { return this.soon; }
-  heard(): void { this.heardN++; }
-  gone(id: string): void { this.goneIds.push(id); this.sinks.delete(id); }
-  drained(id: string): void { this.drainedIds.push(id); }
+  starting(): Promise<void> | undefined {
+    return this.soon;
+  }
+  heard(): void {
+    this.heardN++;
+  }
+  gone(id: string): void {
+    this.goneIds.push(id);
+    this.sinks.delete(id);
+  }
+  drained(id: string): void {
+    this.drainedIds.push(id);
+  }
   visit(method: string, body: unknown): Promise<Reply> {
     return new Promise((res) => {
       this.mostOpen = Math.max(this.mostOpen, ++this.open);
-      const v: Visited = { method, body, answer: (r) => { this.open--; res(r); } };
+      const v: Visited = {
+        method,
+        body,
+        answer: (r) => {
+          this.open--;
+          res(r);
+        },
+      };
       this.visits.push(v);
       const now = this.at(method, body);
       if (now) v.answer(now);
       this.onVisit();
     });
   }
-  sinkOf(consumer: string): Sink { return [...this.sinks].find(([id]) => id.startsWith(`${consumer}/`))![1]; }
+  sinkOf(consumer: string): Sink {
+    return [...this.sinks].find(([id]) => id.startsWith(`${consumer}/`))![1];
+  }
 }
 
 /** Answers every visit with success. */
 const well = (method: string, body: any): Reply => {
   switch (method) {
-    case 'Publish': return { status: 200, body: { accepted: { offset: 1 } } };
-    case 'Subscribe': return { status: 200, body: { sub: '1', next: (body.cursor ?? 0) + 1 } };
-    case 'Unsubscribe': return { status: 200, body: { left: true } };
-    default: return { status: 200, body: { count: 3, partial: false } };
+    case 'Publish':
+      return { status: 200, body: { accepted: { offset: 1 } } };
+    case 'Subscribe':
+      return { status: 200, body: { sub: '1', next: (body.cursor ?? 0) + 1 } };
+    case 'Unsubscribe':
+      return { status: 200, body: { left: true } };
+    default:
+      return { status: 200, body: { count: 3, partial: false } };
   }
 };
 const fault = (f: Fault): Reply => ({ status: 503, body: { error: f } });
@@ -121,7 +153,10 @@
 }
 async function attached(s: Stage, name: string, x: { deaf?: boolean } = {}): Promise<LineClient> {
   const c = await s.to(x);
-  if (x.deaf) { c.send(`ATTACH ${name}\r\n`); return c; }
+  if (x.deaf) {
+    c.send(`ATTACH ${name}\r\n`);
+    return c;
+  }
   const said = await c.ask(`ATTACH ${name}`);
   if (said !== 'CONFIRM ATTACH') throw new Error(`not attached: ${said}`);
   return c;
@@ -136,32 +171,34 @@
 type Told = { publish: Cause; other: Cause };
 const told = (other: Cause, publish: Cause = other): Told => ({ publish, other });
 /** A decision for every fault. CONGEST is a promise: "not done, and never will be". */
-const DECIDED = new Map(Object.entries({
-  unreachable: told('CONGEST', 'INDETERM'),
-  timeout: told('INDETERM'),
-  cut: told('INDETERM'),
-  not_ready: told('CONGEST', 'INDETERM'),
-  not_owner: told('CONGEST', 'INDETERM'),
-  fenced: told('INDETERM'),
-  overloaded: told('CONGEST', 'INDETERM'),
-  bad_visit: told('MALFORMED'),
-  unknown_method: told('MALFORMED'),
-  unknown_topic: told('NODOMAIN'),
-  unknown_conn: told('INDETERM'),
-  unknown_disk: told('INDETERM'),
-  cursor_expired: told('EXPIRED'),
-  cursor_ahead: told('EXPIRED'),
-  too_large: told('OVERSIZE'),
-  // Only a publish ends so. It is the product's final no.
-  stale_seq: told('CONGEST'),
-  outcome_unknown: told('INDETERM'),
-  conflict: told('INDETERM'),
-  invalid_config: told('INDETERM'),
-  no_majority: told('INDETERM'),
-  wont_hold: told('INDETERM'),
-  disk_ill: told('INDETERM'),
-  internal: told('INDETERM'),
-} satisfies Record<Fault['tag'], Told>));
+const DECIDED = new Map(
+  Object.entries({
+    unreachable: told('CONGEST', 'INDETERM'),
+    timeout: told('INDETERM'),
+    cut: told('INDETERM'),
+    not_ready: told('CONGEST', 'INDETERM'),
+    not_owner: told('CONGEST', 'INDETERM'),
+    fenced: told('INDETERM'),
+    overloaded: told('CONGEST', 'INDETERM'),
+    bad_visit: told('MALFORMED'),
+    unknown_method: told('MALFORMED'),
+    unknown_topic: told('NODOMAIN'),
+    unknown_conn: told('INDETERM'),
+    unknown_disk: told('INDETERM'),
+    cursor_expired: told('EXPIRED'),
+    cursor_ahead: told('EXPIRED'),
+    too_large: told('OVERSIZE'),
+    // Only a publish ends so. It is the product's final no.
+    stale_seq: told('CONGEST'),
+    outcome_unknown: told('INDETERM'),
+    conflict: told('INDETERM'),
+    invalid_config: told('INDETERM'),
+    no_majority: told('INDETERM'),
+    wont_hold: told('INDETERM'),
+    disk_ill: told('INDETERM'),
+    internal: told('INDETERM'),
+  } satisfies Record<Fault['tag'], Told>),
+);
 const WORDS: Word[] = ['ATTACH', 'SUBSCRIBE', 'UNSUBSCR', 'PUBLISH', 'ENQUIRE'];
 
 /** What is wrong with a map from faults to causes. */
@@ -169,12 +206,16 @@
   const out: string[] = [];
   for (const tag of tags) {
     const d = decided.get(tag);
-    if (!d) { out.push(`${tag}: nobody decided what a client is told`); continue; }
+    if (!d) {
+      out.push(`${tag}: nobody decided what a client is told`);
+      continue;
+    }
     for (const w of WORDS) {
       const is = map(w, { tag: tag as Fault['tag'] });
       const want = w === 'PUBLISH' ? d.publish : d.other;
       if (is !== want) out.push(`${w} ${tag}: ${is}, not ${want}`);
-      if (w === 'PUBLISH' && is === 'CONGEST' && tag !== 'stale_seq') out.push(`PUBLISH ${tag}: a promise that nobody gave`);
+      if (w === 'PUBLISH' && is === 'CONGEST' && tag !== 'stale_seq')
+        out.push(`PUBLISH ${tag}: a promise that nobody gave`);
     }
   }
   return out;
@@ -189,21 +230,31 @@
   t.deepEqual([...tags].sort(), [...FAULTS.keys()].sort(), 'the source and the schema have the same');
   t.deepEqual([...DECIDED.keys()].sort(), [...tags].sort());
   t.deepEqual(wrongIn(causeOf, tags), []);
-  t.is(causeOf('SUBSCRIBE', { tag: 'from_the_future' as Fault['tag'] }), 'INDETERM', 'what a newer peer says: no promise');
+  t.is(
+    causeOf('SUBSCRIBE', { tag: 'from_the_future' as Fault['tag'] }),
+    'INDETERM',
+    'what a newer peer says: no promise',
+  );
   // Planted.
-  t.deepEqual(wrongIn((w, f) => (f.tag === 'overloaded' ? 'CONGEST' : causeOf(w, f)), tags),
-    ['PUBLISH overloaded: CONGEST, not INDETERM', 'PUBLISH overloaded: a promise that nobody gave']);
+  t.deepEqual(
+    wrongIn((w, f) => (f.tag === 'overloaded' ? 'CONGEST' : causeOf(w, f)), tags),
+    ['PUBLISH overloaded: CONGEST, not INDETERM', 'PUBLISH overloaded: a promise that nobody gave'],
+  );
   t.is(wrongIn((w, f) => (f.tag === 'outcome_unknown' ? 'CONGEST' : causeOf(w, f)), tags).length, WORDS.length + 1);
   t.is(wrongIn((w, f) => (f.tag === 'timeout' ? 'EXPIRED' : causeOf(w, f)), tags).length, WORDS.length);
-  const grown = faultSource.replace("  | { tag: 'timeout'", "  | { tag: 'melted'; step: string; peer: string }\n  | { tag: 'timeout'");
-  t.deepEqual(wrongIn(causeOf, tagsIn(grown)),
-    ['melted: nobody decided what a client is told'], 'a new tag');
+  const grown = faultSource.replace(
+    "  | { tag: 'timeout'",
+    "  | { tag: 'melted'; step: string; peer: string }\n  | { tag: 'timeout'",
+  );
+  t.deepEqual(wrongIn(causeOf, tagsIn(grown)), ['melted: nobody decided what a client is told'], 'a new tag');
 });
 
 test('an ATTACH waits for a node that is just coming up; it is one, and goes with its connection', async (t) => {
   const s = await stage(t);
   let serve = (): void => undefined;
-  s.edge.soon = new Promise((res) => { serve = res; });
+  s.edge.soon = new Promise((res) => {
+    serve = res;
+  });
   const [c, d] = [await s.to(), await s.to()];
   t.is(await c.ask('ATTACH u1\r\nATTACH u1'), 'REJECT ATTACH - - MALFORMED', 'the second one; the first still waits');
   t.is(await c.ask('PROBE'), 'REJECT PROBE - - MALFORMED', 'not attached yet');
@@ -232,15 +283,22 @@
   t.is(await say('SUBSCRIBE a', { tag: 'outcome_unknown', ...at, retryAfterMs: 1 }), 'REJECT SUBSCRIBE a - INDETERM');
   t.is(await say('SUBSCRIBE a 7', { tag: 'timeout', ...at }), 'REJECT SUBSCRIBE a - INDETERM');
   t.is(await say('SUBSCRIBE a 7', { tag: 'not_ready', ...at, retryAfterMs: 1 }), 'REJECT SUBSCRIBE a - CONGEST');
-  t.is(await say('SUBSCRIBE a 7', { tag: 'cursor_expired', ...at, first: 9, head: 12 }), 'REJECT SUBSCRIBE a - EXPIRED');
+  t.is(
+    await say('SUBSCRIBE a 7', { tag: 'cursor_expired', ...at, first: 9, head: 12 }),
+    'REJECT SUBSCRIBE a - EXPIRED',
+  );
   t.is(await say('ENQUIRE a', { tag: 'outcome_unknown', ...at, retryAfterMs: 1 }), 'REJECT ENQUIRE a - INDETERM');
   t.is(await say('ENQUIRE a', { tag: 'overloaded', ...at, retryAfterMs: 1 }), 'REJECT ENQUIRE a - CONGEST');
   t.is(await say('UNSUBSCR a', { tag: 'unknown_conn', ...at }), 'REJECT UNSUBSCR a - INDETERM');
   t.is(await say('PUBLISH a 3 2\r\nhi', { tag: 'unknown_topic', ...at, topic: 'a' }), 'REJECT PUBLISH a 3 NODOMAIN');
   t.is(await say('PUBLISH a 3 2\r\nhi', { tag: 'too_large', ...at, limit: 1 }), 'REJECT PUBLISH a 3 OVERSIZE');
   // The product's own words for a publish that it turned away.
-  for (const [reason, cause] of [['stale_seq', 'CONGEST'], ['overloaded', 'INDETERM'], ['not_ready', 'INDETERM'],
-    ['unreachable', 'INDETERM']]) {
+  for (const [reason, cause] of [
+    ['stale_seq', 'CONGEST'],
+    ['overloaded', 'INDETERM'],
+    ['not_ready', 'INDETERM'],
+    ['unreachable', 'INDETERM'],
+  ]) {
     s.edge.at = () => ({ status: 503, body: { rejected: { reason, retryAfterMs: 1 } } });
     t.is(await c.ask('PUBLISH a 4 2\r\nhi'), `REJECT PUBLISH a 4 ${cause}`, reason);
   }
@@ -266,11 +324,16 @@
   t.is(await c.ask('UNSUBSCR a'), 'CONFIRM UNSUBSCR a');
   t.is(await c.ask('PROBE'), 'PROBEACK');
   const [id] = s.edge.sinks.keys();
-  t.deepEqual(s.edge.visits.map((v) => [v.method, v.body]), [
-    ['Subscribe', { conn: id, topic: 'a' }], ['Subscribe', { conn: id, topic: 'b', cursor: 17 }],
-    ['Publish', { sender: 'u1', topic: 'a', seq: 3, body: 'hello' }], ['Listeners', { topic: 'a' }],
-    ['Unsubscribe', { conn: id, topic: 'a' }],
-  ]);
+  t.deepEqual(
+    s.edge.visits.map((v) => [v.method, v.body]),
+    [
+      ['Subscribe', { conn: id, topic: 'a' }],
+      ['Subscribe', { conn: id, topic: 'b', cursor: 17 }],
+      ['Publish', { sender: 'u1', topic: 'a', seq: 3, body: 'hello' }],
+      ['Listeners', { topic: 'a' }],
+      ['Unsubscribe', { conn: id, topic: 'a' }],
+    ],
+  );
   t.is(s.edge.heardN, 6, 'every word is a sign of life');
   for (const bad of ['0x11', '1e1', '-1', '1.5', 'c-17', '9'.repeat(16), 'NaN']) {
     t.is(await c.ask(`SUBSCRIBE a ${bad}`), 'REJECT SUBSCRIBE a - MALFORMED', bad);
@@ -278,8 +341,11 @@
   t.is(s.edge.visits.length, 5, 'a cursor that is none of ours goes no further');
   const msg = { topic: 'b', sender: 'u9', seq: 4, offset: 18, body: 'grüße', bytes: 7 };
   const frames: Outgoing[] = [
-    { t: 'ATTACHED', conn: id!, pingS: 2 }, { t: 'DELIVER', sub: '1', msg }, { t: 'LEFT', sub: '2', topic: 'a', reason: 'unsubscribed' },
-    { t: 'LEFT', sub: '2', topic: 'a', reason: 'topic_removed' }, { t: 'GOAWAY', to: '10.1.0.7:8000', retryAfterMs: 0 },
+    { t: 'ATTACHED', conn: id!, pingS: 2 },
+    { t: 'DELIVER', sub: '1', msg },
+    { t: 'LEFT', sub: '2', topic: 'a', reason: 'unsubscribed' },
+    { t: 'LEFT', sub: '2', topic: 'a', reason: 'topic_removed' },
+    { t: 'GOAWAY', to: '10.1.0.7:8000', retryAfterMs: 0 },
   ];
   t.true(s.edge.sinkOf('u1').write(frames));
   t.is(await c.line(), 'DELIVER b 18 u9 4 7 grüße');
@@ -313,10 +379,14 @@
   const s = await stage(t);
   s.edge.at = well;
   const other = await attached(s, 'other');
-  for (const [bad, want] of [['PROBE\n', 'REJECT - - - MALFORMED'], ['x'.repeat(C.accessLineBytes + 1), 'REJECT - - - OVERSIZE'],
-    [`PUBLISH a 1 ${C.accessSkipBytes + 1}\r\n`, 'REJECT PUBLISH - - OVERSIZE'], ['PUBLISH a 1\r\n', 'REJECT PUBLISH - - MALFORMED'],
-    ['\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n', 'REJECT - - - MALFORMED'], 
-    ['GET / HTTP/1.1\r\n\n', 'REJECT - - - MALFORMED']] as const) {
+  for (const [bad, want] of [
+    ['PROBE\n', 'REJECT - - - MALFORMED'],
+    ['x'.repeat(C.accessLineBytes + 1), 'REJECT - - - OVERSIZE'],
+    [`PUBLISH a 1 ${C.accessSkipBytes + 1}\r\n`, 'REJECT PUBLISH - - OVERSIZE'],
+    ['PUBLISH a 1\r\n', 'REJECT PUBLISH - - MALFORMED'],
+    ['\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n', 'REJECT - - - MALFORMED'],
+    ['GET / HTTP/1.1\r\n\n', 'REJECT - - - MALFORMED'],
+  ] as const) {
     const c = await attached(s, 'u1');
     c.send(Buffer.from(bad + 'PROBE\r\nPROBE\r\n', 'latin1'));
     const lines: string[] = [];
@@ -380,7 +450,11 @@
       const c = await attached(s, 'u1');
       const n = s.edge.goneIds.length;
       c.send(half);
-      if (how === 'end') c.socket.end(); else { await turns(other, 2); c.reset(); }
+      if (how === 'end') c.socket.end();
+      else {
+        await turns(other, 2);
+        c.reset();
+      }
       await c.closed;
       while (s.edge.goneIds.length === n) await turns(other, 1);
     }
@@ -416,13 +490,17 @@
   t.true(last < N, `${last} of ${N} were answered while nobody read`);
   t.true(deaf.socket.writableLength > 0, 'the sender is held up');
   let acks = 0;
-  deaf.socket.on('data', (b) => { acks += b.toString('latin1').split('PROBEACK\r\n').length - 1; });
+  deaf.socket.on('data', (b) => {
+    acks += b.toString('latin1').split('PROBEACK\r\n').length - 1;
+  });
   // Lines may be cut between two pieces: bytes are counted.
   let bytes = 0;
-  await new Promise<void>((res) => deaf.socket.on('data', (b) => {
-    bytes += b.length;
-    if (bytes >= 'CONFIRM ATTACH\r\n'.length + N * 10) res();
-  }));
+  await new Promise<void>((res) =>
+    deaf.socket.on('data', (b) => {
+      bytes += b.length;
+      if (bytes >= 'CONFIRM ATTACH\r\n'.length + N * 10) res();
+    }),
+  );
   t.is(bytes, 'CONFIRM ATTACH\r\n'.length + N * 10, 'every one has its answer once it reads');
   t.true(acks > 0);
 });
@@ -433,8 +511,11 @@
   const other = await attached(s, 'other');
   while (![...s.edge.sinks.keys()].some((id) => id.startsWith('deaf/'))) await turns(other, 1);
   const sink = s.edge.sinkOf('deaf');
-  const frame = (offset: number): Outgoing => (
-    { t: 'DELIVER', sub: '1', msg: { topic: 'a', sender: 'b', seq: offset, offset, body: 'x'.repeat(10_000), bytes: 10_000 } });
+  const frame = (offset: number): Outgoing => ({
+    t: 'DELIVER',
+    sub: '1',
+    msg: { topic: 'a', sender: 'b', seq: offset, offset, body: 'x'.repeat(10_000), bytes: 10_000 },
+  });
   let n = 0;
   // As the product does it: on while there is room, else wait to be told.
   while (sink.write([frame(++n)])) await turns(other, 1);
@@ -445,7 +526,10 @@
   t.is(got, n);
   while (!s.edge.drainedIds.some((id) => id.startsWith('deaf/'))) await turns(other, 1);
   const offsets = deaf.all.flatMap((x) => (x.fields[0] === 'DELIVER' ? [Number(x.fields[2])] : []));
-  t.deepEqual(offsets, Array.from({ length: n }, (_, i) => i + 1));
+  t.deepEqual(
+    offsets,
+    Array.from({ length: n }, (_, i) => i + 1),
+  );
   // A product that would not wait is stopped at a bound.
   deaf.socket.pause();
   const before = s.edge.goneIds.length;
@@ -468,7 +552,10 @@
   while ((s.counters.get('access.crowded') ?? 0) < N - C.accessOpenersN) await turns(first, 1);
   const late = await attached(s, 'late');
   t.is(s.counters.get('access.crowded'), N - C.accessOpenersN + 1, 'as many as were too many');
-  t.true(slow.slice(-900).every((c) => !c.over), 'the newest are still there');
+  t.true(
+    slow.slice(-900).every((c) => !c.over),
+    'the newest are still there',
+  );
   s.clock.pass(C.accessOpenMs - 1_000);
   await turns(first, 3);
   t.is(s.counters.get('access.slow'), undefined, 'not before their time');
@@ -511,18 +598,28 @@
   let served = 0;
   while (served < N) {
     while (seen < s.edge.visits.length) waiting.push(s.edge.visits[seen++]!);
-    if (!waiting.length) { await turns(other, 1); continue; }
+    if (!waiting.length) {
+      await turns(other, 1);
+      continue;
+    }
     // In whatever order: the last first, or one from the middle.
     const [v] = waiting.splice(rnd(waiting.length), 1) as [Visited];
     const n = Number(v.body.topic.slice(2));
-    v.answer({ status: 200, body: v.method === 'Publish' ? { accepted: { offset: 1 } } : { count: n, partial: false } });
+    v.answer({
+      status: 200,
+      body: v.method === 'Publish' ? { accepted: { offset: 1 } } : { count: n, partial: false },
+    });
     if (++served % 500 === 0) await turns(other, 1);
   }
   await c.until((all) => all.length === N + 1);
   t.is(s.edge.mostOpen, C.accessRunningN);
   const got = c.all.slice(1).map((x) => x.fields.join(' '));
   t.deepEqual([...got].sort(), topics.map((x, i) => (i % 3 ? `TALLY ${x} ${i}` : `ACCEPT ${x} ${i + 1}`)).sort());
-  t.deepEqual(s.edge.visits.map((v) => v.body.topic), topics, 'asked in the order they came');
+  t.deepEqual(
+    s.edge.visits.map((v) => v.body.topic),
+    topics,
+    'asked in the order they came',
+  );
 });
 
 test('a connection cut while answers and frames are on their way harms nobody', async (t) => {
@@ -534,9 +631,18 @@
     while (s.edge.visits.length < 4 * (i + 1)) await turns(other, 1);
     const sink = s.edge.sinkOf(`u${i}`);
     const mine = s.edge.visits.slice(-4);
-    if (i % 2) { c.reset(); await c.closed; } else c.socket.end();
+    if (i % 2) {
+      c.reset();
+      await c.closed;
+    } else c.socket.end();
     if (i % 3) while (!s.edge.goneIds.some((id) => id.startsWith(`u${i}/`))) await turns(other, 1);
-    sink.write([{ t: 'DELIVER', sub: '1', msg: { topic: 'a', sender: 'b', seq: 1, offset: 1, body: 'x'.repeat(50_000), bytes: 1 } }]);
+    sink.write([
+      {
+        t: 'DELIVER',
+        sub: '1',
+        msg: { topic: 'a', sender: 'b', seq: 1, offset: 1, body: 'x'.repeat(50_000), bytes: 1 },
+      },
+    ]);
     for (const v of mine) v.answer(well(v.method, v.body));
     sink.write([{ t: 'CLOSED', reason: 'silent', retryAfterMs: 1 }]);
     sink.close();
@@ -551,15 +657,38 @@
   const s = await stage(t);
   const other = await attached(s, 'other');
   const ends: [string, (sink: Sink) => void][] = [
-    ['closed', (x) => { x.write([{ t: 'CLOSED', reason: 'replaced', retryAfterMs: 0 }]); x.close(); }],
-    ['nowhere to go', (x) => { x.write([{ t: 'GOAWAY', retryAfterMs: 5 }]); }],
-    ['a subscription that ends by itself', (x) => { x.write([{ t: 'LEFT', sub: '1', topic: 'a', reason: 'cursor_expired' }]); }],
-    ['a hold that ended', (x) => { x.write([{ t: 'LEFT', sub: '1', topic: 'a', reason: 'hold_ended' }]); }],
+    [
+      'closed',
+      (x) => {
+        x.write([{ t: 'CLOSED', reason: 'replaced', retryAfterMs: 0 }]);
+        x.close();
+      },
+    ],
+    [
+      'nowhere to go',
+      (x) => {
+        x.write([{ t: 'GOAWAY', retryAfterMs: 5 }]);
+      },
+    ],
+    [
+      'a subscription that ends by itself',
+      (x) => {
+        x.write([{ t: 'LEFT', sub: '1', topic: 'a', reason: 'cursor_expired' }]);
+      },
+    ],
+    [
+      'a hold that ended',
+      (x) => {
+        x.write([{ t: 'LEFT', sub: '1', topic: 'a', reason: 'hold_ended' }]);
+      },
+    ],
   ];
   for (const [what, end] of ends) {
     const c = await attached(s, 'u1');
     const sink = s.edge.sinkOf('u1');
-    sink.write([{ t: 'DELIVER', sub: '1', msg: { topic: 'a', sender: 'b', seq: 1, offset: 9, body: 'last', bytes: 4 } }]);
+    sink.write([
+      { t: 'DELIVER', sub: '1', msg: { topic: 'a', sender: 'b', seq: 1, offset: 9, body: 'last', bytes: 4 } },
+    ]);
     end(sink);
     t.is(await c.line(), 'DELIVER a 9 b 1 4 last', what);
     t.is(await c.line(), undefined, what);
@@ -587,20 +716,29 @@
   const other = await attached(s, 'other');
   const field = fc.oneof(fc.stringMatching(/^[!-~]{1,8}$/), fc.constantFrom('-', '', '7', '20', '99999999'));
   const message = fc.oneof(
-    fc.tuple(fc.constantFrom('ATTACH', 'SUBSCRIBE', 'UNSUBSCR', 'PUBLISH', 'ENQUIRE', 'PROBE', 'X'), fc.array(field, { maxLength: 4 }))
+    fc
+      .tuple(
+        fc.constantFrom('ATTACH', 'SUBSCRIBE', 'UNSUBSCR', 'PUBLISH', 'ENQUIRE', 'PROBE', 'X'),
+        fc.array(field, { maxLength: 4 }),
+      )
       .map(([w, f]) => Buffer.from([w, ...f].join(' ') + '\r\n')),
-    fc.uint8Array({ maxLength: 60 }).map((b) => Buffer.concat([Buffer.from(`PUBLISH a 1 ${b.length}\r\n`), b, Buffer.from('\r\n')])),
+    fc
+      .uint8Array({ maxLength: 60 })
+      .map((b) => Buffer.concat([Buffer.from(`PUBLISH a 1 ${b.length}\r\n`), b, Buffer.from('\r\n')])),
     fc.uint8Array({ maxLength: 40 }).map((b) => Buffer.from(b)),
   );
   const messages = fc.array(message, { maxLength: 10 });
-  await fc.assert(fc.asyncProperty(fc.boolean(), messages, fc.integer({ min: 1, max: 40 }), async (attach, ms, size) => {
-    const c = await s.to();
-    const b = Buffer.concat([...(attach ? [Buffer.from('ATTACH u\r\n')] : []), ...ms]);
-    for (let i = 0; i < b.length; i += size) c.send(b.subarray(i, i + size));
-    c.socket.end();
-    await c.closed;
-    if (c.unreadable !== undefined) throw new Error(`unreadable: ${c.unreadable}`);
-    if ((await other.ask('PROBE')) !== 'PROBEACK') throw new Error('another connection is not served');
-  }), { seed: SEED, numRuns: 150 });
+  await fc.assert(
+    fc.asyncProperty(fc.boolean(), messages, fc.integer({ min: 1, max: 40 }), async (attach, ms, size) => {
+      const c = await s.to();
+      const b = Buffer.concat([...(attach ? [Buffer.from('ATTACH u\r\n')] : []), ...ms]);
+      for (let i = 0; i < b.length; i += size) c.send(b.subarray(i, i + size));
+      c.socket.end();
+      await c.closed;
+      if (c.unreadable !== undefined) throw new Error(`unreadable: ${c.unreadable}`);
+      if ((await other.ask('PROBE')) !== 'PROBEACK') throw new Error('another connection is not served');
+    }),
+    { seed: SEED, numRuns: 150 },
+  );
   t.pass();
 });
--- a/packages/trial/src/test/platform-client.ts
+++ b/packages/trial/src/test/platform-client.ts
@@ -1,7 +1,10 @@
 import { connect, type Socket } from 'node:net';
 
 /** What came on a connection: a line of fields, and the body of a DELIVER. */
-export interface Said { fields: string[]; body?: string }
+export interface Said {
+  fields: string[];
+  body?: string;
+}
 
 /**
  * Clients come from an address of their own: thousands of them on 127.0.0.1 would take ports there that the OS has just named as free
@@ -21,10 +24,21 @@
   private next = 0;
   private waiting: (() => void)[] = [];
 
-  private constructor(readonly socket: Socket, deaf: boolean) {
+  private constructor(
+    readonly socket: Socket,
+    deaf: boolean,
+  ) {
     let reset = false;
-    socket.on('error', (e: NodeJS.ErrnoException) => { reset = e.code === 'ECONNRESET' || e.code === 'EPIPE'; });
-    this.closed = new Promise((res) => socket.on('close', () => { this.over = true; this.wake(); res({ reset }); }));
+    socket.on('error', (e: NodeJS.ErrnoException) => {
+      reset = e.code === 'ECONNRESET' || e.code === 'EPIPE';
+    });
+    this.closed = new Promise((res) =>
+      socket.on('close', () => {
+        this.over = true;
+        this.wake();
+        res({ reset });
+      }),
+    );
     if (!deaf) this.listen();
   }
 
@@ -34,7 +48,10 @@
       const socket = connect({ port, host: x.host ?? '127.0.0.1', localAddress: OURS });
       socket.setNoDelay(true);
       socket.once('error', rej);
-      socket.once('connect', () => { socket.removeListener('error', rej); res(new LineClient(socket, x.deaf === true)); });
+      socket.once('connect', () => {
+        socket.removeListener('error', rej);
+        res(new LineClient(socket, x.deaf === true));
+      });
     });
   }
 
@@ -70,13 +87,18 @@
     for (const f of w) f();
   }
 
-  send(s: string | Buffer): boolean { return this.socket.write(s); }
+  send(s: string | Buffer): boolean {
+    return this.socket.write(s);
+  }
 
   /** The next of what came, as one string; undefined when the connection closed before. */
   async line(): Promise<string | undefined> {
     for (;;) {
       const s = this.all[this.next];
-      if (s) { this.next++; return s.fields.join(' ') + (s.body === undefined ? '' : ` ${s.body}`); }
+      if (s) {
+        this.next++;
+        return s.fields.join(' ') + (s.body === undefined ? '' : ` ${s.body}`);
+      }
       if (this.over) return undefined;
       await new Promise<void>((r) => this.waiting.push(r));
     }
@@ -94,6 +116,10 @@
   }
 
   /** Leaves with a reset. */
-  reset(): void { this.socket.resetAndDestroy(); }
-  end(): void { this.socket.destroy(); }
+  reset(): void {
+    this.socket.resetAndDestroy();
+  }
+  end(): void {
+    this.socket.destroy();
+  }
 }
--- a/packages/trial/src/test/process.test.ts
+++ b/packages/trial/src/test/process.test.ts
@@ -16,9 +16,14 @@
 function run(name: string, args: string[]): Promise<{ code: number | null; out: string; err: string }> {
   return new Promise((res) => {
     const p = spawn(process.execPath, [program(name), ...args]);
-    let out = '', err = '';
-    p.stdout.on('data', (s) => { out += s; });
-    p.stderr.on('data', (s) => { err += s; });
+    let out = '',
+      err = '';
+    p.stdout.on('data', (s) => {
+      out += s;
+    });
+    p.stderr.on('data', (s) => {
+      err += s;
+    });
     p.on('exit', (code) => res({ code, out, err }));
   });
 }
@@ -59,11 +64,17 @@
     t.deepEqual([old.code, JSON.parse(old.out)], [0, { version: 2, revision: 30 }]);
     t.regex(old.err, /revision 30 is in force; 29 is below it and changes nothing/);
     const dry = await run('harecross', ['submit', file, '--revision', '30', '--dry-run', ...at]);
-    t.is(dry.out, 'revision 30 is not above the one in force: it would change nothing\nagainst version 2, revision 30; nothing was changed\n');
+    t.is(
+      dry.out,
+      'revision 30 is not above the one in force: it would change nothing\nagainst version 2, revision 30; nothing was changed\n',
+    );
     t.is((await run('harecross', ['submit', file, '--revision', '1.5', ...at])).code, 2);
     t.is((await run('harecross', ['submit', file, '--revision', '31', '--expect', '2', ...at])).code, 2);
     const mine = JSON.parse((await run('harecross', ['read', ...at])).out);
-    t.deepEqual([mine.version, mine.revision, mine.document, mine.config], [2, 30, { any: ['words', null] }, configOf(SITE)]);
+    t.deepEqual(
+      [mine.version, mine.revision, mine.document, mine.config],
+      [2, 30, { any: ['words', null] }, configOf(SITE)],
+    );
     writeFileSync(file, '{"families": 5}');
     const bad = await run('harecross', ['submit', file, ...at]);
     t.is(bad.code, 1);
@@ -72,7 +83,13 @@
 
     // A consumer over HTTP.
     const frames: Frame[] = [];
-    const attach = (p: Proc): (() => void) => f.way.attach(p.config.client, { consumer: 'phone' }, (x) => frames.push(x), () => undefined);
+    const attach = (p: Proc): (() => void) =>
+      f.way.attach(
+        p.config.client,
+        { consumer: 'phone' },
+        (x) => frames.push(x),
+        () => undefined,
+      );
     const visit = (p: Proc, m: string, b: unknown) => f.way.visit(p.config.client, m, b, 30_000);
     const conn = (): string => (frames.filter((x) => x.t === 'ATTACHED').at(-1) as { conn: string }).conn;
     attach(r1);
@@ -101,24 +118,40 @@
     const n = frames.length;
     attach(r2);
     await eventually('attached again', () => frames.slice(n).some((x) => x.t === 'ATTACHED'));
-    await eventually('subscribed', async () => (await visit(r2, 'Subscribe', { conn: conn(), topic: 'r/1', cursor: 1 }))?.status === 200);
+    await eventually(
+      'subscribed',
+      async () => (await visit(r2, 'Subscribe', { conn: conn(), topic: 'r/1', cursor: 1 }))?.status === 200,
+    );
     await eventually('resumed', () => got().length === 2);
     t.deepEqual(got(), [1, 2]);
     const read = await run('harecross', ['read', ...at]);
     const back = JSON.parse(read.out);
-    t.deepEqual([back.version, back.revision, back.document], [2, 30, { any: ['words', null] }], 'as it was before the power failed');
+    t.deepEqual(
+      [back.version, back.revision, back.document],
+      [2, 30, { any: ['words', null] }],
+      'as it was before the power failed',
+    );
 
     // A consumer that reads no more is retired, and holds up nobody else.
-    const deaf = httpRequest(`http://${r1.config.client}/rpc/Attach`, { method: 'POST', headers: { 'content-type': 'application/json' } });
+    const deaf = httpRequest(`http://${r1.config.client}/rpc/Attach`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+    });
     deaf.on('error', () => undefined);
     let deafConn = '';
-    deaf.on('response', (res) => res.once('data', (d: Buffer) => { deafConn = /"conn":"([^"]+)"/.exec(d.toString())![1]!; res.pause(); }));
+    deaf.on('response', (res) =>
+      res.once('data', (d: Buffer) => {
+        deafConn = /"conn":"([^"]+)"/.exec(d.toString())![1]!;
+        res.pause();
+      }),
+    );
     deaf.end(JSON.stringify({ consumer: 'deaf', pingS: 60 }));
     await eventually('the deaf one is attached', () => deafConn !== '');
     t.is((await visit(r1, 'Subscribe', { conn: deafConn, topic: 'r/2' }))?.status, 200);
     let seq = 0;
     await eventually('the deaf one is retired', async () => {
-      for (let i = 0; i < 40; i++) await visit(r2, 'Publish', { sender: 'loud', topic: 'r/2', seq: ++seq, body: 'x'.repeat(60_000) });
+      for (let i = 0; i < 40; i++)
+        await visit(r2, 'Publish', { sender: 'loud', topic: 'r/2', seq: ++seq, body: 'x'.repeat(60_000) });
       return ((await visit(r1, 'Node', {}))?.body.counters['conn.closed.saturated'] ?? 0) > 0;
     });
     t.is(await publish(3), 3);
@@ -127,7 +160,10 @@
 
     // HTTP's own ways to be wrong.
     const raw = async (path: string, body: string, type = 'application/json', method: 'POST' | 'GET' = 'POST') => {
-      const r = await request(`http://${r1.config.client}${path}`, { method, ...(method === 'POST' ? { body, headers: { 'content-type': type } } : {}) });
+      const r = await request(`http://${r1.config.client}${path}`, {
+        method,
+        ...(method === 'POST' ? { body, headers: { 'content-type': type } } : {}),
+      });
       const b = (await r.body.json()) as any;
       return `${r.statusCode} ${b.error?.tag}`;
     };
@@ -145,12 +181,18 @@
     f.signal(store, 'SIGHUP');
     await eventually('the bad config was reported', () => lines(store).includes('config kept as it was'));
     writeFileSync(store.file, JSON.stringify({ ...store.config, peer: '127.0.0.1:9' }));
-    await eventually('a change of address was reported', () => lines(store).includes('peer cannot change while running'));
+    await eventually('a change of address was reported', () =>
+      lines(store).includes('peer cannot change while running'),
+    );
     f.writeConfig(store);
     await eventually('the config was reread', () => lines(store).includes('config reread'));
     // A new domain, by a silent change, is known to the others.
     writeFileSync(store.file, JSON.stringify({ ...store.config, domain: 'elsewhere' }));
-    await eventually('the new domain is known', async () => ((await visit(r2, 'Fleet', {}))?.body.members as { peer: string; domain: string }[]).some((m) => m.peer === store.config.peer && m.domain === 'elsewhere'));
+    await eventually('the new domain is known', async () =>
+      ((await visit(r2, 'Fleet', {}))?.body.members as { peer: string; domain: string }[]).some(
+        (m) => m.peer === store.config.peer && m.domain === 'elsewhere',
+      ),
+    );
 
     for (const p of [r1, store]) {
       await f.stop(p);
@@ -165,7 +207,12 @@
 test.serial('programs say in one line what is wrong with their config and flags', async (t) => {
   const folder = mkdtempSync(join(tmpdir(), 'harecross-test-'));
   const file = join(folder, 'c.json');
-  const ok = { domain: 'a', peer: '127.0.0.1:1', client: '127.0.0.1:2', seeds: ['127.0.0.1:1', '127.0.0.1:3', '127.0.0.1:4'] };
+  const ok = {
+    domain: 'a',
+    peer: '127.0.0.1:1',
+    client: '127.0.0.1:2',
+    seeds: ['127.0.0.1:1', '127.0.0.1:3', '127.0.0.1:4'],
+  };
   const tell = async (name: string, x: unknown, ...args: string[]): Promise<string> => {
     writeFileSync(file, typeof x === 'string' ? x : JSON.stringify(x));
     const r = await run(name, ['--config', file, ...args]);
--- a/packages/trial/src/test/recovery.test.ts
+++ b/packages/trial/src/test/recovery.test.ts
@@ -5,7 +5,8 @@
 /** Power is lost everywhere and comes back; machines start a little apart. */
 async function outage(seed: number, apartMs: number) {
   const s = await smallFleet(seed);
-  for (let i = 1; i <= 3; i++) t200(await s.ask(s.relays[0]!, 'Publish', { sender: 'desk', topic: `feed/${i}`, seq: 1, body: `m${i}` }));
+  for (let i = 1; i <= 3; i++)
+    t200(await s.ask(s.relays[0]!, 'Publish', { sender: 'desk', topic: `feed/${i}`, seq: 1, body: `m${i}` }));
   for (const n of s.sim.nodes.values()) s.sim.kill(n);
   await s.pass(1_000);
   let i = 0;
@@ -20,19 +21,32 @@
 for (const seed of [61, 62, 63]) {
   test(`a fleet that comes back together serves within 400 ms, its keys shared, what was accepted there (seed ${seed})`, async (t) => {
     const s = await outage(seed, 30);
-    const owned = (): number[] => s.stores.map((n) => (n.up && n.kernel?.has('owner') ? n.kernel.use('owner').owned().length : 0));
+    const owned = (): number[] =>
+      s.stores.map((n) => (n.up && n.kernel?.has('owner') ? n.kernel.use('owner').owned().length : 0));
     let at = 0;
     while (!at && s.sim.now < s.from + 5_000) {
       await s.sim.run(s.sim.now + 10);
       if (owned().reduce((a, b) => a + b, 0) === C.shardsN) at = s.sim.now;
     }
     t.true(at > 0 && at - s.up <= 400, `virtual time; all keys served ${at - s.up} ms after the last start`);
-    t.true(Math.max(...owned()) <= Math.ceil((C.shardsN / 3) * C.ownersSlack) + 2, `no store has all the keys: ${owned().join()}`);
-    t.true(s.stores.some((n) => (n.kernel!.counters.get('register.recalled') ?? 0) > 0), 'the value was recalled without a ballot');
+    t.true(
+      Math.max(...owned()) <= Math.ceil((C.shardsN / 3) * C.ownersSlack) + 2,
+      `no store has all the keys: ${owned().join()}`,
+    );
+    t.true(
+      s.stores.some((n) => (n.kernel!.counters.get('register.recalled') ?? 0) > 0),
+      'the value was recalled without a ballot',
+    );
     await s.pass(300);
     const { conn } = await s.attach(s.relays[1]!, 'phone');
-    t.is((await s.ask(s.relays[1]!, 'Subscribe', { conn, topic: 'feed/1', cursor: 0 })).body.next, 1, 'a cursor of before is taken up');
-    t.deepEqual((await s.ask(s.relays[1]!, 'Publish', { sender: 'desk', topic: 'feed/2', seq: 1, body: 'm2' })).body, { accepted: { offset: 1 } });
+    t.is(
+      (await s.ask(s.relays[1]!, 'Subscribe', { conn, topic: 'feed/1', cursor: 0 })).body.next,
+      1,
+      'a cursor of before is taken up',
+    );
+    t.deepEqual((await s.ask(s.relays[1]!, 'Publish', { sender: 'desk', topic: 'feed/2', seq: 1, body: 'm2' })).body, {
+      accepted: { offset: 1 },
+    });
     s.sim.close();
   });
 }
--- a/packages/trial/src/test/register.test.ts
+++ b/packages/trial/src/test/register.test.ts
@@ -3,13 +3,17 @@
 
 function fleet(seed: number, stores: number): { sim: Sim; all: SimNode[]; seeds: SimNode[] } {
   const sim = new Sim(seed);
-  const all = Array.from({ length: stores }, (_, i) => sim.add(`store${i + 1}`, { role: 'store', domain: 'abc'[i % 3]!, disk: true }));
+  const all = Array.from({ length: stores }, (_, i) =>
+    sim.add(`store${i + 1}`, { role: 'store', domain: 'abc'[i % 3]!, disk: true }),
+  );
   const seeds = all.slice(0, 3);
   for (const n of all) n.config.seeds = seeds.map((s) => s.config.peer);
   return { sim, all, seeds };
 }
 const value = (n: SimNode) => (n.up ? n.kernel!.use('register').value : undefined);
-const fleets = (all: SimNode[]): string[] => [...new Set(all.map((n) => value(n)?.fleet).filter((x) => x !== undefined))];
+const fleets = (all: SimNode[]): string[] => [
+  ...new Set(all.map((n) => value(n)?.fleet).filter((x) => x !== undefined)),
+];
 
 test('a fleet is founded once: not before all three seeds are there, whatever the order of coming up', async (t) => {
   const { sim, all, seeds } = fleet(51, 5);
@@ -22,7 +26,12 @@
   t.true(all.every((n) => n.kernel!.use('register').fresh()));
   const id = fleets(all)[0];
   // The founder's machine comes back with an empty disk, and so does another seed, one after the other.
-  for (const s of seeds.slice(0, 2)) { sim.loseDisk(s); void sim.start(s); await sim.run(sim.now + 15_000); t.deepEqual(fleets(all), [id]); }
+  for (const s of seeds.slice(0, 2)) {
+    sim.loseDisk(s);
+    void sim.start(s);
+    await sim.run(sim.now + 15_000);
+    t.deepEqual(fleets(all), [id]);
+  }
   sim.close();
 });
 
@@ -34,14 +43,23 @@
     for (const n of all) void sim.start(n);
     await sim.run(12_000);
     const id = fleets(all)[0];
-    for (const s of seeds) { sim.loseDisk(s); await sim.run(sim.now + 500); void sim.start(s); await sim.run(sim.now + 9_000); }
+    for (const s of seeds) {
+      sim.loseDisk(s);
+      await sim.run(sim.now + 500);
+      void sim.start(s);
+      await sim.run(sim.now + 9_000);
+    }
     const seats = value(all[5]!)!.seats;
     if (!seeds.some((s) => seats.includes(s.kernel!.use('register').disk!))) {
       caused++;
       for (const n of all) sim.kill(n);
       for (const s of seeds) void sim.start(s);
       await sim.run(sim.now + 10_000);
-      t.deepEqual(fleets(seeds).filter((f) => f !== id), [], 'no other fleet');
+      t.deepEqual(
+        fleets(seeds).filter((f) => f !== id),
+        [],
+        'no other fleet',
+      );
       for (const n of all) void sim.start(n);
       await sim.run(sim.now + 10_000);
       t.deepEqual(fleets(all), [id]);
--- a/packages/trial/src/test/resume.test.ts
+++ b/packages/trial/src/test/resume.test.ts
@@ -24,13 +24,24 @@
         if (r?.status === 200) break;
         await sleep(sim.clock, 300);
       }
-      while (!over) { await sleep(sim.clock, 1_500); void sim.outside.visit(relay, 'CheckIn', { conn }, 1_000); }
+      while (!over) {
+        await sleep(sim.clock, 1_500);
+        void sim.outside.visit(relay, 'CheckIn', { conn }, 1_000);
+      }
     };
-    const close = sim.outside.attach(relay, { consumer: name, pingS: 2 }, (x: Frame) => {
-      if (x.t === 'ATTACHED') void subscribe(x.conn);
-      if (x.t === 'DELIVER') offsets.add(x.offset);
-      if (x.t === 'GOAWAY') { close(); again(); }
-    }, again);
+    const close = sim.outside.attach(
+      relay,
+      { consumer: name, pingS: 2 },
+      (x: Frame) => {
+        if (x.t === 'ATTACHED') void subscribe(x.conn);
+        if (x.t === 'DELIVER') offsets.add(x.offset);
+        if (x.t === 'GOAWAY') {
+          close();
+          again();
+        }
+      },
+      again,
+    );
   };
   void come();
   return offsets;
@@ -45,15 +56,24 @@
     let n = 0;
     const say = (topic: string): void => {
       const relay = f.relays[Math.floor(rnd.next() * f.relays.length)]!;
-      void sim.outside.visit(relay.config.client, 'Publish', { sender: `desk${++n}`, topic, seq: 1, body: `message ${n}` }, 2_000)
-        .then((r) => { if (r?.body.accepted) accepted.get(topic)!.push(r.body.accepted.offset); });
+      void sim.outside
+        .visit(relay.config.client, 'Publish', { sender: `desk${++n}`, topic, seq: 1, body: `message ${n}` }, 2_000)
+        .then((r) => {
+          if (r?.body.accepted) accepted.get(topic)!.push(r.body.accepted.offset);
+        });
     };
-    for (let i = 0; i < 300; i++) { say(topics[i % 60]!); await f.pass(20); }
+    for (let i = 0; i < 300; i++) {
+      say(topics[i % 60]!);
+      await f.pass(20);
+    }
     const one = f.stores[seed % 4]!;
     sim.kill(one);
     await f.pass(500);
     void sim.start(one);
-    for (let i = 0; i < 300; i++) { say(topics[i % 60]!); await f.pass(20); }
+    for (let i = 0; i < 300; i++) {
+      say(topics[i % 60]!);
+      await f.pass(20);
+    }
     const all = [...sim.nodes.values()];
     for (const x of all) sim.kill(x);
     await f.pass(500);
@@ -66,7 +86,11 @@
       return { topic, owed: offsets.filter((o) => o > cursor), got: resume(f, `late${i}`, topic, cursor) };
     });
     await f.pass(4_000);
-    t.deepEqual(late.filter((x) => x.owed.some((o) => !x.got.has(o))).map((x) => x.topic), [], `seed ${seed}`);
+    t.deepEqual(
+      late.filter((x) => x.owed.some((o) => !x.got.has(o))).map((x) => x.topic),
+      [],
+      `seed ${seed}`,
+    );
     const takes = sim.lines.slice(from).filter((l) => l.includes(' owner of shard') && !l.includes('no longer')).length;
     t.log(`seed ${seed}: ${takes} keys taken for 32 shards`);
     t.true(takes < 64, `seed ${seed}: ${takes} keys were taken for 32 shards`);
--- a/packages/trial/src/test/retries.test.ts
+++ b/packages/trial/src/test/retries.test.ts
@@ -6,7 +6,11 @@
   let now = 0;
   const clock: Clock = { now: () => now, wall: () => now, after: () => () => undefined };
   const b = new RetryBudget(clock, { perS: 10, share: 0.5, burst: 20 });
-  const many = (urgent: boolean): number => { let n = 0; while (n < 1_000 && b.retry(urgent)) n++; return n; };
+  const many = (urgent: boolean): number => {
+    let n = 0;
+    while (n < 1_000 && b.retry(urgent)) n++;
+    return n;
+  };
   t.is(many(false), 10, 'routine ones have half');
   t.is(many(true), 10, 'urgent ones have the rest');
   t.is(many(true), 0);
@@ -18,8 +22,7 @@
   t.is(many(true), 20, 'never more than the burst');
 });
 
-test('while every store is cut off from the core calls between nodes do not pile up, and there is no second wave when it is healed',
-  async (t) => {
+test('while every store is cut off from the core calls between nodes do not pile up, and there is no second wave when it is healed', async (t) => {
   const f = await controlFleet(21, { relays: 1 });
   const relay = f.relays[0]!;
   const { sim } = f;
@@ -29,11 +32,13 @@
   const say = (): void => {
     under++;
     const topic = seq % 5 === 0 ? `alarm/${seq % 7}` : `feed/${seq % 40}`;
-    void sim.outside.visit(relay.config.client, 'Publish', { sender: `desk${seq}`, topic, seq: ++seq, body: 'x' }, 4_000).then((r) => {
-      under--;
-      const k = r?.body.accepted ? 'accepted' : String(r?.body.rejected?.reason ?? 'silent');
-      answered.set(k, (answered.get(k) ?? 0) + 1);
-    });
+    void sim.outside
+      .visit(relay.config.client, 'Publish', { sender: `desk${seq}`, topic, seq: ++seq, body: 'x' }, 4_000)
+      .then((r) => {
+        under--;
+        const k = r?.body.accepted ? 'accepted' : String(r?.body.rejected?.reason ?? 'silent');
+        answered.set(k, (answered.get(k) ?? 0) + 1);
+      });
   };
   /** Calls between nodes a client's request, over some seconds of 200 requests a second. */
   const traffic = async (s: number): Promise<{ calls: number; answers: Map<string, number> }> => {
@@ -41,7 +46,10 @@
     const from = out();
     const n = seq;
     answered.clear();
-    for (let i = 0; i < s * 200; i++) { say(); await f.pass(5); }
+    for (let i = 0; i < s * 200; i++) {
+      say();
+      await f.pass(5);
+    }
     return { calls: (out() - from) / (seq - n), answers: new Map(answered) };
   };
   const before = await traffic(3);
@@ -52,7 +60,9 @@
   sim.heal();
   await traffic(3);
   const after = await traffic(3);
-  t.log(`calls a request: before ${before.calls.toFixed(2)}, during ${during.calls.toFixed(2)}, after ${after.calls.toFixed(2)}`);
+  t.log(
+    `calls a request: before ${before.calls.toFixed(2)}, during ${during.calls.toFixed(2)}, after ${after.calls.toFixed(2)}`,
+  );
   t.log([...during.answers].join(' '), '/', [...after.answers].join(' '));
   t.true(during.calls < before.calls * 3, 'a refusal costs a call, and few of them a second');
   t.true(after.calls < before.calls * 1.2, 'no second wave');
--- a/packages/trial/src/test/samples.test.ts
+++ b/packages/trial/src/test/samples.test.ts
@@ -12,11 +12,21 @@
     const dir = join(root, 'samples', site);
     const files = readdirSync(dir);
     t.deepEqual(configFaults(JSON.parse(readFileSync(join(dir, 'families.json'), 'utf8'))), []);
-    const nodes = files.filter((f) => f !== 'families.json').map((f) => readNodeConfig(f.split('-')[0] as Role, join(dir, f), {}));
-    t.true(nodes.some((n) => n.role === 'store') && nodes.some((n) => n.role === 'relay' && n.data) && nodes.some((n) => n.role === 'relay' && !n.data));
+    const nodes = files
+      .filter((f) => f !== 'families.json')
+      .map((f) => readNodeConfig(f.split('-')[0] as Role, join(dir, f), {}));
+    t.true(
+      nodes.some((n) => n.role === 'store') &&
+        nodes.some((n) => n.role === 'relay' && n.data) &&
+        nodes.some((n) => n.role === 'relay' && !n.data),
+    );
     t.is(new Set(nodes.map((n) => n.seeds.join())).size, 1);
     t.is(new Set(nodes.flatMap((n) => [n.peer, n.client])).size, nodes.length * 2, 'every address once');
-    for (const s of nodes[0]!.seeds) t.true(nodes.some((n) => n.peer === s && n.role === 'store'), `${s} is a store`);
+    for (const s of nodes[0]!.seeds)
+      t.true(
+        nodes.some((n) => n.peer === s && n.role === 'store'),
+        `${s} is a store`,
+      );
   }
 });
 
--- a/packages/trial/src/test/scale.test.ts
+++ b/packages/trial/src/test/scale.test.ts
@@ -12,7 +12,10 @@
   await sim.run(16_000);
   const all = [...sim.traffic.values()];
   sim.close();
-  return { visits: all.reduce((n, t) => n + t.n, 0) / size / 4, kib: all.reduce((n, t) => n + t.bytes, 0) / size / 4 / 1024 };
+  return {
+    visits: all.reduce((n, t) => n + t.n, 0) / size / 4,
+    kib: all.reduce((n, t) => n + t.bytes, 0) / size / 4 / 1024,
+  };
 }
 
 test('the control plane costs a node about the same in a fleet three times as large, and never much', async (t) => {
--- a/packages/trial/src/test/senders.test.ts
+++ b/packages/trial/src/test/senders.test.ts
@@ -15,7 +15,11 @@
   for (const [i, seq] of seqs.entries()) t.deepEqual((await publish(s, r1, seq)).body, { accepted: { offset: i + 1 } });
   const all = async (why: string): Promise<void> => {
     for (const [i, seq] of seqs.entries()) {
-      t.deepEqual((await publish(s, i % 2 ? r1 : r2, seq)).body, { accepted: { offset: i + 1 } }, `${why}, number ${seq}`);
+      t.deepEqual(
+        (await publish(s, i % 2 ? r1 : r2, seq)).body,
+        { accepted: { offset: i + 1 } },
+        `${why}, number ${seq}`,
+      );
     }
   };
   await all('at another relay');
@@ -33,7 +37,11 @@
   const c = await s.attach(r1, 'phone');
   await s.ask(r1, 'Subscribe', { conn: c.conn, topic: TOPIC, cursor: 0 });
   await s.pass(1_000);
-  t.deepEqual(c.frames.flatMap((f) => (f.t === 'DELIVER' ? [f.seq] : [])), seqs, 'each was stored once');
+  t.deepEqual(
+    c.frames.flatMap((f) => (f.t === 'DELIVER' ? [f.seq] : [])),
+    seqs,
+    'each was stored once',
+  );
   s.sim.close();
 });
 
@@ -77,11 +85,23 @@
   const owner = s.ownerOf(TOPIC);
   // The owner hears its relays but not its copies: what it takes now is on no majority, and will be on none.
   for (const o of s.stores) if (o !== owner) s.sim.cut(owner.name, o.name);
-  const high = s.sim.outside.visit(r1.config.client, 'Publish', { sender: 'desk', topic: TOPIC, seq: 9, body: 'nine' }, 6_000);
+  const high = s.sim.outside.visit(
+    r1.config.client,
+    'Publish',
+    { sender: 'desk', topic: TOPIC, seq: 9, body: 'nine' },
+    6_000,
+  );
   await s.pass(50);
-  const low = s.sim.outside.visit(r1.config.client, 'Publish', { sender: 'desk', topic: TOPIC, seq: 5, body: 'five' }, 6_000);
+  const low = s.sim.outside.visit(
+    r1.config.client,
+    'Publish',
+    { sender: 'desk', topic: TOPIC, seq: 5, body: 'five' },
+    6_000,
+  );
   let early: unknown = 'none';
-  void low.then((x) => { early = x; });
+  void low.then((x) => {
+    early = x;
+  });
   await s.pass(200);
   t.is(early, 'none', 'no answer while nine is not committed');
   await s.pass(5_000);
@@ -113,10 +133,17 @@
   s.sim.close();
 });
 
-interface Sent { seq: number; asked: number; told: number; answer: string }
+interface Sent {
+  seq: number;
+  asked: number;
+  told: number;
+  answer: string;
+}
 /** Publishes a number every 5 ms on one connection, up to eight on the way, while something happens to the topic's owner at 300 ms. */
 async function pipelined(
-  seed: number, happen: (s: Small, owner: SimNode) => void, forMs = 2_500,
+  seed: number,
+  happen: (s: Small, owner: SimNode) => void,
+  forMs = 2_500,
 ): Promise<{ sent: Sent[]; delivered: number[]; most: number }> {
   const s = await smallFleet(seed);
   const [r1, r2] = s.relays as [SimNode, SimNode];
@@ -154,14 +181,36 @@
 
 const happenings: [what: string, mostMs: number, happen: (s: Small, owner: SimNode) => void][] = [
   ['is killed', 200, (s, o) => s.sim.kill(o)],
-  ['falls silent', 800, (s, o) => { for (const n of s.sim.nodes.values()) if (n !== o) s.sim.cut(o.name, n.name); }],
-  ['loses its links to the other copies', 1_400, (s, o) => { for (const n of s.stores) if (n !== o) s.sim.cut(o.name, n.name); }],
+  [
+    'falls silent',
+    800,
+    (s, o) => {
+      for (const n of s.sim.nodes.values()) if (n !== o) s.sim.cut(o.name, n.name);
+    },
+  ],
+  [
+    'loses its links to the other copies',
+    1_400,
+    (s, o) => {
+      for (const n of s.stores) if (n !== o) s.sim.cut(o.name, n.name);
+    },
+  ],
   ['is frozen', 800, (s, o) => s.sim.freeze(o)],
-  ['is stopped', 80, (s, o) => { void s.sim.stop(o); }],
-  ['hands its key to another', 80, (s, o) => {
-    const next = s.stores.find((n) => n !== o)!;
-    void next.kernel!.call(next.config.peer, 'TakeKey', { shard: shardOf(TOPIC) });
-  }],
+  [
+    'is stopped',
+    80,
+    (s, o) => {
+      void s.sim.stop(o);
+    },
+  ],
+  [
+    'hands its key to another',
+    80,
+    (s, o) => {
+      const next = s.stores.find((n) => n !== o)!;
+      void next.kernel!.call(next.config.peer, 'TakeKey', { shard: shardOf(TOPIC) });
+    },
+  ],
 ];
 for (const [what, mostMs, happen] of happenings) {
   const how = `none is refused or waits longer than ${mostMs} ms`;
@@ -181,14 +230,26 @@
     const sim = new Sim(seed);
     const m = await build(sim, SMALL);
     await sim.run(7_000);
-    void sim.outside.visit(m.relays[5]!.config.client, 'SubmitConfig', { changeId: 'c', config: configOf(SMALL) }, 9_000);
+    void sim.outside.visit(
+      m.relays[5]!.config.client,
+      'SubmitConfig',
+      { changeId: 'c', config: configOf(SMALL) },
+      9_000,
+    );
     await sim.run(16_000);
     const [victim, ...others] = m.disks as [SimNode, ...SimNode[]];
-    const owned = (n: SimNode): number[] => n.kernel!.use('owner').owned().map((k) => k.shard);
+    const owned = (n: SimNode): number[] =>
+      n
+        .kernel!.use('owner')
+        .owned()
+        .map((k) => k.shard);
     const before = others.map(owned);
     for (const n of others) sim.cut(victim.name, n.name);
     await sim.run(sim.now + 5_000);
-    t.deepEqual(others.map(owned).map((now, i) => before[i]!.filter((k) => !now.includes(k))), others.map(() => []));
+    t.deepEqual(
+      others.map(owned).map((now, i) => before[i]!.filter((k) => !now.includes(k))),
+      others.map(() => []),
+    );
     t.is(others.flatMap(owned).length, C.shardsN, 'the keys of the one that was cut off are with the others');
     sim.close();
   }
@@ -213,6 +274,9 @@
   t.true(lost > 0);
   t.is(r.body.next, 4);
   await s.pass(1_500);
-  t.deepEqual(c.frames.map((f) => f.t), ['ATTACHED']);
+  t.deepEqual(
+    c.frames.map((f) => f.t),
+    ['ATTACHED'],
+  );
   s.sim.close();
 });
--- a/packages/trial/src/test/sim.test.ts
+++ b/packages/trial/src/test/sim.test.ts
@@ -7,7 +7,10 @@
   const digest = async (seed: number): Promise<string> => {
     const r = await play(seed, SCENARIOS.get('mixed')!);
     // Conn ids and answers carry everything nodes drew; lines carry every change of state.
-    return createHash('sha256').update(JSON.stringify(r.seen.map((s) => ('try' in s ? { ...s, try: 0 } : s)))).update(r.sim.lines.join('\n')).digest('hex');
+    return createHash('sha256')
+      .update(JSON.stringify(r.seen.map((s) => ('try' in s ? { ...s, try: 0 } : s))))
+      .update(r.sim.lines.join('\n'))
+      .digest('hex');
   };
   const a = await digest(21);
   t.is(await digest(21), a);
--- a/packages/trial/src/test/transcripts.test.ts
+++ b/packages/trial/src/test/transcripts.test.ts
@@ -71,9 +71,18 @@
   await x.say(s.stores[0]!, 'Attach', { consumer: 'phone' });
   await x.say(r1, 'EmptyDisk', { disk: 'none' });
   await x.say(r1, 'EmptyDisk', { disk: s.stores[0]!.kernel!.use('register').disk });
-  await x.say(r1, 'SubmitConfig', { changeId: 'bad', config: { families: [{ name: 'a', topics: ['feed/1', 'feed/1'], urgency: 'routine', patienceMs: 0, memoryS: 30 }] } });
-  await x.say(r1, 'SubmitConfig', { changeId: 'bad', config: { families: [...FAMILIES, { ...FAMILIES[0], name: 'more', topics: ['feed/x*', 'feed/*'] }] } });
-  await x.say(r1, 'PlanMoves', { changeId: 'bad', moves: [{ id: 'm', kind: 'empty', node: '9.9.9.9:1', from: 1, until: 2 }] });
+  await x.say(r1, 'SubmitConfig', {
+    changeId: 'bad',
+    config: { families: [{ name: 'a', topics: ['feed/1', 'feed/1'], urgency: 'routine', patienceMs: 0, memoryS: 30 }] },
+  });
+  await x.say(r1, 'SubmitConfig', {
+    changeId: 'bad',
+    config: { families: [...FAMILIES, { ...FAMILIES[0], name: 'more', topics: ['feed/x*', 'feed/*'] }] },
+  });
+  await x.say(r1, 'PlanMoves', {
+    changeId: 'bad',
+    moves: [{ id: 'm', kind: 'empty', node: '9.9.9.9:1', from: 1, until: 2 }],
+  });
   await x.say(r1, 'ReadConfig', {});
   t.snapshot(x.lines);
   s.sim.close();
@@ -104,7 +113,10 @@
   const leave = s.sim.stop(r1);
   await s.pass(3_000);
   t.true(await leave, 'it left by itself');
-  t.deepEqual(c.frames.map((f) => f.t), ['ATTACHED', 'DELIVER', 'GOAWAY', 'CLOSED']);
+  t.deepEqual(
+    c.frames.map((f) => f.t),
+    ['ATTACHED', 'DELIVER', 'GOAWAY', 'CLOSED'],
+  );
   const owner = s.ownerOf('feed/7');
   const gone = s.sim.stop(owner);
   await s.pass(3_000);
--- a/packages/trial/src/test/turnover.test.ts
+++ b/packages/trial/src/test/turnover.test.ts
@@ -8,10 +8,10 @@
 /** The machine in its place is there this long after the loss, and its process a second later. */
 const REPLACED_MS = 2_000;
 
-const submit = (f: ControlFleet, n: SimNode, revision: number) => f.ask(n, 'SubmitConfig', { revision, document: { n: revision },
-  config: { families: FAMILIES } });
-const publish = (f: ControlFleet, n: SimNode, topic: string, seq: number) => f.ask(n, 'Publish', { sender: 'desk', topic, seq,
-  body: `message ${seq}` });
+const submit = (f: ControlFleet, n: SimNode, revision: number) =>
+  f.ask(n, 'SubmitConfig', { revision, document: { n: revision }, config: { families: FAMILIES } });
+const publish = (f: ControlFleet, n: SimNode, topic: string, seq: number) =>
+  f.ask(n, 'Publish', { sender: 'desk', topic, seq, body: `message ${seq}` });
 const topics = Array.from({ length: 40 }, (_, i) => `feed/${i}`);
 
 test('a control machine is replaced by an empty one elsewhere: it has the seat before the next loss', async (t) => {
@@ -26,8 +26,11 @@
       f.controls.push(empty);
       await f.pass(SYNC_MS - 1_000);
       const seats = seatsOf(f.controls[0]!);
-      t.deepEqual([...seats].sort(), f.controls.map(diskOf).sort(),
-        `seed ${seed} round ${round}: the seats are on the machines that are there`);
+      t.deepEqual(
+        [...seats].sort(),
+        f.controls.map(diskOf).sort(),
+        `seed ${seed} round ${round}: the seats are on the machines that are there`,
+      );
     }
     // The next loss comes at once, for good.
     f.sim.loseDisk(f.controls.shift()!);
@@ -66,8 +69,8 @@
     let seq = 0;
     const say = async (why: string): Promise<void> => {
       seq++;
-      for (const topic of topics) t.deepEqual((await publish(f, relay, topic, seq)).body, { accepted: { offset: seq } },
-        `${why}: ${topic}`);
+      for (const topic of topics)
+        t.deepEqual((await publish(f, relay, topic, seq)).body, { accepted: { offset: seq } }, `${why}: ${topic}`);
     };
     await say('before');
     for (let round = 0; round < 3; round++) {
@@ -79,8 +82,10 @@
       f.stores.push(empty);
       await f.pass(SYNC_MS - 1_000);
       const disks = f.stores.map(diskOf).sort();
-      t.true(copiesAt(f.controls[0]!).every((c) => [...c].sort().join() === disks.join()),
-        `seed ${seed} round ${round}: the copies are on the machines that are there`);
+      t.true(
+        copiesAt(f.controls[0]!).every((c) => [...c].sort().join() === disks.join()),
+        `seed ${seed} round ${round}: the copies are on the machines that are there`,
+      );
       await say(`round ${round}`);
     }
     f.sim.close();
@@ -101,8 +106,7 @@
   f.sim.close();
 });
 
-test('all power is lost, and every seed in the files is a machine that is gone: who has a disk knows the others, and calls those without',
-  async (t) => {
+test('all power is lost, and every seed in the files is a machine that is gone: who has a disk knows the others, and calls those without', async (t) => {
   const f = await controlFleet(8);
   await f.pass(6_000);
   t.is((await submit(f, f.controls[0]!, 5)).status, 200);
@@ -140,12 +144,22 @@
   await f.pass(4_000);
   const [c1, c2, c3] = f.controls as [SimNode, SimNode, SimNode];
   t.is(seatsOf(c1).length, 5);
-  t.deepEqual(f.controls.map((c) => seatsOf(c1).includes(diskOf(c))), [true, true, true], 'disks that are for nothing else come first');
+  t.deepEqual(
+    f.controls.map((c) => seatsOf(c1).includes(diskOf(c))),
+    [true, true, true],
+    'disks that are for nothing else come first',
+  );
   t.true(copiesAt(c1).every((c) => c.length === 5));
-  t.is((await f.ask(c1, 'SubmitConfig', { revision: 2, document: { n: 2 }, config: { families: FAMILIES } })).status, 200);
+  t.is(
+    (await f.ask(c1, 'SubmitConfig', { revision: 2, document: { n: 2 }, config: { families: FAMILIES } })).status,
+    200,
+  );
   for (const c of [c1, c2]) f.sim.loseDisk(c);
   await f.pass(1_000);
   t.is((await f.ask(c3, 'ReadConfig', {})).body.revision, 2);
-  t.is((await f.ask(c3, 'SubmitConfig', { revision: 3, document: { n: 3 }, config: { families: FAMILIES } })).status, 200);
+  t.is(
+    (await f.ask(c3, 'SubmitConfig', { revision: 3, document: { n: 3 }, config: { families: FAMILIES } })).status,
+    200,
+  );
   f.sim.close();
 });
--- a/packages/trial/src/weather.ts
+++ b/packages/trial/src/weather.ts
@@ -44,7 +44,10 @@
   private over(a: number, b: number): Weather[] {
     let first = -1;
     const out: Weather[] = [];
-    this.ws.forEach((w, i) => { if (w.t <= a - GRAIN_MS) first = i; else if (w.t <= b + GRAIN_MS) out.push(w); });
+    this.ws.forEach((w, i) => {
+      if (w.t <= a - GRAIN_MS) first = i;
+      else if (w.t <= b + GRAIN_MS) out.push(w);
+    });
     return first >= 0 ? [this.ws[first]!, ...out] : out;
   }
 
@@ -82,7 +85,10 @@
     for (const w of this.ws) {
       if (w.t > t) break;
       const s = w.well.join();
-      if (s !== was) { was = s; last = w.t; }
+      if (s !== was) {
+        was = s;
+        last = w.t;
+      }
     }
     return last;
   }
