Control: operators' calls, the agreed value and its questions in modules of their own

keeper.ts held the planners and the operators' calls, register.ts the types of the value, and placement -> register -> text was a circle. Moved without change: operators.ts, fleet-state.ts (what planners and operators both ask of a value), value.ts.

--- /dev/null
+++ b/packages/control/src/fleet-state.ts
@@ -0,0 +1,69 @@
+/**
+ * Questions about the agreed value that the planners and the operators' calls share: which machine a name means, what a disk
+ * still holds, and whether a machine may leave.
+ */
+import { C } from '@harecross/kernel';
+import type { Move } from '@harecross/schema';
+import type { Board } from './board.js';
+import { copiesFor, copyDisks, quickOf } from './placement.js';
+import { usedFor, type DiskRec, type Value } from './value.js';
+
+/** A disk by its id, or by the name of the machine it is in. */
+export const diskNamed = (v: Value, x: string): DiskRec | undefined => {
+  const there = [...v.disks.values()].filter((d) => d.name === x);
+  return v.disks.get(x) ?? there.find((d) => d.state !== 'lost') ?? there[0];
+};
+export const moveKey = (m: Move): string => `${m.id}@${m.from}`;
+/**
+ * Copies that a disk still has.
+ * @example
+ * copiesOn(value, 'd1k'); // 12
+ */
+export const copiesOn = (v: Value, disk: string): number =>
+  [...v.shards.values()].filter((p) => p.copies.includes(disk)).length;
+/** Whether nothing of the fleet is left on a disk. */
+export const isBare = (v: Value, disk: string): boolean => copiesOn(v, disk) === 0 && !v.seats.includes(disk);
+/** A machine that the calendar adds later is not let in before. */
+export const waitsFor = (v: Value, peer: string): number =>
+  Math.max(
+    0,
+    ...(v.config.moves ?? [])
+      .filter(
+        (m) =>
+          m.kind === 'add' &&
+          m.node === peer &&
+          !v.moves.has(moveKey(m)) &&
+          ![...v.disks.values()].some((d) => d.peer === peer),
+      )
+      .map((m) => m.from),
+  );
+
+/**
+ * Whether the calendar has this machine out for a restart now.
+ * @example
+ * awayNow(reg.value, k.self); // true from a restart's `from` to its `until`
+ */
+export const awayNow = (v: Value | undefined, peer: string): boolean =>
+  v !== undefined &&
+  (v.config.moves ?? []).some(
+    (m) => m.kind === 'restart' && m.node === peer && v.moves.get(moveKey(m))?.state === 'running',
+  );
+
+/** What keeps a machine from leaving now: a majority that would break, or copies that would have no place. */
+export function barTo(v: Value, m: Pick<Move, 'kind'>, disk: DiskRec | undefined, board: Board): string | undefined {
+  if (!disk) return undefined;
+  const live = (d: string): boolean => {
+    const x = board.ofDisk(d);
+    return d !== disk.id && x !== undefined && board.isLive(x.peer);
+  };
+  const short = (set: string[]): boolean => set.filter(live).length * 2 <= set.length;
+  if (short(v.seats)) return 'the register would lose its majority';
+  for (const [s, p] of v.shards) if (short(p.copies)) return `shard ${s} would lose its majority`;
+  if (m.kind === 'restart') return undefined;
+  const all = [...v.disks.values()].filter((d) => d.state === 'active' && usedFor(d, 'copies'));
+  const active = copyDisks(all, quickOf(all));
+  const now = copiesFor(v.config.copies ?? v.copies ?? C.copiesN, active.length);
+  const left = active.filter((d) => d.id !== disk.id && live(d.id));
+  if (left.length < now) return `${left.length} active live disks would be left for ${now} copies`;
+  return undefined;
+}
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -1,6 +1,6 @@
 import { C, rank } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
-import { firstFor, type DiskRec, type Placement } from './register.js';
+import { firstFor, type DiskRec, type Placement } from './value.js';
 
 /**
  * Copies a shard gets: odd, so that one more copy never costs a larger majority without bearing one more loss.
--- a/packages/control/src/text.ts
+++ b/packages/control/src/text.ts
@@ -1,6 +1,6 @@
 import { pack, unpack } from '@harecross/kernel';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import type { Value } from './register.js';
+import type { Value } from './value.js';
 
 /** Shorter texts stay as they are: there is nothing to gain. */
 const FROM_CHARS = 1_024;
