Simulator: drawn troubles of every kind on the shapes of the six deployments

sim-disk.ts runs the product's own disk code on files whose syncs take virtual time: a loss of power keeps, drops or tears each block written since the last sync, or drops all of them.

--- a/packages/trial/src/day.ts
+++ b/packages/trial/src/day.ts
@@ -403,7 +403,9 @@
   'unanswered',
   'read_back',
 ];
-const bad = judge(journal.seen, { wayMs: 1_500, timed: a.timed }).filter((v) => a.timed || TIMELESS.includes(v.rule));
+const bad = judge(journal.seen, { wayMs: 1_500, timed: a.timed, inForceMs: 3_000 }).filter(
+  (v) => a.timed || TIMELESS.includes(v.rule),
+);
 const back = recovery(journal.seen);
 if (back)
   say(
--- a/packages/trial/src/oracle.ts
+++ b/packages/trial/src/oracle.ts
@@ -44,10 +44,11 @@
   wayMs: number;
   /** Whether bounds on how long callers wait are judged: not on real processes of a machine that others use too. */
   timed: boolean;
+  /** A configuration is in force everywhere within this time after it was acknowledged. */
+  inForceMs: number;
 }
-const SIM: Bounds = { wayMs: 250, timed: true };
+const SIM: Bounds = { wayMs: 250, timed: true, inForceMs: 3_000 };
 
-const IN_FORCE_MS = 3_000;
 /** After the last fault and the last publish, this is time enough for any repair. */
 export const SETTLE_MS = 6_000;
 /** A node that became well this lately may still be joining. */
@@ -358,7 +359,7 @@
     const before = new Map<string, { t: number; version: number }[]>();
     for (const s of this.seen) {
       if (s.k !== 'node.says' && s.k !== 'node.silent') continue;
-      const due = this.taken.filter((x) => s.asked > x.t + IN_FORCE_MS).at(-1);
+      const due = this.taken.filter((x) => s.asked > x.t + this.b.inForceMs).at(-1);
       const able = this.sky.well(s.node, s.asked - JOIN_MS, s.t);
       if (s.k === 'node.silent') {
         if (due && able)
@@ -409,7 +410,7 @@
             s.t,
             `${s.node}: ${how} after version ${later.version} was at work there ${Math.round(s.asked - later.t)} ms before`,
           );
-        if (next && s.asked > next.t + IN_FORCE_MS)
+        if (next && s.asked > next.t + this.b.inForceMs)
           this.say(
             'config_late',
             s.t,
@@ -420,7 +421,10 @@
           l.push({ version: x.version, t: s.t });
           shown.set(s.node, l);
         }
-      } else if (s.asked > x.t + IN_FORCE_MS && s.t < Math.min(next?.submitted ?? Infinity, this.revisedAfter(x))) {
+      } else if (
+        s.asked > x.t + this.b.inForceMs &&
+        s.t < Math.min(next?.submitted ?? Infinity, this.revisedAfter(x))
+      ) {
         this.say(
           'config_late',
           s.t,
@@ -444,7 +448,7 @@
 
   /** Whether the family of a topic was surely not in force: 3 s after the answer, up to the next submit that brings it back. */
   private removed(topic: string, t: number): boolean {
-    const last = this.taken.filter((x) => x.t + IN_FORCE_MS + this.b.wayMs < t).at(-1);
+    const last = this.taken.filter((x) => x.t + this.b.inForceMs + this.b.wayMs < t).at(-1);
     if (!last || familyOf(last.config, topic)) return false;
     return ![...this.submits.values()].some((s) => {
       const a = this.told(s.changeId)[0];
@@ -465,14 +469,14 @@
       const now = familyOf(x.config, topic) !== undefined;
       const open = out.at(-1);
       if (!now && there) out.push({ from: x.submitted, to: Infinity });
-      else if (now && open?.to === Infinity) open.to = x.t + IN_FORCE_MS;
+      else if (now && open?.to === Infinity) open.to = x.t + this.b.inForceMs;
       there = now;
     }
     for (const s of this.submits.values()) {
       if (!s.valid || familyOf(s.config as FleetConfig, topic)) continue;
       const a = this.told(s.changeId)[0];
       if (!a) out.push({ from: s.t, to: Infinity });
-      else if (a.out === 'overtaken') out.push({ from: s.t, to: a.t + IN_FORCE_MS });
+      else if (a.out === 'overtaken') out.push({ from: s.t, to: a.t + this.b.inForceMs });
     }
     this.aways.set(topic, out);
     return out;
--- a/packages/trial/src/scenario.ts
+++ b/packages/trial/src/scenario.ts
@@ -3,7 +3,7 @@
 import type { FleetConfig } from '@harecross/schema';
 import { audit, Consumer, Operator, Pipeliner, Sender, type World } from './actors.js';
 import { Journal, type Seen } from './journal.js';
-import { judge, SETTLE_MS, type Violation } from './oracle.js';
+import { judge, SETTLE_MS, type Bounds, type Violation } from './oracle.js';
 import { seeded, Sim, type SimNode, type SimOpts } from './sim.js';
 
 /** A deployment's shape. */
@@ -166,6 +166,19 @@
   faults: (s: Stage) => Promise<void>;
   /** Length of the part with faults. */
   forMs?: number;
+  /** Makes and starts the machines; those of the site where left out. */
+  machines?: (sim: Sim, site: Site) => Promise<Machines>;
+  /** Brings the first configuration into force; the site's by one change where left out. */
+  first?: (stage: Stage) => Promise<unknown>;
+  /** What the judge allows; the simulator's usual bounds where left out. */
+  bounds?: Bounds;
+}
+
+/** The nodes of a run, by what they are for. */
+export interface Machines {
+  stores: SimNode[];
+  relays: SimNode[];
+  disks: SimNode[];
 }
 
 /**
@@ -173,11 +186,7 @@
  * @example
  * const { stores, relays, disks } = await build(sim, SMALL);
  */
-export async function build(
-  sim: Sim,
-  site: Site,
-  skewMs = 0,
-): Promise<{ stores: SimNode[]; relays: SimNode[]; disks: SimNode[] }> {
+export async function build(sim: Sim, site: Site, skewMs = 0): Promise<Machines> {
   const skew = (): number => (skewMs ? Math.round((sim.rnd.next() * 2 - 1) * skewMs) : 0);
   const stores = Array.from({ length: site.stores }, (_, i) =>
     sim.add(`store${i + 1}`, {
@@ -212,11 +221,15 @@
 }
 const diskOf = (n: SimNode): string | undefined => n.kernel?.use('register').disk;
 
+/** A node whose connections were reset counts as not well for this long: two looks of the stage. */
+const RESET_SHOWN_MS = 300;
+
 /** What the stage knows of its fleet, as the oracle's journal tells it. */
 function weatherOf(sim: Sim): { well: string[]; ailing: string[]; able: boolean; rough: boolean; poor: string[] } {
   const nodes = [...sim.nodes.values()];
   const v = valueOf(sim);
-  const up = nodes.filter((n) => n.up && !n.frozen && n.edge !== undefined);
+  const wasReset = (n: SimNode): boolean => n.resetAt !== undefined && sim.now - n.resetAt < RESET_SHOWN_MS;
+  const up = nodes.filter((n) => n.up && !n.frozen && !wasReset(n) && n.edge !== undefined);
   const at = new Map(
     up.flatMap((n) => {
       const d = diskOf(n);
@@ -270,7 +283,7 @@
 export async function play(seed: number, sc: Scenario): Promise<Run> {
   const site = sc.site ?? SMALL;
   const sim = new Sim(seed, sc.opts);
-  const m = await build(sim, site, sc.skewMs);
+  const m = await (sc.machines ? sc.machines(sim, site) : build(sim, site, sc.skewMs));
   const journal = new Journal(() => sim.now);
   const world: World = { clock: sim.clock, rnd: seeded(seed ^ 0x5eed), way: sim.outside, journal };
   const cr = crowd(world, site);
@@ -304,7 +317,7 @@
     for (const until = sim.now + limitMs; !kept && sim.now < until;) await sim.run(sim.now + 250);
     return kept;
   };
-  const first = cr.operator.submit('first', configOf(site), true);
+  const first = sc.first ? sc.first(stage) : cr.operator.submit('first', configOf(site), true);
   await sim.run(12_000);
   if (!(await drive(first, 60_000))) notes.push('the first configuration was never answered');
   for (const n of sim.nodes.values())
@@ -360,7 +373,7 @@
   watching = false;
   if (!(await drive(cr.operator.read(true), 90_000))) notes.push('the last read was never answered');
   journal.add({ k: 'end' });
-  const bad = judge(journal.seen);
+  const bad = judge(journal.seen, sc.bounds);
   const counters = new Map<string, number>();
   for (const n of sim.nodes.values())
     for (const [k, v] of n.kernel?.counters ?? []) counters.set(k, (counters.get(k) ?? 0) + v);
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -6,14 +6,19 @@
   type Clock,
   type Host,
   type Kernel,
+  type Log,
   type Net,
   type NodeConfig,
   type Rnd,
   type Role,
 } from '@harecross/kernel';
 import type { Frame } from '@harecross/schema';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import Database from 'better-sqlite3';
 import type { Way } from './actors.js';
+import { SimDisk } from './sim-disk.js';
 
 /**
  * A small seeded generator (mulberry32).
@@ -95,6 +100,8 @@
   skewMs: number;
   /** What lasts: only what was committed is in it. */
   sql?: Database.Database;
+  /** With `SimOpts.files`: its files, as the product's own disk code writes them. */
+  disk?: SimDisk;
   life: number;
   up: boolean;
   frozen: boolean;
@@ -111,6 +118,8 @@
   kernel?: Kernel;
   edge?: Edge;
   db?: Db;
+  /** When connections of it were last reset. */
+  resetAt?: number;
   /** The disk takes no more: the process is expected to notice and end. */
   fullDisk?: boolean;
   /** Calls under way at this node; they break when it dies. */
@@ -122,6 +131,8 @@
   delayMs?: [number, number];
   loss?: number;
   log?: boolean;
+  /** Disks are files that the product's own disk code opens and syncs, so that a loss of power can take what was not synced. */
+  files?: boolean;
 }
 
 /**
@@ -155,6 +166,8 @@
   measure = false;
   /** Unexpected errors of node code. */
   readonly errors: string[] = [];
+  /** Where the machines' files are, with `files`. */
+  private readonly folder?: string;
 
   constructor(
     readonly seed: number,
@@ -163,6 +176,7 @@
     this.rnd = seeded(seed);
     this.delay = opts.delayMs ?? [0.5, 6];
     this.loss = opts.loss ?? 0;
+    if (opts.files) this.folder = mkdtempSync(join(tmpdir(), 'harecross-sim-'));
   }
 
   private at(ms: number, fn: () => void): () => void {
@@ -318,53 +332,73 @@
       log: { info: note(''), warn: note('! ') },
       die: () => this.kill(n),
     };
-    if (n.config.data) {
-      n.sql ??= new Database(':memory:');
-      // A sync may stop the whole loop: nothing else of the node runs meanwhile, and only then is it done.
-      const blocking: Clock = {
-        ...clock,
-        after: (ms, fn) =>
-          clock.after(ms, () => {
-            const by = n.stallMs;
-            if (!by) {
-              fn();
-              return;
-            }
-            n.frozen = true;
-            this.at(by[0] + (by[1] - by[0]) * rnd.next(), () => {
-              if (!n.up || n.life !== life) return;
-              n.frozen = false;
-              fn();
-              this.runFrozen(n);
-            });
-          }),
-      };
-      const db = new Db(
-        n.sql,
-        blocking,
-        () => n.diskMs * (0.5 + rnd.next()),
-        (e) => {
-          this.lines.push(`${(this.now / 1000).toFixed(3)} ${n.name} disk fault: ${e.message}`);
-          if (!n.fullDisk) this.errors.push(`${n.name} disk: ${e.message}`);
-          this.kill(n);
-        },
-        n.config.peer,
-      );
-      db.openMs = n.diskMs;
-      n.db = host.db = db;
+    if (n.config.data && n.disk !== undefined && n.fullDisk) {
+      // The product's programs: a store ends, others go on without a disk.
+      if (n.config.role === 'store') {
+        this.kill(n);
+        return;
+      }
+    } else if (n.config.data) {
+      n.db = host.db = this.openDisk(n, this.blocking(n, life, clock, rnd), rnd, host.log);
     }
     const { kernel, edge } = await startNode(host);
     n.kernel = kernel;
     n.edge = edge;
   }
 
-  /** Ends the process at once; what was not synced is lost. Serves for a kill and for a loss of power. */
+  /** A node's clock under which a sync may stop the whole loop: nothing else of it runs meanwhile, and only then is it done. */
+  private blocking(n: SimNode, life: number, clock: Clock, rnd: Rnd): Clock {
+    return {
+      ...clock,
+      after: (ms, fn) =>
+        clock.after(ms, () => {
+          const by = n.stallMs;
+          if (!by) {
+            fn();
+            return;
+          }
+          n.frozen = true;
+          this.at(by[0] + (by[1] - by[0]) * rnd.next(), () => {
+            if (!n.up || n.life !== life) return;
+            n.frozen = false;
+            fn();
+            this.runFrozen(n);
+          });
+        }),
+    };
+  }
+
+  /** Opens a node's disk. */
+  private openDisk(n: SimNode, clock: Clock, rnd: Rnd, log: Log): Db | undefined {
+    const onFault = (e: Error): void => {
+      this.lines.push(`${(this.now / 1000).toFixed(3)} ${n.name} disk fault: ${e.message}`);
+      if (!n.fullDisk) this.errors.push(`${n.name} disk: ${e.message}`);
+      this.kill(n);
+    };
+    const syncMs = (): number => n.diskMs * (0.5 + rnd.next());
+    if (this.folder === undefined) {
+      n.sql ??= new Database(':memory:');
+      const db = new Db(n.sql, clock, syncMs, onFault, n.config.peer);
+      db.openMs = n.diskMs;
+      return db;
+    }
+    n.disk ??= new SimDisk(join(this.folder, n.name), {
+      afterSync: (fn) => void this.at(n.diskMs * (0.5 + this.rnd.next()), fn),
+    });
+    const db = n.disk.open(clock, log, onFault, n.config.peer);
+    db.openMs = n.diskMs;
+    n.sql = db.sql;
+    return db;
+  }
+
+  /** Ends the process at once. In memory what was not synced is lost, so that it serves for a loss of power too; files stay. */
   kill(n: SimNode): void {
     if (!n.up) return;
     n.up = false;
     n.life++;
     n.db?.drop();
     n.kernel?.end();
+    n.disk?.endProcess();
     n.handle = undefined;
     n.frozen = false;
     n.frozenWork = [];
@@ -374,6 +408,12 @@
     n.streams.clear();
   }
 
+  /** The machine loses power: what its disk had not synced may be gone. */
+  losePower(n: SimNode): void {
+    if (n.up) n.disk?.losePower(this.rnd);
+    this.kill(n);
+  }
+
   /** SIGTERM, and the hard kill 6 s later. Gives whether it left by itself. */
   async stop(n: SimNode): Promise<boolean> {
     const life = n.life;
@@ -386,7 +426,7 @@
     // The process's own bound, as in the program.
     await Promise.race([
       (async () => {
-        await stopButDisk(k);
+        await (n.disk ? k.stop() : stopButDisk(k));
         left = true;
       })(),
       new Promise<void>((r) => {
@@ -402,14 +442,16 @@
   /** The disk dies with all that is on it; the machine comes back with an empty one, if at all. */
   loseDisk(n: SimNode): void {
     this.kill(n);
-    n.sql?.close();
+    n.disk?.wipe();
+    if (n.sql?.open) n.sql.close();
     n.sql = undefined;
   }
 
   /** No more room on the disk, or room again. */
   fillDisk(n: SimNode, full: boolean): void {
     n.fullDisk = full;
-    n.sql!.pragma(`max_page_count = ${full ? Number(n.sql!.pragma('page_count', { simple: true })) : 1_073_741_823}`);
+    if (n.sql?.open)
+      n.sql.pragma(`max_page_count = ${full ? Number(n.sql.pragma('page_count', { simple: true })) : 1_073_741_823}`);
   }
 
   freeze(n: SimNode): void {
@@ -635,8 +677,9 @@
   close(): void {
     for (const n of this.nodes.values()) {
       this.kill(n);
-      n.sql?.close();
+      if (n.sql?.open) n.sql.close();
     }
+    if (this.folder !== undefined) rmSync(this.folder, { recursive: true, force: true });
   }
 }
 
--- /dev/null
+++ b/packages/trial/src/trouble/day.ts
@@ -0,0 +1,110 @@
+/** A day of drawn troubles in the simulator, on the shape of a deployment. */
+import { play, type Run, type Scenario, type Stage } from '../scenario.js';
+import { Marker } from '../actors.js';
+import { seeded } from '../sim.js';
+import type { Deployment } from './deployment.js';
+import { siteOf } from './deployment.js';
+import { playOf } from './kinds.js';
+import { Machines } from './machines.js';
+import { Orders } from './orders.js';
+import type { Trouble } from './schedule.js';
+import { note, pause, type TroubleStage } from './stage.js';
+import { Tolerance } from './tolerance.js';
+
+/** Clocks of the machines differ by up to this much. */
+const SKEW_MS = 200;
+/** Marker topics are asked for this often, at every access machine: often enough to see an old configuration at work. */
+const MARKER_MS = 250;
+/** The fleet is left alone for this long before it is judged whole. */
+const QUIET_MS = 6_000;
+/** A day lasts at least this long. */
+const DAY_MS = 20_000;
+/** On the way of an answer to its observer, on top of every bound. */
+const WAY_MS = 250;
+
+interface Parts {
+  machines?: Machines;
+  orders?: Orders;
+}
+
+/** A day as the stage plays it. */
+function dayOf(deployment: Deployment, troubles: readonly Trouble[], log: boolean): Scenario {
+  const parts: Parts = {};
+  const site = siteOf(deployment);
+  return {
+    site,
+    forMs: DAY_MS,
+    opts: { files: true, delayMs: [0.5, 4], log },
+    bounds: { wayMs: WAY_MS, timed: true, inForceMs: deployment.applyMs },
+    machines: async (sim) => {
+      const machines = new Machines(sim, deployment, SKEW_MS);
+      parts.machines = machines;
+      machines.begin();
+      const nodes = (type: 'core' | 'store' | 'access') => machines.of(type).flatMap((m) => m.nodes);
+      const relays = [...nodes('core'), ...nodes('access')].filter((n) => n.config.role === 'relay');
+      return { stores: nodes('store'), relays, disks: machines.counted().map((m) => m.main) };
+    },
+    first: (stage) => {
+      parts.orders = new Orders(stage.world, parts.machines!, site);
+      // The day reads the newest configuration at its end; the platform's operator does so at a core machine.
+      stage.crowd.operator = parts.orders.operator;
+      return parts.orders.change();
+    },
+    faults: (stage) => playTroubles(stage, parts.machines!, parts.orders!, troubles),
+  };
+}
+
+async function playTroubles(
+  stage: Stage,
+  machines: Machines,
+  orders: Orders,
+  troubles: readonly Trouble[],
+): Promise<void> {
+  const { losses, syncMs } = machines.deployment;
+  const s: TroubleStage = {
+    stage,
+    machines,
+    orders,
+    tolerance: new Tolerance(machines.sim.clock, losses, syncMs),
+  };
+  const marker = watchMarkers(stage, orders);
+  await Promise.all(
+    troubles.map(async (trouble) => {
+      await pause(s, trouble.at);
+      await playOf(trouble.kind)(s, trouble, seeded(trouble.pick));
+    }),
+  );
+  while (s.tolerance.count() > 0) await pause(s, 500);
+  note(s, 'all troubles are over');
+  await pause(s, QUIET_MS);
+  await orders.change('idle');
+  marker.stop();
+  machines.end();
+}
+
+/** Asks every relay which configuration it serves by, all day. */
+function watchMarkers(stage: Stage, orders: Orders): { stop(): void } {
+  const marker = new Marker(stage.world, MARKER_MS);
+  marker.start(stage.relays.map((n) => n.config.client));
+  let on = true;
+  const follow = (): void => {
+    marker.at = orders.mark;
+    if (on) stage.sim.clock.after(MARKER_MS, follow);
+  };
+  follow();
+  return {
+    stop: () => {
+      on = false;
+      marker.stop();
+    },
+  };
+}
+
+/**
+ * Plays a day with these troubles.
+ * @example
+ * const run = await playDay(7, DEPLOYMENTS.get('sss-control')!, drawSchedule(7, 6));
+ */
+export function playDay(seed: number, deployment: Deployment, troubles: readonly Trouble[], log = false): Promise<Run> {
+  return play(seed, dayOf(deployment, troubles, log));
+}
--- /dev/null
+++ b/packages/trial/src/trouble/stage.ts
@@ -0,0 +1,60 @@
+/** What a trouble has at hand while it is played. */
+import { sample, sleep, type Rnd } from '@harecross/kernel';
+import type { Stage } from '../scenario.js';
+import type { Machine, Machines } from './machines.js';
+import type { Orders } from './orders.js';
+import type { MachineClass, Trouble } from './schedule.js';
+import type { Claim, Tolerance } from './tolerance.js';
+
+/** The stage of a day with drawn troubles. */
+export interface TroubleStage {
+  stage: Stage;
+  machines: Machines;
+  orders: Orders;
+  tolerance: Tolerance;
+}
+
+/** Plays one trouble to its end, when the fleet is as whole as before it. */
+export type Play = (s: TroubleStage, trouble: Trouble, rnd: Rnd) => Promise<void>;
+
+export const pause = (s: TroubleStage, ms: number): Promise<void> => sleep(s.machines.sim.clock, ms);
+
+/** Notes what is done, with its victims. */
+export function note(s: TroubleStage, what: string, machines: readonly Machine[] = []): void {
+  s.stage.note(`${what} ${machines.map((m) => m.name).join(' ')}`.trim());
+}
+
+/** The machines that the words of a trouble point at, or all of its class. */
+export function targets(s: TroubleStage, trouble: Trouble): Machine[] {
+  const all = s.machines.of(trouble.on);
+  const word = (name: string): boolean => trouble.how.includes(name);
+  const pointed: (Machine | undefined)[] = [];
+  if (word('leader')) pointed.push(s.orders.lastAck?.machine);
+  if (word('reader')) pointed.push(s.orders.lastRead?.machine);
+  if (word('seed')) pointed.push(s.machines.listed()[0]);
+  const found = pointed.filter((m): m is Machine => m !== undefined && all.includes(m));
+  return found.length ? found : all;
+}
+
+/** Claims the victims of a trouble; undefined where its turn never came. */
+export async function claim(s: TroubleStage, trouble: Trouble, rnd: Rnd): Promise<Claim | undefined> {
+  const claimed = await s.tolerance.claim(() => targets(s, trouble), trouble.count, rnd);
+  if (!claimed) note(s, `no turn for ${trouble.kind}`);
+  return claimed;
+}
+
+/** Resolves at the next work of a client that is accepted, with the machine that stored it; or after a while without one. */
+export async function nextWork(s: TroubleStage, on: MachineClass, rnd: Rnd): Promise<Machine | undefined> {
+  const { seen } = s.stage.world.journal;
+  const from = seen.length;
+  const accepted = (): boolean => seen.slice(from).some((x) => x.k === 'pub.answer' && x.out === 'accepted');
+  for (let i = 0; i < WORK_LOOKS && !accepted(); i++) await pause(s, WORK_LOOK_MS);
+  const last = seen.slice(from).find((x) => x.k === 'pub.answer' && x.out === 'accepted');
+  if (last?.k !== 'pub.answer') return undefined;
+  const owners = s.machines
+    .of(on)
+    .filter((m) => m.isUp() && m.main.kernel?.has('owner') && m.main.kernel.use('owner').owned().length > 0);
+  return sample(rnd, owners, 1)[0] ?? sample(rnd, s.machines.of(on), 1)[0];
+}
+const WORK_LOOK_MS = 3;
+const WORK_LOOKS = 700;
