--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -393,30 +393,26 @@
     return reply.code(status).send({ error: fault });
   });
   app.setNotFoundHandler((req, reply) =>
-    reply
-      .code(404)
-      .send({
-        error: {
-          tag: 'unknown_method',
-          step: 'read',
-          peer: k.self,
-          method: `${req.method} ${req.url}`,
-        } satisfies Fault,
-      }),
+    reply.code(404).send({
+      error: {
+        tag: 'unknown_method',
+        step: 'read',
+        peer: k.self,
+        method: `${req.method} ${req.url}`,
+      } satisfies Fault,
+    }),
   );
   app.get('/condition', (_req, reply) => {
     const ok = edge.serving();
-    return reply
-      .code(ok ? 200 : 503)
-      .send({
-        condition: ok
-          ? 'ready'
-          : k.phase !== 'running'
-            ? k.phase
-            : awayNow(k.use('register').value, k.self)
-              ? 'away'
-              : 'joining',
-      });
+    return reply.code(ok ? 200 : 503).send({
+      condition: ok
+        ? 'ready'
+        : k.phase !== 'running'
+          ? k.phase
+          : awayNow(k.use('register').value, k.self)
+            ? 'away'
+            : 'joining',
+    });
   });
   app.post('/rpc/Attach', async (req, reply) => {
     await edge.starting();
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -261,19 +261,17 @@
       .raw()
       .iterate();
     for (const r of rows as Iterable<[number, number, string, string, number, number, string, number, string]>) {
-      out
-        .get(r[0])
-        ?.entries.push({
-          idx: r[1],
-          fence: one(r[2]),
-          topic: one(r[3]),
-          off: r[4],
-          era: r[5],
-          sender: one(r[6]),
-          seq: r[7],
-          body: r[8],
-          at: now,
-        });
+      out.get(r[0])?.entries.push({
+        idx: r[1],
+        fence: one(r[2]),
+        topic: one(r[3]),
+        off: r[4],
+        era: r[5],
+        sender: one(r[6]),
+        seq: r[7],
+        body: r[8],
+        at: now,
+      });
     }
     return out;
   }
