--- a/packages/trial/src/test/ci.test.ts
+++ b/packages/trial/src/test/ci.test.ts
@@ -1,9 +1,9 @@
 import { execFile } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 
 const script = new URL('../../../../.ci/verdict.mjs', import.meta.url);
 const { knownRed, readTap, verdict } = (await import(script.href)) as {
@@ -140,3 +140,67 @@
   ]);
   t.is((await run(tap(GOOD))).code, 1, 'listed, but gone');
 });
+
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+
+test('formatter, build and linter run before the tests, and none of them is passed over', (t) => {
+  const lines = readFileSync(join(ROOT, '.ci/run'), 'utf8')
+    .split('\n')
+    .filter((line) => line && !line.startsWith('#'));
+  t.deepEqual(lines.slice(0, -1), [
+    'set -euo pipefail',
+    'cd "$(dirname "$0")/.."',
+    'npm ci',
+    'check() { npm run "$1" || { echo "0 passed, 1 failed"; exit 1; }; }',
+    'check format',
+    'check build',
+    'check lint',
+  ]);
+  t.regex(lines.at(-1)!, /npm test -- --tap .*verdict\.mjs KNOWN-RED\.txt$/);
+  const { scripts } = JSON.parse(readFileSync(join(ROOT, 'package.json'), 'utf8')) as {
+    scripts: Record<string, string>;
+  };
+  t.is(scripts.format, 'prettier --check .');
+  t.is(scripts.lint, 'oxlint --type-aware');
+});
+
+/** What a tool of this checkout says of a file, in a folder of its own, under the checkout's settings. */
+function findings(t: ExecutionContext, tool: string, args: string[], text: string): Promise<string> {
+  const folder = mkdtempSync(join(tmpdir(), 'harecross-test-'));
+  t.teardown(() => rmSync(folder, { recursive: true, force: true }));
+  writeFileSync(join(folder, 'planted.ts'), text);
+  const compilerOptions = { target: 'es2022', module: 'nodenext', strict: true };
+  writeFileSync(join(folder, 'tsconfig.json'), JSON.stringify({ compilerOptions, files: ['planted.ts'] }));
+  return new Promise((resolve) => {
+    execFile(join(ROOT, 'node_modules/.bin', tool), args, { cwd: folder }, (error, out, err) => {
+      resolve(error ? `failed: ${out}${err}` : 'nothing');
+    });
+  });
+}
+
+test('a line that is not formatted, or that the linter finds, fails', async (t) => {
+  const format = (text: string): Promise<string> =>
+    findings(t, 'prettier', ['--config', join(ROOT, '.prettierrc.json'), '--check', 'planted.ts'], text);
+  t.is(await format("export const said = 'yes';\n"), 'nothing');
+  t.regex(await format('export const said = "yes"\n'), /^failed: .*planted\.ts/s);
+
+  const lint = (text: string): Promise<string> =>
+    findings(t, 'oxlint', ['--type-aware', '--config', join(ROOT, '.oxlintrc.json'), 'planted.ts'], text);
+  t.is(await lint("export const said = 'yes';\n"), 'nothing');
+  for (const [text, rule] of [
+    ['export const said: any = 1;\n', 'no-explicit-any'],
+    ['export function say(): void {\n  const unused = 1;\n}\n', 'no-unused-vars'],
+    ["export const said = (n: number): string => (n > 1 ? 'many' : n > 0 ? 'one' : 'none');\n", 'no-nested-ternary'],
+    [
+      'const later = async (): Promise<void> => {};\nexport const say = (): void => {\n  later();\n};\n',
+      'no-floating-promises',
+    ],
+    [
+      'const later = async (): Promise<void> => {};\nexport const said = [1].map((x) => {\n  if (later()) return x;\n  return 0;\n});\n',
+      'no-misused-promises',
+    ],
+  ] as const) {
+    const said = await lint(text);
+    t.true(said.startsWith('failed: ') && said.includes(rule), `${rule}: ${said}`);
+  }
+});
