Board: a record is handed on with how long its member was silent

Cause: a node that joins took the record of a machine that is gone for heard of just now, suspected it for deadMs and kept it for forgetMs of its own, and handed it on as such.

Ruled out: tombstones that are kept too short (they were there; the record came to nodes without them, and from these back).

Change: the record of a member that is not live goes with the time since it was heard of, as an optional fourth element that older nodes ignore; the receiver's clock for suspected, dead and forgotten starts there. A record beyond forgetMs is not taken. Tombstones go after tombstoneMs; before, each address that ever died left two for good.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -30,6 +30,8 @@
   diskUses?: DiskUse[];
   /** How long its disk took when it was opened (ms). */
   diskMs?: number;
+  /** Its disk was emptied for an operator, and nobody took that back. */
+  emptied?: boolean;
   inst: string;
   condition: Condition;
   /** Conns held. */
@@ -49,7 +51,8 @@
   ver: string;
   val: unknown;
 }
-type Wire = [key: string, ver: string, val: unknown];
+/** `quietMs`, for a member's record only: how long the sender has not heard of a member that it doesn't hold for live. */
+type Wire = [key: string, ver: string, val: unknown, quietMs?: number];
 
 declare module '@harecross/kernel' {
   interface Faces {
@@ -72,7 +75,8 @@
   readonly changed$ = new Subject<string>();
   readonly state$ = new Subject<Member>();
   private view = new Map<string, number>();
-  private forgotten = new Map<string, string>();
+  /** Versions of records that were forgotten, so that who still has them does not bring them back; and since when. */
+  private forgotten = new Map<string, { ver: string; at: number }>();
   private probing = new Set<string>();
   private turnOrder: string[] = [];
   /** Sum over all facts, for digests that are equal to be seen as equal at once. */
@@ -82,7 +86,7 @@
   private kept: string[] = [];
   /** Who called us and is no member yet: some member knows us from before. */
   private callers = new Set<string>();
-  private mine: Pick<MemberRec, 'condition' | 'weight' | 'disk'> = { condition: 'joining', weight: 0 };
+  private mine: Pick<MemberRec, 'condition' | 'weight' | 'disk' | 'emptied'> = { condition: 'joining', weight: 0 };
   private saidWeight = 0;
 
   constructor(private k: Kernel) {
@@ -96,7 +100,7 @@
     });
     // What a digest missed is taken, not passed on: it is no news, and the next digests carry it further.
     k.on('Mend', (b: { items: Wire[] }) => {
-      for (const [key, v, x] of b.items) this.set(key, v, x);
+      for (const item of b.items) this.set(...item);
       return true;
     });
     k.on('Shuffle', (b: { peers: string[] }, f) => {
@@ -137,13 +141,14 @@
   }
 
   /** Changes what we say of ourselves. Small changes of weight wait for a larger one. */
-  say(x: Partial<Pick<MemberRec, 'condition' | 'weight' | 'disk'>>): void {
+  say(x: Partial<Pick<MemberRec, 'condition' | 'weight' | 'disk' | 'emptied'>>): void {
     const was = this.mine;
     this.mine = { ...was, ...x };
     const step = Math.max(8, this.saidWeight / 5);
     if (
       was.condition === this.mine.condition &&
       was.disk === this.mine.disk &&
+      (was.emptied ?? false) === (this.mine.emptied ?? false) &&
       Math.abs(this.mine.weight - this.saidWeight) < step
     )
       return;
@@ -241,14 +246,21 @@
     return got;
   }
 
+  /**
+   * A fact as it is sent. How long a member has been silent goes with its record: a node that joins would else hold it for heard of
+   * just now, and pass it on as such, so that a fleet in which nodes begin again and again would never forget a machine that is gone.
+   */
   private wire(key: string): Wire {
     const i = this.items.get(key)!;
-    return [key, i.ver, i.val];
+    const m = key.startsWith('m/') ? this.members.get(key.slice(2)) : undefined;
+    if (!m || m.state === 'live') return [key, i.ver, i.val];
+    return [key, i.ver, i.val, Math.max(0, Math.round(this.k.host.clock.now() - m.seenAt))];
   }
 
-  private set(key: string, ver: string, val: unknown): boolean {
+  private set(key: string, ver: string, val: unknown, quietMs = 0): boolean {
     const old = this.items.get(key);
     if (old && old.ver >= ver) return false;
+    if (!old && quietMs > C.forgetMs) return false;
     if (key === `m/${this.k.self}` && (val as MemberRec).inst !== this.k.inst) {
       // A record of the process that was here before, from a clock that ran ahead of ours.
       this.k.outlive((val as MemberRec).inst);
@@ -257,13 +269,13 @@
     }
     const f = this.forgotten.get(key);
     if (f !== undefined) {
-      if (f >= ver) return false;
+      if (f.ver >= ver) return false;
       this.forgotten.delete(key);
     }
     if (old) this.sum(key, old.ver, -1);
     this.sum(key, ver, 1);
     this.items.set(key, { ver, val });
-    if (key.startsWith('m/')) this.meet(val as MemberRec);
+    if (key.startsWith('m/')) this.meet(val as MemberRec, quietMs);
     else if (key.startsWith('s/')) this.suspicion(key.slice(2), ver);
     this.changed$.next(key);
     return true;
@@ -294,10 +306,11 @@
     if (m.state !== 'live') this.turn(m, 'live');
   }
 
-  private meet(r: MemberRec): void {
+  private meet(r: MemberRec, quietMs: number): void {
     const now = this.k.host.clock.now();
     const old = this.members.get(r.peer);
-    const m: Member = { ...r, state: old?.state ?? 'dead', seenAt: now, liveSince: old?.liveSince ?? now };
+    const seenAt = Math.max(now - quietMs, old?.seenAt ?? -Infinity);
+    const m: Member = { ...r, state: old?.state ?? 'dead', seenAt, liveSince: old?.liveSince ?? now };
     this.members.set(r.peer, m);
     const again = old !== undefined && old.inst !== r.inst;
     if (again) m.liveSince = now;
@@ -320,7 +333,7 @@
   }
 
   private take(items: Wire[]): void {
-    const fresh = items.filter(([k, v, x]) => this.set(k, v, x));
+    const fresh = items.filter((item) => this.set(...item));
     if (fresh.length) this.pass(fresh, C.newsFanN);
   }
 
@@ -361,7 +374,7 @@
           digest: [...this.items].map(([k, i]) => [k, i.ver] as [string, string]),
         });
       if (r === 'same' || r === 'differs') return 0;
-      const fresh = r.newer.filter(([k, v, x]) => this.set(k, v, x)).length;
+      const fresh = r.newer.filter((item) => this.set(...item)).length;
       if (r.want.length)
         await this.k.call(p, 'Mend', { items: r.want.filter((w) => this.items.has(w)).map((w) => this.wire(w)) });
       return fresh;
@@ -399,13 +412,13 @@
     const theirs = new Map(digest);
     const want: string[] = [];
     for (const [k, v] of theirs) {
-      const mine = this.items.get(k)?.ver ?? this.forgotten.get(k);
+      const mine = this.items.get(k)?.ver ?? this.forgotten.get(k)?.ver;
       if (mine === undefined || mine < v) want.push(k);
     }
     const newer: Wire[] = [];
     for (const [k, i] of this.items) {
       const v = theirs.get(k);
-      if (v === undefined || v < i.ver) newer.push([k, i.ver, i.val]);
+      if (v === undefined || v < i.ver) newer.push(this.wire(k));
     }
     return { newer, want };
   }
@@ -498,6 +511,7 @@
       if (m.state === 'suspect' && quiet > C.deadMs) this.turn(m, 'dead');
       if ((m.state === 'dead' || m.state === 'left') && quiet > C.forgetMs) this.forget(m.peer);
     }
+    for (const [key, f] of this.forgotten) if (now - f.at > C.tombstoneMs) this.forgotten.delete(key);
     for (let left = this.members.size; left > 0; left--) {
       if (!this.turnOrder.length) this.turnOrder = sample(rnd, [...this.members.keys()], this.members.size);
       const m = this.members.get(this.turnOrder.pop()!);
@@ -511,7 +525,7 @@
     for (const key of [`m/${peer}`, `s/${peer}`]) {
       const i = this.items.get(key);
       if (!i) continue;
-      this.forgotten.set(key, i.ver);
+      this.forgotten.set(key, { ver: i.ver, at: this.k.host.clock.now() });
       this.sum(key, i.ver, -1);
       this.items.delete(key);
     }
