Control: records of disks that are gone and hold nothing are forgotten

Change: forget.ts. A lost or emptied record may go when it holds no replica, votes neither now nor in the majority before, and no planned move names its machine; it goes after 10 min without the machine, sooner where more than 64 wait. A disk keeps by itself that it was emptied and its member says so, so that it comes back as emptied however long it was away. Maps by peer in the data plane (ableThen, doubted, vain) drop what is past.

Why safe: a forgotten disk that comes back joins without replica and vote, as a lost one with its record does; its promises are on its disk, its entries are compared with the shard's history, its accepted value has a lower ballot than what was chosen since.

Ruled out: eras (bounded by patterns in force and their depth) and moves (trimmed to the calendar) do not grow.

--- /dev/null
+++ b/packages/control/src/forget.ts
@@ -0,0 +1,94 @@
+/**
+ * Bounds the agreed value: records of disks that are gone and hold nothing are forgotten, so that replacing machines for years
+ * leaves the value as large as the fleet, not as its past.
+ */
+import { C, type Kernel } from '@harecross/kernel';
+import type { Store } from '@harecross/state';
+import type { Board } from './board.js';
+import { isBare } from './fleet-state.js';
+import type { Register } from './register.js';
+import type { DiskRec, Value } from './value.js';
+
+/** The key under which a disk keeps that it was emptied. */
+const EMPTIED_ROW = 'emptied';
+
+/**
+ * Whether nothing in the value needs the record of this disk any more: the fleet has given it up (lost), or has emptied it; no shard
+ * has a replica on it; it votes neither now nor in the majority that the next change still asks; and no planned move names its machine.
+ *
+ * Forgetting such a record is safe when the disk comes back. It joins as any unknown disk does, with no replica and no vote, exactly as
+ * a lost disk with its record would. What it has on disk is fenced: its promises stay there, a replica's entries are compared with the
+ * shard's history before they count, and its accepted value has a lower ballot than what a majority of the voters has accepted since.
+ */
+export function isForgettable(value: Value, disk: DiskRec): boolean {
+  if (disk.state === 'active') return false;
+  if (!isBare(value, disk.id) || value.prevSeats.includes(disk.id)) return false;
+  return !(value.config.moves ?? []).some((move) => move.node === disk.peer);
+}
+
+/**
+ * Chooses the records that are forgotten: after `C.forgetDiskMs` without the machine, by this controller's own observation, so that
+ * an operator who asks for the outcome of an emptying is still answered; sooner when more than `C.forgettableN` are waiting.
+ * @example
+ * const next = forgetting.plan(value); // undefined when nothing is due
+ */
+export class ForgetPlanner {
+  /** Since when each record could have been forgotten, by our clock, in the order in which we noticed. */
+  private since = new Map<string, number>();
+
+  constructor(
+    private kernel: Kernel,
+    private board: Board,
+  ) {}
+
+  /** The value without the records that are due, and the disks' ids; undefined when none is. */
+  plan(value: Value): { next: Value; forgotten: string[] } | undefined {
+    this.observe(value);
+    const now = this.kernel.host.clock.now();
+    const surplus = this.since.size - C.forgettableN;
+    const forgotten = [...this.since]
+      .filter(([, since], index) => index < surplus || now - since >= C.forgetDiskMs)
+      .map(([id]) => id);
+    if (!forgotten.length) return undefined;
+    const disks = new Map(value.disks);
+    for (const id of forgotten) disks.delete(id);
+    return { next: { ...value, disks }, forgotten };
+  }
+
+  private observe(value: Value): void {
+    const now = this.kernel.host.clock.now();
+    const waiting = [...value.disks.values()].filter((disk) => isForgettable(value, disk) && !this.isThere(disk));
+    const ids = new Set(waiting.map((disk) => disk.id));
+    for (const id of this.since.keys()) if (!ids.has(id)) this.since.delete(id);
+    for (const id of ids) if (!this.since.has(id)) this.since.set(id, now);
+  }
+
+  /** A machine that may still be running with this disk: suspected is not gone. */
+  private isThere(disk: DiskRec): boolean {
+    const member = this.board.ofDisk(disk.id);
+    return member?.state === 'live' || member?.state === 'suspect';
+  }
+}
+
+/**
+ * A disk keeps by itself that it was emptied, and its member says so: long after its record was forgotten it joins as an emptied disk,
+ * which takes no replica and no vote, until an operator takes the emptying back. Follows the agreed value.
+ */
+export function rememberEmptied(kernel: Kernel, board: Board, register: Register, store: Store): void {
+  let emptied = store.get(EMPTIED_ROW) === 'yes';
+  board.say({ emptied });
+  const follow = (value: Value | undefined): void => {
+    const state = register.disk === undefined ? undefined : value?.disks.get(register.disk)?.state;
+    if (state === undefined || state === 'lost') return;
+    if (emptied === (state === 'emptying')) return;
+    emptied = !emptied;
+    const saved = emptied;
+    store.db
+      .commit(() => store.set(EMPTIED_ROW, saved ? 'yes' : 'no'))
+      .then(
+        () => board.say({ emptied: saved }),
+        () => kernel.count('forget.unsaved'),
+      );
+  };
+  kernel.keep(register.value$.subscribe(follow));
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -4,6 +4,7 @@
 export * from './value.js';
 export * from './register.js';
 export * from './fleet-state.js';
+export * from './forget.js';
 export * from './keeper.js';
 export * from './operators.js';
 export * from './placement.js';
--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,11 +1,12 @@
 /** The fleet's controller: compares the agreed value with the machines that are there and plans the next step. */
 import { C, loop, rank, register, type Kernel } from '@harecross/kernel';
 import type { Move } from '@harecross/schema';
-import type { Board } from './board.js';
+import type { Board, Member } from './board.js';
 import { barTo, copiesOn, isBare, moveKey, waitsFor } from './fleet-state.js';
+import { ForgetPlanner } from './forget.js';
 import { copiesFor, targetsOf, wantedCopies } from './placement.js';
 import type { Register } from './register.js';
-import { firstFor, usedFor, type DiskRec, type MoveState, type Value } from './value.js';
+import { firstFor, usedFor, type DiskRec, type DiskState, type MoveState, type Value } from './value.js';
 
 /** What the owner of a shard says on the board under `key/<shard>`. */
 export interface KeyRec {
@@ -31,6 +32,7 @@
  */
 export class Keeper {
   private lastPlan = '';
+  private readonly forgetting: ForgetPlanner;
 
   constructor(
     private k: Kernel,
@@ -38,6 +40,7 @@
     private reg: Register,
   ) {
     const { clock, rnd } = k.host;
+    this.forgetting = new ForgetPlanner(k, board);
     k.keep(loop(clock, C.keeperMs, rnd, () => this.round()));
   }
 
@@ -68,7 +71,14 @@
 
   /** The next step from this value, if one is due. */
   private plan(v: Value): Value | undefined {
-    return this.planDisks(v) ?? this.planSeats(v) ?? this.planMoves(v) ?? this.planShards(v);
+    return this.planDisks(v) ?? this.planSeats(v) ?? this.planMoves(v) ?? this.planShards(v) ?? this.planForgetting(v);
+  }
+
+  /** Last of all: it frees room, and nothing waits for it. */
+  private planForgetting(v: Value): Value | undefined {
+    const due = this.forgetting.plan(v);
+    if (due) this.lastPlan = `records of ${due.forgotten.join(', ')} are forgotten`;
+    return due?.next;
   }
 
   /** Begins and ends the moves of the calendar. A move runs once: its state is in the register. */
@@ -133,7 +143,7 @@
           id: m.disk,
           peer: m.peer,
           domain: m.domain,
-          state: 'active',
+          state: stateOnJoining(m),
           uses: m.diskUses,
           name: m.name,
           ms: m.diskMs,
@@ -146,7 +156,8 @@
           }
         }
       } else if (d.peer !== m.peer || d.domain !== m.domain || d.state === 'lost') {
-        disks.set(d.id, { ...d, peer: m.peer, domain: m.domain, state: d.state === 'lost' ? 'active' : d.state });
+        const state = d.state === 'lost' ? stateOnJoining(m) : d.state;
+        disks.set(d.id, { ...d, peer: m.peer, domain: m.domain, state });
         said.push(`disk ${d.id} is back at ${m.peer}`);
       }
     }
@@ -274,6 +285,9 @@
   }
 }
 
+/** A disk that was emptied for an operator stays so until that is taken back, however long it was away. */
+const stateOnJoining = (m: Member): DiskState => (m.emptied ? 'emptying' : 'active');
+
 /**
  * Whether a lost disk's place among those that hold something is kept for it: it is given up only once there is another. With
  * fewer disks just now, what is accepted or agreed meanwhile would not outlive the next loss.
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -15,6 +15,7 @@
 import { BehaviorSubject, Subject } from 'rxjs';
 import invariant from 'tiny-invariant';
 import type { Board } from './board.js';
+import { rememberEmptied } from './forget.js';
 import { matchCopies } from './placement.js';
 import { fromText, toText } from './text.js';
 import { usedFor, type DiskRec, type Placement, type Value } from './value.js';
@@ -91,6 +92,7 @@
       }
       board.say({ disk: this.disk });
       this.serveSeat(this.st, this.disk);
+      rememberEmptied(k, board, this, this.st);
     }
     k.onNewer = (rev, peer) => this.follow(rev, peer);
     k.on('RegGet', () => {
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -433,6 +433,7 @@
     // Who asked for it in vain has to wait before it may ask again.
     clock.after(C.yieldMs, () => {
       if (key.state !== 'owner' || key.fence !== fence) return;
+      for (const [d, until] of key.vain) if (until <= clock.now()) key.vain.delete(d);
       key.vain.set(disk, clock.now() + C.yieldVainMs);
       this.k.count('key.yielded_in_vain');
     });
@@ -622,6 +623,7 @@
 
   private async trim(): Promise<void> {
     this.interests.trim();
+    for (const peer of this.ableThen.keys()) if (!this.board.members.has(peer)) this.ableThen.delete(peer);
     if (!this.reg.fresh()) return;
     const cfg = this.reg.value!.config;
     const now = this.k.host.clock.now();
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -45,7 +45,7 @@
   private sent = new Map<string, Set<Sent>>();
   /** Publishes that were turned away, by sender and topic, and until when later ones were on their way before that was known. */
   private turned = new Map<string, { seq: number; until: number }>();
-  /** When a slow owner was last looked at. */
+  /** When a slow owner was last looked at; older times than `C.slowAgainMs` are dropped with the next. */
   private doubted = new Map<string, number>();
   private budget: RetryBudget;
   /** A shard whose owner changed, as far as we know. */
@@ -159,6 +159,7 @@
   private doubt(peer: string): void {
     const now = this.k.host.clock.now();
     if (peer === this.k.self || now - (this.doubted.get(peer) ?? -Infinity) < C.slowAgainMs) return;
+    for (const [p, at] of this.doubted) if (now - at >= C.slowAgainMs) this.doubted.delete(p);
     this.doubted.set(peer, now);
     this.k.count('route.slow');
     this.board.doubt(peer);
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -196,6 +196,8 @@
   deadMs: 8_000,
   /** A dead member's record is forgotten after this long. */
   forgetMs: 120_000,
+  /** That a record was forgotten is remembered this long: several times what any node takes to forget it too, also one that joined late. */
+  tombstoneMs: 600_000,
   /** Members known are kept on disk, where that changed, this often; and so many of them: a start needs one that is there. */
   rememberMs: 5_000,
   rememberN: 64,
@@ -257,6 +259,11 @@
   /** A disk dead this long gives its place to one that holds nothing, if there is one: longer than a process takes to start anew. A
    * machine that was replaced is known by that, and the next loss may come a few seconds after. */
   spareAfterMs: 3_000,
+  /** The record of a lost or emptied disk that holds nothing is forgotten when its machine was not seen for this long: operators ask
+   * for the outcome of an emptying within minutes. */
+  forgetDiskMs: 600_000,
+  /** So many of them wait at most, the oldest goes first: machines of a whole site may be replaced within that time. */
+  forgettableN: 64,
   /** Shards whose copies on a lost disk are made anew at once: until then the next loss costs a majority. */
   repairingN: 32,
   /** Shards in motion at once; keeps repair from taking traffic's share. */
--- a/packages/trial/src/test/control-fleet.ts
+++ b/packages/trial/src/test/control-fleet.ts
@@ -9,7 +9,7 @@
   stores: SimNode[];
   relays: SimNode[];
   /** A machine with an empty disk at an address that was never used; not started. Its seeds are the controls as listed now. */
-  spare(role: 'control' | 'store', domain: string): SimNode;
+  spare(role: 'control' | 'store' | 'relay', domain: string): SimNode;
   /** A visit at a node; virtual time passes until it is answered. Status 0: no answer. */
   ask(n: SimNode, method: string, body: unknown): Promise<{ status: number; body: any }>;
   pass(ms: number): Promise<void>;
--- /dev/null
+++ b/packages/trial/src/test/growth.test.ts
@@ -0,0 +1,104 @@
+import { Board, ForgetPlanner, Register } from '@harecross/control';
+import test, { type ExecutionContext } from 'ava';
+import { longLife, withConstants, type LongLife } from './long-life.js';
+
+/**
+ * Times after which something is forgotten, about a tenth as long as they are, and as much fewer records waiting for it: a tenth of the
+ * life shows whether sizes stay. The order of the times among one another is kept.
+ */
+const SHORTENED = { deadMs: 4_000, forgetMs: 8_000, tombstoneMs: 20_000, forgetDiskMs: 20_000, forgettableN: 8 };
+const HALF_ROUNDS = 12;
+/** Sizes are the smallest of the last rounds of each half: what comes and goes in bursts is left out, what grows is not. */
+const LOOK_ROUNDS = 4;
+/** What has one more entry for each machine that came, or each change, would have twice as many at the end as in the middle. */
+const MOST_GROWTH = 1.25;
+const SPARE_ENTRIES = 4;
+
+async function half(life: LongLife): Promise<Map<string, number>> {
+  const least = new Map<string, number>();
+  for (let i = 0; i < HALF_ROUNDS; i++) {
+    await life.round();
+    if (i < HALF_ROUNDS - LOOK_ROUNDS) continue;
+    const { valueChars, parts } = life.sizes();
+    for (const [key, n] of parts.set('value as text', valueChars)) least.set(key, Math.min(least.get(key) ?? n, n));
+  }
+  return least;
+}
+
+/** What is larger after twice the life, with both sizes. */
+async function grown(
+  t: ExecutionContext,
+  seed: number,
+  x: Parameters<typeof withConstants>[0] = {},
+): Promise<Map<string, string>> {
+  const restore = withConstants({ ...SHORTENED, ...x });
+  try {
+    const life = await longLife(seed);
+    const first = await half(life);
+    const second = await half(life);
+    life.fleet.sim.close();
+    t.log(
+      `${JSON.stringify(life.counts)}; value ${first.get('value as text')} -> ${second.get('value as text')} chars`,
+    );
+    t.deepEqual(life.fleet.sim.errors, []);
+    const more = [...second].filter(([key, n]) => n > (first.get(key) ?? 0) * MOST_GROWTH + SPARE_ENTRIES);
+    return new Map(more.map(([key, n]) => [key, `${first.get(key) ?? 0} -> ${n}`]));
+  } finally {
+    restore();
+  }
+}
+
+test.serial(
+  'the agreed value, the disks and the memory of nodes do not grow with changes and replacements',
+  async (t) => {
+    t.deepEqual([...(await grown(t, 1))], []);
+  },
+);
+
+test.serial(
+  'planted: disk records and tombstones that are never forgotten, and a new set that grows, are noticed',
+  async (t) => {
+    const plan = ForgetPlanner.prototype.plan;
+    const learn = Reflect.get(Register.prototype, 'learn') as (this: Register, value: unknown) => void;
+    ForgetPlanner.prototype.plan = () => undefined;
+    Reflect.set(
+      Register.prototype,
+      'learn',
+      function (this: Register & { everLearned?: Set<unknown> }, value: { rev: number }) {
+        this.everLearned ??= new Set();
+        this.everLearned.add(value.rev);
+        learn.call(this, value);
+      },
+    );
+    try {
+      const found = [...(await grown(t, 2, { tombstoneMs: Infinity })).keys()];
+      for (const part of ['value.disks', 'value as text', 'board.forgotten', 'everLearned'])
+        t.true(
+          found.some((key) => key.includes(part)),
+          `${part} among ${found.join(', ')}`,
+        );
+    } finally {
+      ForgetPlanner.prototype.plan = plan;
+      Reflect.set(Register.prototype, 'learn', learn);
+    }
+  },
+);
+
+test.serial(
+  'planted: a record handed on without how long its member was silent is never forgotten where nodes come and go',
+  async (t) => {
+    const wire = Reflect.get(Board.prototype, 'wire') as (this: Board, key: string) => unknown[];
+    Reflect.set(Board.prototype, 'wire', function (this: Board, key: string) {
+      return wire.call(this, key).slice(0, 3);
+    });
+    try {
+      const found = [...(await grown(t, 3)).keys()];
+      t.true(
+        found.some((key) => key.endsWith('board.members')),
+        found.join(', '),
+      );
+    } finally {
+      Reflect.set(Board.prototype, 'wire', wire);
+    }
+  },
+);
