Register: who was cut off confirms as soon as somebody is heard again

Cause: after a cut ends the periodic confirmation may still be waiting for calls that were lost (callMs, 800 ms) and then for its own period (confirmMs, 600 ms).

Ruled out: learning the value (the first frame of a peer brings it), the time of the board (a member is heard with its first frame).

Change: a member that turns live while our own confirmation has run out starts one at once; one at a time, and only after the first confirmation of this life, so that starts are as before.

--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -73,6 +73,7 @@
   /** What our own seat has accepted, agreed or not, and under which ballot. */
   private hint?: Value;
   private hintBallot = '';
+  private confirmingAgain = false;
   private fetching = new Map<string, Promise<void>>();
   private st?: Store;
 
@@ -119,6 +120,8 @@
         });
     });
     k.keep(first);
+    // Cut off before, and now somebody is there again: the periodic confirmation may still be waiting for calls that were lost.
+    k.keep(board.state$.subscribe((m) => m.state === 'live' && void this.confirmAgain()));
     if (db && k.host.config.seeds[0] === k.self) k.keep(loop(clock, C.foundMs, rnd, () => this.found()));
   }
 
@@ -265,6 +268,19 @@
     return false;
   }
 
+  /** Confirms at once where a confirmation was had in this life of the process and has run out; one such try at a time. */
+  private async confirmAgain(): Promise<void> {
+    if (this.confirmingAgain || !this.confirmed() || this.fresh()) return;
+    this.confirmingAgain = true;
+    try {
+      await this.confirm();
+    } catch {
+      // The periodic confirmation goes on.
+    } finally {
+      this.confirmingAgain = false;
+    }
+  }
+
   /** Asks as many seats as make a majority, in turn, and the others only when those don't answer soon. */
   private async readBacks(v: Value): Promise<{ heard: Set<string>; got: ReadBack[] }> {
     const heard = new Set<string>();
