--- a/packages/trial/src/test/growth.test.ts
+++ b/packages/trial/src/test/growth.test.ts
@@ -58,7 +58,7 @@
 test.serial(
   'planted: disk records and tombstones that are never forgotten, and a new set that grows, are noticed',
   async (t) => {
-    const plan = ForgetPlanner.prototype.plan;
+    const plan = Reflect.get(ForgetPlanner.prototype, 'plan') as ForgetPlanner['plan'];
     const learn = Reflect.get(Register.prototype, 'learn') as (this: Register, value: unknown) => void;
     ForgetPlanner.prototype.plan = () => undefined;
     Reflect.set(
--- a/packages/trial/src/test/long-life.ts
+++ b/packages/trial/src/test/long-life.ts
@@ -114,7 +114,10 @@
   // The oldest of each kind has gathered most, but duties move.
   for (const node of [...fleet.controls, ...fleet.stores, ...fleet.relays]) {
     const faces = Reflect.get(node.kernel!, 'faces') as Map<string, object>;
-    const roots = { kernel: { ...node.kernel, faces: undefined }, ...Object.fromEntries(faces) };
+    const roots = {
+      kernel: { ...Object.fromEntries(Object.entries(node.kernel!)), faces: undefined },
+      ...Object.fromEntries(faces),
+    };
     mergeLargest(parts, new Map([...collectionSizes(roots)].map(([k, n]) => [`${node.config.role}${k}`, n])));
     if (node.sql) mergeLargest(parts, diskSizes(node));
   }
