--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -318,7 +318,7 @@
     return JSON.stringify([
       this.saved,
       this.history.map((h) => [h.ballot, ...[...h.said].sort()]),
-      this.regs.map((r) => [(r as unknown as { n: number }).n, r.value!.rev]),
+      this.regs.map((r) => [(r as unknown as { ballots: { last: number } }).ballots.last, r.value!.rev]),
       this.done,
       way,
       this.lost,
