Replace a lost replica or voter in one step, under joint majorities

Cause: a machine that came in a lost one's place joined before the loss was given up, was filled by ordinary moves and so was no spare any more: the lost disk kept its place for 45 s. Its shards were grown to {lost, B, C, new}, where three of four are needed; the next loss ended them. What waited: a newcomer's place, three seconds of silence and the controller's half second.

Change: one lost copy is replaced by a new one in a single generation, taken under the fence of a majority of the copies before and after (or with proof that an owner had it). A copy counts once it has the history that its owner began with; a replaced disk keeps its copy until then. The controller looks when news comes.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -32,6 +32,8 @@
   diskMs?: number;
   /** Its disk was emptied for an operator, and nobody took that back. */
   emptied?: boolean;
+  /** Its replicas are taken by `fenceQuorum`. A member of before that rule does not say so, and no copy is replaced in one step. */
+  jointFences?: true;
   inst: string;
   condition: Condition;
   /** Conns held. */
@@ -170,6 +172,7 @@
     };
     if (rec.disk !== undefined) {
       rec.diskUses = diskUsesOf(config);
+      rec.jointFences = true;
       const ms = this.k.host.db?.openMs;
       if (ms !== undefined) rec.diskMs = Math.round(ms * 10) / 10;
     }
--- a/packages/control/src/fleet-state.ts
+++ b/packages/control/src/fleet-state.ts
@@ -15,14 +15,15 @@
 };
 export const moveKey = (m: Move): string => `${m.id}@${m.from}`;
 /**
- * Copies that a disk still has.
+ * Copies that a disk still has, those among them that it keeps until the one in its place has the history.
  * @example
  * copiesOn(value, 'd1k'); // 12
  */
 export const copiesOn = (v: Value, disk: string): number =>
-  [...v.shards.values()].filter((p) => p.copies.includes(disk)).length;
-/** Whether nothing of the fleet is left on a disk. */
-export const isBare = (v: Value, disk: string): boolean => copiesOn(v, disk) === 0 && !v.seats.includes(disk);
+  [...v.shards.values()].filter((p) => p.copies.includes(disk) || p.retained?.includes(disk)).length;
+/** Whether nothing of the fleet is left on a disk: it is in no majority that is still needed, and has no copy. */
+export const isBare = (v: Value, disk: string): boolean =>
+  copiesOn(v, disk) === 0 && !v.seats.includes(disk) && !v.prevSeats.includes(disk);
 /** A machine that the calendar adds later is not let in before. */
 export const waitsFor = (v: Value, peer: string): number =>
   Math.max(
--- a/packages/control/src/forget.ts
+++ b/packages/control/src/forget.ts
@@ -5,6 +5,7 @@
 import { C, type Kernel } from '@harecross/kernel';
 import type { Store } from '@harecross/state';
 import type { Board } from './board.js';
+import type { Step } from './planner.js';
 import { isBare } from './fleet-state.js';
 import type { Register } from './register.js';
 import type { DiskRec, Value } from './value.js';
@@ -22,7 +23,7 @@
  */
 export function isForgettable(value: Value, disk: DiskRec): boolean {
   if (disk.state === 'active') return false;
-  if (!isBare(value, disk.id) || value.prevSeats.includes(disk.id)) return false;
+  if (!isBare(value, disk.id)) return false;
   return !(value.config.moves ?? []).some((move) => move.node === disk.peer);
 }
 
@@ -55,6 +56,12 @@
     return { next: { ...value, disks }, forgotten };
   }
 
+  /** What is due as a step of the controller. */
+  step(value: Value): Step | undefined {
+    const due = this.plan(value);
+    return due && { next: due.next, why: `records of ${due.forgotten.join(', ')} are forgotten` };
+  }
+
   private observe(value: Value): void {
     const now = this.kernel.host.clock.now();
     const waiting = [...value.disks.values()].filter((disk) => isForgettable(value, disk) && !this.isThere(disk));
--- a/packages/control/src/placement.ts
+++ b/packages/control/src/placement.ts
@@ -1,6 +1,6 @@
 import { C, rank } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
-import { firstFor, type DiskRec, type Placement } from './value.js';
+import { firstFor, type DiskRec, type Placement, type Value } from './value.js';
 
 /**
  * Copies a shard gets: odd, so that one more copy never costs a larger majority without bearing one more loss.
@@ -49,6 +49,34 @@
   return out.length ? out : disks;
 }
 
+/**
+ * Whether any majority of one set shares a disk with any majority of the other.
+ * @example
+ * majoritiesMeet(['a', 'b', 'c'], ['a', 'b', 'c', 'd']); // true
+ * majoritiesMeet(['a', 'b', 'c'], ['b', 'c', 'd']); // false: a, b and c, d
+ */
+export function majoritiesMeet(one: string[], other: string[]): boolean {
+  const union = new Set([...one, ...other]).size;
+  return Math.floor(one.length / 2) + 1 + (Math.floor(other.length / 2) + 1) > union;
+}
+
+/**
+ * Whether these promises of a fence are enough to take a shard under this placement: a majority of the copies, and where one copy has
+ * just been replaced by another, one of two things. Either a majority of the copies before has promised too, so that nobody can serve
+ * under the generation before and whatever it accepted is among the promises. Or one of the copies that promised has an entry of this
+ * generation: then an owner had that majority already, and its whole history came to that copy before the entry did.
+ * `generation` is that of the last entry on the disk.
+ * @example
+ * fenceQuorum({ gen: 2, copies: ['b', 'c', 'd'], previous: ['a', 'b', 'c'] }, [{ disk: 'c', generation: 1 }, { disk: 'd', generation: 0 }]); // false
+ */
+export function fenceQuorum(placement: Placement, promises: { disk: string; generation: number }[]): boolean {
+  const promised = new Set(promises.map((promise) => promise.disk));
+  const majorityOf = (set: string[]): boolean => set.filter((disk) => promised.has(disk)).length * 2 > set.length;
+  if (!majorityOf(placement.copies)) return false;
+  if (!placement.previous || majorityOf(placement.previous)) return true;
+  return promises.some((promise) => placement.copies.includes(promise.disk) && promise.generation >= placement.gen);
+}
+
 /**
  * The disks on which each shard's copies belong. Rendezvous order, domains taken in turn so that copies spread,
  * and within a domain no disk above its share times a slack while another has room.
@@ -128,3 +156,16 @@
   }
   return out;
 }
+
+/**
+ * Whether a lost disk's place among those that hold something is kept for it: it is given up only once there is another. With
+ * fewer disks just now, what is accepted or agreed meanwhile would not outlive the next loss.
+ * @example
+ * awaitsSuccessor(value, value.seats, 3); // true with three voters of which one is lost
+ */
+export function awaitsSuccessor(value: Value, set: string[], wanted: number): boolean {
+  const there = set.filter((disk) => value.disks.get(disk)?.state !== 'lost');
+  return (
+    there.length < set.length && there.length < Math.min(copiesFor(set.length, set.length), copiesFor(wanted, wanted))
+  );
+}
--- /dev/null
+++ b/packages/control/src/plan-disks.ts
@@ -0,0 +1,104 @@
+/** Lets disks into the fleet, and declares those lost whose machine is gone. */
+import { C } from '@harecross/kernel';
+import type { Member } from './board.js';
+import { isBare, waitsFor } from './fleet-state.js';
+import { liveMember, silentFor, type FleetView, type Step } from './planner.js';
+import { usedFor, type DiskRec, type DiskState, type Value } from './value.js';
+
+/** Disks that joined, came back or were lost, in one step. */
+export function planDisks(value: Value, fleet: FleetView): Step | undefined {
+  const disks = new Map(value.disks);
+  const said: string[] = [];
+  letIn(value, fleet, disks, said);
+  giveUpLost(value, fleet, disks, said);
+  if (!said.length) return undefined;
+  return { next: { ...value, disks }, why: said.join(', ') };
+}
+
+function letIn(value: Value, fleet: FleetView, disks: Map<string, DiskRec>, said: string[]): void {
+  for (const member of fleet.board.live()) {
+    if (!member.disk || fleet.now - member.liveSince < C.joinAfterMs) continue;
+    if (fleet.wall < waitsFor(value, member.peer)) continue;
+    const known = disks.get(member.disk);
+    if (!known) {
+      disks.set(member.disk, {
+        id: member.disk,
+        peer: member.peer,
+        domain: member.domain,
+        state: stateOnJoining(member),
+        uses: member.diskUses,
+        name: member.name,
+        ms: member.diskMs,
+      });
+      said.push(`disk ${member.disk} joins at ${member.peer}`);
+      for (const other of value.disks.values()) {
+        if (other.peer !== member.peer || other.state === 'lost') continue;
+        disks.set(other.id, { ...other, state: 'lost' });
+        said.push(`disk ${other.id} was replaced`);
+      }
+    } else if (known.peer !== member.peer || known.domain !== member.domain || known.state === 'lost') {
+      const state = known.state === 'lost' ? stateOnJoining(member) : known.state;
+      disks.set(known.id, { ...known, peer: member.peer, domain: member.domain, state });
+      said.push(`disk ${known.id} is back at ${member.peer}`);
+    }
+  }
+}
+
+/** A disk that was emptied for an operator stays so until that is taken back, however long it was away. */
+function stateOnJoining(member: Member): DiskState {
+  return member.emptied ? 'emptying' : 'active';
+}
+
+function giveUpLost(value: Value, fleet: FleetView, disks: Map<string, DiskRec>, said: string[]): void {
+  for (const disk of value.disks.values()) {
+    if (disk.state !== 'active' || disks.get(disk.id)!.state === 'lost') continue;
+    const silent = silentFor(fleet, disk);
+    if (silent === 0) continue;
+    const spare = isBare(value, disk.id) ? undefined : spareFor(value, fleet, disk, disks, silent);
+    if (spare !== undefined) {
+      disks.set(disk.id, { ...disk, state: 'lost' });
+      said.push(`disk ${disk.id} gives its place to ${spare}`);
+    } else if (silent > C.replaceAfterMs) {
+      disks.set(disk.id, { ...disk, state: 'lost' });
+      said.push(`disk ${disk.id} is lost`);
+    }
+  }
+}
+
+/**
+ * A live disk of the same uses that holds nothing and that no lost one waits for. One that came to the same domain after the machine fell
+ * silent is its successor and is taken sooner than one that has been there: that machine may only be restarting.
+ */
+function spareFor(
+  value: Value,
+  fleet: FleetView,
+  gone: DiskRec,
+  disks: Map<string, DiskRec>,
+  silent: number,
+): string | undefined {
+  const spares = [...disks.values()].filter(
+    (disk) =>
+      disk.state === 'active' &&
+      sameUses(disk, gone) &&
+      isBare(value, disk.id) &&
+      fleet.board.ofDisk(disk.id)?.state === 'live',
+  );
+  const waiting = [...disks.values()].filter(
+    (disk) => disk.state === 'lost' && sameUses(disk, gone) && !isBare(value, disk.id),
+  );
+  if (spares.length <= waiting.length) return undefined;
+  const successor = spares.find((disk) => succeeds(fleet, disk, gone));
+  if (successor && silent > C.successorAfterMs) return successor.id;
+  return silent > C.spareAfterMs ? spares[waiting.length]!.id : undefined;
+}
+
+function sameUses(one: DiskRec, other: DiskRec): boolean {
+  return (['seat', 'copies'] as const).every((use) => usedFor(one, use) === usedFor(other, use));
+}
+
+/** Whether a disk came, in the same domain, after the other's machine was last heard of. */
+function succeeds(fleet: FleetView, spare: DiskRec, gone: DiskRec): boolean {
+  const member = liveMember(fleet, spare.id);
+  const lastSeen = fleet.board.ofDisk(gone.id)?.seenAt;
+  return member !== undefined && lastSeen !== undefined && spare.domain === gone.domain && member.liveSince > lastSeen;
+}
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -49,14 +49,23 @@
 function majority(sets: string[][], heard: Set<string>): boolean {
   return sets.every((s) => s.filter((d) => heard.has(d)).length * 2 > s.length);
 }
+/**
+ * Whether at most one voter goes and at most one comes. A voter may be replaced by another in one step, because the change itself
+ * needs a majority of the voters before and of those after.
+ */
+function oneVoterChanges(before: string[], after: string[]): boolean {
+  const gone = before.filter((disk) => !after.includes(disk));
+  const come = after.filter((disk) => !before.includes(disk));
+  return gone.length <= 1 && come.length <= 1;
+}
 const bothSets = (v: Value): string[][] => [v.seats, v.prevSeats];
 const union = (v: Value): string[] => [...new Set([...v.seats, ...v.prevSeats])];
 
 /**
  * The register: one compare-and-set value, agreed on a majority of the seats' disks by ballots. There is no log
  * and no leader: whoever wants a change prepares a ballot, takes the highest accepted value, applies the change
- * and has it accepted. A value that changes the seats needs a majority of the old and of the new ones, and only
- * one seat changes at a time, so that any two majorities in a row share a disk.
+ * and has it accepted. A value that changes the seats needs a majority of the old and of the new ones, until the next
+ * change; one seat comes or goes at a time, or one is replaced by another.
  * @example
  * await reg.change((v) => ({ next: { ...v, version: v.version + 1 }, out: v.version + 1 }));
  */
@@ -425,7 +434,7 @@
     }
     const res = fn(h);
     const next = res.next ? { ...res.next, rev: h.rev + 1, prevSeats: h.seats } : h;
-    invariant(!res.next || Math.abs(next.seats.length - h.seats.length) <= 1, 'one seat at a time');
+    invariant(!res.next || oneVoterChanges(h.seats, next.seats), 'one voter at a time');
     const value = toText(next);
     const sets = bothSets(next);
     const heard = new Set<string>();
--- a/packages/control/src/value.ts
+++ b/packages/control/src/value.ts
@@ -26,9 +26,20 @@
  * usedFor(disk, 'copies') // false for a control node's
  */
 export const usedFor = (d: DiskRec, use: DiskUse): boolean => d.uses?.includes(use) ?? true;
+/**
+ * Where the replicas of a shard are, under one generation. A generation is established once an owner serves under it: a majority
+ * of its copies has the whole history then.
+ */
 export interface Placement {
   gen: number;
   copies: string[];
+  /**
+   * The copies of the generation before, where one replaced another in a single step. Until the generation is established, its
+   * owner needs the fence of a majority of these too; see `fenceQuorum`.
+   */
+  previous?: string[];
+  /** Disks that were replaced while they still had their copy: they keep it until all the copies have the history. */
+  retained?: string[];
 }
 export type MoveState = 'running' | 'late' | 'done' | 'missed' | 'refused';
 /** How far a planned move has come; only moves that have begun (or never will) are here. */
--- a/packages/data/src/key.ts
+++ b/packages/data/src/key.ts
@@ -41,6 +41,8 @@
   base!: Base;
   log: Entry[] = [];
   commit = 0;
+  /** The entry with which our ownership began: a copy that has it has the whole history before. */
+  barrier = 0;
   match = new Map<string, number>();
   next = new Map<string, number>();
   flying = new Set<string>();
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -15,7 +15,16 @@
   sleep,
   within,
 } from '@harecross/kernel';
-import { eraOf, matchOwners, notReady, type Board, type KeyRec, type Register } from '@harecross/control';
+import {
+  eraOf,
+  fenceQuorum,
+  matchOwners,
+  notReady,
+  type Board,
+  type KeyRec,
+  type Placement,
+  type Register,
+} from '@harecross/control';
 import { familyOf, urgencyOf, type Family } from '@harecross/schema';
 import {
   fold,
@@ -95,6 +104,9 @@
     this.replication = new Replication(k, board, reg, {
       agreed: (key, e, fan) => this.apply(key, e, fan),
       fenced: (key) => this.turn(key, 'none'),
+      caughtUp: (key) => {
+        if (key.state === 'owner') this.announce(key);
+      },
     });
     this.holding = new Holding(C.ownerHoldingN, 512, (v) => this.publish(v));
     k.on(
@@ -141,6 +153,8 @@
       }),
     );
     k.keep(board.state$.subscribe((m) => this.look(m.peer)));
+    // A new generation is taken when it is heard of: until then the copies that came with it bear no loss.
+    k.keep(reg.value$.subscribe(() => this.tickSoon()));
     // Whoever takes a key asks our copy too: we need not wait for an append to be refused.
     k.keep(
       copies.promised$.subscribe((s) => {
@@ -276,6 +290,10 @@
         if ((this.board.get(`key/${key.shard}`) as KeyRec | undefined)?.peer === peer) key.triedAt = -Infinity;
       }
     }
+    this.tickSoon();
+  }
+
+  private tickSoon(): void {
     if (this.looking) return;
     this.looking = true;
     this.k.host.clock.after(0, () => {
@@ -297,10 +315,7 @@
       const here = p.copies.includes(this.copies.disk);
       const rec = this.board.get(`key/${key.shard}`) as KeyRec | undefined;
       if (!here) {
-        // Not placed here any more: let go once another owner serves under this placement.
-        const c = this.copies.all.get(key.shard);
-        if (c && (c.entries.length || c.base.idx) && rec && rec.gen === p.gen && key.state === 'none')
-          gone.push(key.shard);
+        if (key.state === 'none' && this.mayRelease(key.shard, p, rec)) gone.push(key.shard);
         if (key.state === 'owner' && rec && rec.gen >= p.gen && rec.peer !== this.k.self) this.turn(key, 'none');
         if (key.state !== 'owner' || key.gen === p.gen) continue;
         // Still the owner under an older placement: the new copies must take the key.
@@ -348,6 +363,14 @@
     if (gone.length) await this.copies.release(gone);
   }
 
+  /** Whether a copy that is not placed here any more may go: another owner serves under this placement, and all its copies have the history. */
+  private mayRelease(shard: number, placement: Placement, rec: KeyRec | undefined): boolean {
+    const copy = this.copies.all.get(shard);
+    if (!copy || (!copy.entries.length && !copy.base.idx)) return false;
+    if (placement.retained?.includes(this.copies.disk)) return false;
+    return rec !== undefined && rec.gen === placement.gen && rec.behind.length === 0;
+  }
+
   /** Who last promised a key to whom, as a majority of its copies knows; one visit to each of them for all keys. */
   private async holders(keys: Key[]): Promise<Map<Key, string>> {
     const byPeer = new Map<string, Key[]>();
@@ -490,11 +513,11 @@
       let top = n;
       for (let i = 0; i < 4; i++) {
         const fence = makeFence(p.gen, top + 1, `${this.k.self}~${this.k.inst}`);
-        const got = await this.askFence(key.shard, p.copies, fence);
+        const got = await this.askFence(key.shard, p, fence);
         const ok = got.filter((g) => g.ok);
         for (const g of got) if (!g.ok) top = Math.max(top, readFence(g.promised).n);
         if (got.some((g) => !g.ok && readFence(g.promised).gen > p.gen)) return;
-        if (ok.length * 2 <= p.copies.length || !ok.some((g) => g.disk === this.copies.disk)) {
+        if (!this.mayTake(p, got)) {
           if (got.some((g) => !g.ok)) {
             top++;
             await sleep(clock, 20 + 60 * this.k.host.rnd.next());
@@ -502,7 +525,7 @@
           }
           return;
         }
-        await this.complete(key, fence, p.gen, p.copies, ok as Extract<Promised, { ok: true }>[]);
+        await this.complete(key, fence, p.gen, p.copies, ok);
         return;
       }
     } catch (e) {
@@ -514,12 +537,19 @@
     }
   }
 
-  private async askFence(shard: number, copies: string[], fence: Fence): Promise<Promised[]> {
-    const calls = copies.map((disk) => this.fenceAt(disk, shard, fence));
-    return gather(calls, (got) => {
-      const ok = got.filter((g) => g.ok);
-      return ok.length * 2 > copies.length && ok.some((g) => g.disk === this.copies.disk);
-    });
+  /** Asks the copies, and those of the generation before where they may be needed too, to promise a fence. */
+  private async askFence(shard: number, placement: Placement, fence: Fence): Promise<Promised[]> {
+    const disks = [...new Set([...placement.copies, ...(placement.previous ?? [])])];
+    const calls = disks.map((disk) => this.fenceAt(disk, shard, fence));
+    return gather(calls, (got) => this.mayTake(placement, got));
+  }
+
+  /** Whether these answers let us take a shard under this placement; our own copy must be among them. */
+  private mayTake(placement: Placement, got: Promised[]): boolean {
+    const promises = got
+      .filter((answer) => answer.ok)
+      .map((answer) => ({ disk: answer.disk, generation: readFence(answer.lastFence).gen }));
+    return promises.some((promise) => promise.disk === this.copies.disk) && fenceQuorum(placement, promises);
   }
 
   private async fenceAt(disk: string, shard: number, fence: Fence): Promise<Promised> {
@@ -592,6 +622,7 @@
     const now = this.k.host.clock.now();
     key.log.push({ idx: key.last() + 1, fence, topic: '', off: 0, era: 0, sender: '', seq: 0, body: '', at: now });
     const barrier = key.last();
+    key.barrier = barrier;
     this.turn(key, 'confirming');
     this.replication.kick(key, true);
     await within(this.k.host.clock, C.appendMs, this.wait(key, barrier));
@@ -600,8 +631,10 @@
     this.announce(key);
   }
 
+  /** Copies that lack some of the history that we began with, or much of what came since: they bear no loss. */
   private behind(key: Key): string[] {
-    return key.copies.filter((d) => (key.match.get(d) ?? -1) < key.last() - C.appendN);
+    const enough = Math.max(key.barrier, key.last() - C.appendN);
+    return key.copies.filter((disk) => (key.match.get(disk) ?? -1) < enough);
   }
 
   private announce(key: Key): void {
--- a/packages/data/src/replication.ts
+++ b/packages/data/src/replication.ts
@@ -10,6 +10,8 @@
   agreed(key: Key, e: Entry, fan: boolean): void;
   /** A copy has promised a higher fence. */
   fenced(key: Key): void;
+  /** A copy that lacked some of the history that the owner began with has it now. */
+  caughtUp(key: Key): void;
 }
 
 /**
@@ -144,9 +146,7 @@
     switch (r.tag) {
       case 'ok':
         key.ackAt.set(disk, Math.max(now, key.ackAt.get(disk) ?? -Infinity));
-        key.match.set(disk, Math.max(key.match.get(disk) ?? 0, r.match));
-        key.next.set(disk, Math.max(r.match, key.match.get(disk)!) + 1);
-        this.advance(key);
+        this.matched(key, disk, r.match);
         return key.next.get(disk)! <= key.last();
       case 'behind':
         key.next.set(disk, Math.max(Math.min(r.last + 1, next - 1), 0));
@@ -157,6 +157,15 @@
     }
   }
 
+  private matched(key: Key, disk: string, match: number): void {
+    const before = key.match.get(disk) ?? 0;
+    const now = Math.max(before, match);
+    key.match.set(disk, now);
+    key.next.set(disk, now + 1);
+    this.advance(key);
+    if (before < key.barrier && now >= key.barrier) this.hooks.caughtUp(key);
+  }
+
   private advance(key: Key): void {
     const ms = key.copies.map((d) => key.match.get(d) ?? 0).sort((a, b) => b - a);
     const n = ms[Math.floor(key.copies.length / 2)]!;
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -248,24 +248,28 @@
 
   // --- keeper: disks and placement ---
   keeperMs: 500,
+  /** ... and this long after news of a member or of an owner: what comes together is looked at together. */
+  keeperWakeMs: 30,
+  /** ... and this long after news of an owner: the shards of a machine change together. */
+  keeperOwnersMs: 150,
   /** Steps of the keeper that follow from one another at once; then it looks again after its period. */
   keeperStepsN: 8,
   /** A disk this many times sooner than those made for copies is worth having copies on. */
   quickDiskX: 4,
   /** A disk seen live this long is let into the disk set: a process that ends right after its start is not. */
-  joinAfterMs: 500,
+  joinAfterMs: 250,
   /** A disk dead this long is replaced. Longer than a restart, shorter than a second failure is likely. */
   replaceAfterMs: 45_000,
   /** A disk dead this long gives its place to one that holds nothing, if there is one: longer than a process takes to start anew. A
    * machine that was replaced is known by that, and the next loss may come a few seconds after. */
   spareAfterMs: 3_000,
+  /** ... and this long, if that one came to the same domain after the other fell silent: it was sent in its place. */
+  successorAfterMs: 1_000,
   /** The record of a lost or emptied disk that holds nothing is forgotten when its machine was not seen for this long: operators ask
    * for the outcome of an emptying within minutes. */
   forgetDiskMs: 600_000,
   /** So many of them wait at most, the oldest goes first: machines of a whole site may be replaced within that time. */
   forgettableN: 64,
-  /** Shards whose copies on a lost disk are made anew at once: until then the next loss costs a majority. */
-  repairingN: 32,
   /** Shards in motion at once; keeps repair from taking traffic's share. */
   movingN: 8,
 
