--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -22,8 +22,8 @@
 /**
  * The register: one compare-and-set value, agreed on a majority of the seats' disks by ballots. There is no log
  * and no leader: whoever wants a change prepares a ballot, takes the highest accepted value, applies the change
- * and has it accepted. A value that changes the seats needs a majority of the old and of the new ones, and only
- * one seat changes at a time, so that any two majorities in a row share a disk.
+ * and has it accepted. A value that changes the seats needs a majority of the old and of the new ones, until the next
+ * change; one seat comes or goes at a time, or one is replaced by another.
  * @example
  * await reg.change((v) => ({ next: { ...v, version: v.version + 1 }, out: v.version + 1 }));
  */
--- a/packages/control/src/register/proposer.ts
+++ b/packages/control/src/register/proposer.ts
@@ -6,6 +6,7 @@
 import {
   allVoters,
   isMajority,
+  oneVoterChanges,
   voterSets,
   type Accepted,
   type AskVoters,
@@ -64,7 +65,7 @@
     const latest = prepared.value;
     const res = fn(latest);
     const next = res.next ? { ...res.next, rev: latest.rev + 1, prevSeats: latest.seats } : latest;
-    invariant(!res.next || Math.abs(next.seats.length - latest.seats.length) <= 1, 'one seat at a time');
+    invariant(!res.next || oneVoterChanges(latest.seats, next.seats), 'one voter at a time');
     const why = await this.accept(ballot, next);
     if (why !== undefined) return { tag: 'again', why };
     this.context.learn(next);
