--- a/packages/control/src/operators.ts
+++ b/packages/control/src/operators.ts
@@ -277,23 +277,32 @@
     };
   }
 
-  /** Begins or takes back the emptying of a disk. */
+  /**
+   * Begins or takes back the emptying of a disk. With a change id, an order that was carried out once is not carried out again, however
+   * late its repeat comes: another order may have been given for the disk since.
+   */
   async setDisk(
     disk: string,
     state: 'active' | 'emptying',
     step: string,
+    changeId?: string,
   ): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
     if (!this.reg.value) throw notReady(this.k, step);
     return this.reg.change((v) => {
       const d = diskNamed(v, disk);
       if (!d) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
       const told = { disk: d.id, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
-      if (d.state === state) return { out: told };
+      if (changeId !== undefined && v.changes.has(changeId)) return { out: { ...told, state: d.state } };
+      const changes =
+        changeId === undefined
+          ? v.changes
+          : trimmed(new Map(v.changes).set(changeId, { tag: 'taken', version: v.version }));
+      if (d.state === state) return changeId === undefined ? { out: told } : { next: { ...v, changes }, out: told };
       if (d.state === 'lost')
         throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: `disk ${disk} is lost` });
       const bar = state === 'emptying' ? barTo(v, { kind: 'empty' }, d, this.board) : undefined;
       if (bar) throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: bar });
-      return { next: { ...v, disks: new Map(v.disks).set(d.id, { ...d, state }) }, out: told };
+      return { next: { ...v, changes, disks: new Map(v.disks).set(d.id, { ...d, state }) }, out: told };
     });
   }
 
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,5 +1,5 @@
 /** The consensus register: one agreed value, changed by ballots at a majority of the voters' disks. */
-import { C, Failure, Kernel, every, loop, register as plug, retryAfter, within } from '@harecross/kernel';
+import { C, Failure, Kernel, every, loop, register as plug, retryAfter, within, type PeerRpc } from '@harecross/kernel';
 import type { Store } from '@harecross/state';
 import { BehaviorSubject } from 'rxjs';
 import type { Board } from './board.js';
@@ -53,7 +53,7 @@
       this.acceptor = new Acceptor(k, this.store, this.disk, () => this.value?.rev ?? 0);
       rememberEmptied(k, board, this, this.store);
     }
-    const ask = <T>(disks: string[], method: string, body: object): Promise<T>[] => this.ask<T>(disks, method, body);
+    const ask = <T>(disks: string[], method: PeerRpc, body: object): Promise<T>[] => this.ask<T>(disks, method, body);
     const learn = (v: Value): void => this.learn(v);
     this.proposer = new Proposer(k, this.ballots, { ask, learn, start: () => this.newestSeen() });
     this.reader = new Reader(k, board, this.ballots, this.lease, this.acceptor, {
@@ -177,7 +177,7 @@
     return p;
   }
 
-  private ask<T>(disks: string[], method: string, body: object): Promise<T>[] {
+  private ask<T>(disks: string[], method: PeerRpc, body: object): Promise<T>[] {
     return disks.map((disk) => {
       const peer = this.peerOf(disk);
       return peer
--- a/packages/control/src/register/ballots.ts
+++ b/packages/control/src/register/ballots.ts
@@ -1,5 +1,5 @@
 /** Ballots, the messages of the consensus register and the rule of majorities. */
-import type { Kernel } from '@harecross/kernel';
+import type { Kernel, PeerRpc } from '@harecross/kernel';
 import type { Value } from '../value.js';
 
 /** A voter's answer to `RegPrepare`: its promise, and what it accepted last. */
@@ -27,7 +27,7 @@
 }
 
 /** Calls a method at the node of each disk; a disk without a known address gives a rejected promise. */
-export type AskVoters = <T>(disks: string[], method: string, body: object) => Promise<T>[];
+export type AskVoters = <T>(disks: string[], method: PeerRpc, body: object) => Promise<T>[];
 
 /** The sets of voters of which a majority each has to agree: those of the value, and those of the value before it. */
 export const voterSets = (v: Value): string[][] => [v.seats, v.prevSeats];
--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -239,7 +239,9 @@
     try {
       return await this.k.reach<Reply>(peer, 'Pass', { m, body }, fam ? fam.patienceMs + C.callMs : C.callMs);
     } catch (e) {
-      if (faultOf(e, m, peer).tag === 'unreachable') throw new Failure({ tag: 'unknown_conn', step: m, peer });
+      const f = faultOf(e, m, peer);
+      // Nobody is there. That a helper on an indirect path was not there says nothing of the connection.
+      if (f.tag === 'unreachable' && f.peer === peer) throw new Failure({ tag: 'unknown_conn', step: m, peer });
       throw e;
     }
   }
@@ -280,7 +282,7 @@
       case 'ReadConfig':
         return this.ops.readConfig();
       case 'EmptyDisk':
-        return this.ops.setDisk(body.disk, 'emptying', m);
+        return this.ops.setDisk(body.disk, 'emptying', m, body.changeId);
       case 'EmptyStatus':
         return this.ops.emptyStatus(body.disk);
       case 'PlanMoves':
@@ -288,7 +290,7 @@
       case 'Moves':
         return this.ops.moves();
       case 'CancelEmpty':
-        return this.ops.setDisk(body.disk, 'active', m);
+        return this.ops.setDisk(body.disk, 'active', m, body.changeId);
       case 'Fleet':
         return this.fleet();
       case 'Node':
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -62,6 +62,12 @@
   after?: number;
 }
 
+/** An owner asks another node to take a shard. `fence` is the one that the owner has, so that a repeat is told apart. */
+interface TakeKey {
+  shard: number;
+  fence?: Fence;
+}
+
 /**
  * The owner's side of topics: takes keys under a fence, accepts messages once a majority of the copies has them
  * synced, fans frames to relays whose interest has not ended on our own clock, and serves history.
@@ -129,9 +135,9 @@
       true,
     );
     k.on('Yield', (b: { shard: number; disk: string }, f) => this.yieldTo(b.shard, b.disk, f));
-    k.on('TakeKey', async (b: { shard: number }) => {
+    k.on('TakeKey', async (b: TakeKey) => {
       const key = this.keys.get(b.shard)!;
-      await this.take(key);
+      if (!this.takenSince(key, b.fence)) await this.take(key);
       return key.state === 'owner';
     });
     k.keep(loop(clock, C.keyTickMs, rnd, () => this.tick()));
@@ -305,7 +311,7 @@
         if (key.state !== 'owner' || key.gen === p.gen) continue;
         // Still the owner under an older placement: the new copies must take the key.
         const next = this.peerAble(wanted.get(key.shard) ?? '');
-        if (next) this.k.call(next, 'TakeKey', { shard: key.shard }).catch(() => undefined);
+        if (next) this.k.call(next, 'TakeKey', this.takeRequest(key)).catch(() => undefined);
         continue;
       }
       switch (key.state) {
@@ -471,12 +477,26 @@
     const next = able.sort((a, b) => rank(a) - rank(b));
     for (let i = 0; next.length && key.state === 'owner' && clock.now() < until; i++) {
       const took = await this.k
-        .call<boolean>(this.peerAble(next[i % next.length]!) ?? '', 'TakeKey', { shard: key.shard }, C.callMs)
+        .call<boolean>(this.peerAble(next[i % next.length]!) ?? '', 'TakeKey', this.takeRequest(key), C.callMs)
         .catch(() => false);
       if (!took && key.state === 'owner') await sleep(clock, C.ownerRetryMs);
     }
   }
 
+  /**
+   * Whether this node or another has taken the shard since its owner had that fence: the request came late or twice. An own try that
+   * came to nothing is none. Requests of nodes that do not tell their fence are carried out.
+   */
+  private takenSince(key: Key, fence: Fence | undefined): boolean {
+    const { promised } = this.copies.get(key.shard);
+    if (fence === undefined || promised <= fence) return false;
+    return key.state === 'owner' || readFence(promised).peer !== this.k.self;
+  }
+
+  private takeRequest(key: Key): TakeKey {
+    return { shard: key.shard, fence: key.fence };
+  }
+
   /** Takes the key under a higher fence, with the longest valid history, and completes it to a majority. */
   private async take(key: Key): Promise<void> {
     if (key.state === 'taking' || key.state === 'confirming') return;
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -4,11 +4,13 @@
   Kernel,
   RetryBudget,
   faultOf,
+  mustBeRepeatable,
   register,
   retryAfter,
   shardOf,
   within,
   type Fault,
+  type RepeatablePeerRpc,
 } from '@harecross/kernel';
 import { notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, urgencyOf } from '@harecross/schema';
@@ -246,7 +248,14 @@
    * One visit at the owner, tried again while the key changes hands. Gives up, at once, when nobody owns the key
    * or the patience is over. `outcome_unknown` when some try may have been stored.
    */
-  async atOwner<T>(topic: string, m: string, body: () => unknown, patienceMs: number, sent?: Sent): Promise<T> {
+  async atOwner<T>(
+    topic: string,
+    m: RepeatablePeerRpc,
+    body: () => unknown,
+    patienceMs: number,
+    sent?: Sent,
+  ): Promise<T> {
+    mustBeRepeatable(m);
     const { clock, rnd } = this.k.host;
     const shard = shardOf(topic);
     const until = clock.now() + patienceMs;
--- a/packages/harecross/src/main.ts
+++ b/packages/harecross/src/main.ts
@@ -1,17 +1,11 @@
 #!/usr/bin/env node
 import { readFileSync, writeFileSync } from 'node:fs';
 import { VERSION } from '@harecross/kernel';
-import {
-  configFaults,
-  type Answer,
-  type FleetConfig,
-  type Method,
-  type PathFault,
-  type Visit,
-} from '@harecross/schema';
+import { configFaults, type Answer, type FleetConfig, type Method, type Visit } from '@harecross/schema';
+import { randomUUID } from 'node:crypto';
 import { createInterface } from 'node:readline/promises';
-import { request } from 'undici';
 import yargs from 'yargs';
+import { callFleet, post } from './caller.js';
 import { diff } from './diff.js';
 import { place, planFaults, type Constraints } from './place.js';
 import { answer, parse, table, type Row } from './query.js';
@@ -28,69 +22,29 @@
   process.exit(code);
 };
 
-/** A name for a change that was given none. */
-const newChangeId = (what: string): string => `${what}-${Date.now().toString(36)}-${process.pid}`;
+/** A name for a change that was given none. Operators on other machines must not come to the same one. */
+const newChangeId = (what: string): string => `${what}-${randomUUID()}`;
 
-/** What a node answered: the method's own answer, or the fault. */
-type Posted<M extends Method> = { status: 200; body: Answer<M> } | { status: number; body: { error?: FaultFields } };
-
-/** Fields of a fault that the command line shows; every one but the tag is there for some tags alone. */
-interface FaultFields {
-  tag?: string;
-  step?: string;
-  peer?: string;
-  detail?: string;
-  version?: number;
-  retryAfterMs?: number;
-  faults?: PathFault[];
-}
-
-/** One visit over HTTP. */
-async function post<M extends Method>(client: string, method: M, body: Visit<M>, limitMs: number): Promise<Posted<M>> {
-  const r = await request(`http://${client}/rpc/${method}`, {
-    method: 'POST',
-    headers: { 'content-type': 'application/json' },
-    body: JSON.stringify(body),
-    headersTimeout: limitMs,
-    bodyTimeout: limitMs,
-  });
-  return { status: r.statusCode, body: await r.body.json() } as Posted<M>;
-}
-
-function isDone<M extends Method>(r: Posted<M>): r is { status: 200; body: Answer<M> } {
-  return r.status === 200;
-}
-
-/** A visit at the first node that serves. While all say 'come back', or none answers, tries again until the wait is over. */
+/** A request at the first node that serves it; ends the process where none did. */
 async function rpc<M extends Method>(at: string[], method: M, body: Visit<M>, limitMs = 10_000): Promise<Answer<M>> {
-  let last = 'no address given';
-  const until = performance.now() + waitS * 1000;
-  for (;;) {
-    let pauseMs = 500;
-    for (const a of at) {
-      try {
-        const r = await post(a, method, body, limitMs);
-        if (isDone(r)) return r.body;
-        const status = r.status;
-        const e = r.body.error ?? {};
-        if (status === 503) {
-          last = `${a}: ${e.tag ?? status}`;
-          pauseMs = Math.min(pauseMs, e.retryAfterMs ?? pauseMs);
-          continue;
-        }
-        if (e.tag === 'invalid_config') {
-          for (const f of e.faults ?? []) process.stderr.write(`  ${f.path}: ${f.fault}\n`);
-        }
-        return fail(
-          1,
-          `${e.tag ?? status} at ${e.step} (${e.peer})${e.detail ? `: ${e.detail}` : ''}${e.version !== undefined ? `: version ${e.version} is in force` : ''}`,
-        );
-      } catch (e) {
-        last = `${a}: ${e instanceof Error ? e.message : String(e)}`;
-      }
+  const outcome = await callFleet(
+    { post, now: () => performance.now(), pause: (ms) => new Promise((res) => setTimeout(res, ms)) },
+    { at, method, body, limitMs, waitMs: waitS * 1000 },
+  );
+  switch (outcome.tag) {
+    case 'done':
+      return outcome.body as Answer<M>;
+    case 'no_answer':
+      return fail(3, `no answer (${outcome.last})`);
+    case 'unclear':
+      return fail(3, `${method} may have been carried out and is not sent again by itself (${outcome.last})`);
+    case 'rejected': {
+      const e = outcome.error;
+      for (const f of e.faults ?? []) process.stderr.write(`  ${f.path}: ${f.fault}\n`);
+      const detail = e.detail ? `: ${e.detail}` : '';
+      const version = e.version === undefined ? '' : `: version ${e.version} is in force`;
+      return fail(1, `${e.tag ?? outcome.status} at ${e.step} (${e.peer})${detail}${version}`);
     }
-    if (performance.now() + pauseMs > until) return fail(3, `no answer (${last})`);
-    await new Promise((res) => setTimeout(res, pauseMs));
   }
 }
 
@@ -106,7 +60,7 @@
 async function quiet<M extends Method>(client: string, method: M, body: Visit<M>): Promise<Answer<M> | undefined> {
   try {
     const r = await post(client, method, body, 3_000);
-    return isDone(r) ? r.body : undefined;
+    return r.status === 200 ? (r.body as Answer<M>) : undefined;
   } catch {
     return undefined;
   }
@@ -264,8 +218,11 @@
   .command(
     'empty <disk>',
     'move copies and keys off a disk',
-    (y) => y.positional('disk', { type: 'string', demandOption: true }),
-    async (a) => out(await rpc(at(a), 'EmptyDisk', { disk: a.disk })),
+    (y) =>
+      y
+        .positional('disk', { type: 'string', demandOption: true })
+        .option('change-id', { type: 'string', describe: 'name of this order; sending it again changes nothing' }),
+    async (a) => out(await rpc(at(a), 'EmptyDisk', { disk: a.disk, changeId: a.changeId ?? newChangeId('cli') })),
   )
   .command(
     'empty-status <disk>',
@@ -276,8 +233,11 @@
   .command(
     'cancel-empty <disk>',
     'take an emptying back',
-    (y) => y.positional('disk', { type: 'string', demandOption: true }),
-    async (a) => out(await rpc(at(a), 'CancelEmpty', { disk: a.disk })),
+    (y) =>
+      y
+        .positional('disk', { type: 'string', demandOption: true })
+        .option('change-id', { type: 'string', describe: 'name of this order; sending it again changes nothing' }),
+    async (a) => out(await rpc(at(a), 'CancelEmpty', { disk: a.disk, changeId: a.changeId ?? newChangeId('cli') })),
   )
   .command(
     'plan <file>',
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,7 @@
 export * from './kernel.js';
 export * from './match.js';
 export * from './peer-net.js';
+export * from './peer-rpcs.js';
 export * from './real.js';
 export * from './node-config.js';
 export { parse as unpack, stringify as pack } from 'devalue';
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -4,6 +4,7 @@
 import { Failure, faultOf, type Fault } from './fault.js';
 import { every, sleep, within } from './flow.js';
 import { below, retryAfter, type Host } from './host.js';
+import { PEER_RPCS, type PeerRpc } from './peer-rpcs.js';
 
 /** Plug-ins add their face here by declaration merging, so that `use` is typed. */
 export interface Faces {}
@@ -214,13 +215,24 @@
     this.counters.set(name, (this.counters.get(name) ?? 0) + by);
   }
 
-  /** With `current`, a visit from a peer that knows a newer value waits until we have it too. */
-  on<Body>(method: string, h: Handler<Body>, current = false): void {
+  /**
+   * Serves an RPC between nodes. With `current`, a request from a peer that knows a newer value waits until we have it too. Throws for
+   * one that the table of RPCs does not have, or that is served already.
+   */
+  on<Body>(method: PeerRpc, h: Handler<Body>, current = false): void {
+    if (!Object.hasOwn(PEER_RPCS, method))
+      throw new Error(`${String(method)} is not in the table of RPCs between nodes`);
+    if (this.handlers.has(method)) throw new Error(`${method} is served already`);
     this.handlers.set(method, { h: h as Handler, current });
   }
 
+  /** The RPCs between nodes that this node serves. */
+  served(): string[] {
+    return [...this.handlers.keys()];
+  }
+
   /** A visit to a peer; a visit to ourselves takes the same way without the net. */
-  async call<T = unknown>(peer: string, m: string, body: unknown, timeoutMs: number = C.callMs): Promise<T> {
+  async call<T = unknown>(peer: string, m: PeerRpc, body: unknown, timeoutMs: number = C.callMs): Promise<T> {
     if (peer === this.self) {
       const h = this.handlers.get(m);
       if (!h) throw new Failure({ tag: 'unknown_method', step: m, peer, method: m });
@@ -240,7 +252,7 @@
    * A visit to a peer, carried by another member while our own link to it is broken. The link counts as broken after a visit
    * that got no answer, and as whole again once a direct ping is answered.
    */
-  async reach<T = unknown>(peer: string, m: string, body: unknown, timeoutMs: number = C.callMs): Promise<T> {
+  async reach<T = unknown>(peer: string, m: PeerRpc, body: unknown, timeoutMs: number = C.callMs): Promise<T> {
     const by = this.broken.get(peer);
     if (by === undefined) {
       try {
@@ -294,7 +306,7 @@
     })();
   }
 
-  private async ask<T>(peer: string, m: string, body: unknown, send: (frame: string) => Promise<string>): Promise<T> {
+  private async ask<T>(peer: string, m: PeerRpc, body: unknown, send: (frame: string) => Promise<string>): Promise<T> {
     const now = this.host.clock.now();
     this.count('peer.out');
     const ask: Ask = { m, from: this.self, inst: this.inst, rev: this.rev, now, body };
@@ -304,7 +316,8 @@
     } catch (e) {
       const f = faultOf(e, m, peer);
       this.count(`peer.fail.${f.tag}`);
-      if (f.tag === 'unreachable') this.onUnreachable(peer);
+      // On an indirect path it may be the helper that was not there.
+      if (f.tag === 'unreachable' && f.peer === peer) this.onUnreachable(peer);
       throw new Failure({ ...f, step: m });
     }
     const a = readAnswer(raw);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -1,5 +1,8 @@
 import Type, { type Static } from 'typebox';
 import { Compile } from 'typebox/compile';
+import { idempotent, never, read, type CallerRepeatability } from './repeatable.js';
+
+export { mayRepeat, type CallerRepeatability } from './repeatable.js';
 
 const strict = { additionalProperties: false };
 const Name = (max: number) => Type.String({ minLength: 1, maxLength: max });
@@ -173,11 +176,12 @@
 const Conn = Type.String({ minLength: 1, maxLength: 200 });
 const Sub = Type.String();
 const Maybe = Type.Optional;
-const rpc = <A extends Type.TSchema, B extends Type.TSchema>(about: string, visit: A, answer: B) => ({
-  about,
-  visit,
-  answer,
-});
+const rpc = <A extends Type.TSchema, B extends Type.TSchema>(
+  about: string,
+  repeatable: CallerRepeatability,
+  visit: A,
+  answer: B,
+) => ({ about, repeatable, visit, answer });
 const obj = <P extends Type.TProperties>(p: P) => Type.Object(p, strict);
 
 const Name64 = Type.String();
@@ -257,27 +261,49 @@
 export const Rpcs = {
   Attach: rpc(
     'Opens the long conn: the answer is a stream of Frame lines. A later Attach of the same consumer, at any node, replaces it.',
+    never('opens a connection of its own and ends the one before: a repeat that comes late ends a newer one'),
     obj({ consumer: Name(128), pingS: Type.Optional(Type.Number({ minimum: 0.2, maximum: 60 })) }),
     Frame,
   ),
-  Detach: rpc('Closes a conn; its holds end at once.', obj({ conn: Conn }), obj({})),
+  Detach: rpc(
+    'Closes a conn; its holds end at once.',
+    idempotent({
+      toldApartBy: 'conn',
+      for: 'always: ids of connections are never used again',
+      why: 'what is closed stays closed; the repeat is told `unknown_conn`',
+    }),
+    obj({ conn: Conn }),
+    obj({}),
+  ),
   Probe: rpc(
     'Says the consumer is still there; keeps its holds fresh. `sent` counts the frames given to the stream: who got fewer, twice running, has a dead stream and attaches anew.',
+    read('a sign of life'),
     obj({ conn: Conn }),
     obj({ sent: Count }),
   ),
   Subscribe: rpc(
     'Subscribes a conn to a topic. With a cursor (the last offset received), delivery goes on behind it; without one, behind the head.',
+    idempotent({
+      toldApartBy: 'conn, topic',
+      for: 'while the subscription lasts',
+      why: 'asked again it is the same subscription with the same beginning; behind an Unsubscribe it is a new one, so that a caller repeats only the last it said of a topic',
+    }),
     obj({ conn: Conn, topic: Topic, cursor: Type.Optional(Count) }),
     obj({ sub: Sub, next: Count }),
   ),
   Unsubscribe: rpc(
     'Ends a subscription; LEFT on the stream is its last frame.',
+    never('run late it would end a subscription that was made after it'),
     obj({ conn: Conn, topic: Topic }),
     obj({ left: Type.Boolean() }),
   ),
   Publish: rpc(
     'Publishes one message. seq rises per sender and topic; the same seq may be sent again and has its first outcome.',
+    idempotent({
+      toldApartBy: 'sender, topic, seq',
+      for: '30 s after it was accepted; then the answer is `outcome_unknown`',
+      why: 'the same number again gets its first outcome and is delivered once',
+    }),
     obj({
       sender: Name(128),
       topic: Topic,
@@ -288,6 +314,7 @@
   ),
   Listeners: rpc(
     'How many conns listen on a topic now.',
+    read('counts'),
     obj({ topic: Topic }),
     obj({ count: Count, partial: Type.Boolean() }),
   ),
@@ -295,6 +322,12 @@
     "Takes a whole configuration. Answered once a majority of disks holds it. With `revision`, the operators' own number, the highest holds: " +
       'one that is not above the revision in force is answered with that one and changes nothing. Without it, `changeId` names the change, ' +
       "and the same changeId again gets its first outcome. `document` is the operators' own words, kept whole and given back.",
+    idempotent({
+      toldApartBy: 'changeId or revision',
+      needs: ['changeId', 'revision'],
+      for: 'a revision always; a changeId while it is among the changes remembered',
+      why: 'a changeId has its first outcome; of revisions the highest holds',
+    }),
     Type.Object(
       {
         changeId: Maybe(Name(128)),
@@ -313,11 +346,13 @@
   ),
   CheckConfig: rpc(
     'Checks a configuration and changes nothing.',
+    read('checks'),
     obj({ config: Type.Unknown() }),
     obj({ version: Count, faults: Type.Array(obj({ path: Type.String(), fault: Type.String() })) }),
   ),
   ReadConfig: rpc(
     'The configuration in force, confirmed by a majority.',
+    read('reads'),
     obj({}),
     obj({
       version: Count,
@@ -328,28 +363,52 @@
     }),
   ),
   EmptyDisk: rpc(
-    'Begins to move copies, keys and seat off a disk. Rejected, with the reason, when what is left cannot hold them.',
-    obj({ disk: DiskName }),
+    'Begins to move copies, keys and seat off a disk. Rejected, with the reason, when what is left cannot hold them. With `changeId` the same order again changes nothing.',
+    idempotent({
+      toldApartBy: 'changeId',
+      needs: ['changeId'],
+      for: 'while it is among the changes remembered',
+      why: 'a changeId has its first outcome; without one, a repeat that comes late would undo a CancelEmpty given since',
+    }),
+    obj({ disk: DiskName, changeId: Maybe(Name(128)) }),
     EmptyAnswer,
   ),
   EmptyStatus: rpc(
     'How far an emptying has come: `emptied` when nothing is left on the disk.',
+    read('reads'),
     obj({ disk: Type.String() }),
     EmptyAnswer,
   ),
-  CancelEmpty: rpc('Takes an emptying back.', obj({ disk: Type.String() }), EmptyAnswer),
+  CancelEmpty: rpc(
+    'Takes an emptying back. With `changeId` the same order again changes nothing.',
+    idempotent({
+      toldApartBy: 'changeId',
+      needs: ['changeId'],
+      for: 'while it is among the changes remembered',
+      why: 'a changeId has its first outcome; without one, a repeat that comes late would undo an EmptyDisk given since',
+    }),
+    obj({ disk: Type.String(), changeId: Maybe(Name(128)) }),
+    EmptyAnswer,
+  ),
   PlanMoves: rpc(
     'Replaces the calendar of planned moves in the configuration in force.',
+    idempotent({
+      toldApartBy: 'changeId',
+      needs: ['changeId'],
+      for: 'while it is among the changes remembered',
+      why: 'a changeId has its first outcome',
+    }),
     obj({ changeId: Name(128), expect: Type.Optional(Count), moves: Type.Array(Move, { maxItems: 256 }) }),
     obj({ version: Count }),
   ),
   Moves: rpc(
     'The calendar, with how far each move has come.',
+    read('reads'),
     obj({}),
     obj({ version: Count, moves: List(obj({ ...Move.properties, state: Type.String(), why: Type.String() })) }),
   ),
-  Fleet: rpc('What this node knows of the fleet.', obj({}), FleetAnswer),
-  Node: rpc('Counters and states of this node.', obj({}), NodeAnswer),
+  Fleet: rpc('What this node knows of the fleet.', read('reads'), obj({}), FleetAnswer),
+  Node: rpc('Counters and states of this node.', read('reads'), obj({}), NodeAnswer),
 } as const;
 
 export type Method = keyof typeof Rpcs;
--- a/packages/schema/src/openapi.ts
+++ b/packages/schema/src/openapi.ts
@@ -91,6 +91,7 @@
       post: {
         operationId: m,
         summary: r.about,
+        'x-repeatable': r.repeatable,
         requestBody: { required: true, content: json(visit) },
         responses: Object.fromEntries([['200', ok], ...answers(m, [...COMMON, ...own])]),
       },
