Peer transport: both ends introduce themselves; a later connection ends earlier ones

Cause: a connection was bound to an address alone. A call queued for one process went to the next at its address; what a connection that was given up still carried was run beside the calls of its successor; numbers that came twice on one connection ran twice; an answer to a number of an earlier connection passed for a late one. After a failed write the pieces behind it were 'written' to the dead socket, so that calls that were surely not sent ended as cut.

Change: after the greeting each end tells address, instance and number of the connection, on the transport's own line number, which peers of earlier versions answer like a ping. Numbers must rise; answers to numbers before this connection break it; calls made for a process go to that process or end as unreachable; a later connection from an address supersedes earlier ones at the server.

Ruled out: a reset in place of a close when a silent connection is left (net.Socket sends its FIN first and waits for writes).

Changed: the garbage of one test had one number 10,000 times and now has rising ones; the text of the first write has the introduction in it.

--- a/packages/kernel/src/peer-framing.ts
+++ b/packages/kernel/src/peer-framing.ts
@@ -15,6 +15,27 @@
   closeMs: number;
 }
 
+/** What the transport needs of its surroundings; a model puts others in place. */
+export interface PeerSystem {
+  connect(peer: string): Socket;
+  /** Milliseconds of a steady clock. */
+  now(): number;
+  /** Runs `fn` after so many milliseconds; the result cancels. */
+  after(ms: number, fn: () => void): () => void;
+  /** Runs `fn` at the end of this turn of the loop, when all that it brought is read. */
+  soon(fn: () => void): void;
+}
+
+/**
+ * Who one end of a connection is: its address, an id that no other process at that address ever has, and the number of the connection,
+ * which rises with each that this process opens (0 from the end that accepted it).
+ */
+export interface PeerIdentity {
+  address: string;
+  instance: string;
+  connection: number;
+}
+
 /** First line of every connection: who does not say it is no peer. */
 export const GREETING = 'harecross-peer/1';
 /** What a line is longer than its frame at most: the call's number, a space, the newline. */
@@ -23,7 +44,10 @@
 export const PIECE_BYTES = 256 * 1024;
 /** A peer for which more than this waits is not read from. */
 export const UNREAD_BYTES = 4 * PIECE_BYTES;
-/** The number of a transport ping: answered by the transport itself, so that slow work is told from a dead peer. */
+/**
+ * The number of the transport's own lines, which it answers by itself: pings, so that slow work is told from a dead peer, and the
+ * introduction of both ends. Peers of earlier versions answer an introduction like a ping, with an empty frame.
+ */
 export const PING = 0;
 
 /** Cuts a stream of bytes into lines of bounded length. */
@@ -65,6 +89,21 @@
   }
 }
 
+const INTRODUCTION = /^hello (\S+) (\S+) (\d{1,15})$/;
+
+/** The frame by which one end of a connection tells the other who it is. */
+export const introduce = (self: PeerIdentity): string => `hello ${self.address} ${self.instance} ${self.connection}`;
+
+/**
+ * Who the other end says it is; undefined for a ping.
+ * @example
+ * introduced('hello 10.1.0.4:7100 6f1c 3'); // { address: '10.1.0.4:7100', instance: '6f1c', connection: 3 }
+ */
+export function introduced(frame: string): PeerIdentity | undefined {
+  const m = INTRODUCTION.exec(frame);
+  return m ? { address: m[1]!, instance: m[2]!, connection: Number(m[3]) } : undefined;
+}
+
 /** The number and the frame of a line; undefined when it has none. */
 export function readLine(s: string): { id: number; frame: string } | undefined {
   const i = s.indexOf(' ');
@@ -76,11 +115,14 @@
 export class WriteBatch {
   private dirty = new Set<{ flush(): void }>();
   private armed = false;
+
+  constructor(private system: PeerSystem) {}
+
   note(x: { flush(): void }): void {
     this.dirty.add(x);
     if (this.armed) return;
     this.armed = true;
-    setImmediate(() => this.run());
+    this.system.soon(() => this.run());
   }
   run(): void {
     this.armed = false;
@@ -111,7 +153,10 @@
 
   write(out: string, bytes: number): void {
     if (bytes <= 2 * PIECE_BYTES) {
-      this.s.write(out, 'utf8', () => this.moved(false));
+      this.s.write(out, 'utf8', (e) => {
+        // A socket that failed takes nothing more: what waits was surely not written.
+        if (!e) this.moved(false);
+      });
       return;
     }
     const b = Buffer.from(out);
@@ -124,7 +169,8 @@
     const p = this.pieces.shift();
     if (!p) return;
     this.piecesBytes -= p.length;
-    this.s.write(p, () => {
+    this.s.write(p, (e) => {
+      if (e) return;
       this.next();
       this.moved(true);
     });
--- a/packages/kernel/src/peer-link.ts
+++ b/packages/kernel/src/peer-link.ts
@@ -1,8 +1,8 @@
 /** The calling side of the peer transport: our connection to one peer, and the calls under way on it. */
-import { connect, type NetConnectOpts, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { C } from './constants.js';
 import { Failure, type Fault } from './fault.js';
-import { addr, type NetNews } from './host.js';
+import type { NetNews } from './host.js';
 import {
   GREETING,
   LineReader,
@@ -10,8 +10,12 @@
   PIECE_BYTES,
   PING,
   FrameWriter,
+  introduce,
+  introduced,
   readLine,
+  type PeerIdentity,
   type PeerNetBounds,
+  type PeerSystem,
   type WriteBatch,
 } from './peer-framing.js';
 
@@ -19,7 +23,9 @@
   id: number;
   frame: string;
   bytes: number;
-  timer: NodeJS.Timeout;
+  cancelTimer: () => void;
+  /** The process it was meant for: set while a connection to it was open. Another one at its address never gets it. */
+  instance?: string;
   over: boolean;
   res: (s: string) => void;
   rej: (f: Fault) => void;
@@ -38,9 +44,15 @@
   private sent = new Map<number, Call>();
   /** Given up by their callers, and perhaps answered later. */
   private abandoned = 0;
+  /** Numbers go on over connections, so that none is ever used twice. */
   private nextId = PING + 1;
+  /** The first number of this connection. */
+  private firstId = PING + 1;
   private greeted = false;
-  private watch?: NodeJS.Timeout;
+  /** Whether the other end has answered our introduction, and who it is if it said so. */
+  private known = false;
+  private peerInstance?: string;
+  private cancelWatch?: () => void;
   private heard = false;
   private pinged = false;
   usedAt = 0;
@@ -49,6 +61,8 @@
     private peer: string,
     private bounds: PeerNetBounds,
     private turn: WriteBatch,
+    private introduction: () => PeerIdentity,
+    private system: PeerSystem,
     private news: () => NetNews | undefined,
   ) {}
 
@@ -66,7 +80,7 @@
         fail({ tag: 'overloaded', step: 'call', peer: this.peer, retryAfterMs: C.retryMs });
         return;
       }
-      this.usedAt = performance.now();
+      this.usedAt = this.system.now();
       const c: Call = {
         id: PING,
         frame,
@@ -75,7 +89,8 @@
         res,
         rej: fail,
         // What already lies in the socket when our loop comes late is read first.
-        timer: setTimeout(() => setImmediate(() => this.giveUp(c)), timeoutMs),
+        cancelTimer: this.system.after(timeoutMs, () => this.system.soon(() => this.giveUp(c))),
+        ...(this.state === 'open' && this.peerInstance !== undefined ? { instance: this.peerInstance } : {}),
       };
       this.unsent.push(c);
       this.unsentBytes += bytes;
@@ -96,7 +111,7 @@
   private end(c: Call, how: string | Fault): void {
     if (c.over) return;
     c.over = true;
-    clearTimeout(c.timer);
+    c.cancelTimer();
     if (typeof how === 'string') c.res(how);
     else c.rej(how);
   }
@@ -115,8 +130,10 @@
 
   private open(): void {
     this.state = 'connecting';
-    this.greeted = this.heard = this.pinged = false;
-    const s = connect({ ...addr(this.peer), noDelay: true, highWaterMark: PIECE_BYTES } as NetConnectOpts);
+    this.greeted = this.known = this.heard = this.pinged = false;
+    this.peerInstance = undefined;
+    this.firstId = this.nextId;
+    const s = this.system.connect(this.peer);
     this.socket = s;
     this.writer = new FrameWriter(s, (piece) => {
       if (this.socket === s) {
@@ -125,10 +142,10 @@
       }
     });
     let why = 'closed by the peer';
-    const late = setTimeout(() => this.lost(s, 'ETIMEDOUT'), this.bounds.connectMs);
+    const cancelLate = this.system.after(this.bounds.connectMs, () => this.lost(s, 'ETIMEDOUT'));
     const lines = new LineReader(this.bounds.frameBytes + LINE_OVERHEAD_BYTES, (l) => this.line(l));
     s.on('connect', () => {
-      clearTimeout(late);
+      cancelLate();
       if (this.socket !== s) return;
       this.state = 'open';
       this.news()?.count('peer.link.opened');
@@ -145,7 +162,7 @@
     });
     s.on('end', () => this.lost(s, why));
     s.on('close', () => {
-      clearTimeout(late);
+      cancelLate();
       this.lost(s, why);
     });
   }
@@ -155,11 +172,13 @@
     if (!r) return false;
     if (r.id === PING) {
       this.abandoned = 0;
+      this.meet(introduced(r.frame));
       return true;
     }
     const c = this.sent.get(r.id);
     if (!c) {
-      if (r.id >= this.nextId) return false;
+      // Never asked on this connection.
+      if (r.id >= this.nextId || r.id < this.firstId) return false;
       this.abandoned = Math.max(0, this.abandoned - 1);
       return true;
     }
@@ -172,11 +191,39 @@
     return true;
   }
 
+  /** The other end has answered our introduction. What was meant for an earlier process at its address was never written: it ends here. */
+  private meet(peer: PeerIdentity | undefined): void {
+    if (this.known) return;
+    this.known = true;
+    this.peerInstance = peer?.instance;
+    if (peer) {
+      const { instance } = peer;
+      const stale = this.unsent.filter((c) => c.instance !== undefined && c.instance !== instance);
+      this.unsent = this.unsent.filter((c) => !stale.includes(c));
+      for (const c of stale) {
+        this.unsentBytes -= c.bytes;
+        this.news()?.count('peer.link.another_process');
+        this.end(c, { tag: 'unreachable', step: 'call', peer: this.peer, detail: 'another process is at its address' });
+      }
+    }
+    this.flush();
+  }
+
+  /** Some call is meant for a process, and we do not know yet whether it is the one at the other end. */
+  private get mustMeet(): boolean {
+    return !this.known && this.unsent.some((c) => c.instance !== undefined);
+  }
+
   flush(): void {
     const w = this.writer;
     if (this.state !== 'open' || !w?.free || !this.unsent.length) return;
-    let out = this.greeted ? '' : `${GREETING}\n`;
+    let out = this.greeted ? '' : `${GREETING}\n${PING} ${introduce(this.introduction())}\n`;
     this.greeted = true;
+    if (this.mustMeet) {
+      if (out) w.write(out, out.length);
+      this.watchQuiet();
+      return;
+    }
     let bytes = 0;
     let n = 0;
     while (n < this.unsent.length && bytes < PIECE_BYTES) {
@@ -198,14 +245,14 @@
    * without power says nothing. Our own late loop is not the peer's silence.
    */
   private watchQuiet(): void {
-    if (this.watch) return;
-    const due = performance.now() + this.bounds.quietMs;
+    if (this.cancelWatch) return;
+    const due = this.system.now() + this.bounds.quietMs;
     this.heard = false;
-    this.watch = setTimeout(() => {
-      this.watch = undefined;
+    this.cancelWatch = this.system.after(this.bounds.quietMs, () => {
+      this.cancelWatch = undefined;
       const s = this.socket;
-      if (this.state !== 'open' || !s || (!this.sent.size && !this.abandoned)) return;
-      const late = performance.now() - due > this.bounds.quietMs / 2;
+      if (this.state !== 'open' || !s || (!this.sent.size && !this.abandoned && !this.mustMeet)) return;
+      const late = this.system.now() - due > this.bounds.quietMs / 2;
       if (!this.heard && !late) {
         if (this.pinged) {
           this.news()?.count('peer.link.silent');
@@ -217,7 +264,7 @@
         if (this.writer!.free) s.write(`${PING} \n`);
       }
       this.watchQuiet();
-    }, this.bounds.quietMs);
+    });
   }
 
   /** The one way a connection ends. Written calls end with `tag`; the others were surely not seen. */
@@ -227,10 +274,8 @@
     this.socket = undefined;
     this.writer = undefined;
     this.state = 'closed';
-    if (this.watch) {
-      clearTimeout(this.watch);
-      this.watch = undefined;
-    }
+    this.cancelWatch?.();
+    this.cancelWatch = undefined;
     s.destroy();
     const sent = [...this.sent.values()];
     this.sent.clear();
@@ -268,10 +313,8 @@
     this.socket = undefined;
     this.writer = undefined;
     this.state = 'closed';
-    if (this.watch) {
-      clearTimeout(this.watch);
-      this.watch = undefined;
-    }
+    this.cancelWatch?.();
+    this.cancelWatch = undefined;
     const all = [...this.sent.values(), ...this.unsent];
     this.sent.clear();
     this.unsent = [];
--- a/packages/kernel/src/peer-net.ts
+++ b/packages/kernel/src/peer-net.ts
@@ -1,13 +1,44 @@
 /** The peer transport: links to peers and the connections they opened to us, behind one `Net`. */
-import { createServer, type Server } from 'node:net';
+import { randomUUID } from 'node:crypto';
+import { connect, createServer, type NetConnectOpts, type Server } from 'node:net';
 import { C } from './constants.js';
 import { Failure } from './fault.js';
 import { addr, type Net, type NetNews } from './host.js';
-import { PIECE_BYTES, WriteBatch, type PeerNetBounds } from './peer-framing.js';
+import { PIECE_BYTES, WriteBatch, type PeerIdentity, type PeerNetBounds, type PeerSystem } from './peer-framing.js';
 import { endSocket, PeerLink } from './peer-link.js';
 import { AcceptedConnection } from './peer-server.js';
 
-export type { PeerNetBounds } from './peer-framing.js';
+export type { PeerIdentity, PeerNetBounds, PeerSystem } from './peer-framing.js';
+
+const realSystem: PeerSystem = {
+  connect: (peer) => connect({ ...addr(peer), noDelay: true, highWaterMark: PIECE_BYTES } as NetConnectOpts),
+  now: () => performance.now(),
+  after: (ms, fn) => {
+    const timer = setTimeout(fn, ms);
+    return () => clearTimeout(timer);
+  },
+  soon: (fn) => {
+    setImmediate(fn);
+  },
+};
+
+/**
+ * The connections that peers opened to us. An address has one process at a time, and a process one connection to us at a time: once a
+ * later one introduces itself, earlier ones are ended, and what still comes on them is not run. Their calls have been given up.
+ */
+export class AcceptedConnections {
+  readonly all = new Set<AcceptedConnection>();
+
+  met(connection: AcceptedConnection): void {
+    const { peer } = connection;
+    if (!peer) return;
+    for (const other of [...this.all]) {
+      if (other === connection || other.peer?.address !== peer.address) continue;
+      const late = other.peer.instance === peer.instance && other.peer.connection > peer.connection;
+      (late ? connection : other).supersede();
+    }
+  }
+}
 
 /**
  * Peer frames over TCP: one long connection for each ordered pair of nodes, opened by the caller, with any number of calls under
@@ -31,8 +62,12 @@
     ...bounds,
   };
   const links = new Map<string, PeerLink>();
-  const accepted = new Set<AcceptedConnection>();
-  const turn = new WriteBatch();
+  const identity: PeerIdentity = { address: self, instance: randomUUID(), connection: 0 };
+  let opened = 0;
+  const introduction = (): PeerIdentity => ({ ...identity, connection: ++opened });
+  const system = realSystem;
+  const accepted = new AcceptedConnections();
+  const turn = new WriteBatch(system);
   let news: NetNews | undefined;
   let server: Server | undefined;
   let closed = false;
@@ -52,9 +87,18 @@
       const srv = createServer(
         { noDelay: true, highWaterMark: PIECE_BYTES, keepAlive: true, keepAliveInitialDelay: C.peerKeepAliveMs },
         (s) => {
-          const a = new AcceptedConnection(s, b, turn, handle, () => news);
-          accepted.add(a);
-          s.on('close', () => accepted.delete(a));
+          const a = new AcceptedConnection(
+            s,
+            b,
+            turn,
+            identity,
+            system,
+            (c) => accepted.met(c),
+            handle,
+            () => news,
+          );
+          accepted.all.add(a);
+          s.on('close', () => accepted.all.delete(a));
         },
       );
       srv.maxConnections = b.connsN;
@@ -72,7 +116,7 @@
       if (closed) return Promise.reject(new Failure({ tag: 'cut', step: 'call', peer, detail: 'closed by us' }));
       let l = links.get(peer);
       if (!l) {
-        l = new PeerLink(peer, b, turn, () => news);
+        l = new PeerLink(peer, b, turn, introduction, system, () => news);
         links.set(peer, l);
       }
       return l.call(frame, timeoutMs);
@@ -90,7 +134,7 @@
       turn.run();
       await Promise.all([
         ...[...links.values()].map((l) => l.close()),
-        ...[...accepted].map((a) => endSocket(a.s, b.closeMs)),
+        ...[...accepted.all].map((a) => endSocket(a.s, b.closeMs)),
       ]);
       links.clear();
       await shut;
--- a/packages/kernel/src/peer-server.ts
+++ b/packages/kernel/src/peer-server.ts
@@ -8,8 +8,12 @@
   PING,
   UNREAD_BYTES,
   FrameWriter,
+  introduce,
+  introduced,
   readLine,
+  type PeerIdentity,
   type PeerNetBounds,
+  type PeerSystem,
   type WriteBatch,
 } from './peer-framing.js';
 
@@ -21,13 +25,21 @@
   private writer: FrameWriter;
   private busy = 0;
   private paused = false;
+  private superseded = false;
   private lines: LineReader;
-  private hello: NodeJS.Timeout;
+  private cancelHello: () => void;
+  /** Numbers of one connection only rise: a line that comes twice is none of a peer's. */
+  private lastId = PING;
+  /** The process at the other end, once it has introduced itself. */
+  peer?: PeerIdentity;
 
   constructor(
     readonly s: Socket,
     private bounds: PeerNetBounds,
     private turn: WriteBatch,
+    private self: PeerIdentity,
+    system: PeerSystem,
+    private met: (connection: AcceptedConnection) => void,
     private handle: (frame: string) => Promise<string>,
     private news: () => NetNews | undefined,
   ) {
@@ -36,18 +48,16 @@
       this.flush();
       this.pace();
     });
-    this.hello = setTimeout(
-      () =>
-        setImmediate(() => {
-          if (!this.greeted) this.bad();
-        }),
-      bounds.connectMs * 2,
+    this.cancelHello = system.after(bounds.connectMs * 2, () =>
+      system.soon(() => {
+        if (!this.greeted) this.bad();
+      }),
     );
     s.on('data', (d) => {
       if (!this.lines.take(d)) this.bad();
     });
     s.on('error', () => undefined);
-    s.on('close', () => clearTimeout(this.hello));
+    s.on('close', () => this.cancelHello());
   }
 
   private bad(): void {
@@ -60,16 +70,19 @@
     if (!this.greeted) {
       if (l !== GREETING) return false;
       this.greeted = true;
-      clearTimeout(this.hello);
+      this.cancelHello();
       this.lines.limit = this.bounds.frameBytes + LINE_OVERHEAD_BYTES;
       return true;
     }
     const r = readLine(l);
     if (!r) return false;
     if (r.id === PING) {
-      this.say(PING, '');
+      this.own(r.frame);
       return true;
     }
+    if (this.superseded) return true;
+    if (r.id <= this.lastId) return false;
+    this.lastId = r.id;
     this.busy++;
     this.handle(r.frame).then(
       (a) => {
@@ -87,6 +100,25 @@
     return true;
   }
 
+  /** A line of the transport itself. */
+  private own(frame: string): void {
+    const peer = introduced(frame);
+    if (!peer) {
+      this.say(PING, '');
+      return;
+    }
+    this.peer = peer;
+    this.say(PING, introduce(this.self));
+    this.met(this);
+  }
+
+  /** Another process has taken the address of the one that opened this connection: nothing more of it is run. */
+  supersede(): void {
+    this.superseded = true;
+    this.news()?.count('peer.link.superseded');
+    this.s.destroy();
+  }
+
   private say(id: number, frame: string): void {
     if (!this.s.writable) return;
     let bytes = Buffer.byteLength(frame);
--- a/packages/trial/src/test/peer-net.test.ts
+++ b/packages/trial/src/test/peer-net.test.ts
@@ -126,7 +126,10 @@
       return a.net.call(p.at, x, LONG);
     }),
   );
-  t.deepEqual(got, ['harecross-peer/1\n1 a\n2 b\n', '3 c\n4 d\n5 e\n']);
+  t.deepEqual(
+    got.map((x) => x.replace(/^0 hello \S+ [0-9a-f-]{36} 1$/m, '0 hello WHO')),
+    ['harecross-peer/1\n0 hello WHO\n1 a\n2 b\n', '3 c\n4 d\n5 e\n'],
+  );
 });
 
 test('nobody there: unreachable; a connection that never comes about: unreachable too, and its frames are never sent', async (t) => {
@@ -317,8 +320,8 @@
   );
   const s = caller(b.at);
   s.pause();
-  const frame = '1 x\n'.repeat(10_000);
-  s.write(`harecross-peer/1\n${frame}`);
+  const frames = Array.from({ length: 10_000 }, (_, i) => `${i + 1} x\n`).join('');
+  s.write(`harecross-peer/1\n${frames}`);
   await b.news.until('peer.link.unread');
   t.true(n <= 10_000);
   const a = await node(t, echo);
@@ -407,3 +410,98 @@
   await b.net.close();
   t.deepEqual(seen, ['held', 'last words', 'bye']);
 });
+
+test('numbers of one connection only rise: a line that comes twice ends it, and runs once', async (t) => {
+  const seen: string[] = [];
+  const b = await node(t, async (f) => {
+    seen.push(f);
+    return echo(f);
+  });
+  const s = caller(b.at);
+  s.write('harecross-peer/1\n5 once\n5 once\n');
+  await once(s.resume(), 'close');
+  t.deepEqual(seen, ['once']);
+  t.true(b.news.lines.includes('peer.link.garbage'));
+});
+
+test('an answer to a number of an earlier connection is no answer on this one', async (t) => {
+  let n = 0;
+  const p = await raw(t, (s) => {
+    n++;
+    lines(s, (l) => {
+      if (l.endsWith('die')) s.resetAndDestroy();
+      else if (l.endsWith('ask')) s.write('1 of the call before\n');
+    });
+  });
+  const a = await node(t, echo);
+  t.is(await tag(a.net.call(p.at, 'die', LONG)), 'cut');
+  t.like(await fault(a.net.call(p.at, 'ask', LONG)), { tag: 'cut', detail: 'not a line of a peer' });
+  t.is(n, 2);
+});
+
+test('a call that waited for one process never goes to another at its address', async (t) => {
+  let connections = 0;
+  const seen: string[] = [];
+  const p = await raw(t, (s) => {
+    const instance = `process-${++connections}`;
+    s.on('data', (d) => {
+      if (String(d).includes('big ')) s.resetAndDestroy();
+    });
+    lines(s, (l) => {
+      if (l.startsWith('0 hello')) s.write(`0 hello ${p.at} ${instance} 0\n`);
+      else if (/^[1-9]\d* /.test(l)) {
+        seen.push(`${instance} ${l.replace(/^\d+ /, '')}`);
+        s.write(`${l}\n`);
+      }
+    });
+  });
+  const a = await node(t, echo);
+  t.is(await a.net.call(p.at, 'first', LONG), 'first');
+  // The large frame fills the way out, so that the one behind it is not written when the connection breaks.
+  const big = fault(a.net.call(p.at, `big ${'x'.repeat(30_000_000)}`, LONG));
+  const behind = new Promise<Fault | 'answered'>((res) =>
+    setImmediate(() => void fault(a.net.call(p.at, 'behind', LONG)).then(res)),
+  );
+  t.like(await big, { tag: 'cut' });
+  t.like(await behind, { tag: 'unreachable', detail: 'another process is at its address' });
+  t.is(await a.net.call(p.at, 'anew', LONG), 'anew');
+  t.deepEqual(seen, ['process-1 first', 'process-2 anew']);
+});
+
+test('once a new process introduces itself, nothing more of the earlier one at its address is run', async (t) => {
+  const seen: string[] = [];
+  const b = await node(t, async (f) => {
+    seen.push(f);
+    return echo(f);
+  });
+  const old = caller(b.at);
+  const answered = new Promise<void>((res) => lines(old, (l) => l.startsWith('1 ') && res()));
+  old.write('harecross-peer/1\n0 hello 10.1.0.4:7100 first 9\n1 before\n');
+  await answered;
+  const next = caller(b.at);
+  next.write('harecross-peer/1\n0 hello 10.1.0.4:7100 second 1\n1 after\n');
+  await once(old, 'close');
+  t.true(b.news.lines.includes('peer.link.superseded'));
+  await new Promise<void>((res) => lines(next, (l) => l.startsWith('1 ') && res()));
+  t.deepEqual(seen, ['before', 'after']);
+});
+
+test('what a connection still carries when its caller has opened the next one is not run, in whatever order they introduce themselves', async (t) => {
+  const seen: string[] = [];
+  const b = await node(t, async (f) => {
+    seen.push(f);
+    return echo(f);
+  });
+  const said = (s: Socket): Promise<void> => new Promise((res) => lines(s, (l) => l.startsWith('1 ') && res()));
+  const newer = caller(b.at);
+  const answered = said(newer);
+  newer.write('harecross-peer/1\n0 hello 10.1.0.4:7100 same 2\n1 of the newer\n');
+  await answered;
+  const late = caller(b.at);
+  late.write('harecross-peer/1\n0 hello 10.1.0.4:7100 same 1\n1 given up long ago\n');
+  await once(late.resume(), 'close');
+  const newest = caller(b.at);
+  newest.write('harecross-peer/1\n0 hello 10.1.0.4:7100 same 3\n1 of the newest\n');
+  await Promise.all([once(newer, 'close'), said(newest)]);
+  t.deepEqual(seen, ['of the newer', 'of the newest']);
+});
