--- a/packages/kernel/src/peer-net.ts
+++ b/packages/kernel/src/peer-net.ts
@@ -32,7 +32,7 @@
   met(connection: AcceptedConnection): void {
     const { peer } = connection;
     if (!peer) return;
-    for (const other of [...this.all]) {
+    for (const other of this.all) {
       if (other === connection || other.peer?.address !== peer.address) continue;
       const late = other.peer.instance === peer.instance && other.peer.connection > peer.connection;
       (late ? connection : other).supersede();
