Line clients: answers about the same go out in the order of the requests

Cause: an answer names its word, topic and number, nothing else. Of two pipelined requests about the same (SUBSCRIBE, UNSUBSCR, SUBSCRIBE again; a PUBLISH resent) the later could be answered first, and a REJECT of the earlier then passed for that of the later.

--- a/packages/trial/src/test/platform-access.test.ts
+++ b/packages/trial/src/test/platform-access.test.ts
@@ -623,6 +623,110 @@
   );
 });
 
+test('answers about the same go out in the order of the requests, also one that was refused at once', async (t) => {
+  const s = await stage(t);
+  const c = await attached(s, 'u1');
+  c.send(
+    'SUBSCRIBE a\r\nUNSUBSCR a\r\nSUBSCRIBE a 5\r\nSUBSCRIBE a x-y\r\nSUBSCRIBE b\r\n' +
+      'PUBLISH a 7 2\r\nhi\r\nPUBLISH a 7 2\r\nhi\r\nENQUIRE a\r\nENQUIRE a\r\n',
+  );
+  const other = await attached(s, 'other');
+  while (s.edge.visits.length < 8) await turns(other, 1);
+  const [first, left, second, b, try1, try2, count1, count2] = s.edge.visits as [
+    Visited,
+    Visited,
+    Visited,
+    Visited,
+    Visited,
+    Visited,
+    Visited,
+    Visited,
+  ];
+  // The later ones of each are done first.
+  count2.answer({ status: 200, body: { count: 2, partial: false } });
+  try2.answer(well('Publish', {}));
+  second.answer(well('Subscribe', second.body));
+  left.answer(well('Unsubscribe', {}));
+  b.answer(well('Subscribe', { cursor: 9 }));
+  t.is(await c.line(), 'CONFIRM SUBSCRIBE b 9', 'what is about another topic waits for nothing');
+  await turns(other, 3);
+  t.is(c.all.length, 2);
+  const lost: Fault = { tag: 'unknown_conn', step: 's', peer: 'p' };
+  first.answer(fault(lost));
+  for (const said of [
+    'REJECT SUBSCRIBE a - INDETERM',
+    'CONFIRM UNSUBSCR a',
+    'CONFIRM SUBSCRIBE a 5',
+    'REJECT SUBSCRIBE a - MALFORMED',
+  ])
+    t.is(await c.line(), said);
+  try1.answer(fault({ tag: 'outcome_unknown', step: 's', peer: 'p', retryAfterMs: 1 }));
+  t.is(await c.line(), 'REJECT PUBLISH a 7 INDETERM');
+  t.is(await c.line(), 'ACCEPT a 7');
+  count1.answer({ status: 200, body: { count: 1, partial: false } });
+  t.is(await c.line(), 'TALLY a 1');
+  t.is(await c.line(), 'TALLY a 2');
+});
+
+test('a pipeline cut at each byte: whole requests ran once and in order, the rest not at all', async (t) => {
+  const s = await stage(t);
+  s.edge.at = well;
+  const other = await attached(s, 'other');
+  const requests = [
+    'SUBSCRIBE a 3\r\n',
+    'PUBLISH a 1 4\r\nA\r\nB\r\n',
+    'ENQUIRE a\r\n',
+    'UNSUBSCR a\r\n',
+    'PUBLISH a 2 2\r\nhi\r\n',
+  ];
+  const methods = ['Subscribe', 'Publish', 'Listeners', 'Unsubscribe', 'Publish'];
+  const bytes = requests.join('');
+  for (let cut = 0; cut <= bytes.length; cut++) {
+    let rest = cut;
+    const whole = requests.filter((r) => (rest -= r.length) >= 0).length;
+    const before = s.edge.visits.length;
+    const goneBefore = s.edge.goneIds.length;
+    const c = await attached(s, `u${cut}`);
+    const answered = c.until((all) => all.length === 1 + whole);
+    c.send(bytes.slice(0, cut));
+    await answered;
+    c.reset();
+    await c.closed;
+    while (s.edge.goneIds.length === goneBefore) await turns(other, 1);
+    const mine = s.edge.visits.slice(before);
+    t.deepEqual(
+      mine.map((v) => v.method),
+      methods.slice(0, whole),
+      `cut at ${cut}`,
+    );
+    for (const v of mine) if (v.method === 'Publish') t.is(v.body.sender, `u${cut}`);
+  }
+});
+
+test("a client's name on two connections: each answer goes to the connection that asked, also when the other is gone", async (t) => {
+  const s = await stage(t);
+  const other = await attached(s, 'other');
+  const [old, fresh] = [await attached(s, 'same'), await attached(s, 'same')];
+  old.send('PUBLISH a 1 2\r\nhi\r\nENQUIRE a\r\n');
+  while (s.edge.visits.length < 2) await turns(other, 1);
+  fresh.send('ENQUIRE a\r\nPUBLISH a 1 2\r\nhi\r\n');
+  while (s.edge.visits.length < 4) await turns(other, 1);
+  const [oldPublish, oldCount, freshCount, freshPublish] = s.edge.visits as [Visited, Visited, Visited, Visited];
+  freshCount.answer({ status: 200, body: { count: 2, partial: false } });
+  t.is(await fresh.line(), 'TALLY a 2');
+  oldCount.answer({ status: 200, body: { count: 1, partial: false } });
+  t.is(await old.line(), 'TALLY a 1');
+  old.reset();
+  await old.closed;
+  while (!s.edge.goneIds.length) await turns(other, 1);
+  t.is(s.edge.goneIds.length, 1, 'the other connection of that name stays');
+  oldPublish.answer(fault({ tag: 'timeout', step: 's', peer: 'p' }));
+  await turns(other, 3);
+  t.is(fresh.all.length, 2, 'what the old connection asked is nothing to the new one');
+  freshPublish.answer(well('Publish', {}));
+  t.is(await fresh.line(), 'ACCEPT a 1');
+});
+
 test('a connection cut while answers and frames are on their way harms nobody', async (t) => {
   const s = await stage(t);
   const other = await attached(s, 'other');
