Orders by revision are decided by content, not by number alone

Cause: Operators.inForce(revision) compared numbers alone, so two different configurations with revision 50, sent to two stores, were both answered 200 {"version":2,"revision":50}; one of them never was in force.

Change: the agreed value records the digest of what came into force under each revision (revision-outcomes.ts), in the same step of the register. An order is accepted, overtaken, forgotten or in conflict by that record, at every node, also after a restart, a replacement and others in between. The record holds C.revisionOutcomesN (512) revisions; an older order is `forgotten`, which is no refusal. A value from before, or a revision brought by a node from before, is judged by its recomputed digest. The answer has `outcome`, the conflict names the revision in force. submissions.ts holds the bounded queue; what waits for one submission and what is changed at once by change id are bounded too.

Found beside it: a refusal (invalid_config, wont_hold) was thrown inside the ballot, after the prepare and without an accept. A first try that one disk had accepted could so come into force after its resend had been refused. Refusals are outcomes of the ballot now: the value they were judged by is accepted anew. A node that lags no longer refuses by its own value alone. A forgotten changeId with `expect` is `outcome_unknown`, not `conflict`; an order to empty a disk is remembered with the disk and never refused after it was taken; an old revision is told only after a majority said what is in force, and no_majority after its time, where it was what the node knew.

Tests changed: config.test.ts and platform-management.test.ts expected 200 for another configuration under a number in use, and a late answer without a majority; both were the fault, and now expect conflict and no_majority.

--- a/packages/control/src/fleet-state.ts
+++ b/packages/control/src/fleet-state.ts
@@ -6,14 +6,14 @@
 import type { Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { copiesFor, copyDisks, quickOf } from './placement.js';
-import { usedFor, type DiskRec, type Value } from './value.js';
+import { moveKey, usedFor, type DiskRec, type Value } from './value.js';
 
 /** A disk by its id, or by the name of the machine it is in. */
 export const diskNamed = (v: Value, x: string): DiskRec | undefined => {
   const there = [...v.disks.values()].filter((d) => d.name === x);
   return v.disks.get(x) ?? there.find((d) => d.state !== 'lost') ?? there[0];
 };
-export const moveKey = (m: Move): string => `${m.id}@${m.from}`;
+export { moveKey } from './value.js';
 /**
  * Copies that a disk still has.
  * @example
@@ -21,6 +21,9 @@
  */
 export const copiesOn = (v: Value, disk: string): number =>
   [...v.shards.values()].filter((p) => p.copies.includes(disk)).length;
+/** Whether an order to empty a disk, or a machine by its name, was taken and not taken back: also of a disk that was there before. */
+export const emptyingOrdered = (v: Value, x: string): boolean =>
+  [...v.disks.values()].some((d) => (d.id === x || d.name === x) && (d.emptyingTaken ?? d.state === 'emptying'));
 /** Whether nothing of the fleet is left on a disk. */
 export const isBare = (v: Value, disk: string): boolean => copiesOn(v, disk) === 0 && !v.seats.includes(disk);
 /** A machine that the calendar adds later is not let in before. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -7,3 +7,4 @@
 export * from './keeper.js';
 export * from './operators.js';
 export * from './placement.js';
+export * from './revision-outcomes.js';
--- a/packages/control/src/operators.ts
+++ b/packages/control/src/operators.ts
@@ -1,11 +1,11 @@
 /** What operators ask of the fleet: configurations, the calendar of moves, and the emptying of disks. */
-import { C, Failure, faultOf, register, retryAfter, sleep, type Kernel } from '@harecross/kernel';
-import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
+import { C, Failure, register, retryAfter, type Kernel } from '@harecross/kernel';
+import { configFaults, type FleetConfig, type Move, type PathFault } from '@harecross/schema';
 import type { Board } from './board.js';
-import { erasAfter } from './eras.js';
-import { barTo, copiesOn, diskNamed, isBare, moveKey } from './fleet-state.js';
+import { barTo, copiesOn, diskNamed, emptyingOrdered, isBare, moveKey } from './fleet-state.js';
 import { notReady, type Register } from './register.js';
-import type { MoveState, Value } from './value.js';
+import { Submissions, overloaded, type Revised } from './submissions.js';
+import { withConfig, type MoveState, type Outcome, type Value } from './value.js';
 
 declare module '@harecross/kernel' {
   interface Faces {
@@ -13,57 +13,53 @@
   }
 }
 
-/** A configuration that is to come into force, with all who wait for it: it may be sent again and again. */
-interface Submission {
-  key: string;
-  revision: number;
-  changeId: string;
-  config: FleetConfig;
-  document?: string;
-  until: number;
-  waits: { res: (a: Revised) => void; rej: (e: unknown) => void }[];
-}
-/** What is in force after a submission with a revision: that one, or a higher one. */
-export interface Revised {
-  version: number;
-  revision: number;
+/** What a disk is told to have, as operators are answered. */
+interface DiskTold {
+  disk: string;
+  state: string;
+  copies: number;
+  seat: boolean;
 }
+type DiskOutcome =
+  { tag: 'done'; told: DiskTold } | { tag: 'unknown' } | { tag: 'refused'; why: string } | { tag: 'unclear' };
+type ChangeOutcome = Outcome | { tag: 'invalid'; faults: PathFault[] } | { tag: 'forgotten' };
 
 /**
  * What operators ask of the register.
  * @example
  * await k.use('operators').submit({ changeId: 'c1', expect: 3, config }); // { version: 4 }
- * await k.use('operators').submit({ revision: 17, document, config }); // { version: 5, revision: 17 }
+ * await k.use('operators').submit({ revision: 17, document, config }); // { version: 5, revision: 17, outcome: 'accepted' }
  */
 export class Operators {
-  /** Those with a revision that are not in force yet. One of them, the highest, is at work at a time: it settles the lower ones too. */
-  private submissions = new Map<string, Submission>();
-  private working = false;
+  private readonly submissions: Submissions;
+  /** Changes by change id that are under way at this node. */
+  private changing = 0;
 
   constructor(
     private k: Kernel,
     private board: Board,
     private reg: Register,
   ) {
-    k.keep(reg.value$.subscribe(() => this.settle()));
+    this.submissions = new Submissions(k, reg, (value, config) => this.machineFaults(value, config));
   }
 
   /**
-   * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force. Without one
-   * the first outcome of its changeId is given. Fails with `invalid_config`, `conflict` (without a revision), `overloaded` (beyond
-   * C.submissionsN at once), and with `not_ready` or `no_majority` after C.submitMs.
+   * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force, and fails with
+   * `conflict` where another configuration came into force under its revision. Without one the first outcome of its changeId is
+   * given. Fails with `invalid_config`, `conflict`, `overloaded` (too many at once), `outcome_unknown` (its outcome is forgotten), and
+   * with `not_ready` or `no_majority` after C.submitMs.
    */
-  async submit(b: {
+  async submit(request: {
     changeId?: string;
     expect?: number;
     revision?: number;
     document?: unknown;
     config: unknown;
-  }): Promise<{ version: number; revision?: number }> {
-    const document = b.document === undefined ? undefined : JSON.stringify(b.document);
-    if (b.revision !== undefined)
-      return this.revise(b.revision, b.changeId ?? `revision-${b.revision}`, b.config, document);
-    return this.change('SubmitConfig', b.changeId!, b.expect, () => ({ config: b.config, document }));
+  }): Promise<{ version: number } | Revised> {
+    const { revision, changeId, config } = request;
+    if (revision !== undefined) return this.submissions.submit({ ...request, revision });
+    const document = request.document === undefined ? undefined : JSON.stringify(request.document);
+    return this.change('SubmitConfig', changeId!, request.expect, () => ({ config, document }));
   }
 
   /** Takes a new calendar into the configuration in force. */
@@ -74,166 +70,62 @@
     }));
   }
 
-  /** The configuration, or `invalid_config`. Without a value only what can be said of it by itself. */
-  private checked(step: string, config: unknown, v?: Value): FleetConfig {
-    const faults = configFaults(config);
-    if (!faults.length && v) faults.push(...this.machineFaults(v, config as FleetConfig));
-    if (faults.length) throw new Failure({ tag: 'invalid_config', step, peer: this.k.self, faults });
-    return config as FleetConfig;
-  }
-
-  /** The value with a configuration in it. */
-  private taken(v: Value, x: { changeId: string; config: FleetConfig; document?: string; revision?: number }): Value {
-    const version = v.version + 1;
-    const keys = new Set((x.config.moves ?? []).map(moveKey));
-    const moves = new Map([...v.moves].filter(([k]) => keys.has(k)));
-    return {
-      ...v,
-      version,
-      changeId: x.changeId,
-      config: x.config,
-      document: x.document,
-      revision: x.revision ?? v.revision,
-      eras: erasAfter(v.eras, x.config, version),
-      moves,
-    };
-  }
-
-  // --- by revision ---
-
-  private revise(revision: number, changeId: string, config: unknown, document: string | undefined): Promise<Revised> {
-    const valid = this.checked('SubmitConfig', config);
-    const key = `${revision}\n${JSON.stringify(config)}`;
-    let s = this.submissions.get(key);
-    if (!s) {
-      if (this.submissions.size >= C.submissionsN) {
-        throw new Failure({
-          tag: 'overloaded',
-          step: 'SubmitConfig',
-          peer: this.k.self,
-          retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs),
-        });
-      }
-      s = { key, revision, changeId, config: valid, document, until: 0, waits: [] };
-      this.submissions.set(key, s);
-    }
-    const { waits } = s;
-    s.until = this.k.host.clock.now() + C.submitMs;
-    const answer = new Promise<Revised>((res, rej) => {
-      waits.push({ res, rej });
-    });
-    this.settle();
-    void this.bringIntoForce();
-    return answer;
-  }
-
-  /** Whether it is still one to work on; one that was sent again later is another. */
-  private wanted(s: Submission): boolean {
-    return this.submissions.get(s.key) === s;
-  }
-
-  /** The one function that takes a submission out; gives who is to be told. */
-  private takeOut(s: Submission): Submission['waits'] {
-    if (this.wanted(s)) this.submissions.delete(s.key);
-    return s.waits.splice(0);
-  }
-
-  private inForce(revision: number): Revised | undefined {
-    const v = this.reg.value;
-    return v?.revision !== undefined && v.revision >= revision
-      ? { version: v.version, revision: v.revision }
-      : undefined;
-  }
-
-  /** Answers what a value that the fleet agreed on has settled, whoever brought it about. */
-  private settle(): void {
-    for (const s of this.submissions.values())
-      if (this.inForce(s.revision)) void this.tell(s.revision, s.until, this.takeOut(s));
-  }
-
-  /** It is settled, but something higher may be in force by now: a majority tells. Without one, in the end, it is what we know. */
-  private async tell(revision: number, until: number, waits: Submission['waits']): Promise<void> {
-    const { clock, rnd } = this.k.host;
-    while (!(await this.reg.confirm().catch(() => false)) && clock.now() < until)
-      await sleep(clock, C.submitAskMs * (0.5 + rnd.next()));
-    for (const w of waits) w.res(this.inForce(revision)!);
-  }
-
-  /**
-   * Works on the highest submission until none is left, or its time has passed. Senders may have left: several tries of one revision, at
-   * several nodes, each go on until they see it in force. They do not fight for long: the register's retries are spread out at random.
-   */
-  private async bringIntoForce(): Promise<void> {
-    if (this.working) return;
-    this.working = true;
+  private async change(
+    step: string,
+    changeId: string,
+    expect: number | undefined,
+    make: (value: Value) => { config: unknown; document?: string },
+  ): Promise<{ version: number }> {
+    if (!this.reg.value) throw notReady(this.k, step);
+    if (this.changing >= C.changesAtOnceN) throw overloaded(this.k, step);
+    this.changing++;
     try {
-      for (;;) {
-        const s = [...this.submissions.values()].reduce<Submission | undefined>(
-          (a, b) => (!a || b.revision > a.revision ? b : a),
-          undefined,
-        );
-        if (!s) return;
-        await this.tryOnce(s);
-      }
+      const outcome = await this.reg.change((value) => this.changed(value, changeId, expect, make(value)));
+      return this.versionOf(step, outcome);
     } finally {
-      this.working = false;
+      this.changing--;
     }
   }
 
-  private async tryOnce(s: Submission): Promise<void> {
-    const { clock } = this.k.host;
-    try {
-      const a = await this.reg.change(
-        (v): { next?: Value; out: Revised } => {
-          if (v.revision !== undefined && v.revision >= s.revision)
-            return { out: { version: v.version, revision: v.revision } };
-          this.checked('SubmitConfig', s.config, v);
-          const next = this.taken(v, s);
-          return { next, out: { version: next.version, revision: s.revision } };
-        },
-        Math.min(C.submitTryMs, s.until - clock.now()),
-        () => this.wanted(s),
-      );
-      for (const w of this.takeOut(s)) w.res(a);
-    } catch (e) {
-      // No longer wanted: settled meanwhile.
-      if (!this.wanted(s)) return;
-      const f = faultOf(e, 'SubmitConfig', this.k.self);
-      if (f.tag === 'no_majority' && clock.now() < s.until) return;
-      for (const w of this.takeOut(s)) w.rej(this.reg.value ? e : notReady(this.k, 'SubmitConfig'));
+  /**
+   * The outcome of a change by its id, and the value with it. Refusals are outcomes too, not thrown here: the register then has the
+   * value that they were judged by accepted anew, so that an earlier try of the same change can't come into force after them.
+   */
+  private changed(
+    value: Value,
+    changeId: string,
+    expect: number | undefined,
+    change: { config: unknown; document?: string },
+  ): { next?: Value; out: ChangeOutcome } {
+    const first = value.changes.get(changeId);
+    if (first) return { out: first };
+    if (expect !== undefined && expect !== value.version) {
+      // Its first try may be one of those that are forgotten: neither refused nor taken is true then for sure.
+      if (expect <= (value.changesForgottenTo ?? -1)) return { out: { tag: 'forgotten' } };
+      const out = { tag: 'conflict' as const, version: value.version };
+      return { next: { ...value, ...withChange(value, changeId, out) }, out };
     }
+    const faults = configFaults(change.config);
+    if (!faults.length) faults.push(...this.machineFaults(value, change.config as FleetConfig));
+    if (faults.length) return { out: { tag: 'invalid', faults } };
+    const next = withConfig(value, { changeId, config: change.config as FleetConfig, document: change.document });
+    const out = { tag: 'taken' as const, version: next.version };
+    return { next: { ...next, ...withChange(value, changeId, out) }, out };
   }
 
-  // --- by change id ---
-
-  private async change(
-    step: string,
-    changeId: string,
-    expect: number | undefined,
-    make: (v: Value) => { config: unknown; document?: string },
-  ): Promise<{ version: number }> {
-    if (!this.reg.value) throw notReady(this.k, step);
-    if (!this.reg.value.changes.has(changeId)) this.checked(step, make(this.reg.value).config, this.reg.value);
-    const o = await this.reg.change((v) => {
-      const first = v.changes.get(changeId);
-      if (first) return { out: first };
-      const changes = new Map(v.changes);
-      if (expect !== undefined && expect !== v.version) {
-        const out = { tag: 'conflict' as const, version: v.version };
-        changes.set(changeId, out);
-        return { next: { ...v, changes: trimmed(changes) }, out };
-      }
-      const x = make(v);
-      const next = this.taken(v, { changeId, config: this.checked(step, x.config, v), document: x.document });
-      const out = { tag: 'taken' as const, version: next.version };
-      changes.set(changeId, out);
-      return { next: { ...next, changes: trimmed(changes) }, out };
-    });
-    switch (o.tag) {
+  private versionOf(step: string, outcome: ChangeOutcome): { version: number } {
+    const peer = this.k.self;
+    switch (outcome.tag) {
       case 'taken':
-        return { version: o.version };
+        return { version: outcome.version };
       case 'conflict':
-        throw new Failure({ tag: 'conflict', step, peer: this.k.self, version: o.version });
+        throw new Failure({ tag: 'conflict', step, peer, version: outcome.version });
+      case 'invalid':
+        throw new Failure({ tag: 'invalid_config', step, peer, faults: outcome.faults });
+      case 'forgotten': {
+        const retryAfterMs = retryAfter(this.k.host.rnd, C.retryMs);
+        throw new Failure({ tag: 'outcome_unknown', step, peer, retryAfterMs });
+      }
     }
   }
 
@@ -277,24 +169,40 @@
     };
   }
 
-  /** Begins or takes back the emptying of a disk. */
-  async setDisk(
-    disk: string,
-    state: 'active' | 'emptying',
-    step: string,
-  ): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
+  /** Begins or takes back the emptying of a disk. An order that was taken is answered again, whatever has become of the disk since. */
+  async setDisk(disk: string, state: 'active' | 'emptying', step: string): Promise<DiskTold> {
     if (!this.reg.value) throw notReady(this.k, step);
-    return this.reg.change((v) => {
-      const d = diskNamed(v, disk);
-      if (!d) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
-      const told = { disk: d.id, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
-      if (d.state === state) return { out: told };
-      if (d.state === 'lost')
-        throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: `disk ${disk} is lost` });
-      const bar = state === 'emptying' ? barTo(v, { kind: 'empty' }, d, this.board) : undefined;
-      if (bar) throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: bar });
-      return { next: { ...v, disks: new Map(v.disks).set(d.id, { ...d, state }) }, out: told };
-    });
+    const outcome = await this.reg.change((value) => this.diskSet(value, disk, state));
+    const peer = this.k.self;
+    switch (outcome.tag) {
+      case 'done':
+        return outcome.told;
+      case 'unknown':
+        throw new Failure({ tag: 'unknown_disk', step, peer, disk });
+      case 'refused':
+        throw new Failure({ tag: 'wont_hold', step, peer, detail: outcome.why });
+      case 'unclear':
+        throw notReady(this.k, step);
+    }
+  }
+
+  /** What becomes of an order on a disk. As with changes, refusals are outcomes. */
+  private diskSet(value: Value, disk: string, state: 'active' | 'emptying'): { next?: Value; out: DiskOutcome } {
+    const found = diskNamed(value, disk);
+    if (!found) return { out: { tag: 'unknown' } };
+    const told = { disk: found.id, state, copies: copiesOn(value, found.id), seat: value.seats.includes(found.id) };
+    if (found.state === state) return { out: { tag: 'done', told } };
+    const repeated = state === 'emptying' && emptyingOrdered(value, disk);
+    if (found.state === 'lost') {
+      if (repeated) return { out: { tag: 'done', told: { ...told, state: found.state } } };
+      return { out: { tag: 'refused', why: `disk ${disk} is lost` } };
+    }
+    const bar = state === 'emptying' ? barTo(value, { kind: 'empty' }, found, this.board) : undefined;
+    // Taken before, for a disk that was replaced since: it is begun again as soon as that holds.
+    if (bar !== undefined) return { out: repeated ? { tag: 'unclear' } : { tag: 'refused', why: bar } };
+    const emptyingTaken = state === 'emptying' ? true : undefined;
+    const disks = new Map(value.disks).set(found.id, { ...found, state, emptyingTaken });
+    return { next: { ...value, disks }, out: { tag: 'done', told } };
   }
 
   /** How far the emptying of a disk has come. */
@@ -325,9 +233,16 @@
   }
 }
 
-function trimmed<T>(m: Map<string, T>): Map<string, T> {
-  while (m.size > C.changeIdsN) m.delete(m.keys().next().value!);
-  return m;
+/** The changes of a value with one more outcome; the oldest beyond the bound are forgotten. */
+function withChange(value: Value, changeId: string, outcome: Outcome): Pick<Value, 'changes' | 'changesForgottenTo'> {
+  const changes = new Map(value.changes).set(changeId, outcome);
+  let { changesForgottenTo } = value;
+  for (const [oldest, { version }] of changes) {
+    if (changes.size <= C.changeIdsN) break;
+    changes.delete(oldest);
+    changesForgottenTo = version;
+  }
+  return { changes, changesForgottenTo };
 }
 
 register({
--- a/packages/control/src/value.ts
+++ b/packages/control/src/value.ts
@@ -1,7 +1,8 @@
 /** The one value that the fleet agrees on, and the records in it. */
 import type { DiskUse } from '@harecross/kernel';
-import type { FleetConfig } from '@harecross/schema';
-import type { Eras } from './eras.js';
+import type { FleetConfig, Move } from '@harecross/schema';
+import { erasAfter, type Eras } from './eras.js';
+import { withRevision, type RevisionOrder, type RevisionOutcomes } from './revision-outcomes.js';
 
 export type DiskState = 'active' | 'emptying' | 'lost';
 /** `ms`: how long it took when it was first opened. `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
@@ -13,6 +14,8 @@
   uses?: DiskUse[];
   name?: string;
   ms?: number;
+  /** An order to empty it was taken, and not taken back; it stays when the disk is lost, so that the order may be sent again. */
+  emptyingTaken?: boolean;
 }
 /**
  * Whether a disk is for this before anything else.
@@ -49,6 +52,8 @@
   revision?: number;
   /** The operators' own words, as JSON text: nothing in here reads them. */
   document?: string;
+  /** What came into force under which revision. Unknown in a value of before outcomes were kept by content. */
+  revisionOutcomes?: RevisionOutcomes;
   /** Since which version the topics of a pattern have been there without a break. */
   eras: Eras;
   disks: Map<string, DiskRec>;
@@ -59,7 +64,38 @@
   copies: number;
   /** Seats wanted, likewise: as many as bear those losses. Unknown in a value of before there was a choice. */
   seatsWanted?: number;
+  /** First outcomes by change id, the oldest first; C.changeIdsN at most. */
   changes: Map<string, Outcome>;
+  /** The version told by the newest outcome that was forgotten: nothing is known of a change id that expects no more than this. */
+  changesForgottenTo?: number;
   /** Key: id@from. */
   moves: Map<string, MoveRec>;
 }
+
+/** The key of a move in the value's record of moves. */
+export const moveKey = (move: Move): string => `${move.id}@${move.from}`;
+
+/**
+ * The value with a configuration in it, as the next version. Without a revision the one in force stays.
+ * @example
+ * withConfig(value, { changeId: 'c1', config }).version // value.version + 1
+ */
+export function withConfig(
+  value: Value,
+  change: { changeId: string; config: FleetConfig; document?: string; revised?: RevisionOrder },
+): Value {
+  const { changeId, config, document, revised } = change;
+  const version = value.version + 1;
+  const planned = new Set((config.moves ?? []).map(moveKey));
+  const next = {
+    ...value,
+    version,
+    changeId,
+    config,
+    document,
+    eras: erasAfter(value.eras, config, version),
+    moves: new Map([...value.moves].filter(([key]) => planned.has(key))),
+  };
+  if (!revised) return next;
+  return { ...next, revision: revised.revision, revisionOutcomes: withRevision(value, revised) };
+}
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -232,10 +232,19 @@
   submitMs: 10_000,
   /** Different submissions that one node works on; resent ones share one, and few operators are at work at a time. */
   submissionsN: 32,
+  /** Callers that wait for one submission at one node: a few operators, each of whom resends it every second while it is worked on. */
+  submissionWaitsN: 256,
+  /** Changes by change id under way at one node. Each holds a configuration for changeMs at most. */
+  changesAtOnceN: 32,
   /** One try at that; then the highest revision that was sent meanwhile is taken up instead. */
   submitTryMs: 2_000,
   /** What is in force is asked of a majority again after about this long, before an old revision is answered. */
   submitAskMs: 200,
+  /**
+   * Revisions remembered with what came into force under them: an order sent again gets its first outcome until this many others came
+   * into force. Hours at the changes of a busy day, against resends that come within seconds; about 20 bytes each in the value.
+   */
+  revisionOutcomesN: 512,
   /** Change ids remembered with their outcome. */
   changeIdsN: 4_096,
   /** Founders look around this long for other disks before they found. */
--- a/packages/kernel/src/fault.ts
+++ b/packages/kernel/src/fault.ts
@@ -17,7 +17,8 @@
   | { tag: 'too_large'; step: string; peer: string; limit: number }
   | { tag: 'stale_seq'; step: string; peer: string; last: number }
   | { tag: 'outcome_unknown'; step: string; peer: string; retryAfterMs: number }
-  | { tag: 'conflict'; step: string; peer: string; version: number }
+  /** `revision`: the one in force, where the order had one. */
+  | { tag: 'conflict'; step: string; peer: string; version: number; revision?: number }
   | { tag: 'invalid_config'; step: string; peer: string; faults: { path: string; fault: string }[] }
   | { tag: 'no_majority'; step: string; peer: string; detail: string }
   | { tag: 'wont_hold'; step: string; peer: string; detail: string }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -139,7 +139,7 @@
   ['too_large', 413, { limit: Count }],
   ['stale_seq', 409, { last: Count }],
   ['outcome_unknown', 504, RetryOf],
-  ['conflict', 409, { version: Count }],
+  ['conflict', 409, { version: Count, revision: Type.Optional(Count) }],
   ['invalid_config', 400, { faults: Type.Array(Type.Object({ path: Type.String(), fault: Type.String() }, strict)) }],
   ['no_majority', 503, { ...Detail, ...RetryOf }],
   ['wont_hold', 409, Detail],
@@ -254,6 +254,9 @@
 const DiskName = Type.String();
 
 /** Every RPC: POST /rpc/<Method> with a JSON body. */
+/** What became of a configuration that was sent with a revision. */
+const RevisionOutcome = Type.Union([Type.Literal('accepted'), Type.Literal('overtaken'), Type.Literal('forgotten')]);
+
 export const Rpcs = {
   Attach: rpc(
     'Opens the long conn: the answer is a stream of Frame lines. A later Attach of the same consumer, at any node, replaces it.',
@@ -293,8 +296,10 @@
   ),
   SubmitConfig: rpc(
     "Takes a whole configuration. Answered once a majority of disks holds it. With `revision`, the operators' own number, the highest holds: " +
-      'one that is not above the revision in force is answered with that one and changes nothing. Without it, `changeId` names the change, ' +
-      "and the same changeId again gets its first outcome. `document` is the operators' own words, kept whole and given back.",
+      'one that is not above the revision in force is answered with that one and changes nothing, and `outcome` tells what became of the ' +
+      'one that was sent: `accepted` (it came into force), `overtaken` (it never did) or `forgotten` (one of the two, long ago). Another ' +
+      'configuration than the one that came into force under its revision is a `conflict`. Without a revision, `changeId` names the ' +
+      "change, and the same changeId again gets its first outcome. `document` is the operators' own words, kept whole and given back.",
     Type.Object(
       {
         changeId: Maybe(Name(128)),
@@ -309,7 +314,7 @@
         not: { required: ['expect', 'revision'] },
       },
     ),
-    obj({ version: Count, revision: Maybe(Count) }),
+    obj({ version: Count, revision: Maybe(Count), outcome: Maybe(RevisionOutcome) }),
   ),
   CheckConfig: rpc(
     'Checks a configuration and changes nothing.',
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -177,15 +177,18 @@
     __proto__x: { constructor: 1 },
   };
 
-  t.deepEqual(await submit(r1, 7, { document }), { status: 200, body: { version: 2, revision: 7 } });
+  t.deepEqual(await submit(r1, 7, { document }), {
+    status: 200,
+    body: { version: 2, revision: 7, outcome: 'accepted' },
+  });
   t.deepEqual(
     await submit(r2, 7, { document }),
-    { status: 200, body: { version: 2, revision: 7 } },
+    { status: 200, body: { version: 2, revision: 7, outcome: 'accepted' } },
     'resent to another node',
   );
   t.deepEqual(
     await submit(s.stores[0]!, 3, { config: { families: [] } }),
-    { status: 200, body: { version: 2, revision: 7 } },
+    { status: 200, body: { version: 2, revision: 7, outcome: 'overtaken' } },
     'an old one, late',
   );
   t.deepEqual((await s.ask(r2, 'ReadConfig', {})).body, {
@@ -215,10 +218,16 @@
     revision: 7,
     config: { families: [] },
   });
-  t.deepEqual((await submit(r2, 7)).body, { version: 3, revision: 7 });
-  t.deepEqual((await submit(r2, 8, { changeId: 'named' })).body, { version: 4, revision: 8 });
+  t.deepEqual((await submit(r2, 7, { document })).body, { version: 3, revision: 7, outcome: 'accepted' });
+  const other = await submit(r2, 7);
+  t.deepEqual([other.status, other.body.error.tag, other.body.error.revision], [409, 'conflict', 7], 'other words');
+  t.deepEqual((await submit(r2, 8, { changeId: 'named' })).body, { version: 4, revision: 8, outcome: 'accepted' });
   // A calendar changes neither the revision nor the operators' words.
-  t.deepEqual((await submit(r2, 20, { document: 'words' })).body, { version: 5, revision: 20 });
+  t.deepEqual((await submit(r2, 20, { document: 'words' })).body, {
+    version: 5,
+    revision: 20,
+    outcome: 'accepted',
+  });
   t.is((await s.ask(r1, 'PlanMoves', { changeId: 'plan', moves: [] })).body.version, 6);
   t.deepEqual((await s.ask(r1, 'ReadConfig', {})).body, {
     version: 6,
@@ -608,12 +617,13 @@
   t.is(late.body.error.tag, 'no_majority');
   t.is(late.status, 503);
   t.true(late.body.error.retryAfterMs > 0);
-  // One that is not above the revision in force is acknowledged, if late: whether something higher is in force nobody can tell.
+  // Another configuration under the revision in force never comes into force: this node knows that without the others.
+  const other = await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: [] } });
+  t.deepEqual([other.status, other.body.error.tag, other.body.error.revision], [409, 'conflict', 5]);
+  // The one in force, sent again, has no clear answer: whether something higher is in force nobody can tell.
   const from = s.sim.now;
-  t.deepEqual((await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: [] } })).body, {
-    version: 2,
-    revision: 5,
-  });
+  const again = await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: FAMILIES } });
+  t.deepEqual([again.status, again.body.error.tag], [503, 'no_majority']);
   t.true(s.sim.now - from > 9_000);
   s.sim.close();
 });
@@ -677,7 +687,7 @@
   await sim.run(900);
   t.is(told, undefined);
   await sim.run(8_000);
-  t.deepEqual(told, { status: 200, body: { version: 1, revision: 2 } });
+  t.deepEqual(told, { status: 200, body: { version: 1, revision: 2, outcome: 'accepted' } });
   sim.close();
 });
 
--- a/packages/trial/src/test/platform-management.test.ts
+++ b/packages/trial/src/test/platform-management.test.ts
@@ -104,17 +104,12 @@
   for (const x of [a, b]) t.deepEqual(await s.http('GET', x.management + RETRIEVE), { status: 200, body: odd });
   t.is((await s.http('POST', b.management + REPLACE, odd)).status, 200, 'the same once more');
   t.is((await s.http('POST', b.management + REPLACE, shown(3))).status, 200, 'an old one is acknowledged');
-  t.is(
-    (
-      await s.http(
-        'POST',
-        a.management + REPLACE,
-        shown(7, (c) => c.routes.pop()),
-      )
-    ).status,
-    200,
-    'and another of the same number',
-  );
+  const twin = shown(7, (c) => c.routes.pop());
+  for (const x of [a, b]) {
+    const other = await s.http('POST', x.management + REPLACE, twin);
+    t.is(other.status, 409, 'another of the same number is not told that it is in force');
+    t.regex(other.body.error_text, /"tag":"conflict".*"revision":7/);
+  }
   await s.pass(1_000);
   for (const x of [a, b]) t.deepEqual((await s.http('GET', x.management + RETRIEVE)).body, odd, 'and changes nothing');
   const next = shown(19, (c) => {
@@ -124,6 +119,11 @@
   t.is((await s.http('POST', b.management + REPLACE, next)).status, 200);
   await s.pass(1_000);
   for (const x of [a, b]) t.deepEqual((await s.http('GET', x.management + RETRIEVE)).body, next);
+  for (const x of [a, b]) {
+    t.is((await s.http('POST', x.management + REPLACE, odd)).status, 200, 'one that was in force, again');
+    t.is((await s.http('POST', x.management + REPLACE, shown(11))).status, 200, 'one that was overtaken');
+    t.is((await s.http('POST', x.management + REPLACE, twin)).status, 409, 'one that came second, again');
+  }
   const { config } = (await s.ask(s.relays[0]!, 'ReadConfig', {})).body;
   t.deepEqual(config, {
     families: [
