--- a/packages/trial/src/scenario.ts
+++ b/packages/trial/src/scenario.ts
@@ -148,6 +148,8 @@
   disks: SimNode[];
   rnd: { next(): number };
   note(s: string): void;
+  /** What is wrong beside what the judge sees in the journal. */
+  wrong(rule: Violation['rule'], what: string): void;
 }
 export interface Run {
   seen: Seen[];
@@ -210,6 +212,23 @@
   return { stores, relays, disks: [...stores, ...relays.filter((r) => r.config.data)] };
 }
 
+/** Sets of replica hosts that have no majority of live members, or might have none after so many more losses; by name. */
+export function weakSets(sim: Sim, losses: number): { broken: string[]; thin: string[] } {
+  const v = valueOf(sim);
+  if (!v) return { broken: ['no value'], thin: [] };
+  const live = new Set([...sim.nodes.values()].filter((n) => n.up && !n.frozen).map(diskOf));
+  const sets: [string, string[]][] = [
+    ['voters', v.seats],
+    ['voters before', v.prevSeats],
+    ...[...v.shards].map(([shard, p]): [string, string[]] => [`shard ${shard}`, p.copies]),
+  ];
+  const alive = (set: string[]): number => set.filter((d) => live.has(d)).length;
+  return {
+    broken: sets.filter(([, set]) => alive(set) * 2 <= set.length).map(([name]) => name),
+    thin: sets.filter(([, set]) => (alive(set) - losses) * 2 <= set.length).map(([name]) => name),
+  };
+}
+
 /** The newest value of the register that any machine has, or had when it went. */
 function valueOf(sim: Sim): Value | undefined {
   let top: Value | undefined;
@@ -288,6 +307,7 @@
   const world: World = { clock: sim.clock, rnd: seeded(seed ^ 0x5eed), way: sim.outside, journal };
   const cr = crowd(world, site);
   const notes: string[] = [];
+  const wrong: Violation[] = [];
   const stage: Stage = {
     sim,
     world,
@@ -299,6 +319,7 @@
       notes.push(`${(sim.now / 1000).toFixed(3)} ${s}`);
       sim.lines.push(`${(sim.now / 1000).toFixed(3)} ** ${s}`);
     },
+    wrong: (rule, what) => wrong.push({ rule, t: Math.round(sim.now), what }),
   };
   await sim.run(6_000);
   let fault: unknown;
@@ -373,7 +394,7 @@
   watching = false;
   if (!(await drive(cr.operator.read(true), 90_000))) notes.push('the last read was never answered');
   journal.add({ k: 'end' });
-  const bad = judge(journal.seen, sc.bounds);
+  const bad = [...judge(journal.seen, sc.bounds), ...wrong];
   const counters = new Map<string, number>();
   for (const n of sim.nodes.values())
     for (const [k, v] of n.kernel?.counters ?? []) counters.set(k, (counters.get(k) ?? 0) + v);
--- a/packages/trial/src/trouble/day.ts
+++ b/packages/trial/src/trouble/day.ts
@@ -1,5 +1,5 @@
 /** A day of drawn troubles in the simulator, on the shape of a deployment. */
-import { play, type Run, type Scenario, type Stage } from '../scenario.js';
+import { play, weakSets, type Run, type Scenario, type Stage } from '../scenario.js';
 import { Marker } from '../actors.js';
 import { seeded } from '../sim.js';
 import type { Deployment } from './deployment.js';
@@ -17,6 +17,9 @@
 const MARKER_MS = 250;
 /** The fleet is left alone for this long before it is judged whole. */
 const QUIET_MS = 6_000;
+/** Publishes of so long before the end of the day are counted, and this share of them must be accepted. */
+const SERVED_MS = 3_000;
+const SERVED_SHARE = 0.9;
 /** A day lasts at least this long. */
 const DAY_MS = 20_000;
 /** On the way of an answer to its observer, on top of every bound. */
@@ -65,7 +68,11 @@
     stage,
     machines,
     orders,
-    tolerance: new Tolerance(machines.sim.clock, losses, syncMs),
+    tolerance: new Tolerance(machines.sim.clock, losses, syncMs, () => {
+      const { broken, thin } = weakSets(machines.sim, losses);
+      if (broken.length) stage.note(`without a majority already: ${broken.join(', ')}`);
+      else if (thin.length) stage.note(`do not bear the declared losses yet: ${thin.join(', ')}`);
+    }),
   };
   const marker = watchMarkers(stage, orders);
   await Promise.all(
@@ -77,11 +84,25 @@
   while (s.tolerance.count() > 0) await pause(s, 500);
   note(s, 'all troubles are over');
   await pause(s, QUIET_MS);
+  judgeWhole(s);
   await orders.change('idle');
   marker.stop();
   machines.end();
 }
 
+/** After the last trouble every set has its majority again, bears the next loss, and clients are served. */
+function judgeWhole(s: TroubleStage): void {
+  const { broken, thin } = weakSets(s.machines.sim, s.machines.deployment.losses);
+  if (broken.length) s.stage.wrong('lost', `no majority is left of ${broken.join(', ')}`);
+  else if (thin.length) s.stage.wrong('lost', `the next loss would end the majority of ${thin.join(', ')}`);
+  const { seen } = s.stage.world.journal;
+  const since = s.machines.sim.now - SERVED_MS;
+  const answers = seen.filter((x) => x.k === 'pub.answer' && x.t > since && !x.topic.startsWith('mark/'));
+  const accepted = answers.filter((x) => x.k === 'pub.answer' && x.out === 'accepted').length;
+  if (accepted < answers.length * SERVED_SHARE || !accepted)
+    s.stage.wrong('served', `${accepted} of ${answers.length} publishes were accepted at the end of the day`);
+}
+
 /** Asks every relay which configuration it serves by, all day. */
 function watchMarkers(stage: Stage, orders: Orders): { stop(): void } {
   const marker = new Marker(stage.world, MARKER_MS);
--- a/packages/trial/src/trouble/tolerance.ts
+++ b/packages/trial/src/trouble/tolerance.ts
@@ -31,6 +31,8 @@
     private readonly clock: Clock,
     private readonly losses: number,
     private readonly syncMs: number,
+    /** Called when machines that count are about to be struck. */
+    private readonly onStrike: (machines: readonly Machine[]) => void = () => {},
   ) {}
 
   /** Machines that count as lost now. */
@@ -76,6 +78,7 @@
   }
 
   private taken(machines: Machine[]): Claim {
+    if (machines.some((m) => m.counted)) this.onStrike(machines);
     for (const m of machines) this.lost.add(m);
     const over = (): void => {
       for (const m of machines) this.lost.delete(m);
