--- a/packages/control/src/plan-disks.ts
+++ b/packages/control/src/plan-disks.ts
@@ -86,12 +86,29 @@
   const waiting = [...disks.values()].filter(
     (disk) => disk.state === 'lost' && sameUses(disk, gone) && !isBare(value, disk.id),
   );
-  if (spares.length <= waiting.length) return undefined;
+  if (spares.length <= waiting.length)
+    return silent > C.spareAfterMs ? laterNeighbour(value, fleet, gone)?.id : undefined;
   const successor = spares.find((disk) => succeeds(fleet, disk, gone));
   if (successor && silent > C.successorAfterMs) return successor.id;
   return silent > C.spareAfterMs ? spares[waiting.length]!.id : undefined;
 }
 
+/**
+ * A live disk of the same uses that came to the same domain after this one did, where the copies have room without this one: where a
+ * machine is replaced by plan, the new one comes first and has copies before the old one goes. Nothing else will come in its place.
+ */
+function laterNeighbour(value: Value, fleet: FleetView, gone: DiskRec): DiskRec | undefined {
+  const cameAt = fleet.board.ofDisk(gone.id)?.liveSince;
+  if (cameAt === undefined || !usedFor(gone, 'copies')) return undefined;
+  const there = [...value.disks.values()].filter(
+    (disk) => disk.id !== gone.id && disk.state === 'active' && sameUses(disk, gone) && liveMember(fleet, disk.id),
+  );
+  if (there.length < (value.config.copies ?? value.copies ?? C.copiesN)) return undefined;
+  return there.find(
+    (disk) => disk.domain === gone.domain && liveMember(fleet, disk.id)!.liveSince > cameAt + C.successorAfterMs,
+  );
+}
+
 function sameUses(one: DiskRec, other: DiskRec): boolean {
   return (['seat', 'copies'] as const).every((use) => usedFor(one, use) === usedFor(other, use));
 }
--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -1,6 +1,7 @@
 import { Register, type Board, type Value } from '@harecross/control';
 import { Failure, pack, type Clock, type Kernel } from '@harecross/kernel';
 import type { Seat } from '@harecross/state';
+import { Subject } from 'rxjs';
 import { pathToFileURL } from 'node:url';
 import type { Json } from './json.js';
 
@@ -22,7 +23,12 @@
   /** Times a seat's process may end and begin anew, with what it had saved. */
   restarts: number;
   /** A fault planted into the seats, to see that it is found. */
-  planted?: 'accepts below its promise' | 'forgets its promise' | 'hides what it accepted' | 'comes back older';
+  planted?:
+    | 'accepts below its promise'
+    | 'forgets its promise'
+    | 'hides what it accepted'
+    | 'comes back older'
+    | 'heeds no voters before';
   /** The search ends after this many states. */
   mostStates?: number;
 }
@@ -141,6 +147,8 @@
       contacts: () => [],
       ofDisk: (d: string) => ({ peer: d }),
       live: () => [],
+      isLive: () => true,
+      state$: new Subject(),
     };
     return board as Board;
   }
@@ -388,6 +396,9 @@
   { name: 'out', seats: (s) => s.filter((d) => d !== 'd0') },
 ];
 
+/** A voter is replaced by another in one step, and nothing settles it before the next change. */
+const replace: Change[] = [{ name: 'swap', seats: (seats) => seats.map((disk) => (disk === 'd0' ? 'd3' : disk)) }];
+
 /** What is searched, by name. */
 export const PLANS = new Map<string, ModelPlan>([
   // Two operators at once.
@@ -396,6 +407,9 @@
   ['lossy-change', { seats: 3, proposers: [[{ name: 'a' }, { name: 'b' }]], losses: 1, retries: 1, restarts: 1 }],
   // A seat goes to another disk while an operator makes a change.
   ['seat-change', { seats: 4, proposers: [swap, [{ name: 'a' }]], losses: 0, retries: 1, restarts: 0 }],
+  // A voter is replaced in one step while an operator makes a change.
+  ['voter-replaced', { seats: 4, proposers: [replace, [{ name: 'a' }]], losses: 0, retries: 0, restarts: 0 }],
+  ['voter-replaced-again', { seats: 4, proposers: [replace, [{ name: 'a' }]], losses: 0, retries: 1, restarts: 0 }],
   ['seat-change-lossy', { seats: 4, proposers: [swap, [{ name: 'a' }]], losses: 1, retries: 2, restarts: 1 }],
 ]);
 
