--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -1,4 +1,4 @@
-import { Register, type Board, type Value } from '@harecross/control';
+import { fromText, Register, type Board, type Value } from '@harecross/control';
 import { Failure, pack, type Clock, type Kernel } from '@harecross/kernel';
 import type { Seat } from '@harecross/state';
 import { Subject } from 'rxjs';
@@ -211,6 +211,7 @@
       },
       call: (_peer: string, m: string, body: Json) =>
         new Promise((res, rej) => {
+          if (this.ignored(m, body)) return res({ disk: body.disk, ok: true, promised: body.ballot });
           this.notes(i, body.ballot, `> ${m} ${body.disk} ${body.value ?? ''}`);
           this.pending.push({ t: 'ask', from: i, disk: body.disk, m, body, res, rej });
         }),
@@ -223,6 +224,12 @@
     this.ready = true;
   }
 
+  /** Planted: a change is taken as accepted by the voters that go with it, without asking them. */
+  private ignored(m: string, body: { disk: string; value?: string }): boolean {
+    if (this.plan.planted !== 'heeds no voters before' || m !== 'RegAccept') return false;
+    return !fromText(body.value!).seats.includes(body.disk);
+  }
+
   /** What belongs to an earlier ballot can only raise the number of the next one; see `key`. */
   private notes(i: number, ballot: string, text: string): void {
     const h = this.history[i]!;
