--- a/packages/trial/src/model-key.ts
+++ b/packages/trial/src/model-key.ts
@@ -16,7 +16,14 @@
   losses: number;
   /** Times a node may end and begin anew, with what its disk has. */
   restarts: number;
-  planted?: 'takes lower fences' | 'forgets its promise' | 'answers before it has synced' | 'hides its history';
+  /** The copy at `a` is replaced by one at `d` in one step: `a` has not heard of it, the others have. Then `a` and `c` take the key. */
+  replacement?: boolean;
+  planted?:
+    | 'takes lower fences'
+    | 'forgets its promise'
+    | 'answers before it has synced'
+    | 'hides its history'
+    | 'heeds no copies before';
   mostStates?: number;
 }
 export interface KeyResult {
@@ -26,7 +33,9 @@
   bad?: { what: string; path: string[] };
 }
 
-const NODES = ['a', 'b', 'c'];
+/** Three with copies; the fourth has one where a copy is replaced. */
+const NODES = ['a', 'b', 'c', 'd'];
+const COPIES = NODES.slice(0, 3);
 const TOPIC = 't/1';
 const SHARD = shardOf(TOPIC);
 const CONFIG = {
@@ -37,9 +46,15 @@
   version: 1,
   config: CONFIG,
   eras: erasAfter(new Map(), CONFIG, 1),
-  shards: new Map([[SHARD, { gen: 1, copies: NODES }]]),
+  shards: new Map([[SHARD, { gen: 1, copies: COPIES }]]),
   disks: new Map(NODES.map((d) => [d, { id: d, peer: d, domain: d, state: 'active' }])),
 };
+/** The value after the copy at `a` was replaced. */
+const replacedValue = (previous: string[] | undefined) => ({
+  ...VALUE,
+  rev: 2,
+  shards: new Map([[SHARD, { gen: 2, copies: ['b', 'c', 'd'], ...(previous ? { previous } : {}) }]]),
+});
 /** Orders entries of a map by their keys. */
 const byFirst = <K extends string | number>([a]: [K, unknown], [b]: [K, unknown]): number => {
   if (a === b) return 0;
@@ -84,6 +99,16 @@
     NODES.forEach((_, i) => this.begin(i));
   }
 
+  private valueAt(node: string): unknown {
+    if (!this.plan.replacement || node === 'a') return VALUE;
+    return replacedValue(this.plan.planted === 'heeds no copies before' ? undefined : COPIES);
+  }
+
+  /** Whether a node takes the key in this plan. */
+  private takes(node: string): boolean {
+    return node === 'a' || node === (this.plan.replacement ? 'c' : 'b');
+  }
+
   private begin(i: number): void {
     const life = ++this.lives[i]!;
     const self = NODES[i]!;
@@ -141,7 +166,7 @@
       say: () => undefined,
     };
     const reg = {
-      value: VALUE,
+      value: this.valueAt(self),
       value$: new Subject(),
       fresh$: new Subject(),
       fresh: () => true,
@@ -237,7 +262,8 @@
     NODES.forEach((n, i) => {
       const key = this.key1(i);
       if (key.state !== 'owner') return;
-      if (this.disks.filter((d) => d.get(SHARD)?.promised === key.fence).length * 2 <= NODES.length) return;
+      const promised = key.copies.filter((d) => this.disks[NODES.indexOf(d)]!.get(SHARD)?.promised === key.fence);
+      if (promised.length * 2 <= key.copies.length) return;
       for (const [seq, off] of this.accepted) {
         const o = key.outcome(TOPIC, 's', seq);
         if (o.tag !== 'stored' || o.off !== off)
@@ -300,7 +326,7 @@
       });
     NODES.forEach((n, i) => {
       const { state } = this.key1(i);
-      if (this.took < plan.takes && state !== 'taking' && state !== 'confirming' && i < 2)
+      if (this.took < plan.takes && state !== 'taking' && state !== 'confirming' && this.takes(n))
         out.push({
           label: `${n} takes the key`,
           go: () => {
@@ -315,7 +341,7 @@
             out.push({ label: `message ${seq} to ${n}`, go: () => this.send(seq, i) });
         }
       }
-      if (this.restarted < plan.restarts) {
+      if (this.restarted < plan.restarts && COPIES.includes(n)) {
         out.push({
           label: `${n} begins anew`,
           go: () => {
@@ -412,6 +438,9 @@
   ['handover', { takes: 2, messages: 1, sends: 1, losses: 0, restarts: 0 }],
   // One owner, two messages of a sender, with a visit or an answer lost.
   ['lossy', { takes: 1, messages: 2, sends: 2, losses: 1, restarts: 0 }],
+  // A copy is replaced in one step while an owner of the generation before, which has not heard of it, has the key or takes it.
+  ['replacement', { takes: 2, messages: 1, sends: 1, losses: 0, restarts: 0, replacement: true }],
+  ['replacement-again', { takes: 3, messages: 1, sends: 2, losses: 0, restarts: 0, replacement: true }],
   ['handover-restart', { takes: 2, messages: 1, sends: 1, losses: 0, restarts: 1 }],
   ['handover-resend', { takes: 2, messages: 2, sends: 3, losses: 1, restarts: 0 }],
 ]);
--- a/packages/trial/src/test/model.test.ts
+++ b/packages/trial/src/test/model.test.ts
@@ -76,9 +76,16 @@
   t.is(r.states, 10_000);
 });
 
+test('a copy is replaced in one step while an owner of the generation before takes the key: as far as the search goes', async (t) => {
+  const r = await exploreKey({ ...KEY_PLANS.get('replacement')!, mostStates: 10_000 });
+  t.is(r.bad, undefined);
+  t.is(r.states, 10_000);
+});
+
 const plantedKey: [NonNullable<KeyPlan['planted']>, KeyPlan][] = [
   ['takes lower fences', HANDOVER],
   ['hides its history', HANDOVER],
+  ['heeds no copies before', KEY_PLANS.get('replacement')!],
   ['forgets its promise', { ...HANDOVER, restarts: 1 }],
   ['answers before it has synced', { ...HANDOVER, restarts: 1 }],
 ];
