--- a/packages/kernel/src/peer-net.ts
+++ b/packages/kernel/src/peer-net.ts
@@ -8,8 +8,6 @@
 import { endSocket, PeerLink } from './peer-link.js';
 import { AcceptedConnection } from './peer-server.js';
 
-export type { PeerIdentity, PeerNetBounds, PeerSystem } from './peer-framing.js';
-
 const realSystem: PeerSystem = {
   connect: (peer) => connect({ ...addr(peer), noDelay: true, highWaterMark: PIECE_BYTES } as NetConnectOpts),
   now: () => performance.now(),
@@ -24,18 +22,26 @@
 
 /**
  * The connections that peers opened to us. An address has one process at a time, and a process one connection to us at a time: once a
- * later one introduces itself, earlier ones are ended, and what still comes on them is not run. Their calls have been given up.
+ * later one introduces itself, earlier ones are ended, and what still comes on them is not run. Their calls have been given up. Of one
+ * process the number tells which is later; of two, the order in which they came, since the earlier process had ended before.
  */
 export class AcceptedConnections {
+  /** In the order in which they came. */
   readonly all = new Set<AcceptedConnection>();
 
   met(connection: AcceptedConnection): void {
     const { peer } = connection;
     if (!peer) return;
+    let cameLater = false;
     for (const other of this.all) {
-      if (other === connection || other.peer?.address !== peer.address) continue;
-      const late = other.peer.instance === peer.instance && other.peer.connection > peer.connection;
-      (late ? connection : other).supersede();
+      if (other === connection) {
+        cameLater = true;
+        continue;
+      }
+      if (other.peer?.address !== peer.address) continue;
+      const sameProcess = other.peer.instance === peer.instance;
+      const otherIsLater = sameProcess ? other.peer.connection > peer.connection : cameLater;
+      (otherIsLater ? connection : other).supersede();
     }
   }
 }
