A client's two connections: the later stays, also when news of the earlier comes late

Cause: a client's home reckoned when a connection was attached from when the news of it arrived. News that was held up (a slow or frozen relay or home, a lost packet) made the earlier connection seem the later one, and the live one was ended.

Change: From.sentAt, by the smallest difference seen between both processes' clocks in the last 30 to 60 s (ClockOffsets, flat in memory); toLocal uses it too, so that an interest lease is not lengthened by its frame's way.

Ruled out: instances' start times (clocks of two machines); asking both relays (a round more per attach).

Tests: calls, 'of a client's two connections the later stays' fails on the old code, passes now; holds, copies, resume, senders passed.

--- a/packages/data/src/holds.ts
+++ b/packages/data/src/holds.ts
@@ -12,6 +12,7 @@
   sample,
   shardOf,
   sleep,
+  type From,
 } from '@harecross/kernel';
 import { awayNow, type Board, type Register } from '@harecross/control';
 import { familyOf, urgencyOf, type Frame } from '@harecross/schema';
@@ -178,7 +179,7 @@
       true,
     );
     k.on('CountHolds', (b: { topic: string }) => this.count(b.topic));
-    k.on('Home', (b: { conns: { consumer: string; conn: string; age: number }[] }, f) => this.home(b.conns, f.peer));
+    k.on('Home', (b: { conns: { consumer: string; conn: string; age: number }[] }, f) => this.home(b.conns, f));
     k.on('Replace', (b: { conn: string }) => {
       const c = this.conns.get(b.conn);
       if (c) this.close(c, 'replaced');
@@ -804,10 +805,11 @@
     for (const [home, l] of by) this.k.call(home, 'Home', { conns: l }).catch(() => undefined);
   }
 
-  private home(conns: { consumer: string; conn: string; age: number }[], peer: string): true {
+  /** Notes connections of a relay. Of two of one consumer the one attached last stays, in whatever order news of them comes. */
+  private home(conns: { consumer: string; conn: string; age: number }[], { peer, sentAt }: From): true {
     const now = this.k.host.clock.now();
     for (const c of conns) {
-      const at = now - c.age;
+      const at = sentAt - c.age;
       const old = this.homes.get(c.consumer);
       if (old && old.conn !== c.conn && now - old.seenAt < C.homeForgetMs) {
         const [out, from] = old.at <= at ? [old.conn, old.peer] : [c.conn, peer];
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -1,5 +1,6 @@
 import { parse, stringify } from 'devalue';
 import { Subject, type Subscription } from 'rxjs';
+import { ClockOffsets } from './clock-offsets.js';
 import { C } from './constants.js';
 import { Failure, faultOf, type Fault } from './fault.js';
 import { every, sleep, within } from './flow.js';
@@ -68,10 +69,12 @@
   }
 }
 
-/** What a handler learns of the sender. `ageOf` turns the sender's clock into ours. */
+/** What a handler learns of the sender. `toLocal` turns the sender's clock into ours. */
 export interface From {
   peer: string;
   inst: string;
+  /** When it sent the request, by our clock: also one that was held up on its way. */
+  sentAt: number;
   toLocal: (t: number) => number;
 }
 /** Answers a request of one method. Each method's handler names the body that its callers send. */
@@ -109,6 +112,7 @@
   /** When this process began, by our clock. */
   readonly startedAt: number;
   private faces = new Map<string, unknown>();
+  private offsets = new ClockOffsets();
   private handlers = new Map<string, { h: Handler; current: boolean }>();
   private subs: Subscription[] = [];
   /** Peers to which our own link is broken, and who carries visits to them; '' until somebody did. */
@@ -240,7 +244,9 @@
       const got = await within(
         this.host.clock,
         timeoutMs,
-        (async () => ({ ok: await h.h(body, { peer, inst: this.inst, toLocal: (t) => t }) }))(),
+        (async () => ({
+          ok: await h.h(body, { peer, inst: this.inst, sentAt: this.host.clock.now(), toLocal: (t) => t }),
+        }))(),
       );
       if (!got) throw new Failure({ tag: 'timeout', step: m, peer });
       return got.ok as T;
@@ -345,7 +351,7 @@
     const now = this.host.clock.now();
     this.count('peer.in');
     const a = readAsk(frame);
-    const shift = now - a.now;
+    const offset = this.offsets.learn(`${a.from} ${a.inst}`, now - a.now, now);
     this.onHeard(a.from, a.inst);
     const out = (x: { ok: unknown } | { err: Fault }): string =>
       packAnswer({ rev: this.rev, now: this.host.clock.now(), ...x });
@@ -367,7 +373,9 @@
       });
     }
     try {
-      return out({ ok: await h.h(a.body, { peer: a.from, inst: a.inst, toLocal: (t) => t + shift }) });
+      return out({
+        ok: await h.h(a.body, { peer: a.from, inst: a.inst, sentAt: a.now + offset, toLocal: (t) => t + offset }),
+      });
     } catch (e) {
       const f = faultOf(e, a.m, this.self);
       if (f.tag === 'internal') {
--- a/packages/trial/src/test/calls.test.ts
+++ b/packages/trial/src/test/calls.test.ts
@@ -192,3 +192,30 @@
   t.is(r.body.error.tag, 'unreachable');
   t.false(suspected.includes(there.config.peer));
 });
+
+test("of a client's two connections the later stays, also when news of the earlier comes late", async (t) => {
+  const s = await smallFleet(23);
+  const [slow, quick] = s.relays as [SimNode, SimNode];
+  await s.pass(2_000);
+  slow.slowMs = 300;
+  for (let i = 0; i < 8; i++) {
+    const name = `phone${i}`;
+    let earlierEnded = false;
+    let laterEnded = false;
+    const attach = (n: SimNode, ended: () => void): (() => void) =>
+      s.sim.outside.attach(n.config.client, { consumer: name, pingS: 2 }, () => undefined, ended);
+    attach(slow, () => {
+      earlierEnded = true;
+    });
+    const { conns } = slow.kernel!.use('holds');
+    const taken = (): boolean => [...conns.values()].some((c) => c.consumer === name);
+    while (!taken()) await s.pass(5);
+    await s.pass(50);
+    attach(quick, () => {
+      laterEnded = true;
+    });
+    await s.pass(2_000);
+    t.false(laterEnded, name);
+    t.true(earlierEnded, name);
+  }
+});
