--- a/packages/harecross/src/caller.ts
+++ b/packages/harecross/src/caller.ts
@@ -1,5 +1,6 @@
 /** Requests of the command line to a fleet: which are sent again after a failure, and which must not be. */
 import { mayRepeat, Rpcs, type Method, type PathFault } from '@harecross/schema';
+import { randomUUID } from 'node:crypto';
 import { request } from 'undici';
 
 /** Pause between two rounds over all nodes, unless one of them names a shorter one. */
@@ -60,6 +61,14 @@
   | { tag: 'no_answer'; last: string }
   | { tag: 'unclear'; last: string };
 
+/**
+ * A name for a change that was given none. No two are alike, also of operators on other machines: the second would be answered with what
+ * became of the first.
+ * @example
+ * newChangeId('cli'); // 'cli-0b0f6c62-...'
+ */
+export const newChangeId = (what: string): string => `${what}-${randomUUID()}`;
+
 /**
  * One request over HTTP.
  * @example
--- a/packages/harecross/src/main.ts
+++ b/packages/harecross/src/main.ts
@@ -2,10 +2,9 @@
 import { readFileSync, writeFileSync } from 'node:fs';
 import { VERSION } from '@harecross/kernel';
 import { configFaults, type Answer, type FleetConfig, type Method, type Visit } from '@harecross/schema';
-import { randomUUID } from 'node:crypto';
 import { createInterface } from 'node:readline/promises';
 import yargs from 'yargs';
-import { callFleet, post } from './caller.js';
+import { callFleet, newChangeId, post } from './caller.js';
 import { diff } from './diff.js';
 import { place, planFaults, type Constraints } from './place.js';
 import { answer, parse, table, type Row } from './query.js';
@@ -22,9 +21,6 @@
   process.exit(code);
 };
 
-/** A name for a change that was given none. Operators on other machines must not come to the same one. */
-const newChangeId = (what: string): string => `${what}-${randomUUID()}`;
-
 /** A request at the first node that serves it; ends the process where none did. */
 async function rpc<M extends Method>(at: string[], method: M, body: Visit<M>, limitMs = 10_000): Promise<Answer<M>> {
   const outcome = await callFleet(
--- a/packages/trial/src/test/calls.test.ts
+++ b/packages/trial/src/test/calls.test.ts
@@ -1,4 +1,4 @@
-import { callFleet, type HttpAnswer, type Outcome } from 'harecross';
+import { callFleet, newChangeId, type HttpAnswer, type Outcome } from 'harecross';
 import { C, Kernel, PEER_RPCS, isRepeatable, type PeerRpc, type RepeatablePeerRpc } from '@harecross/kernel';
 import { mayRepeat, Rpcs, type Method } from '@harecross/schema';
 import { emit } from '@harecross/schema/openapi';
@@ -131,6 +131,11 @@
   t.like(await calling('ReadConfig', {}, [refusal('not_ready')]), { outcome: { tag: 'no_answer' } });
 });
 
+test('no two changes get the same name by themselves', (t) => {
+  const names = new Set(Array.from({ length: 1_000 }, () => newChangeId('cli')));
+  t.is(names.size, 1_000);
+});
+
 test('an order to empty that comes again after it was taken back changes nothing', async (t) => {
   const s = await smallFleet(9, { relayDisk: true });
   const disk = s.relays[0]!.kernel!.use('register').disk!;
