--- a/packages/trial/src/hunt.ts
+++ b/packages/trial/src/hunt.ts
@@ -4,7 +4,7 @@
 import yargs from 'yargs';
 import type { Run } from './scenario.js';
 import { playDay } from './trouble/day.js';
-import { DEPLOYMENTS } from './trouble/deployment.js';
+import { DEPLOYMENTS, lightOf } from './trouble/deployment.js';
 import { drawSchedule, KIND_NAMES, readSchedule, showSchedule, type Trouble } from './trouble/schedule.js';
 import { shrink } from './trouble/shrink.js';
 
@@ -22,6 +22,7 @@
   .option('kinds', { type: 'string', describe: `only these kinds: ${KIND_NAMES.join(', ')}` })
   .option('schedule', { type: 'string', describe: 'these troubles, as a failing day prints them' })
   .option('shrink', { type: 'boolean', default: true })
+  .option('light', { type: 'boolean', default: false, describe: 'few clients and relays' })
   .option('jobs', { type: 'number', default: 3, describe: 'days at a time, each a process' })
   .option('log', { type: 'boolean', default: false, describe: 'print the log of the nodes' })
   .option('notes', { type: 'boolean', default: false, describe: 'print what was done' })
@@ -45,7 +46,8 @@
 }
 
 async function oneDay(name: string, seed: number): Promise<boolean> {
-  const deployment = DEPLOYMENTS.get(name)!;
+  const full = DEPLOYMENTS.get(name)!;
+  const deployment = options.light ? lightOf(full) : full;
   const troubles = troublesOf(seed);
   const began = performance.now();
   const run = await playDay(seed, deployment, troubles, options.log);
@@ -65,7 +67,7 @@
       (await playDay(seed, deployment, some)).bad.some((v) => v.rule === rule),
     );
     process.stdout.write(
-      `  fewest for ${rule}: npm run hunt -- --on ${name} --from ${seed} --seeds 1 --schedule '${showSchedule(fewest)}'\n`,
+      `  fewest for ${rule}: npm run hunt -- ${options.light ? '--light ' : ''}--on ${name} --from ${seed} --seeds 1 --schedule '${showSchedule(fewest)}'\n`,
     );
   }
   return run.bad.length === 0;
--- a/packages/trial/src/test/hunt.test.ts
+++ b/packages/trial/src/test/hunt.test.ts
@@ -4,11 +4,10 @@
 import test from 'ava';
 import type { Rule } from '../oracle.js';
 import { playDay } from '../trouble/day.js';
-import { DEPLOYMENTS, type Deployment } from '../trouble/deployment.js';
+import { DEPLOYMENTS, lightOf, type Deployment } from '../trouble/deployment.js';
 import { drawSchedule, readSchedule, showSchedule } from '../trouble/schedule.js';
 
-/** Few clients and relays: the days here are for what happens to the core and the stores. */
-const light = (name: string): Deployment => ({ ...DEPLOYMENTS.get(name)!, accessCount: 1, consumers: 6 });
+const light = (name: string): Deployment => lightOf(DEPLOYMENTS.get(name)!);
 
 /** Days that every change must pass; seeds that a wider hunt found are added with their deployment. */
 const DAYS: [deployment: string, seed: number, troubles: number][] = [
@@ -59,7 +58,7 @@
 
 /** What a disk of the product looks like from inside, for the fault that is put into it. */
 interface Inside {
-  disk?: { sync(): Promise<void>; early?: boolean };
+  disk?: { sync: () => Promise<void>; early?: boolean };
 }
 
 test.serial('found: a disk that acknowledges before its sync is done', async (t) => {
--- a/packages/trial/src/trouble/deployment.ts
+++ b/packages/trial/src/trouble/deployment.ts
@@ -80,6 +80,9 @@
   ].map((d) => [d.name, d]),
 );
 
+/** The same with few clients and relays, for days about what happens to the core and the stores. */
+export const lightOf = (d: Deployment): Deployment => ({ ...d, accessCount: 1, consumers: 6 });
+
 /** Topics and rates of a day: as many as a small fleet shows its faults with. */
 export function siteOf(d: Deployment): Site {
   return {
