--- a/packages/harecross/src/main.ts
+++ b/packages/harecross/src/main.ts
@@ -182,7 +182,7 @@
         const r = await rpc(at(a), 'SubmitConfig', b, 2_000);
         if (r.revision > a.revision)
           process.stderr.write(
-            `harecross: revision ${r.revision} is in force; ${a.revision} is below it and changes nothing\n`,
+            `harecross: revision ${r.revision} is in force; ${a.revision} is below it and changes nothing (${r.outcome})\n`,
           );
         out(r);
         return;
--- a/packages/trial/src/linearizable.ts
+++ b/packages/trial/src/linearizable.ts
@@ -138,7 +138,7 @@
     const left = this.steps.filter((step) => !done[step.index]);
     const required = left.filter((step) => step.required);
     if (!required.length) return order;
-    const key = `${done.map(Number).join('')} ${state.version} ${state.revision} ${state.accepted.get(state.revision)}`;
+    const key = this.keyOf(state, done, now);
     if (this.dead.has(key)) return undefined;
     // Nothing may happen after the moment by which another call had its answer.
     const latest = Math.min(...required.map((step) => step.to));
@@ -164,6 +164,15 @@
     return this.noted(key, undefined);
   }
 
+  /**
+   * All that the rest of the search depends on. Steps that may never have happened are not in it: those done are in the state, and so
+   * are the others of their revision, which can change nothing any more.
+   */
+  private keyOf(state: RegisterState, done: boolean[], now: number): string {
+    const required = this.steps.filter((step) => step.required).map((step) => (done[step.index] ? '1' : '0'));
+    return JSON.stringify([required.join(''), state.version, [...state.accepted], now]);
+  }
+
   /** Whether taking a step that changes nothing now can rule out no other order: nothing left has to come before it. */
   private harmless(step: Step, left: Step[]): boolean {
     return step.tells || !left.some((other) => !other.required && other.to < step.from);
