--- a/packages/control/src/operators.ts
+++ b/packages/control/src/operators.ts
@@ -169,10 +169,14 @@
     };
   }
 
-  /** Begins or takes back the emptying of a disk. An order that was taken is answered again, whatever has become of the disk since. */
-  async setDisk(disk: string, state: 'active' | 'emptying', step: string): Promise<DiskTold> {
+  /**
+   * Begins or takes back the emptying of a disk. An order that was taken is answered again, whatever has become of the disk since. With
+   * a change id, an order that was carried out once is not carried out again, however late its repeat comes: another order may have
+   * been given for the disk since.
+   */
+  async setDisk(disk: string, state: 'active' | 'emptying', step: string, changeId?: string): Promise<DiskTold> {
     if (!this.reg.value) throw notReady(this.k, step);
-    const outcome = await this.reg.change((value) => this.diskSet(value, disk, state));
+    const outcome = await this.reg.change((value) => this.diskSet(value, disk, state, changeId));
     const peer = this.k.self;
     switch (outcome.tag) {
       case 'done':
@@ -187,11 +191,20 @@
   }
 
   /** What becomes of an order on a disk. As with changes, refusals are outcomes. */
-  private diskSet(value: Value, disk: string, state: 'active' | 'emptying'): { next?: Value; out: DiskOutcome } {
+  private diskSet(
+    value: Value,
+    disk: string,
+    state: 'active' | 'emptying',
+    changeId: string | undefined,
+  ): { next?: Value; out: DiskOutcome } {
     const found = diskNamed(value, disk);
     if (!found) return { out: { tag: 'unknown' } };
     const told = { disk: found.id, state, copies: copiesOn(value, found.id), seat: value.seats.includes(found.id) };
-    if (found.state === state) return { out: { tag: 'done', told } };
+    if (changeId !== undefined && value.changes.has(changeId))
+      return { out: { tag: 'done', told: { ...told, state: found.state } } };
+    const taken = { tag: 'taken' as const, version: value.version };
+    const changed = changeId === undefined ? value : { ...value, ...withChange(value, changeId, taken) };
+    if (found.state === state) return { ...(changed === value ? {} : { next: changed }), out: { tag: 'done', told } };
     const repeated = state === 'emptying' && emptyingOrdered(value, disk);
     if (found.state === 'lost') {
       if (repeated) return { out: { tag: 'done', told: { ...told, state: found.state } } };
@@ -202,7 +215,7 @@
     if (bar !== undefined) return { out: repeated ? { tag: 'unclear' } : { tag: 'refused', why: bar } };
     const emptyingTaken = state === 'emptying' ? true : undefined;
     const disks = new Map(value.disks).set(found.id, { ...found, state, emptyingTaken });
-    return { next: { ...value, disks }, out: { tag: 'done', told } };
+    return { next: { ...changed, disks }, out: { tag: 'done', told } };
   }
 
   /** How far the emptying of a disk has come. */
--- a/packages/data/src/route.ts
+++ b/packages/data/src/route.ts
@@ -4,11 +4,13 @@
   Kernel,
   RetryBudget,
   faultOf,
+  mustBeRepeatable,
   register,
   retryAfter,
   shardOf,
   within,
   type Fault,
+  type RepeatablePeerRpc,
 } from '@harecross/kernel';
 import { notReady, type Board, type KeyRec, type Register } from '@harecross/control';
 import { familyOf, urgencyOf } from '@harecross/schema';
@@ -45,7 +47,7 @@
   private sent = new Map<string, Set<Sent>>();
   /** Publishes that were turned away, by sender and topic, and until when later ones were on their way before that was known. */
   private turned = new Map<string, { seq: number; until: number }>();
-  /** When a slow owner was last looked at. */
+  /** When a slow owner was last looked at; older times than `C.slowAgainMs` are dropped with the next. */
   private doubted = new Map<string, number>();
   private budget: RetryBudget;
   /** A shard whose owner changed, as far as we know. */
@@ -159,6 +161,7 @@
   private doubt(peer: string): void {
     const now = this.k.host.clock.now();
     if (peer === this.k.self || now - (this.doubted.get(peer) ?? -Infinity) < C.slowAgainMs) return;
+    for (const [p, at] of this.doubted) if (now - at >= C.slowAgainMs) this.doubted.delete(p);
     this.doubted.set(peer, now);
     this.k.count('route.slow');
     this.board.doubt(peer);
@@ -245,7 +248,14 @@
    * One visit at the owner, tried again while the key changes hands. Gives up, at once, when nobody owns the key
    * or the patience is over. `outcome_unknown` when some try may have been stored.
    */
-  async atOwner<T>(topic: string, m: string, body: () => unknown, patienceMs: number, sent?: Sent): Promise<T> {
+  async atOwner<T>(
+    topic: string,
+    m: RepeatablePeerRpc,
+    body: () => unknown,
+    patienceMs: number,
+    sent?: Sent,
+  ): Promise<T> {
+    mustBeRepeatable(m);
     const { clock, rnd } = this.k.host;
     const shard = shardOf(topic);
     const until = clock.now() + patienceMs;
--- a/packages/trial/src/test/orders.test.ts
+++ b/packages/trial/src/test/orders.test.ts
@@ -249,10 +249,11 @@
     for (const node of nodes) {
       const kernel = node.kernel!;
       const call = kernel.call.bind(kernel);
-      kernel.call = <T>(peer: string, method: string, body: unknown, timeoutMs?: number): Promise<T> => {
+      const counted: typeof call = (peer, method, body, timeoutMs) => {
         ballots.set(method, (ballots.get(method) ?? 0) + 1);
-        return call<T>(peer, method, body, timeoutMs);
+        return call(peer, method, body, timeoutMs);
       };
+      kernel.call = counted;
     }
     const from = s.sim.now;
     const took: number[] = [];
