--- a/packages/trial/src/test/process.test.ts
+++ b/packages/trial/src/test/process.test.ts
@@ -60,9 +60,9 @@
     writeFileSync(words, '{"any": ["words", null]}');
     const revised = await run('harecross', ['submit', file, '--revision', '30', '--document', words, ...at]);
     t.is(revised.code, 0, revised.err);
-    t.deepEqual(JSON.parse(revised.out), { version: 2, revision: 30 });
+    t.deepEqual(JSON.parse(revised.out), { version: 2, revision: 30, outcome: 'accepted' });
     const old = await run('harecross', ['submit', file, '--revision', '29', ...at]);
-    t.deepEqual([old.code, JSON.parse(old.out)], [0, { version: 2, revision: 30 }]);
+    t.deepEqual([old.code, JSON.parse(old.out)], [0, { version: 2, revision: 30, outcome: 'overtaken' }]);
     t.regex(old.err, /revision 30 is in force; 29 is below it and changes nothing/);
     const dry = await run('harecross', ['submit', file, '--revision', '30', '--dry-run', ...at]);
     t.is(
