--- a/packages/control/src/operators.ts
+++ b/packages/control/src/operators.ts
@@ -5,7 +5,7 @@
 import { barTo, copiesOn, diskNamed, emptyingOrdered, isBare, moveKey } from './fleet-state.js';
 import { notReady, type Register } from './register.js';
 import { Submissions, overloaded, type Revised } from './submissions.js';
-import { withConfig, type MoveState, type Outcome, type Value } from './value.js';
+import { withConfig, type DiskRec, type MoveState, type Outcome, type Value } from './value.js';
 
 declare module '@harecross/kernel' {
   interface Faces {
@@ -170,13 +170,12 @@
   }
 
   /**
-   * Begins or takes back the emptying of a disk. An order that was taken is answered again, whatever has become of the disk since. With
-   * a change id, an order that was carried out once is not carried out again, however late its repeat comes: another order may have
-   * been given for the disk since.
+   * Begins or takes back the emptying of a disk. An order that was taken is answered again, whatever has become of the disk since. With a
+   * change id, an order that was carried out is not carried out again, however late its repeat comes: another may have been given since.
    */
   async setDisk(disk: string, state: 'active' | 'emptying', step: string, changeId?: string): Promise<DiskTold> {
     if (!this.reg.value) throw notReady(this.k, step);
-    const outcome = await this.reg.change((value) => this.diskSet(value, disk, state, changeId));
+    const outcome = await this.reg.change((value) => this.diskSetOnce(value, disk, state, changeId));
     const peer = this.k.self;
     switch (outcome.tag) {
       case 'done':
@@ -190,21 +189,28 @@
     }
   }
 
-  /** What becomes of an order on a disk. As with changes, refusals are outcomes. */
-  private diskSet(
+  /** What becomes of an order on a disk, at most once for a change id. */
+  private diskSetOnce(
     value: Value,
     disk: string,
     state: 'active' | 'emptying',
     changeId: string | undefined,
   ): { next?: Value; out: DiskOutcome } {
+    if (changeId === undefined) return this.diskSet(value, disk, state);
+    const found = diskNamed(value, disk);
+    if (found && value.changes.has(changeId)) return { out: { tag: 'done', told: toldOf(value, found, found.state) } };
+    const made = this.diskSet(value, disk, state);
+    if (made.out.tag !== 'done') return made;
+    const outcome: Outcome = { tag: 'taken', version: value.version };
+    return { next: { ...(made.next ?? value), ...withChange(value, changeId, outcome) }, out: made.out };
+  }
+
+  /** What becomes of an order on a disk. As with changes, refusals are outcomes. */
+  private diskSet(value: Value, disk: string, state: 'active' | 'emptying'): { next?: Value; out: DiskOutcome } {
     const found = diskNamed(value, disk);
     if (!found) return { out: { tag: 'unknown' } };
-    const told = { disk: found.id, state, copies: copiesOn(value, found.id), seat: value.seats.includes(found.id) };
-    if (changeId !== undefined && value.changes.has(changeId))
-      return { out: { tag: 'done', told: { ...told, state: found.state } } };
-    const taken = { tag: 'taken' as const, version: value.version };
-    const changed = changeId === undefined ? value : { ...value, ...withChange(value, changeId, taken) };
-    if (found.state === state) return { ...(changed === value ? {} : { next: changed }), out: { tag: 'done', told } };
+    const told = toldOf(value, found, state);
+    if (found.state === state) return { out: { tag: 'done', told } };
     const repeated = state === 'emptying' && emptyingOrdered(value, disk);
     if (found.state === 'lost') {
       if (repeated) return { out: { tag: 'done', told: { ...told, state: found.state } } };
@@ -215,7 +221,7 @@
     if (bar !== undefined) return { out: repeated ? { tag: 'unclear' } : { tag: 'refused', why: bar } };
     const emptyingTaken = state === 'emptying' ? true : undefined;
     const disks = new Map(value.disks).set(found.id, { ...found, state, emptyingTaken });
-    return { next: { ...changed, disks }, out: { tag: 'done', told } };
+    return { next: { ...value, disks }, out: { tag: 'done', told } };
   }
 
   /** How far the emptying of a disk has come. */
@@ -246,6 +252,13 @@
   }
 }
 
+const toldOf = (value: Value, disk: DiskRec, state: string): DiskTold => ({
+  disk: disk.id,
+  state,
+  copies: copiesOn(value, disk.id),
+  seat: value.seats.includes(disk.id),
+});
+
 /** The changes of a value with one more outcome; the oldest beyond the bound are forgotten. */
 function withChange(value: Value, changeId: string, outcome: Outcome): Pick<Value, 'changes' | 'changesForgottenTo'> {
   const changes = new Map(value.changes).set(changeId, outcome);
--- a/packages/trial/src/test/orders.test.ts
+++ b/packages/trial/src/test/orders.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { C } from '@harecross/kernel';
+import { C, type PeerRpc } from '@harecross/kernel';
 import { digestOf, revisionOutcome, withConfig, type Value } from '@harecross/control';
 import type { SimNode } from '../sim.js';
 import { FAMILIES, settled, smallFleet, type Small } from './small-fleet.js';
@@ -249,11 +249,10 @@
     for (const node of nodes) {
       const kernel = node.kernel!;
       const call = kernel.call.bind(kernel);
-      const counted: typeof call = (peer, method, body, timeoutMs) => {
+      kernel.call = <T>(peer: string, method: PeerRpc, body: unknown, timeoutMs?: number): Promise<T> => {
         ballots.set(method, (ballots.get(method) ?? 0) + 1);
-        return call(peer, method, body, timeoutMs);
+        return call<T>(peer, method, body, timeoutMs);
       };
-      kernel.call = counted;
     }
     const from = s.sim.now;
     const took: number[] = [];
