--- /dev/null
+++ b/packages/control/src/register/ballots.ts
@@ -0,0 +1,69 @@
+/** Ballots, the messages of the consensus register and the rule of majorities. */
+import type { Kernel } from '@harecross/kernel';
+import type { Value } from '../value.js';
+
+/** A voter's answer to `RegPrepare`: its promise, and what it accepted last. */
+export interface Prepared {
+  disk: string;
+  ok: boolean;
+  promised: string;
+  ballot: string;
+  value?: string;
+}
+
+/** A voter's answer to `RegAccept`. */
+export interface Accepted {
+  disk: string;
+  ok: boolean;
+  promised: string;
+}
+
+/** A voter's answer to `RegRead`: the revision it accepted last with its ballot, and the one it knows to be chosen. */
+export interface ReadBack {
+  disk: string;
+  rev: number;
+  known: number;
+  ballot: string;
+}
+
+/** Calls a method at the node of each disk; a disk without a known address gives a rejected promise. */
+export type AskVoters = <T>(disks: string[], method: string, body: object) => Promise<T>[];
+
+/** The sets of voters of which a majority each has to agree: those of the value, and those of the value before it. */
+export const voterSets = (v: Value): string[][] => [v.seats, v.prevSeats];
+
+/** Every voter of either set, once. */
+export const allVoters = (v: Value): string[] => [...new Set([...v.seats, ...v.prevSeats])];
+
+/**
+ * Whether the disks heard from are a majority of each set.
+ * @example
+ * isMajority([['a', 'b', 'c']], new Set(['a', 'c'])); // true
+ */
+export function isMajority(sets: string[][], heard: Set<string>): boolean {
+  return sets.every((s) => s.filter((d) => heard.has(d)).length * 2 > s.length);
+}
+
+/** Digits of a ballot's number: ballots compare as strings. */
+const NUMBER_DIGITS = 12;
+
+/** Makes ballots that no other process makes, each above all that were seen. */
+export class BallotSource {
+  private count = 0;
+
+  constructor(private kernel: Kernel) {}
+
+  next(): string {
+    return `${String(++this.count).padStart(NUMBER_DIGITS, '0')}.${this.kernel.self}~${this.kernel.inst}`;
+  }
+
+  /** The next ballot is above this one. */
+  outbid(ballot: string): void {
+    this.count = Math.max(this.count, Number(ballot.slice(0, NUMBER_DIGITS)) || 0);
+  }
+
+  /** The number of the last ballot made or seen. */
+  get last(): number {
+    return this.count;
+  }
+}
--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -2,6 +2,7 @@
 import { Failure, pack, type Clock, type Kernel } from '@harecross/kernel';
 import type { Seat } from '@harecross/state';
 import { pathToFileURL } from 'node:url';
+import { NEVER } from 'rxjs';
 import type { Json } from './json.js';
 
 /** A change that a proposer makes: the seats it asks for, if any; each change leaves its name in the value. */
@@ -139,6 +140,7 @@
       pass: () => undefined,
       somePeers: () => [],
       contacts: () => [],
+      state$: NEVER,
       ofDisk: (d: string) => ({ peer: d }),
       live: () => [],
     };
@@ -330,7 +332,7 @@
     return JSON.stringify([
       this.saved,
       this.history.map((h) => [h.ballot, ...[...h.said].sort()]),
-      this.regs.map((r) => [(r as unknown as { n: number }).n, r.value!.rev]),
+      this.regs.map((r) => [(r as unknown as { ballots: { last: number } }).ballots.last, r.value!.rev]),
       this.done,
       way,
       this.lost,
