Control: a machine without a majority says so in time, and decides nothing late

Change: operators' calls are answered within 600 ms where no majority answers (503 with a time to come back), and by a value that a majority confirmed to a question asked after theirs. An order is worked on for 4 s after it was last sent (10 s before). A voter notes when it promised, the proposer sends that back with the value, and the voter accepts within 3 s of it. Before each value is sent the proposer looks whether the change is still wanted; its own voter accepts last, when it makes the majority. A refusal counts once the value that it rests on is chosen. Orders that come within 0.3 s after a process stood still are turned away with a time to come back.

Ruled out: the lease of a confirmed value (it runs by the steady clock from the question; a step of the time of day, a clock a hundredth wrong and a freeze do not lengthen it), recall after a restart, and the read by a confirmation.

Left: with more than half of the voters gone, what one of them accepted may be chosen when they are back; it cannot be told from what was acknowledged. Bytes of an order that the caller's own connection holds are as old as that.

--- a/packages/control/src/operators.ts
+++ b/packages/control/src/operators.ts
@@ -1,5 +1,5 @@
 /** What operators ask of the fleet: configurations, the calendar of moves, and the emptying of disks. */
-import { C, Failure, faultOf, register, retryAfter, sleep, type Kernel } from '@harecross/kernel';
+import { C, Failure, faultOf, register, retryAfter, sleep, within, type Kernel } from '@harecross/kernel';
 import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
 import type { Board } from './board.js';
 import { erasAfter } from './eras.js';
@@ -51,7 +51,8 @@
   /**
    * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force. Without one
    * the first outcome of its changeId is given. Fails with `invalid_config`, `conflict` (without a revision), `overloaded` (beyond
-   * C.submissionsN at once), and with `not_ready` or `no_majority` after C.submitMs.
+   * C.submissionsN at once), and with `not_ready` or `no_majority`: within C.operatorAnswerMs where no majority answers, else after
+   * C.submitMs. One that failed so may still come into force, up to C.submitMs after it was last sent here.
    */
   async submit(b: {
     changeId?: string;
@@ -60,9 +61,12 @@
     document?: unknown;
     config: unknown;
   }): Promise<{ version: number; revision?: number }> {
+    this.mustBeNew('SubmitConfig');
     const document = b.document === undefined ? undefined : JSON.stringify(b.document);
-    if (b.revision !== undefined)
-      return this.revise(b.revision, b.changeId ?? `revision-${b.revision}`, b.config, document);
+    if (b.revision !== undefined) {
+      const revised = this.revise(b.revision, b.changeId ?? `revision-${b.revision}`, b.config, document);
+      return this.inTime('SubmitConfig', revised);
+    }
     return this.change('SubmitConfig', b.changeId!, b.expect, () => ({ config: b.config, document }));
   }
 
@@ -74,6 +78,54 @@
     }));
   }
 
+  /**
+   * The outcome of an order, or `no_majority` after C.operatorAnswerMs where no majority answered anything asked since the order
+   * came: its sender has to know in time that another node may do better. The order itself goes on up to its own limit.
+   */
+  private async inTime<T>(step: string, work: Promise<T>): Promise<T> {
+    const { clock } = this.k.host;
+    const askedAt = clock.now();
+    void this.reg.confirm().catch(() => undefined);
+    const done = within(
+      clock,
+      C.operatorAnswerMs,
+      work.then((out) => ({ out })),
+    );
+    const got = await done;
+    if (got) return got.out;
+    if (this.reg.confirmedSince(askedAt)) return work;
+    work.catch(() => this.k.count('orders.failed_later'));
+    throw this.reg.value ? this.noMajority(step) : notReady(this.k, step);
+  }
+
+  /** Turns away an order that may have lain in a buffer for long: its sender, if it still wants it, sends it again. */
+  private mustBeNew(step: string): void {
+    if (this.k.wokeJustNow()) throw notReady(this.k, step);
+  }
+
+  private noMajority(step: string): Failure {
+    const detail = `no majority of the voters answered within ${C.operatorAnswerMs} ms`;
+    return new Failure({ tag: 'no_majority', step, peer: this.k.self, detail });
+  }
+
+  /**
+   * The value as a majority confirms it to a question asked after this call began; `no_majority` after C.operatorAnswerMs. A process
+   * that stood still meanwhile does not answer by what it heard before.
+   */
+  private async confirmedValue(step: string): Promise<Value> {
+    if (!this.reg.value) throw notReady(this.k, step);
+    const { clock } = this.k.host;
+    const askedAt = clock.now();
+    const v = await within(clock, C.operatorAnswerMs, this.currentValue());
+    if (!v || clock.now() - askedAt > C.operatorAnswerMs) throw this.noMajority(step);
+    return v;
+  }
+
+  /** The value after a confirmation that begins now, or read by a ballot: it may be newer than what was confirmed, never older. */
+  private async currentValue(): Promise<Value> {
+    return (await this.reg.confirm()) ? this.reg.value! : this.reg.read(C.operatorAnswerMs);
+  }
+
   /** The configuration, or `invalid_config`. Without a value only what can be said of it by itself. */
   private checked(step: string, config: unknown, v?: Value): FleetConfig {
     const faults = configFaults(config);
@@ -151,11 +203,16 @@
       if (this.inForce(s.revision)) void this.tell(s.revision, s.until, this.takeOut(s));
   }
 
-  /** It is settled, but something higher may be in force by now: a majority tells. Without one, in the end, it is what we know. */
+  /** It is settled, but something higher may be in force by now: a majority tells, and without one nothing is confirmed. */
   private async tell(revision: number, until: number, waits: Submission['waits']): Promise<void> {
     const { clock, rnd } = this.k.host;
-    while (!(await this.reg.confirm().catch(() => false)) && clock.now() < until)
+    while (!(await this.reg.confirm().catch(() => false))) {
+      if (clock.now() >= until) {
+        for (const w of waits) w.rej(this.noMajority('SubmitConfig'));
+        return;
+      }
       await sleep(clock, C.submitAskMs * (0.5 + rnd.next()));
+    }
     for (const w of waits) w.res(this.inForce(revision)!);
   }
 
@@ -212,9 +269,11 @@
     expect: number | undefined,
     make: (v: Value) => { config: unknown; document?: string },
   ): Promise<{ version: number }> {
+    this.mustBeNew(step);
     if (!this.reg.value) throw notReady(this.k, step);
-    if (!this.reg.value.changes.has(changeId)) this.checked(step, make(this.reg.value).config, this.reg.value);
-    const o = await this.reg.change((v) => {
+    // What is wrong with it by itself is told at once; what depends on the fleet only by a value that a majority has.
+    if (!this.reg.value.changes.has(changeId)) this.checked(step, make(this.reg.value).config);
+    const changed = this.reg.change((v) => {
       const first = v.changes.get(changeId);
       if (first) return { out: first };
       const changes = new Map(v.changes);
@@ -228,7 +287,8 @@
       const out = { tag: 'taken' as const, version: next.version };
       changes.set(changeId, out);
       return { next: { ...next, changes: trimmed(changes) }, out };
-    });
+    }, C.submitMs);
+    const o = await this.inTime(step, changed);
     switch (o.tag) {
       case 'taken':
         return { version: o.version };
@@ -266,8 +326,7 @@
     document?: unknown;
     config: unknown;
   }> {
-    if (!this.reg.value) throw notReady(this.k, 'ReadConfig');
-    const v = (await this.reg.confirm()) ? this.reg.value! : await this.reg.read();
+    const v = await this.confirmedValue('ReadConfig');
     return {
       version: v.version,
       changeId: v.changeId,
@@ -283,8 +342,9 @@
     state: 'active' | 'emptying',
     step: string,
   ): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
+    this.mustBeNew(step);
     if (!this.reg.value) throw notReady(this.k, step);
-    return this.reg.change((v) => {
+    const changed = this.reg.change((v) => {
       const d = diskNamed(v, disk);
       if (!d) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
       const told = { disk: d.id, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
@@ -294,13 +354,13 @@
       const bar = state === 'emptying' ? barTo(v, { kind: 'empty' }, d, this.board) : undefined;
       if (bar) throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: bar });
       return { next: { ...v, disks: new Map(v.disks).set(d.id, { ...d, state }) }, out: told };
-    });
+    }, C.submitMs);
+    return this.inTime(step, changed);
   }
 
-  /** How far the emptying of a disk has come. */
-  emptyStatus(disk: string): { disk: string; state: string; copies: number; seat: boolean } {
-    const v = this.reg.value;
-    if (!v) throw notReady(this.k, 'EmptyStatus');
+  /** How far the emptying of a disk has come, confirmed at a majority: a machine that is said to be emptied is taken away. */
+  async emptyStatus(disk: string): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
+    const v = await this.confirmedValue('EmptyStatus');
     const d = diskNamed(v, disk);
     if (!d) throw new Failure({ tag: 'unknown_disk', step: 'EmptyStatus', peer: this.k.self, disk });
     const { id } = d;
@@ -312,14 +372,14 @@
     };
   }
 
-  /** The calendar in force, with how far each move has come. */
-  moves(): { version: number; moves: (Move & { state: MoveState | 'planned'; why: string })[] } {
-    const v = this.reg.value;
+  /** The calendar in force, confirmed at a majority, with how far each move has come. */
+  async moves(): Promise<{ version: number; moves: (Move & { state: MoveState | 'planned'; why: string })[] }> {
+    const v = await this.confirmedValue('Moves');
     return {
-      version: v?.version ?? 0,
-      moves: (v?.config.moves ?? []).map((m) => ({
+      version: v.version,
+      moves: (v.config.moves ?? []).map((m) => ({
         ...m,
-        ...(v!.moves.get(moveKey(m)) ?? { state: 'planned', why: '' }),
+        ...(v.moves.get(moveKey(m)) ?? { state: 'planned', why: '' }),
       })),
     };
   }
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -55,7 +55,12 @@
     }
     const ask = <T>(disks: string[], method: string, body: object): Promise<T>[] => this.ask<T>(disks, method, body);
     const learn = (v: Value): void => this.learn(v);
-    this.proposer = new Proposer(k, this.ballots, { ask, learn, start: () => this.newestSeen() });
+    this.proposer = new Proposer(k, this.ballots, {
+      ask,
+      learn,
+      start: () => this.newestSeen(),
+      ownDisk: this.disk,
+    });
     this.reader = new Reader(k, board, this.ballots, this.lease, this.acceptor, {
       ask,
       learn,
@@ -129,6 +134,11 @@
     return this.value$.value !== undefined && this.lease.valid();
   }
 
+  /** Whether a majority confirmed our value to a question asked at this time (steady clock) or later. */
+  confirmedSince(askedAt: number): boolean {
+    return this.value$.value !== undefined && this.lease.renewedSince(askedAt);
+  }
+
   /** Whether our value was ever confirmed in this life of the process. */
   confirmed(): boolean {
     return this.value$.value !== undefined && this.lease.everValid;
@@ -205,9 +215,9 @@
   }
 
   /** The value as a majority has it now. */
-  async read(): Promise<Value> {
+  async read(limitMs: number = C.changeMs): Promise<Value> {
     const askedAt = this.k.host.clock.now();
-    const v = await this.change((x) => ({ out: x }));
+    const v = await this.change((x) => ({ out: x }), limitMs);
     this.lease.renew(askedAt);
     return v;
   }
--- a/packages/control/src/register/acceptor.ts
+++ b/packages/control/src/register/acceptor.ts
@@ -1,13 +1,23 @@
 /** The voter's part of the consensus register: promises and accepted values on this node's disk. */
-import { Failure, type Kernel } from '@harecross/kernel';
+import { C, Failure, type Kernel } from '@harecross/kernel';
 import type { Store } from '@harecross/state';
 import { fromText } from '../text.js';
 import type { Value } from '../value.js';
 import type { Accepted, Prepared, ReadBack } from './ballots.js';
 
+/** A value to accept under a ballot. */
+interface AcceptRequest {
+  disk: string;
+  ballot: string;
+  value: string;
+  /** `Prepared.at` of this voter's promise; older nodes leave it out. */
+  promisedAt?: number;
+}
+
 /**
  * Answers ballots by what this disk has promised and accepted. Nothing is answered before it is synced, and a
- * promise is never taken back: it refuses every ballot below the highest one promised.
+ * promise is never taken back: it refuses every ballot below the highest one promised. A value that comes long
+ * after the promise is refused too: it lay in a buffer while a machine stood still or was cut off.
  */
 export class Acceptor {
   /** What was accepted last, chosen or not, and under which ballot. */
@@ -27,7 +37,7 @@
       this.acceptedBallot = saved.ballot;
     }
     kernel.on('RegPrepare', (b: { disk: string; ballot: string }) => this.prepare(b));
-    kernel.on('RegAccept', (b: { disk: string; ballot: string; value: string }) => this.accept(b));
+    kernel.on('RegAccept', (b: AcceptRequest) => this.accept(b));
     kernel.on('RegRead', (b: { disk: string }) => this.readBack(b));
     kernel.on('RegWho', () => ({ disk, fleet: store.get('fleet') }));
   }
@@ -39,20 +49,21 @@
   private prepare(b: { disk: string; ballot: string }): Promise<Prepared> {
     const { store, disk } = this;
     this.mustBeOurs(b.disk, 'RegPrepare');
+    const at = this.kernel.host.clock.now();
     return store.db.commit((): Prepared => {
       const saved = store.seat();
       if (b.ballot <= saved.promised) return { disk, ok: false, promised: saved.promised, ballot: saved.ballot };
       store.saveSeat({ ...saved, promised: b.ballot });
-      return { disk, ok: true, promised: b.ballot, ballot: saved.ballot, value: saved.value };
+      return { disk, ok: true, promised: b.ballot, ballot: saved.ballot, value: saved.value, at };
     });
   }
 
-  private async accept(b: { disk: string; ballot: string; value: string }): Promise<Accepted> {
+  private async accept(b: AcceptRequest): Promise<Accepted> {
     const { store, disk } = this;
     this.mustBeOurs(b.disk, 'RegAccept');
     const answer = await store.db.commit((): Accepted => {
       const saved = store.seat();
-      if (b.ballot < saved.promised) return { disk, ok: false, promised: saved.promised };
+      if (b.ballot < saved.promised || this.isLate(b)) return { disk, ok: false, promised: saved.promised };
       store.saveSeat({ promised: b.ballot, ballot: b.ballot, value: b.value });
       return { disk, ok: true, promised: b.ballot };
     });
@@ -64,6 +75,13 @@
     return answer;
   }
 
+  /** Whether the promise to this ballot was given too long ago, or before this process began. */
+  private isLate(b: AcceptRequest): boolean {
+    if (b.promisedAt === undefined) return false;
+    const ageMs = this.kernel.host.clock.now() - b.promisedAt;
+    return b.promisedAt < this.kernel.startedAt || ageMs < 0 || ageMs > C.promiseLifeMs;
+  }
+
   private readBack(b: { disk: string }): ReadBack {
     this.mustBeOurs(b.disk, 'RegRead');
     return { disk: this.disk, rev: this.accepted?.rev ?? 0, known: this.knownRev(), ballot: this.acceptedBallot };
--- a/packages/control/src/register/ballots.ts
+++ b/packages/control/src/register/ballots.ts
@@ -9,6 +9,8 @@
   promised: string;
   ballot: string;
   value?: string;
+  /** The voter's steady clock when it promised; it comes back with the value to accept. Older nodes leave it out. */
+  at?: number;
 }
 
 /** A voter's answer to `RegAccept`. */
--- a/packages/control/src/register/bootstrap.ts
+++ b/packages/control/src/register/bootstrap.ts
@@ -56,7 +56,9 @@
     const value = toText(v);
     const as = await Promise.all(
       seats.map((d, i) =>
-        this.kernel.call<Accepted>(config.seeds[i]!, 'RegAccept', { disk: d, ballot, value }).catch(() => undefined),
+        this.kernel
+          .call<Accepted>(config.seeds[i]!, 'RegAccept', { disk: d, ballot, value, promisedAt: ps[i]!.at })
+          .catch(() => undefined),
       ),
     );
     if (as.every((a) => a?.ok)) {
--- a/packages/control/src/register/lease.ts
+++ b/packages/control/src/register/lease.ts
@@ -24,6 +24,11 @@
     return this.clock.now() - this.confirmedAt <= this.leaseMs;
   }
 
+  /** Whether a majority confirmed the value to a question asked at this time or later. */
+  renewedSince(askedAt: number): boolean {
+    return this.confirmedAt >= askedAt;
+  }
+
   /** Whether it was ever valid in this life of the process. */
   get everValid(): boolean {
     return this.confirmedAt > -Infinity;
--- a/packages/control/src/register/proposer.ts
+++ b/packages/control/src/register/proposer.ts
@@ -16,6 +16,9 @@
 /** What a change makes of a value: the next one, or none to read only, and the caller's outcome. */
 export type ChangeFn<T> = (v: Value) => { next?: Value; out: T };
 
+/** The answers to `RegPrepare` under one ballot, come or still to come, by disk. */
+type Promises = Map<string, Promise<Prepared>>;
+
 type RoundResult<T> = { tag: 'done'; out: T } | { tag: 'again'; why: string };
 
 /** What the proposer needs of the register. */
@@ -23,6 +26,8 @@
   ask: AskVoters;
   /** The newest value known here, chosen or only accepted: whose voters are asked first. */
   start(): Value | undefined;
+  /** The disk of our own voter, if there is one. */
+  ownDisk: string | undefined;
   /** Called with a value that was chosen. */
   learn(v: Value): void;
 }
@@ -44,7 +49,7 @@
       if (tries > 0) await sleep(clock, Math.min(600, 30 * 2 ** Math.min(tries, 4)) * (0.5 + rnd.next()));
       const start = this.context.start();
       if (!start || !wanted()) continue;
-      const result = await this.round(start, fn);
+      const result = await this.round(start, fn, () => clock.now() < until && wanted());
       switch (result.tag) {
         case 'done':
           return result.out;
@@ -57,79 +62,108 @@
     throw new Failure({ tag: 'no_majority', step: 'change', peer: this.kernel.self, detail: why });
   }
 
-  private async round<T>(start: Value, fn: ChangeFn<T>): Promise<RoundResult<T>> {
+  /** One ballot. `mayAccept` says, before each value is sent to be accepted, whether the change is still to be made. */
+  private async round<T>(start: Value, fn: ChangeFn<T>, mayAccept: () => boolean): Promise<RoundResult<T>> {
     const ballot = this.ballots.next();
     const prepared = await this.prepare(ballot, start);
     if (prepared.tag === 'again') return prepared;
     const latest = prepared.value;
-    const res = fn(latest);
-    const next = res.next ? { ...res.next, rev: latest.rev + 1, prevSeats: latest.seats } : latest;
-    invariant(!res.next || Math.abs(next.seats.length - latest.seats.length) <= 1, 'one seat at a time');
-    const why = await this.accept(ballot, next);
+    const outcome = outcomeOf(fn, latest);
+    const change = outcome.tag === 'changed' ? outcome.next : undefined;
+    const next = change ? { ...change, rev: latest.rev + 1, prevSeats: latest.seats } : latest;
+    invariant(!change || Math.abs(next.seats.length - latest.seats.length) <= 1, 'one seat at a time');
+    const why = await this.accept(ballot, next, prepared.promises, mayAccept);
     if (why !== undefined) return { tag: 'again', why };
     this.context.learn(next);
-    return { tag: 'done', out: res.out };
+    if (outcome.tag === 'refused') throw outcome.error;
+    return { tag: 'done', out: outcome.out };
   }
 
   /** Has the ballot promised by a majority, following the voters as newer values show them; gives the latest value. */
   private async prepare(
     ballot: string,
     start: Value,
-  ): Promise<{ tag: 'prepared'; value: Value } | { tag: 'again'; why: string }> {
+  ): Promise<{ tag: 'prepared'; value: Value; promises: Promises } | { tag: 'again'; why: string }> {
     let latest = start;
-    const promises = new Map<string, Prepared>();
+    const promises: Promises = new Map();
+    const answers = new Map<string, Prepared>();
     for (;;) {
       const sets = voterSets(latest);
-      const asked = allVoters(latest).filter((d) => !promises.has(d));
-      const heard = new Set(promises.keys());
+      const voters = allVoters(latest);
+      for (const disk of voters) if (!promises.has(disk)) promises.set(disk, this.askPrepare(disk, ballot));
+      const heard = new Set<string>();
       let refused = false;
       await gather(
-        this.context.ask<Prepared>(asked, 'RegPrepare', { ballot }).map((p) =>
-          p.then((r) => {
-            if (!r.ok) {
-              this.ballots.outbid(r.promised);
-              refused = true;
-              return r;
-            }
-            promises.set(r.disk, r);
-            heard.add(r.disk);
-            return r;
-          }),
-        ),
+        voters.map(async (disk) => {
+          const answer = await promises.get(disk)!;
+          if (answer.ok) {
+            answers.set(disk, answer);
+            heard.add(disk);
+          } else refused = true;
+        }),
         () => refused || isMajority(sets, heard),
       );
       if (refused) return { tag: 'again', why: 'another ballot is higher' };
       if (!isMajority(sets, heard))
-        return { tag: 'again', why: `only ${heard.size} of ${allVoters(latest).length} seats answered` };
-      const top = [...promises.values()]
+        return { tag: 'again', why: `only ${heard.size} of ${voters.length} seats answered` };
+      const top = [...answers.values()]
         .filter((r) => r.value)
         .reduce<Prepared | undefined>((a, b) => (!a || b.ballot > a.ballot ? b : a), undefined);
       if (!top) return { tag: 'again', why: 'seats are empty' };
       latest = fromText(top.value!);
-      if (isMajority(voterSets(latest), new Set(promises.keys()))) return { tag: 'prepared', value: latest };
+      if (isMajority(voterSets(latest), new Set(answers.keys()))) return { tag: 'prepared', value: latest, promises };
     }
   }
 
-  /** Has a value accepted by a majority; gives why not, if not. */
-  private async accept(ballot: string, next: Value): Promise<string | undefined> {
+  private async askPrepare(disk: string, ballot: string): Promise<Prepared> {
+    const answer = await this.context.ask<Prepared>([disk], 'RegPrepare', { ballot })[0]!;
+    if (!answer.ok) this.ballots.outbid(answer.promised);
+    return answer;
+  }
+
+  /**
+   * Has a value accepted by a majority; gives why not, if not. A voter gets the value after its own promise. Our own voter comes
+   * last, when it makes the majority: were we cut off meanwhile, what it alone had accepted would be taken up again long after.
+   */
+  private async accept(
+    ballot: string,
+    next: Value,
+    promises: Promises,
+    mayAccept: () => boolean,
+  ): Promise<string | undefined> {
     const value = toText(next);
     const sets = voterSets(next);
+    const voters = allVoters(next);
+    const own = voters.filter((d) => d === this.context.ownDisk);
     const heard = new Set<string>();
     let refused = false;
-    await gather(
-      this.context.ask<Accepted>(allVoters(next), 'RegAccept', { ballot, value }).map((p) =>
-        p.then((r) => {
-          if (r.ok) heard.add(r.disk);
-          else {
-            this.ballots.outbid(r.promised);
-            refused = true;
-          }
-          return r;
-        }),
-      ),
-      () => isMajority(sets, heard),
-    );
+    const send = async (disk: string): Promise<void> => {
+      const promise = await (promises.get(disk) ?? this.askPrepare(disk, ballot));
+      if (!promise.ok || !mayAccept()) throw new Error(`${disk} is not asked to accept`);
+      const body = { ballot, value, promisedAt: promise.at };
+      const answer = await this.context.ask<Accepted>([disk], 'RegAccept', body)[0]!;
+      if (answer.ok) heard.add(disk);
+      else {
+        this.ballots.outbid(answer.promised);
+        refused = true;
+      }
+    };
+    const withOwn = (): boolean => isMajority(sets, new Set([...heard, ...own]));
+    await gather(voters.filter((d) => !own.includes(d)).map(send), withOwn);
+    if (withOwn()) await gather(own.map(send), () => true);
     if (isMajority(sets, heard)) return undefined;
-    return refused ? 'another ballot is higher' : `only ${heard.size} of ${allVoters(next).length} seats accepted`;
+    return refused ? 'another ballot is higher' : `only ${heard.size} of ${voters.length} seats accepted`;
+  }
+}
+
+/** What a change makes of a value. A refusal counts only once that value is chosen: it may have been accepted by a minority. */
+function outcomeOf<T>(
+  fn: ChangeFn<T>,
+  latest: Value,
+): { tag: 'changed'; next?: Value; out: T } | { tag: 'refused'; error: unknown } {
+  try {
+    return { tag: 'changed', ...fn(latest) };
+  } catch (error) {
+    return { tag: 'refused', error };
   }
 }
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -205,6 +205,8 @@
   callMs: 800,
   /** A gap in our own loop this long means we were frozen: duties are in doubt until confirmed. */
   frozenMs: 1_200,
+  /** What came while a process stood still is read within this long after it goes on. */
+  wokenMs: 300,
   loopTickMs: 200,
 
   // --- register ---
@@ -230,8 +232,19 @@
   behindRetryMs: 40,
   /** Change attempts give up after this long, and say so. */
   changeMs: 6_000,
-  /** A configuration with a revision is brought into force for this long after it was last sent, whether its sender waits or not. */
-  submitMs: 10_000,
+  /**
+   * An order is worked on for this long after it was last sent, whether its sender waits or not. Senders repeat an order that got no
+   * clear answer within a second or two, at any node; longer than this, and an order of a node that was cut off would come into
+   * force when nobody expects it any more.
+   */
+  submitMs: 4_000,
+  /** An operator's call is answered within this long where no majority answers: callers go elsewhere after one second of silence. */
+  operatorAnswerMs: 600,
+  /**
+   * A voter accepts a value this long after its promise, and no later: a round takes a few calls, and a value that lay in a buffer
+   * while a machine stood still or was cut off must not be chosen when it wakes.
+   */
+  promiseLifeMs: 3_000,
   /** Different submissions that one node works on; resent ones share one, and few operators are at work at a time. */
   submissionsN: 32,
   /** One try at that; then the highest revision that was sent meanwhile is taken up instead. */
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -113,6 +113,9 @@
   /** Peers to which our own link is broken, and who carries visits to them; '' until somebody did. */
   private broken = new Map<string, string>();
   private stops: (() => void | Promise<void>)[] = [];
+  /** When our loop last came round, and when it last came round after it had stood still. */
+  private loopAt = -Infinity;
+  private thawedAt = -Infinity;
 
   constructor(readonly host: Host) {
     this.self = host.config.peer;
@@ -141,20 +144,30 @@
   async boot(names: (keyof Faces)[]): Promise<void> {
     for (const n of names) await this.load(n);
     await this.host.net.serve((f) => this.answer(f), { broken: (p) => this.onBroken(p), count: (n) => this.count(n) });
-    let last = this.host.clock.now();
+    this.loopAt = this.host.clock.now();
     this.keep(
       every(this.host.clock, C.loopTickMs).subscribe(() => {
         const now = this.host.clock.now();
-        if (now - last > C.frozenMs) {
-          this.count('loop.frozen');
-          this.thawed$.next(now - last);
-        }
-        last = now;
+        const gapMs = now - this.loopAt;
+        this.loopAt = now;
+        if (gapMs <= C.frozenMs) return;
+        this.thawedAt = now;
+        this.count('loop.frozen');
+        this.thawed$.next(gapMs);
       }),
     );
     this.become('running');
   }
 
+  /**
+   * Whether this process stands still no more only since a moment ago: what it reads now may have waited in a buffer for as long as
+   * that took, and who sent it may have gone elsewhere. Asks the steady clock, as the loop itself may not have come round yet.
+   */
+  wokeJustNow(): boolean {
+    const now = this.host.clock.now();
+    return now - this.loopAt > C.frozenMs || now - this.thawedAt <= C.wokenMs;
+  }
+
   private async load(n: string): Promise<void> {
     if (this.faces.has(n)) return;
     const p = known.get(n);
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -645,7 +645,11 @@
               });
               return backlog <= 65_536;
             },
-            close: () => toClient(ended),
+            close: () => {
+              // The machine's system still sends what was written before a close, also when the process ends right after it.
+              to.streams.delete(reset);
+              toClient(ended);
+            },
           });
           if ('status' in r) toClient(ended);
           else id = r.id;
