--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -10,4 +10,6 @@
 export * from './forget.js';
 export * from './keeper.js';
 export * from './operators.js';
+export * from './operator-answers.js';
 export * from './placement.js';
+export * from './revision-outcomes.js';
--- a/packages/control/src/operators.ts
+++ b/packages/control/src/operators.ts
@@ -1,11 +1,12 @@
 /** What operators ask of the fleet: configurations, the calendar of moves, and the emptying of disks. */
-import { C, Failure, faultOf, register, retryAfter, sleep, within, type Kernel } from '@harecross/kernel';
-import { configFaults, type FleetConfig, type Move } from '@harecross/schema';
+import { C, Failure, register, retryAfter, type Kernel } from '@harecross/kernel';
+import { configFaults, type FleetConfig, type Move, type PathFault } from '@harecross/schema';
 import type { Board } from './board.js';
-import { erasAfter } from './eras.js';
-import { barTo, copiesOn, diskNamed, isBare, moveKey } from './fleet-state.js';
+import { barTo, copiesOn, diskNamed, emptyingOrdered, isBare, moveKey } from './fleet-state.js';
+import { OperatorAnswers } from './operator-answers.js';
 import { notReady, type Register } from './register.js';
-import type { MoveState, Value } from './value.js';
+import { Submissions, overloaded, type Revised } from './submissions.js';
+import { withConfig, type DiskRec, type MoveState, type Outcome, type Value } from './value.js';
 
 declare module '@harecross/kernel' {
   interface Faces {
@@ -13,61 +14,58 @@
   }
 }
 
-/** A configuration that is to come into force, with all who wait for it: it may be sent again and again. */
-interface Submission {
-  key: string;
-  revision: number;
-  changeId: string;
-  config: FleetConfig;
-  document?: string;
-  until: number;
-  waits: { res: (a: Revised) => void; rej: (e: unknown) => void }[];
-}
-/** What is in force after a submission with a revision: that one, or a higher one. */
-export interface Revised {
-  version: number;
-  revision: number;
+/** What a disk is told to have, as operators are answered. */
+interface DiskTold {
+  disk: string;
+  state: string;
+  copies: number;
+  seat: boolean;
 }
+type DiskOutcome =
+  { tag: 'done'; told: DiskTold } | { tag: 'unknown' } | { tag: 'refused'; why: string } | { tag: 'unclear' };
+type ChangeOutcome = Outcome | { tag: 'invalid'; faults: PathFault[] } | { tag: 'forgotten' };
 
 /**
  * What operators ask of the register.
  * @example
  * await k.use('operators').submit({ changeId: 'c1', expect: 3, config }); // { version: 4 }
- * await k.use('operators').submit({ revision: 17, document, config }); // { version: 5, revision: 17 }
+ * await k.use('operators').submit({ revision: 17, document, config }); // { version: 5, revision: 17, outcome: 'accepted' }
  */
 export class Operators {
-  /** Those with a revision that are not in force yet. One of them, the highest, is at work at a time: it settles the lower ones too. */
-  private submissions = new Map<string, Submission>();
-  private working = false;
+  private readonly submissions: Submissions;
+  private readonly answers: OperatorAnswers;
+  /** Changes by change id that are under way at this node. */
+  private changing = 0;
 
   constructor(
     private k: Kernel,
     private board: Board,
     private reg: Register,
   ) {
-    k.keep(reg.value$.subscribe(() => this.settle()));
+    this.answers = new OperatorAnswers(k, reg);
+    this.submissions = new Submissions(k, reg, (value, config) => this.machineFaults(value, config));
   }
 
   /**
-   * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force. Without one
-   * the first outcome of its changeId is given. Fails with `invalid_config`, `conflict` (without a revision), `overloaded` (beyond
-   * C.submissionsN at once), and with `not_ready` or `no_majority`: within C.operatorAnswerMs where no majority answers, else after
-   * C.submitMs. One that failed so may still come into force, up to C.submitMs after it was last sent here.
+   * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force, and fails with
+   * `conflict` where another configuration came into force under its revision. Without one the first outcome of its changeId is
+   * given. Fails with `invalid_config`, `conflict`, `overloaded` (too many at once), `outcome_unknown` (its outcome is forgotten), and
+   * with `not_ready` or `no_majority`: within C.operatorAnswerMs where no majority answers, else after C.submitMs. One that failed so
+   * may still come into force, up to C.submitMs after it was last sent to this node.
    */
-  async submit(b: {
+  async submit(request: {
     changeId?: string;
     expect?: number;
     revision?: number;
     document?: unknown;
     config: unknown;
-  }): Promise<{ version: number; revision?: number }> {
-    this.mustBeNew('SubmitConfig');
-    const document = b.document === undefined ? undefined : JSON.stringify(b.document);
-    if (b.revision !== undefined) {
-      const revised = this.revise(b.revision, b.changeId ?? `revision-${b.revision}`, b.config, document);
-      return this.inTime('SubmitConfig', revised);
-    }
-    return this.change('SubmitConfig', b.changeId!, b.expect, () => ({ config: b.config, document }));
+  }): Promise<{ version: number } | Revised> {
+    const { revision, changeId, config } = request;
+    this.answers.mustBeNew('SubmitConfig');
+    if (revision !== undefined)
+      return this.answers.inTime('SubmitConfig', this.submissions.submit({ ...request, revision }));
+    const document = request.document === undefined ? undefined : JSON.stringify(request.document);
+    return this.change('SubmitConfig', changeId!, request.expect, () => ({ config, document }));
   }
 
   /** Takes a new calendar into the configuration in force. */
@@ -78,222 +76,64 @@
     }));
   }
 
-  /**
-   * The outcome of an order, or `no_majority` after C.operatorAnswerMs where no majority answered anything asked since the order
-   * came: its sender has to know in time that another node may do better. The order itself goes on up to its own limit.
-   */
-  private async inTime<T>(step: string, work: Promise<T>): Promise<T> {
-    const { clock } = this.k.host;
-    const askedAt = clock.now();
-    void this.reg.confirm().catch(() => undefined);
-    const done = within(
-      clock,
-      C.operatorAnswerMs,
-      work.then((out) => ({ out })),
-    );
-    const got = await done;
-    if (got) return got.out;
-    if (this.reg.confirmedSince(askedAt)) return work;
-    work.catch(() => this.k.count('orders.failed_later'));
-    throw this.reg.value ? this.noMajority(step) : notReady(this.k, step);
-  }
-
-  /** Turns away an order that may have lain in a buffer for long: its sender, if it still wants it, sends it again. */
-  private mustBeNew(step: string): void {
-    if (this.k.wokeJustNow()) throw notReady(this.k, step);
-  }
-
-  private noMajority(step: string): Failure {
-    const detail = `no majority of the voters answered within ${C.operatorAnswerMs} ms`;
-    return new Failure({ tag: 'no_majority', step, peer: this.k.self, detail });
-  }
-
-  /**
-   * The value as a majority confirms it to a question asked after this call began; `no_majority` after C.operatorAnswerMs. A process
-   * that stood still meanwhile does not answer by what it heard before.
-   */
-  private async confirmedValue(step: string): Promise<Value> {
+  private async change(
+    step: string,
+    changeId: string,
+    expect: number | undefined,
+    make: (value: Value) => { config: unknown; document?: string },
+  ): Promise<{ version: number }> {
+    this.answers.mustBeNew(step);
     if (!this.reg.value) throw notReady(this.k, step);
-    const { clock } = this.k.host;
-    const askedAt = clock.now();
-    const v = await within(clock, C.operatorAnswerMs, this.currentValue());
-    if (!v || clock.now() - askedAt > C.operatorAnswerMs) throw this.noMajority(step);
-    return v;
-  }
-
-  /** The value after a confirmation that begins now, or read by a ballot: it may be newer than what was confirmed, never older. */
-  private async currentValue(): Promise<Value> {
-    return (await this.reg.confirm()) ? this.reg.value! : this.reg.read(C.operatorAnswerMs);
-  }
-
-  /** The configuration, or `invalid_config`. Without a value only what can be said of it by itself. */
-  private checked(step: string, config: unknown, v?: Value): FleetConfig {
-    const faults = configFaults(config);
-    if (!faults.length && v) faults.push(...this.machineFaults(v, config as FleetConfig));
-    if (faults.length) throw new Failure({ tag: 'invalid_config', step, peer: this.k.self, faults });
-    return config as FleetConfig;
-  }
-
-  /** The value with a configuration in it. */
-  private taken(v: Value, x: { changeId: string; config: FleetConfig; document?: string; revision?: number }): Value {
-    const version = v.version + 1;
-    const keys = new Set((x.config.moves ?? []).map(moveKey));
-    const moves = new Map([...v.moves].filter(([k]) => keys.has(k)));
-    return {
-      ...v,
-      version,
-      changeId: x.changeId,
-      config: x.config,
-      document: x.document,
-      revision: x.revision ?? v.revision,
-      eras: erasAfter(v.eras, x.config, version),
-      moves,
-    };
-  }
-
-  // --- by revision ---
-
-  private revise(revision: number, changeId: string, config: unknown, document: string | undefined): Promise<Revised> {
-    const valid = this.checked('SubmitConfig', config);
-    const key = `${revision}\n${JSON.stringify(config)}`;
-    let s = this.submissions.get(key);
-    if (!s) {
-      if (this.submissions.size >= C.submissionsN) {
-        throw new Failure({
-          tag: 'overloaded',
-          step: 'SubmitConfig',
-          peer: this.k.self,
-          retryAfterMs: retryAfter(this.k.host.rnd, C.retryMs),
-        });
-      }
-      s = { key, revision, changeId, config: valid, document, until: 0, waits: [] };
-      this.submissions.set(key, s);
-    }
-    const { waits } = s;
-    s.until = this.k.host.clock.now() + C.submitMs;
-    const answer = new Promise<Revised>((res, rej) => {
-      waits.push({ res, rej });
-    });
-    this.settle();
-    void this.bringIntoForce();
-    return answer;
-  }
-
-  /** Whether it is still one to work on; one that was sent again later is another. */
-  private wanted(s: Submission): boolean {
-    return this.submissions.get(s.key) === s;
-  }
-
-  /** The one function that takes a submission out; gives who is to be told. */
-  private takeOut(s: Submission): Submission['waits'] {
-    if (this.wanted(s)) this.submissions.delete(s.key);
-    return s.waits.splice(0);
-  }
-
-  private inForce(revision: number): Revised | undefined {
-    const v = this.reg.value;
-    return v?.revision !== undefined && v.revision >= revision
-      ? { version: v.version, revision: v.revision }
-      : undefined;
-  }
-
-  /** Answers what a value that the fleet agreed on has settled, whoever brought it about. */
-  private settle(): void {
-    for (const s of this.submissions.values())
-      if (this.inForce(s.revision)) void this.tell(s.revision, s.until, this.takeOut(s));
-  }
-
-  /** It is settled, but something higher may be in force by now: a majority tells, and without one nothing is confirmed. */
-  private async tell(revision: number, until: number, waits: Submission['waits']): Promise<void> {
-    const { clock, rnd } = this.k.host;
-    while (!(await this.reg.confirm().catch(() => false))) {
-      if (clock.now() >= until) {
-        for (const w of waits) w.rej(this.noMajority('SubmitConfig'));
-        return;
-      }
-      await sleep(clock, C.submitAskMs * (0.5 + rnd.next()));
-    }
-    for (const w of waits) w.res(this.inForce(revision)!);
-  }
-
-  /**
-   * Works on the highest submission until none is left, or its time has passed. Senders may have left: several tries of one revision, at
-   * several nodes, each go on until they see it in force. They do not fight for long: the register's retries are spread out at random.
-   */
-  private async bringIntoForce(): Promise<void> {
-    if (this.working) return;
-    this.working = true;
+    if (this.changing >= C.changesAtOnceN) throw overloaded(this.k, step);
+    this.changing++;
     try {
-      for (;;) {
-        const s = [...this.submissions.values()].reduce<Submission | undefined>(
-          (a, b) => (!a || b.revision > a.revision ? b : a),
-          undefined,
-        );
-        if (!s) return;
-        await this.tryOnce(s);
-      }
+      const changed = this.reg.change((value) => this.changed(value, changeId, expect, make(value)), C.submitMs);
+      const outcome = await this.answers.inTime(step, changed);
+      return this.versionOf(step, outcome);
     } finally {
-      this.working = false;
+      this.changing--;
     }
   }
 
-  private async tryOnce(s: Submission): Promise<void> {
-    const { clock } = this.k.host;
-    try {
-      const a = await this.reg.change(
-        (v): { next?: Value; out: Revised } => {
-          if (v.revision !== undefined && v.revision >= s.revision)
-            return { out: { version: v.version, revision: v.revision } };
-          this.checked('SubmitConfig', s.config, v);
-          const next = this.taken(v, s);
-          return { next, out: { version: next.version, revision: s.revision } };
-        },
-        Math.min(C.submitTryMs, s.until - clock.now()),
-        () => this.wanted(s),
-      );
-      for (const w of this.takeOut(s)) w.res(a);
-    } catch (e) {
-      // No longer wanted: settled meanwhile.
-      if (!this.wanted(s)) return;
-      const f = faultOf(e, 'SubmitConfig', this.k.self);
-      if (f.tag === 'no_majority' && clock.now() < s.until) return;
-      for (const w of this.takeOut(s)) w.rej(this.reg.value ? e : notReady(this.k, 'SubmitConfig'));
+  /**
+   * The outcome of a change by its id, and the value with it. Refusals are outcomes too, not thrown here: the register then has the
+   * value that they were judged by accepted anew, so that an earlier try of the same change can't come into force after them.
+   */
+  private changed(
+    value: Value,
+    changeId: string,
+    expect: number | undefined,
+    change: { config: unknown; document?: string },
+  ): { next?: Value; out: ChangeOutcome } {
+    const first = value.changes.get(changeId);
+    if (first) return { out: first };
+    if (expect !== undefined && expect !== value.version) {
+      // Its first try may be one of those that are forgotten: neither refused nor taken is true then for sure.
+      if (expect <= (value.changesForgottenTo ?? -1)) return { out: { tag: 'forgotten' } };
+      const out = { tag: 'conflict' as const, version: value.version };
+      return { next: { ...value, ...withChange(value, changeId, out) }, out };
     }
+    const faults = configFaults(change.config);
+    if (!faults.length) faults.push(...this.machineFaults(value, change.config as FleetConfig));
+    if (faults.length) return { out: { tag: 'invalid', faults } };
+    const next = withConfig(value, { changeId, config: change.config as FleetConfig, document: change.document });
+    const out = { tag: 'taken' as const, version: next.version };
+    return { next: { ...next, ...withChange(value, changeId, out) }, out };
   }
 
-  // --- by change id ---
-
-  private async change(
-    step: string,
-    changeId: string,
-    expect: number | undefined,
-    make: (v: Value) => { config: unknown; document?: string },
-  ): Promise<{ version: number }> {
-    this.mustBeNew(step);
-    if (!this.reg.value) throw notReady(this.k, step);
-    // What is wrong with it by itself is told at once; what depends on the fleet only by a value that a majority has.
-    if (!this.reg.value.changes.has(changeId)) this.checked(step, make(this.reg.value).config);
-    const changed = this.reg.change((v) => {
-      const first = v.changes.get(changeId);
-      if (first) return { out: first };
-      const changes = new Map(v.changes);
-      if (expect !== undefined && expect !== v.version) {
-        const out = { tag: 'conflict' as const, version: v.version };
-        changes.set(changeId, out);
-        return { next: { ...v, changes: trimmed(changes) }, out };
-      }
-      const x = make(v);
-      const next = this.taken(v, { changeId, config: this.checked(step, x.config, v), document: x.document });
-      const out = { tag: 'taken' as const, version: next.version };
-      changes.set(changeId, out);
-      return { next: { ...next, changes: trimmed(changes) }, out };
-    }, C.submitMs);
-    const o = await this.inTime(step, changed);
-    switch (o.tag) {
+  private versionOf(step: string, outcome: ChangeOutcome): { version: number } {
+    const peer = this.k.self;
+    switch (outcome.tag) {
       case 'taken':
-        return { version: o.version };
+        return { version: outcome.version };
       case 'conflict':
-        throw new Failure({ tag: 'conflict', step, peer: this.k.self, version: o.version });
+        throw new Failure({ tag: 'conflict', step, peer, version: outcome.version });
+      case 'invalid':
+        throw new Failure({ tag: 'invalid_config', step, peer, faults: outcome.faults });
+      case 'forgotten': {
+        const retryAfterMs = retryAfter(this.k.host.rnd, C.retryMs);
+        throw new Failure({ tag: 'outcome_unknown', step, peer, retryAfterMs });
+      }
     }
   }
 
@@ -326,7 +166,7 @@
     document?: unknown;
     config: unknown;
   }> {
-    const v = await this.confirmedValue('ReadConfig');
+    const v = await this.answers.confirmedValue('ReadConfig');
     return {
       version: v.version,
       changeId: v.changeId,
@@ -336,31 +176,66 @@
     };
   }
 
-  /** Begins or takes back the emptying of a disk. */
-  async setDisk(
+  /**
+   * Begins or takes back the emptying of a disk. An order that was taken is answered again, whatever has become of the disk since. With a
+   * change id, an order that was carried out is not carried out again, however late its repeat comes: another may have been given since.
+   */
+  async setDisk(disk: string, state: 'active' | 'emptying', step: string, changeId?: string): Promise<DiskTold> {
+    this.answers.mustBeNew(step);
+    if (!this.reg.value) throw notReady(this.k, step);
+    const changed = this.reg.change((value) => this.diskSetOnce(value, disk, state, changeId), C.submitMs);
+    const outcome = await this.answers.inTime(step, changed);
+    const peer = this.k.self;
+    switch (outcome.tag) {
+      case 'done':
+        return outcome.told;
+      case 'unknown':
+        throw new Failure({ tag: 'unknown_disk', step, peer, disk });
+      case 'refused':
+        throw new Failure({ tag: 'wont_hold', step, peer, detail: outcome.why });
+      case 'unclear':
+        throw notReady(this.k, step);
+    }
+  }
+
+  /** What becomes of an order on a disk, at most once for a change id. */
+  private diskSetOnce(
+    value: Value,
     disk: string,
     state: 'active' | 'emptying',
-    step: string,
-  ): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
-    this.mustBeNew(step);
-    if (!this.reg.value) throw notReady(this.k, step);
-    const changed = this.reg.change((v) => {
-      const d = diskNamed(v, disk);
-      if (!d) throw new Failure({ tag: 'unknown_disk', step, peer: this.k.self, disk });
-      const told = { disk: d.id, state, copies: copiesOn(v, disk), seat: v.seats.includes(disk) };
-      if (d.state === state) return { out: told };
-      if (d.state === 'lost')
-        throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: `disk ${disk} is lost` });
-      const bar = state === 'emptying' ? barTo(v, { kind: 'empty' }, d, this.board) : undefined;
-      if (bar) throw new Failure({ tag: 'wont_hold', step, peer: this.k.self, detail: bar });
-      return { next: { ...v, disks: new Map(v.disks).set(d.id, { ...d, state }) }, out: told };
-    }, C.submitMs);
-    return this.inTime(step, changed);
+    changeId: string | undefined,
+  ): { next?: Value; out: DiskOutcome } {
+    if (changeId === undefined) return this.diskSet(value, disk, state);
+    const found = diskNamed(value, disk);
+    if (found && value.changes.has(changeId)) return { out: { tag: 'done', told: toldOf(value, found, found.state) } };
+    const made = this.diskSet(value, disk, state);
+    if (made.out.tag !== 'done') return made;
+    const outcome: Outcome = { tag: 'taken', version: value.version };
+    return { next: { ...(made.next ?? value), ...withChange(value, changeId, outcome) }, out: made.out };
+  }
+
+  /** What becomes of an order on a disk. As with changes, refusals are outcomes. */
+  private diskSet(value: Value, disk: string, state: 'active' | 'emptying'): { next?: Value; out: DiskOutcome } {
+    const found = diskNamed(value, disk);
+    if (!found) return { out: { tag: 'unknown' } };
+    const told = toldOf(value, found, state);
+    if (found.state === state) return { out: { tag: 'done', told } };
+    const repeated = state === 'emptying' && emptyingOrdered(value, disk);
+    if (found.state === 'lost') {
+      if (repeated) return { out: { tag: 'done', told: { ...told, state: found.state } } };
+      return { out: { tag: 'refused', why: `disk ${disk} is lost` } };
+    }
+    const bar = state === 'emptying' ? barTo(value, { kind: 'empty' }, found, this.board) : undefined;
+    // Taken before, for a disk that was replaced since: it is begun again as soon as that holds.
+    if (bar !== undefined) return { out: repeated ? { tag: 'unclear' } : { tag: 'refused', why: bar } };
+    const emptyingTaken = state === 'emptying' ? true : undefined;
+    const disks = new Map(value.disks).set(found.id, { ...found, state, emptyingTaken });
+    return { next: { ...value, disks }, out: { tag: 'done', told } };
   }
 
   /** How far the emptying of a disk has come, confirmed at a majority: a machine that is said to be emptied is taken away. */
-  async emptyStatus(disk: string): Promise<{ disk: string; state: string; copies: number; seat: boolean }> {
-    const v = await this.confirmedValue('EmptyStatus');
+  async emptyStatus(disk: string): Promise<DiskTold> {
+    const v = await this.answers.confirmedValue('EmptyStatus');
     const d = diskNamed(v, disk);
     if (!d) throw new Failure({ tag: 'unknown_disk', step: 'EmptyStatus', peer: this.k.self, disk });
     const { id } = d;
@@ -374,20 +249,31 @@
 
   /** The calendar in force, confirmed at a majority, with how far each move has come. */
   async moves(): Promise<{ version: number; moves: (Move & { state: MoveState | 'planned'; why: string })[] }> {
-    const v = await this.confirmedValue('Moves');
+    const { version, config, moves } = await this.answers.confirmedValue('Moves');
     return {
-      version: v.version,
-      moves: (v.config.moves ?? []).map((m) => ({
-        ...m,
-        ...(v.moves.get(moveKey(m)) ?? { state: 'planned', why: '' }),
-      })),
+      version,
+      moves: (config.moves ?? []).map((m) => ({ ...m, ...(moves.get(moveKey(m)) ?? { state: 'planned', why: '' }) })),
     };
   }
 }
 
-function trimmed<T>(m: Map<string, T>): Map<string, T> {
-  while (m.size > C.changeIdsN) m.delete(m.keys().next().value!);
-  return m;
+const toldOf = (value: Value, disk: DiskRec, state: string): DiskTold => ({
+  disk: disk.id,
+  state,
+  copies: copiesOn(value, disk.id),
+  seat: value.seats.includes(disk.id),
+});
+
+/** The changes of a value with one more outcome; the oldest beyond the bound are forgotten. */
+function withChange(value: Value, changeId: string, outcome: Outcome): Pick<Value, 'changes' | 'changesForgottenTo'> {
+  const changes = new Map(value.changes).set(changeId, outcome);
+  let { changesForgottenTo } = value;
+  for (const [oldest, { version }] of changes) {
+    if (changes.size <= C.changeIdsN) break;
+    changes.delete(oldest);
+    changesForgottenTo = version;
+  }
+  return { changes, changesForgottenTo };
 }
 
 register({
--- a/packages/control/src/register/proposer.ts
+++ b/packages/control/src/register/proposer.ts
@@ -6,6 +6,7 @@
 import {
   allVoters,
   isMajority,
+  oneVoterChanges,
   voterSets,
   type Accepted,
   type AskVoters,
@@ -71,7 +72,7 @@
     const outcome = outcomeOf(fn, latest);
     const change = outcome.tag === 'changed' ? outcome.next : undefined;
     const next = change ? { ...change, rev: latest.rev + 1, prevSeats: latest.seats } : latest;
-    invariant(!change || Math.abs(next.seats.length - latest.seats.length) <= 1, 'one seat at a time');
+    invariant(!change || oneVoterChanges(latest.seats, next.seats), 'one voter at a time');
     const why = await this.accept(ballot, next, prepared.promises, mayAccept);
     if (why !== undefined) return { tag: 'again', why };
     this.context.learn(next);
--- a/packages/trial/src/test/config.test.ts
+++ b/packages/trial/src/test/config.test.ts
@@ -180,15 +180,18 @@
     __proto__x: { constructor: 1 },
   };
 
-  t.deepEqual(await submit(r1, 7, { document }), { status: 200, body: { version: 2, revision: 7 } });
+  t.deepEqual(await submit(r1, 7, { document }), {
+    status: 200,
+    body: { version: 2, revision: 7, outcome: 'accepted' },
+  });
   t.deepEqual(
     await submit(r2, 7, { document }),
-    { status: 200, body: { version: 2, revision: 7 } },
+    { status: 200, body: { version: 2, revision: 7, outcome: 'accepted' } },
     'resent to another node',
   );
   t.deepEqual(
     await submit(s.stores[0]!, 3, { config: { families: [] } }),
-    { status: 200, body: { version: 2, revision: 7 } },
+    { status: 200, body: { version: 2, revision: 7, outcome: 'overtaken' } },
     'an old one, late',
   );
   t.deepEqual((await s.ask(r2, 'ReadConfig', {})).body, {
@@ -218,10 +221,16 @@
     revision: 7,
     config: { families: [] },
   });
-  t.deepEqual((await submit(r2, 7)).body, { version: 3, revision: 7 });
-  t.deepEqual((await submit(r2, 8, { changeId: 'named' })).body, { version: 4, revision: 8 });
+  t.deepEqual((await submit(r2, 7, { document })).body, { version: 3, revision: 7, outcome: 'accepted' });
+  const other = await submit(r2, 7);
+  t.deepEqual([other.status, other.body.error.tag, other.body.error.revision], [409, 'conflict', 7], 'other words');
+  t.deepEqual((await submit(r2, 8, { changeId: 'named' })).body, { version: 4, revision: 8, outcome: 'accepted' });
   // A calendar changes neither the revision nor the operators' words.
-  t.deepEqual((await submit(r2, 20, { document: 'words' })).body, { version: 5, revision: 20 });
+  t.deepEqual((await submit(r2, 20, { document: 'words' })).body, {
+    version: 5,
+    revision: 20,
+    outcome: 'accepted',
+  });
   t.is((await s.ask(r1, 'PlanMoves', { changeId: 'plan', moves: [] })).body.version, 6);
   t.deepEqual((await s.ask(r1, 'ReadConfig', {})).body, {
     version: 6,
@@ -607,13 +616,16 @@
   await s.pass(C.submitMs / 2);
   t.is(r1.kernel!.use('register').value!.revision, 5, 'its senders had gone long before');
   s.sim.kill(a);
-  // Without a majority nothing is confirmed, not even what this node knows to be settled, and every sender is told in time.
-  for (const [n, revision] of [
-    [r1, 9],
-    [c, 5],
-  ] as [SimNode, number][]) {
+  // Another configuration under the revision in force never comes into force: this node knows that without the others.
+  const other = await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: [] } });
+  t.deepEqual([other.status, other.body.error.tag, other.body.error.revision], [409, 'conflict', 5]);
+  // Without a majority nothing is confirmed, not even what this node knows to be in force, and every sender is told in time.
+  for (const [n, revision, families] of [
+    [r1, 9, []],
+    [c, 5, FAMILIES],
+  ] as [SimNode, number, unknown[]][]) {
     const from = s.sim.now;
-    const late = await s.ask(n, 'SubmitConfig', { revision, config: { families: [] } });
+    const late = await s.ask(n, 'SubmitConfig', { revision, config: { families } });
     t.is(late.body.error.tag, 'no_majority');
     t.is(late.status, 503);
     t.true(late.body.error.retryAfterMs > 0 && late.body.error.retryAfterMs < 1_000);
@@ -624,10 +636,7 @@
   void s.sim.start(a);
   await s.pass(6_000);
   t.is((await s.ask(c, 'ReadConfig', {})).body.revision, 5);
-  t.deepEqual((await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: [] } })).body, {
-    version: 2,
-    revision: 5,
-  });
+  t.is((await s.ask(c, 'SubmitConfig', { revision: 5, config: { families: FAMILIES } })).status, 200);
   s.sim.close();
 });
 
@@ -701,7 +710,7 @@
     9_000,
   );
   await sim.run(9_000);
-  t.deepEqual(await again, { status: 200, body: { version: 1, revision: 2 } });
+  t.deepEqual(await again, { status: 200, body: { version: 1, revision: 2, outcome: 'accepted' } });
   sim.close();
 });
 
--- a/packages/trial/src/test/cut-off.test.ts
+++ b/packages/trial/src/test/cut-off.test.ts
@@ -1,4 +1,4 @@
-import { Acceptor, Operators, Proposer, ReadLease, fromText } from '@harecross/control';
+import { Acceptor, OperatorAnswers, Proposer, ReadLease, fromText } from '@harecross/control';
 import test, { type ExecutionContext } from 'ava';
 import type { Sim, SimNode } from '../sim.js';
 import { controlFleet, type ControlFleet } from './control-fleet.js';
@@ -245,7 +245,7 @@
   {
     what: 'orders that lay in the buffer of a machine that stood still are taken as new',
     trouble: 'proposer frozen',
-    proto: Operators.prototype,
+    proto: OperatorAnswers.prototype,
     method: 'mustBeNew',
     fault: () => () => undefined,
   },
