--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -55,7 +55,12 @@
     }
     const ask = <T>(disks: string[], method: PeerRpc, body: object): Promise<T>[] => this.ask<T>(disks, method, body);
     const learn = (v: Value): void => this.learn(v);
-    this.proposer = new Proposer(k, this.ballots, { ask, learn, start: () => this.newestSeen() });
+    this.proposer = new Proposer(k, this.ballots, {
+      ask,
+      learn,
+      start: () => this.newestSeen(),
+      ownDisk: this.disk,
+    });
     this.reader = new Reader(k, board, this.ballots, this.lease, this.acceptor, {
       ask,
       learn,
@@ -102,6 +107,19 @@
     this.k.keep(first);
   }
 
+  /** Confirms at once where a confirmation was had in this life of the process and has run out; one such try at a time. */
+  private async confirmAgain(): Promise<void> {
+    if (this.confirmingAgain || !this.confirmed() || this.fresh()) return;
+    this.confirmingAgain = true;
+    try {
+      await this.confirm();
+    } catch {
+      // The periodic confirmation goes on.
+    } finally {
+      this.confirmingAgain = false;
+    }
+  }
+
   get value(): Value | undefined {
     return this.value$.value;
   }
@@ -116,6 +134,11 @@
     return this.value$.value !== undefined && this.lease.valid();
   }
 
+  /** Whether a majority confirmed our value to a question asked at this time (steady clock) or later. */
+  confirmedSince(askedAt: number): boolean {
+    return this.value$.value !== undefined && this.lease.renewedSince(askedAt);
+  }
+
   /** Whether our value was ever confirmed in this life of the process. */
   confirmed(): boolean {
     return this.value$.value !== undefined && this.lease.everValid;
@@ -191,23 +214,10 @@
     return this.reader.confirm();
   }
 
-  /** Confirms at once where a confirmation was had in this life of the process and has run out; one such try at a time. */
-  private async confirmAgain(): Promise<void> {
-    if (this.confirmingAgain || !this.confirmed() || this.fresh()) return;
-    this.confirmingAgain = true;
-    try {
-      await this.confirm();
-    } catch {
-      // The periodic confirmation goes on.
-    } finally {
-      this.confirmingAgain = false;
-    }
-  }
-
   /** The value as a majority has it now. */
-  async read(): Promise<Value> {
+  async read(limitMs: number = C.changeMs): Promise<Value> {
     const askedAt = this.k.host.clock.now();
-    const v = await this.change((x) => ({ out: x }));
+    const v = await this.change((x) => ({ out: x }), limitMs);
     this.lease.renew(askedAt);
     return v;
   }
--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -3,6 +3,7 @@
 import type { Seat } from '@harecross/state';
 import { Subject } from 'rxjs';
 import { pathToFileURL } from 'node:url';
+import { NEVER } from 'rxjs';
 import type { Json } from './json.js';
 
 /** A change that a proposer makes: the seats it asks for, if any; each change leaves its name in the value. */
@@ -145,6 +146,7 @@
       pass: () => undefined,
       somePeers: () => [],
       contacts: () => [],
+      state$: NEVER,
       ofDisk: (d: string) => ({ peer: d }),
       live: () => [],
       isLive: () => true,
