A grown fleet starts: batched news, short value fetches, patient probes

(1) Every fact went to four peers by a call of its own: 526 calls and 185 KiB a node in the second in which all say that they are ready. (2) Each revision of the agreed value was fetched whole, with its 510 routes (35 KiB deflated), by everybody, and from a further peer every 80 ms: seven fetches in half a second at a link that carries 100 KiB in it; calls timed out while processors were idle. (3) Pings that came late for it were called losses after 420 ms: suspicions and the records that refute them are facts again; 400 changes of state a second at 12 nodes, without end. Beside it: voters asked by all at short periods, hung changes finished by ballots of every node, each with the whole value from a majority.

Ruled out: late loops (0 to 5 ms late in all nodes), modules' load time (0.3 s), owners taken to and fro (a consequence).

Change: facts leave at most every 2 ms for each member, each once, in one deflated list packed once for all receivers; digests by 32 sums; joins and first confirmations paced by the fleet's size; the value without its configuration to who has that version, four fetches at once at most, in a fleet of 32 and more from nodes with disks; there only voters finish others' changes; time limits of probes follow how long pings take. Lists and parts are sent to nodes that say they take them, so versions may be mixed. A fact about a node that has just begun is said again once it knows somebody. The list of members to probe stays whole between rounds.

--- a/packages/control/src/board.ts
+++ b/packages/control/src/board.ts
@@ -3,18 +3,21 @@
   Kernel,
   below,
   diskUsesOf,
-  every,
   gather,
-  hash,
   loop,
   register,
   sample,
+  sleep,
   within,
   type DiskUse,
   type Role,
 } from '@harecross/kernel';
 import type { Store } from '@harecross/state';
 import { Subject } from 'rxjs';
+import { Outbox, type Fact } from './outbox.js';
+import { packed, unpacked, type Packed } from './packed.js';
+import { PeerView } from './peer-view.js';
+import { TableSums, type TotalSum } from './table-sums.js';
 
 export type Condition = 'joining' | 'ready' | 'draining' | 'left' | 'ill';
 
@@ -38,6 +41,8 @@
   condition: Condition;
   /** Conns held. */
   weight: number;
+  /** Whether it takes packed lists; a node of before there were any does not say so. */
+  packs?: boolean;
 }
 
 /** What we think of a member. */
@@ -53,8 +58,20 @@
   ver: string;
   val: unknown;
 }
-/** `quietMs`, for a member's record only: how long the sender has not heard of a member that it doesn't hold for live. */
-type Wire = [key: string, ver: string, val: unknown, quietMs?: number];
+/** Which version of each fact a node has. */
+type Digest = [key: string, version: string][];
+/** `parts` are sums by part; a node of before there were parts sends a whole `digest` in a second call. */
+interface GossipRequest {
+  sums: TotalSum;
+  parts?: number[];
+  digest?: Digest;
+}
+interface Comparison {
+  newer: Fact[];
+  want: string[];
+}
+/** `parts`: where the tables differ, with what the answering node has there. */
+type GossipAnswer = 'same' | 'differs' | Comparison | { parts: number[]; digest: Packed<Digest[number]> };
 
 declare module '@harecross/kernel' {
   interface Faces {
@@ -64,7 +81,8 @@
 
 /**
  * The board: a table of small versioned facts, each written by one node or ordered by a fence.
- * News of a change is passed on to a few peers at once; digests mend what got lost. Nodes know each other
+ * News of a change is passed on to a few peers at once, and while there is much of it, in batches; digests mend what got lost, by sums
+ * over parts of the table, so that only parts that differ are compared. Nodes know each other
  * through partial views that neighbours shuffle. Liveness: any frame of a member is a sign of life; one that was
  * silent is asked directly, then through others, then suspected, and the suspicion is news. A member that hears
  * itself suspected says its record anew, which outdates the suspicion.
@@ -76,13 +94,20 @@
   readonly members = new Map<string, Member>();
   readonly changed$ = new Subject<string>();
   readonly state$ = new Subject<Member>();
-  private view = new Map<string, number>();
+  private view: PeerView;
+  private outbox: Outbox;
   /** Versions of records that were forgotten, so that who still has them does not bring them back; and since when. */
   private forgotten = new Map<string, { ver: string; at: number }>();
   private probing = new Set<string>();
+  /** Members in the order in which they are probed, drawn anew after each round, and which of them comes next. */
   private turnOrder: string[] = [];
-  /** Sum over all facts, for digests that are equal to be seen as equal at once. */
-  private sums: [number, number] = [0, 0];
+  private turnAt = 0;
+  private sums = new TableSums();
+  /** When a fact last changed here. */
+  private changedAt = -Infinity;
+  private gossipedAt = -Infinity;
+  /** How long a ping takes to be answered, smoothed. Slow at first: who starts together with others finds all of them busy. */
+  private pingTakesMs = C.pingUsualMs * C.probePatienceX;
   private beat = 0;
   /** Members that a former life of this machine knew, from its disk. */
   private kept: string[] = [];
@@ -90,24 +115,30 @@
   private callers = new Set<string>();
   private mine: Pick<MemberRec, 'condition' | 'weight' | 'disk' | 'emptied'> = { condition: 'joining', weight: 0 };
   private saidWeight = 0;
+  /** When our record was last said, and whether a change of weight waits for its time. */
+  private saidAt = -Infinity;
+  private weightWaits = false;
 
   constructor(private k: Kernel) {
     const { clock, rnd } = k.host;
-    k.on('Gossip', (b: { sums: [number, number]; digest?: [string, string][] }) => {
-      if (b.sums.join() === this.sums.join()) return 'same';
-      return b.digest ? this.compare(b.digest) : 'differs';
-    });
-    k.on('News', (b: { items: Wire[] }) => {
-      this.take(b.items);
+    this.view = new PeerView(rnd, C.viewN);
+    this.outbox = new Outbox(
+      clock,
+      () => this.paced(0, C.newsGapPerMemberMs),
+      (facts) => this.sendNews(facts),
+    );
+    k.on('Gossip', (b: GossipRequest) => this.answerGossip(b));
+    k.on('News', (b: { items: Packed<Fact> }) => {
+      this.take(unpacked(b.items));
       return true;
     });
     // What a digest missed is taken, not passed on: it is no news, and the next digests carry it further.
-    k.on('Mend', (b: { items: Wire[] }) => {
-      for (const item of b.items) this.set(...item);
-      return true;
+    k.on('Mend', (b: { items: Packed<Fact>; want?: string[] }) => {
+      this.setAll(unpacked(b.items));
+      return b.want ? packed(this.facts(b.want)) : true;
     });
     k.on('Shuffle', (b: { peers: string[] }, f) => {
-      const mine = sample(rnd, [...this.view.keys()], C.shuffleN);
+      const mine = sample(rnd, this.view.peers(), C.shuffleN);
       this.mergeView([...b.peers, f.peer]);
       return mine;
     });
@@ -130,32 +161,57 @@
         for (const m of this.members.values()) m.seenAt = clock.now();
       }),
     );
-    for (const s of k.host.config.seeds) if (s !== k.self) this.view.set(s, 0);
+    for (const s of k.host.config.seeds) if (s !== k.self) this.view.offer(s);
     if (k.host.db) this.remember(k.use('state'));
     this.sayMine();
-    this.join();
+    void this.join();
     k.keep(loop(clock, C.gossipMs, rnd, () => this.gossip()));
     k.keep(loop(clock, C.shuffleMs, rnd, () => this.shuffle()));
     k.keep(loop(clock, C.probeEveryMs, rnd, () => this.watch()));
     k.onStop(() => {
       this.mine.condition = 'left';
       this.sayMine();
+      // Nothing is sent any more after the last step of a stop.
+      this.outbox.flush();
     });
   }
 
-  /** Changes what we say of ourselves. Small changes of weight wait for a larger one. */
+  /**
+   * A period that grows with the fleet, so that what all nodes together ask of one, or tell one, stays bounded.
+   * @example
+   * board.paced(60, 4); // 60 ms in a fleet of up to 15, 376 ms in one of 94
+   */
+  paced(leastMs: number, perMemberMs: number): number {
+    return Math.max(leastMs, perMemberMs * this.members.size);
+  }
+
+  /** Changes what we say of ourselves. Small changes of weight wait for a larger one, and in a large fleet for some time. */
   say(x: Partial<Pick<MemberRec, 'condition' | 'weight' | 'disk' | 'emptied'>>): void {
     const was = this.mine;
     this.mine = { ...was, ...x };
-    const step = Math.max(8, this.saidWeight / 5);
-    if (
+    const same =
       was.condition === this.mine.condition &&
       was.disk === this.mine.disk &&
-      (was.emptied ?? false) === (this.mine.emptied ?? false) &&
-      Math.abs(this.mine.weight - this.saidWeight) < step
-    )
+      (was.emptied ?? false) === (this.mine.emptied ?? false);
+    if (!same) this.sayMine();
+    else this.sayWeight();
+  }
+
+  /** Says our record anew if the weight has changed much, now or when it is time. */
+  private sayWeight(): void {
+    const step = Math.max(8, this.saidWeight / 5);
+    if (this.weightWaits || Math.abs(this.mine.weight - this.saidWeight) < step) return;
+    const { clock } = this.k.host;
+    const waitMs = this.saidAt + this.paced(0, C.weightGapPerMemberMs) - clock.now();
+    if (waitMs <= 0) {
+      this.sayMine();
       return;
-    this.sayMine();
+    }
+    this.weightWaits = true;
+    clock.after(waitMs, () => {
+      this.weightWaits = false;
+      if (this.k.phase !== 'stopped') this.sayWeight();
+    });
   }
 
   /** Says our record anew; also for who changed our config. */
@@ -168,6 +224,7 @@
       role: config.role,
       name: config.name ?? this.k.self,
       inst: this.k.inst,
+      packs: true,
       ...this.mine,
     };
     if (rec.disk !== undefined) {
@@ -177,6 +234,7 @@
       if (ms !== undefined) rec.diskMs = Math.round(ms * 10) / 10;
     }
     this.saidWeight = rec.weight;
+    this.saidAt = this.k.host.clock.now();
     this.put(`m/${this.k.self}`, `${this.k.inst}.${String(++this.beat).padStart(10, '0')}`, rec);
   }
 
@@ -186,7 +244,7 @@
 
   /** Puts a fact and passes the news on. */
   put(key: string, ver: string, val: unknown): void {
-    if (this.set(key, ver, val)) this.pass([[key, ver, val]], C.newsFanN);
+    if (this.set(key, ver, val)) this.pass([[key, ver, val]]);
   }
 
   live(): Member[] {
@@ -233,15 +291,25 @@
     return [...new Set([...this.k.host.config.seeds, ...this.kept, ...this.callers])].filter((p) => p !== this.k.self);
   }
 
+  /** Whether what each node does at the same moment would be too much for those that all ask. */
+  isLarge(): boolean {
+    return this.members.size >= C.largeFleetN;
+  }
+
+  /**
+   * Whom to ask for something long that this peer and others have. In a large fleet a node with a disk: these are few and have wide links,
+   * and a node that many had heard of something from would send it to all of them over its own.
+   */
+  wellLinked(peer: string): string {
+    if (!this.isLarge() || this.members.get(peer)?.disk !== undefined) return peer;
+    const withDisk = this.live().filter((m) => m.disk !== undefined && m.peer !== this.k.self);
+    return sample(this.k.host.rnd, withDisk, 1)[0]?.peer ?? peer;
+  }
+
   /** A random live peer other than us, or a contact when we know nobody. */
   somePeers(n: number): string[] {
     const { rnd, config } = this.k.host;
-    const viewed = [...this.view.keys()].filter((p) => this.members.get(p)?.state === 'live');
-    const all = this.live()
-      .map((m) => m.peer)
-      .filter((p) => p !== this.k.self);
-    const base = viewed.length >= n ? viewed : all;
-    const got = sample(rnd, base, n);
+    const got = this.livePeers(n);
     const seeds = (got.length < n ? this.contacts() : config.seeds.filter((s) => s !== this.k.self)).filter(
       (s) => !got.includes(s),
     );
@@ -250,11 +318,28 @@
     return got;
   }
 
+  /** Random live peers, of our view where it has enough of them: connections stay few. */
+  private livePeers(n: number): string[] {
+    const viewed = this.view.peers().filter((p) => this.members.get(p)?.state === 'live');
+    return sample(this.k.host.rnd, viewed.length >= n ? viewed : this.otherLive(), n);
+  }
+
+  private otherLive(): string[] {
+    return this.live()
+      .map((m) => m.peer)
+      .filter((p) => p !== this.k.self);
+  }
+
+  /** What we have under these keys. */
+  private facts(keys: string[]): Fact[] {
+    return keys.filter((key) => this.items.has(key)).map((key) => this.wire(key));
+  }
+
   /**
    * A fact as it is sent. How long a member has been silent goes with its record: a node that joins would else hold it for heard of
    * just now, and pass it on as such, so that a fleet in which nodes begin again and again would never forget a machine that is gone.
    */
-  private wire(key: string): Wire {
+  private wire(key: string): Fact {
     const i = this.items.get(key)!;
     const m = key.startsWith('m/') ? this.members.get(key.slice(2)) : undefined;
     if (!m || m.state === 'live') return [key, i.ver, i.val];
@@ -276,8 +361,9 @@
       if (f.ver >= ver) return false;
       this.forgotten.delete(key);
     }
-    if (old) this.sum(key, old.ver, -1);
-    this.sum(key, ver, 1);
+    if (old) this.sums.remove(key, old.ver);
+    this.sums.add(key, ver);
+    this.changedAt = this.k.host.clock.now();
     this.items.set(key, { ver, val });
     if (key.startsWith('m/')) this.meet(val as MemberRec, quietMs);
     else if (key.startsWith('s/')) this.suspicion(key.slice(2), ver);
@@ -285,11 +371,6 @@
     return true;
   }
 
-  private sum(key: string, ver: string, sign: 1 | -1): void {
-    const h = hash(`${key}=${ver}`);
-    this.sums = [(this.sums[0] + sign * h) | 0, (this.sums[1] + sign * Math.imul(h, 0x9e3779b1)) | 0];
-  }
-
   /** Someone suspects a member: of us, we know better; of another, it stands unless its record is newer. */
   private suspicion(peer: string, ver: string): void {
     if (peer === this.k.self) {
@@ -318,8 +399,7 @@
     this.members.set(r.peer, m);
     const again = old !== undefined && old.inst !== r.inst;
     if (again) m.liveSince = now;
-    if (r.peer !== this.k.self && r.condition !== 'left' && !this.view.has(r.peer) && this.view.size < C.viewN)
-      this.view.set(r.peer, 0);
+    if (!old && r.peer !== this.k.self && r.condition !== 'left') this.view.offer(r.peer);
     const s = this.items.get(`s/${r.peer}`);
     const rec = this.items.get(`m/${r.peer}`)!;
     let state: MemberState = s && s.ver >= rec.ver ? 'suspect' : 'live';
@@ -338,24 +418,31 @@
     this.state$.next(m);
   }
 
-  private take(items: Wire[]): void {
-    const fresh = items.filter((item) => this.set(...item));
-    if (fresh.length) this.pass(fresh, C.newsFanN);
+  private take(items: Fact[]): void {
+    const fresh = items.filter((fact) => this.set(...fact));
+    if (fresh.length) this.pass(fresh);
+  }
+
+  /** Passes news on to a few others, soon. An empty list still carries our revision. */
+  pass(items: Fact[]): void {
+    this.outbox.add(items);
   }
 
-  /** Passes news on to a few others. An empty list still carries our revision. */
-  pass(items: Wire[], n: number): void {
+  private sendNews(items: Fact[]): void {
     if (this.k.phase === 'stopped') return;
-    for (const p of sample(
-      this.k.host.rnd,
-      this.live()
-        .map((m) => m.peer)
-        .filter((p) => p !== this.k.self),
-      n,
-    )) {
-      this.k.count('news.out');
-      this.k.call(p, 'News', { items }).catch(() => undefined);
-    }
+    const peers = this.livePeers(C.newsFanN);
+    this.k.count('news.out', peers.length);
+    const short = packed(items);
+    const packs = (p: string): boolean => this.members.get(p)?.packs === true;
+    const told = [
+      ...this.k.callEach(peers.filter(packs), 'News', { items: short }),
+      ...this.k.callEach(
+        peers.filter((p) => !packs(p)),
+        'News',
+        { items },
+      ),
+    ];
+    for (const answer of told) answer.catch(() => undefined);
   }
 
   private async gossip(): Promise<void> {
@@ -366,63 +453,95 @@
       C.gossipPeersN,
     ))
       void this.ping(p);
+    // While news is on its way tables differ by it everywhere: comparing them would send it all a second time.
+    const now = this.k.host.clock.now();
+    const newsComes = now - this.changedAt < this.paced(0, C.newsGapPerMemberMs);
+    if (newsComes && now - this.gossipedAt < C.gossipAnywayMs) return;
+    this.gossipedAt = now;
     await Promise.all(this.somePeers(C.gossipPeersN).map((p) => this.exchange(p)));
   }
 
   /** Compares our board with a peer's and mends both; says how many facts were new to us, or nothing when it did not answer. */
   private async exchange(p: string): Promise<number | undefined> {
     try {
-      type Answer = 'same' | 'differs' | { newer: Wire[]; want: string[] };
-      let r = await this.k.call<Answer>(p, 'Gossip', { sums: this.sums });
-      if (r === 'differs')
-        r = await this.k.call<Answer>(p, 'Gossip', {
-          sums: this.sums,
-          digest: [...this.items].map(([k, i]) => [k, i.ver] as [string, string]),
-        });
+      const { total: sums, parts } = this.sums;
+      // Equal tables are the rule, and the sums by part are long: they go along only when ours has just changed.
+      const changed = this.k.host.clock.now() - this.changedAt < 2 * C.gossipMs;
+      let r = await this.k.call<GossipAnswer>(p, 'Gossip', changed ? { sums, parts } : { sums });
+      if (r === 'differs' && !changed) r = await this.k.call<GossipAnswer>(p, 'Gossip', { sums, parts });
+      // A node of before there were parts.
+      if (r === 'differs') r = await this.k.call<GossipAnswer>(p, 'Gossip', { sums, digest: this.digest() });
       if (r === 'same' || r === 'differs') return 0;
-      const fresh = r.newer.filter((item) => this.set(...item)).length;
-      if (r.want.length)
-        await this.k.call(p, 'Mend', { items: r.want.filter((w) => this.items.has(w)).map((w) => this.wire(w)) });
+      if ('parts' in r) return await this.mendParts(p, new Set(r.parts), unpacked(r.digest));
+      const fresh = this.setAll(r.newer);
+      if (r.want.length) await this.k.call(p, 'Mend', { items: this.facts(r.want) });
       return fresh;
     } catch {
       return undefined; // the next period mends it
     }
   }
 
+  private answerGossip(b: GossipRequest): GossipAnswer {
+    if (this.sums.isSame(b.sums)) return 'same';
+    if (b.digest) return this.compare(b.digest);
+    if (!b.parts) return 'differs';
+    const parts = this.sums.differing(b.parts);
+    return { parts, digest: packed(this.digest(new Set(parts))) };
+  }
+
+  /** Gives a peer what it lacks in the parts that differ, and takes what we lack there. */
+  private async mendParts(p: string, parts: Set<number>, theirs: Digest): Promise<number> {
+    const { newer, want } = this.compare(theirs, parts);
+    if (!newer.length && !want.length) return 0;
+    return this.setAll(unpacked(await this.k.call<Packed<Fact>>(p, 'Mend', { items: packed(newer), want })));
+  }
+
+  private setAll(items: Fact[]): number {
+    return items.filter((fact) => this.set(...fact)).length;
+  }
+
+  private digest(parts?: Set<number>): Digest {
+    const out: Digest = [];
+    for (const [key, i] of this.items) if (!parts || parts.has(TableSums.partOf(key))) out.push([key, i.ver]);
+    return out;
+  }
+
   /**
-   * A node that has just begun knows nobody but its contacts, and those may have just begun too: it compares often, with a contact and
-   * with somebody it knows, until nobody tells it anything new.
+   * A node that has just begun knows nobody but its contacts, and those may have just begun too: it compares often until nobody tells it
+   * anything new. In a large fleet it does so less often, and mostly with others than the contacts: these are the same for all that
+   * begin together.
    */
-  private join(): void {
+  private async join(): Promise<void> {
     const { clock, rnd } = this.k.host;
     const until = clock.now() + C.joinMs;
     let nothingNew = 0;
-    const often = every(clock, C.joinEveryMs, rnd).subscribe(() => {
-      if (clock.now() > until || nothingNew >= C.joinQuietN) {
-        often.unsubscribe();
-        return;
-      }
-      const known = this.live()
-        .map((m) => m.peer)
-        .filter((p) => p !== this.k.self);
-      for (const p of new Set([...sample(rnd, this.contacts(), 1), ...sample(rnd, known, 1)])) {
-        void this.exchange(p).then((n) => {
-          if (n !== undefined) nothingNew = n > 0 ? 0 : nothingNew + 1;
-        });
+    let introduced = false;
+    while (clock.now() < until && nothingNew < C.joinQuietN && this.k.phase !== 'stopped') {
+      await sleep(clock, this.paced(C.joinEveryMs, C.joinPerMemberMs) * (0.5 + rnd.next()));
+      const known = sample(rnd, this.otherLive(), 1);
+      const asksContact = !known.length || rnd.next() * this.members.size < C.viewN;
+      const asked = new Set([...known, ...(asksContact ? sample(rnd, this.contacts(), 1) : [])]);
+      for (const fresh of await Promise.all([...asked].map((p) => this.exchange(p)))) {
+        if (fresh !== undefined) nothingNew = fresh > 0 ? 0 : nothingNew + 1;
       }
-    });
-    this.k.keep(often);
+      if (introduced || this.isLarge() || !this.otherLive().length) continue;
+      // What we said of ourselves before reached nobody. In a large fleet many may begin together: comparing tells the others in time.
+      introduced = true;
+      this.pass(this.facts([`m/${this.k.self}`]));
+    }
   }
 
-  private compare(digest: [string, string][]): { newer: Wire[]; want: string[] } {
+  /** What we have and a peer lacks, and the other way round; in these parts only, where they are given. */
+  private compare(digest: Digest, parts?: Set<number>): Comparison {
     const theirs = new Map(digest);
     const want: string[] = [];
     for (const [k, v] of theirs) {
       const mine = this.items.get(k)?.ver ?? this.forgotten.get(k)?.ver;
       if (mine === undefined || mine < v) want.push(k);
     }
-    const newer: Wire[] = [];
+    const newer: Fact[] = [];
     for (const [k, i] of this.items) {
+      if (parts && !parts.has(TableSums.partOf(k))) continue;
       const v = theirs.get(k);
       if (v === undefined || v < i.ver) newer.push(this.wire(k));
     }
@@ -430,21 +549,15 @@
   }
 
   private mergeView(peers: string[]): void {
-    for (const p of peers) if (p !== this.k.self && !this.view.has(p)) this.view.set(p, 0);
-    while (this.view.size > C.viewN) {
-      const oldest = [...this.view].sort((a, b) => b[1] - a[1])[0]![0];
-      this.view.delete(oldest);
-    }
+    this.view.merge(peers.filter((p) => p !== this.k.self));
   }
 
   private async shuffle(): Promise<void> {
-    for (const [p, age] of this.view) this.view.set(p, age + 1);
-    const oldest = [...this.view].sort((a, b) => b[1] - a[1])[0]?.[0];
-    if (!oldest) return;
-    this.view.delete(oldest);
+    const oldest = this.view.takeOldest();
+    if (oldest === undefined) return;
     try {
       const got = await this.k.call<string[]>(oldest, 'Shuffle', {
-        peers: sample(this.k.host.rnd, [...this.view.keys()], C.shuffleN - 1),
+        peers: sample(this.k.host.rnd, this.view.peers(), C.shuffleN - 1),
       });
       this.mergeView([...got, oldest]);
     } catch {
@@ -459,10 +572,26 @@
   }
 
   private async ping(peer: string): Promise<boolean> {
-    return this.k.call(peer, 'Ping', {}, C.probeMs).then(
-      () => true,
-      () => false,
-    );
+    const { clock } = this.k.host;
+    const t0 = clock.now();
+    try {
+      await this.k.call(peer, 'Ping', {}, C.probeMs * this.patience());
+      this.learnPing(clock.now() - t0);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Soon believes that answers have become slow, and only after many quick ones that they are quick. */
+  private learnPing(tookMs: number): void {
+    const share = tookMs > this.pingTakesMs ? 1 / 2 : 1 / 8;
+    this.pingTakesMs += (tookMs - this.pingTakesMs) * share;
+  }
+
+  /** By how much the time limits of a probe are longer than usual: while answers come slowly, a late one says nothing of its member. */
+  private patience(): number {
+    return Math.min(C.probePatienceX, Math.max(1, this.pingTakesMs / C.pingUsualMs));
   }
 
   /** Asks a member directly, then through others, and suspects it when nobody reaches it. */
@@ -471,9 +600,12 @@
     this.probing.add(m.peer);
     const { clock, rnd } = this.k.host;
     const t0 = clock.now();
+    const patience = this.patience();
+    const aloneMs = C.probeAloneMs * patience;
+    const helpMs = C.probeHelpMs * patience;
     try {
       const mine = this.ping(m.peer);
-      if (await within(clock, C.probeAloneMs, mine)) return; // the answer itself was the sign of life
+      if (await within(clock, aloneMs, mine)) return; // the answer itself was the sign of life
       // Of whom we heard lately: those that we can't reach ourselves would answer nothing, and that is no sign against the member.
       const others = this.live().filter((x) => x.peer !== this.k.self && x.peer !== m.peer);
       const near = others.filter((x) => clock.now() - x.seenAt < C.probeAfterMs && this.k.whole(x.peer));
@@ -482,12 +614,10 @@
         (near.length ? near : others).map((x) => x.peer),
         C.probeHelpersN,
       );
-      const tried = helpers.map((h) =>
-        this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, C.probeHelpMs).catch(() => false),
-      );
+      const tried = helpers.map((h) => this.k.call<boolean>(h, 'PingFor', { peer: m.peer }, helpMs).catch(() => false));
       const got = await within(
         clock,
-        C.probeHelpMs,
+        helpMs,
         gather([mine, ...tried], (xs) => xs.includes(true)),
       );
       const now = this.members.get(m.peer);
@@ -499,8 +629,7 @@
         return;
       }
       // Stood our own loop still meanwhile? Then the silence was ours.
-      if (clock.now() - t0 > C.probeAloneMs + C.probeHelpMs + C.probeLateMs || now.seenAt > t0 || now.state !== 'live')
-        return;
+      if (clock.now() - t0 > aloneMs + helpMs + C.probeLateMs || now.seenAt > t0 || now.state !== 'live') return;
       this.turn(now, 'suspect');
       this.put(`s/${m.peer}`, this.items.get(`m/${m.peer}`)!.ver, { by: this.k.self });
     } finally {
@@ -519,8 +648,11 @@
     }
     for (const [key, f] of this.forgotten) if (now - f.at > C.tombstoneMs) this.forgotten.delete(key);
     for (let left = this.members.size; left > 0; left--) {
-      if (!this.turnOrder.length) this.turnOrder = sample(rnd, [...this.members.keys()], this.members.size);
-      const m = this.members.get(this.turnOrder.pop()!);
+      if (this.turnAt >= this.turnOrder.length) {
+        this.turnOrder = sample(rnd, [...this.members.keys()], this.members.size);
+        this.turnAt = 0;
+      }
+      const m = this.members.get(this.turnOrder[this.turnAt++]!);
       if (!m || m.peer === this.k.self || m.state === 'left' || now - m.seenAt < C.probeAfterMs) continue;
       void this.probe(m);
       return;
@@ -532,7 +664,7 @@
       const i = this.items.get(key);
       if (!i) continue;
       this.forgotten.set(key, { ver: i.ver, at: this.k.host.clock.now() });
-      this.sum(key, i.ver, -1);
+      this.sums.remove(key, i.ver);
       this.items.delete(key);
     }
     this.members.delete(peer);
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -10,7 +10,7 @@
 import { ReadLease } from './register/lease.js';
 import { Proposer, type ChangeFn } from './register/proposer.js';
 import { Reader } from './register/reader.js';
-import { fromText, toText } from './text.js';
+import { valueAnswer, valueIn, valueRequest, type ValueAnswer, type ValueRequest } from './value-transfer.js';
 import type { Value } from './value.js';
 
 declare module '@harecross/kernel' {
@@ -65,11 +65,8 @@
       readByBallot: () => this.read(),
     });
     k.onNewer = (rev, peer) => this.follow(rev, peer);
-    k.on('RegGet', () => {
-      const v = this.value$.value;
-      return v ? toText(v) : undefined;
-    });
-    k.keep(loop(clock, C.confirmMs, rnd, () => this.confirm()));
+    k.on('RegGet', (request: ValueRequest) => valueAnswer(request, this.value$.value));
+    k.keep(loop(clock, C.confirmMs, rnd, async () => this.confirmDue() && this.confirm()));
     this.confirmFirst();
     // Cut off before, and now somebody is there again: the periodic confirmation may still be waiting for calls that were lost.
     k.keep(board.state$.subscribe((m) => m.state === 'live' && void this.confirmAgain()));
@@ -89,9 +86,12 @@
         first.unsubscribe();
         return;
       }
-      if (tries >= C.firstConfirmN) return;
+      if (tries >= (this.board.isLarge() ? 1 : C.firstConfirmN)) return;
       // The core is not there: all who wait for it must not keep it busy when it comes.
-      if (clock.now() - this.k.startedAt > C.firstConfirmForMs && ++skipped % C.firstConfirmEachN !== 0) return;
+      // Nor may a large fleet that starts together keep those busy whom all its nodes know.
+      const paced = Math.ceil(this.board.paced(C.firstConfirmMs, C.firstConfirmPerMemberMs) / C.firstConfirmMs);
+      const late = clock.now() - this.k.startedAt > C.firstConfirmForMs;
+      if (++skipped % (late ? Math.max(paced, C.firstConfirmEachN) : paced) !== 0) return;
       tries++;
       void this.confirm()
         .catch(() => undefined)
@@ -148,26 +148,36 @@
     const { store } = this;
     if (store && store.get('fleet') !== v.fleet)
       store.db.commit(() => store.set('fleet', v.fleet)).catch(() => undefined);
-    this.board.pass([], C.newsFanN);
+    this.board.pass([]);
   }
 
   /** Takes a newer value that a peer has. Who hears of it from several fetches it once, and from the others only if that takes long. */
   private async follow(rev: number, peer: string): Promise<void> {
     if (this.fetching.size) {
-      await within(this.k.host.clock, C.fetchAloneMs, Promise.race(this.fetching.values()));
+      const aloneMs = this.board.paced(C.fetchAloneMs, C.fetchAlonePerMemberMs);
+      await within(this.k.host.clock, aloneMs, Promise.race(this.fetching.values()));
       if (this.k.rev >= rev) return;
     }
-    await this.fetch(peer);
+    // Each may bring the whole value, and our link is shared by them: more at once would make all of them late.
+    if (this.fetching.size >= C.fetchesN) await Promise.race(this.fetching.values());
+    else await this.fetchFrom(this.board.wellLinked(peer), rev, peer);
+  }
+
+  /** Takes the value from one peer, and from the one that told us of it where that has not got it yet. */
+  private async fetchFrom(source: string, rev: number, teller: string): Promise<void> {
+    await this.fetch(source);
+    if (this.k.rev < rev && source !== teller) await this.fetch(teller);
   }
 
   private fetch(peer: string): Promise<void> {
     let p = this.fetching.get(peer);
     if (!p) {
       p = this.k
-        .call<string | undefined>(peer, 'RegGet', {})
+        .call<ValueAnswer>(peer, 'RegGet', valueRequest(this.value), this.board.paced(C.callMs, C.fetchPerMemberMs))
         .then(
-          (s) => {
-            if (s) this.learn(fromText(s));
+          (answer) => {
+            const newer = valueIn(answer, this.value);
+            if (newer) this.learn(newer);
           },
           () => undefined /* the next frame tells us again */,
         )
@@ -186,6 +196,15 @@
     });
   }
 
+  /**
+   * Whether it is time for the periodic confirmation. In a large fleet it is less often, so that voters do not spend their time with
+   * answering, yet often enough that two may fail before the lease ends.
+   */
+  private confirmDue(): boolean {
+    const periodMs = Math.min(this.board.paced(C.confirmMs, C.confirmPerMemberMs), this.lease.leaseMs / 3);
+    return this.lease.ageMs() > periodMs - C.confirmMs / 2;
+  }
+
   /** Confirms at a majority that no newer value than ours is agreed. */
   confirm(): Promise<boolean> {
     return this.reader.confirm();
--- a/packages/control/src/register/lease.ts
+++ b/packages/control/src/register/lease.ts
@@ -10,7 +10,7 @@
   /** Tells when the lease becomes valid that was not. */
   readonly begun$ = new Subject<void>();
   private confirmedAt = -Infinity;
-  private readonly leaseMs: number;
+  readonly leaseMs: number;
 
   constructor(
     private clock: Clock,
@@ -21,7 +21,12 @@
   }
 
   valid(): boolean {
-    return this.clock.now() - this.confirmedAt <= this.leaseMs;
+    return this.ageMs() <= this.leaseMs;
+  }
+
+  /** Time since the question whose answer renewed it last (ms). */
+  ageMs(): number {
+    return this.clock.now() - this.confirmedAt;
   }
 
   /** Whether it was ever valid in this life of the process. */
--- a/packages/control/src/register/reader.ts
+++ b/packages/control/src/register/reader.ts
@@ -56,10 +56,18 @@
       else await sleep(clock, 40 + 80 * rnd.next());
     }
     // Someone's change hangs between accepted and agreed: finish it.
-    await this.context.readByBallot().catch(() => undefined);
+    if (this.finishesChanges(this.context.value()!)) await this.context.readByBallot().catch(() => undefined);
     return false;
   }
 
+  /**
+   * Whether this node finishes another's change with a ballot of its own. In a large fleet only the voters do, who see it too: were all
+   * nodes to, their ballots would outbid each other and the change itself, and each brings the whole value from a majority.
+   */
+  private finishesChanges(v: Value): boolean {
+    return !this.board.isLarge() || (this.acceptor !== undefined && v.seats.includes(this.acceptor.disk));
+  }
+
   /** Gets a value where none is known yet, from a peer or from our own disk; says whether there is one now. */
   private async firstValue(): Promise<boolean> {
     const from = this.board.somePeers(1).concat(this.board.contacts());
@@ -87,7 +95,8 @@
         }),
       );
     const first = calls(few);
-    await within(this.kernel.host.clock, C.confirmAloneMs, gather(first, enough));
+    const aloneMs = this.board.paced(C.confirmAloneMs, C.confirmAlonePerMemberMs);
+    await within(this.kernel.host.clock, aloneMs, gather(first, enough));
     if (!enough()) await gather([...first, ...calls(order.filter((d) => !few.has(d)))], enough);
     return { heard, got };
   }
--- a/packages/control/src/text.ts
+++ b/packages/control/src/text.ts
@@ -8,6 +8,8 @@
 const LEVEL = 1;
 /** A text as devalue writes it begins with a bracket. */
 const DEFLATED = 'z';
+/** Texts of values, which never change: the same one is asked for by many nodes. */
+const texts = new WeakMap<Value, string>();
 
 /**
  * A value as text, for the wire and the disk. Configurations say the same words again and again, so a long one is deflated.
@@ -15,8 +17,13 @@
  * fromText(toText(value)); // the same value
  */
 export function toText(v: Value): string {
-  const s = pack(v);
-  return s.length < FROM_CHARS ? s : DEFLATED + deflateRawSync(s, { level: LEVEL }).toString('base64');
+  let text = texts.get(v);
+  if (text === undefined) {
+    const s = pack(v);
+    text = s.length < FROM_CHARS ? s : DEFLATED + deflateRawSync(s, { level: LEVEL }).toString('base64');
+    texts.set(v, text);
+  }
+  return text;
 }
 
 /**
--- a/packages/data/src/owner.ts
+++ b/packages/data/src/owner.ts
@@ -289,7 +289,8 @@
   /** Looks at the keys at once when a member became able or unable to have them. */
   private look(peer: string): void {
     const able = this.board.able(peer);
-    if (this.ableThen.get(peer) === able) return;
+    // A node without a disk never has keys.
+    if (this.ableThen.get(peer) === able || this.board.members.get(peer)?.disk === undefined) return;
     this.ableThen.set(peer, able);
     if (!able) {
       for (const key of this.keys.values()) {
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -168,12 +168,20 @@
   /** One gossip exchange with this many peers per period. */
   gossipPeersN: 2,
   gossipMs: 500,
+  /** While news keeps coming a node compares only this often. */
+  gossipAnywayMs: 2_000,
   /** After its start a node compares this often, for this long at most, or until so many peers had nothing new for it. */
   joinEveryMs: 100,
   joinMs: 3_000,
   joinQuietN: 6,
+  /** In a large fleet less often, so that some 250 a second of all that start together reach a peer whom all know. */
+  joinPerMemberMs: 4,
   /** News goes to this many peers at each step; log2(200) steps reach a large fleet. */
   newsFanN: 4,
+  /** News is sent at most this often for each member there is: 4 calls in 30 ms in a fleet of 15, in 190 ms in one of 94. */
+  newsGapPerMemberMs: 2,
+  /** A node says its weight at most this often for each member: all together 50 times a second. */
+  weightGapPerMemberMs: 20,
   /** Entries of a partial view. */
   viewN: 12,
   /** Entries swapped in one shuffle. */
@@ -188,6 +196,9 @@
   probeAloneMs: 120,
   /** ... and suspected when none of them had an answer after this long; a lost packet is sent again after about 200 ms. */
   probeHelpMs: 300,
+  /** Pings are mostly answered sooner than this; while they take longer, the limits above are longer by as much, up to so many times. */
+  pingUsualMs: 40,
+  probePatienceX: 5,
   /** A probe that took this much longer than it may says that our own loop stood still, and nothing of the member. */
   probeLateMs: 100,
   /** Members asked to try in our place before we suspect one: they may have a better link to it. */
@@ -210,9 +221,13 @@
   // --- register ---
   /** Every node confirms its version at a majority this often ... */
   confirmMs: 600,
+  /** ... in a large fleet less often: 100 confirmations a second of all nodes. */
+  confirmPerMemberMs: 10,
   /** Before the first confirmation after a start a node tries this often, this many at once: traffic waits for it. */
   firstConfirmMs: 60,
   firstConfirmN: 4,
+  /** In a large fleet less often, for the same reason as joinPerMemberMs. */
+  firstConfirmPerMemberMs: 4,
   /** ... for this long; then one try in so many. */
   firstConfirmForMs: 3_000,
   firstConfirmEachN: 8,
@@ -220,12 +235,25 @@
   applyMs: 3_000,
   /** Seats beyond a majority are asked when those asked first did not answer after this long; a sync of a slow disk is not waited for. */
   confirmAloneMs: 120,
+  /** In a large fleet later: a voter that is busy with the others' questions must not get more of them for that. */
+  confirmAlonePerMemberMs: 6,
   /** ... and serves only while the last confirmation began at most this share of it ago. */
   freshShare: 0.8,
   /** Seats of the register (disks that vote). Odd; two may fail at 5, three at 7. */
   seatsN: 7,
   /** A newer value is fetched from one peer, and from others only after this long: several ways there and back, and a lost packet. */
   fetchAloneMs: 80,
+  /** In a large fleet later: all fetch at the same time. */
+  fetchAlonePerMemberMs: 8,
+  /** Time limit of a fetch for each member, where that is longer than that of other calls. */
+  fetchPerMemberMs: 35,
+  /** Fetches of the value at once, of one node. */
+  fetchesN: 4,
+  /**
+   * From this size on long things are fetched from nodes with disks, others' hung changes are left to the voters, and a node tries its
+   * first confirmation once at a time: in smaller fleets only a few nodes do such things at once.
+   */
+  largeFleetN: 32,
   /** A visit from a peer that knows a newer value waits for it; what could not be fetched is fetched again after this long. */
   behindRetryMs: 40,
   /** Change attempts give up after this long, and say so. */
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -42,7 +42,16 @@
 const ANSWER = /^(\d+) (-?\d+) ([+-])/;
 
 /** What every frame says stands before its matter, in as few bytes as it can: most frames are small, and bytes between sites cost. */
-const packAsk = (a: Ask): string => `${a.m} ${a.from} ${a.inst} ${a.rev} ${Math.round(a.now)} ${stringify(a.body)}`;
+const packAsk = (a: Ask): string => `${a.m} ${a.from} ${a.inst} ${a.rev} ${Math.round(a.now)} ${textOf(a.body)}`;
+
+/** A body that is already text, for a request that goes to several peers. */
+class BodyText {
+  readonly text: string;
+  constructor(body: unknown) {
+    this.text = stringify(body);
+  }
+}
+const textOf = (body: unknown): string => (body instanceof BodyText ? body.text : stringify(body));
 /** A peer's ask; throws when the frame is none. */
 function readAsk(frame: string): Ask {
   const h = ASK.exec(frame);
@@ -248,6 +257,16 @@
     return this.ask(peer, m, body, (frame) => this.host.net.call(peer, frame, timeoutMs));
   }
 
+  /**
+   * The same request to several other peers, made into text once.
+   * @example
+   * await Promise.allSettled(k.callEach(peers, 'News', { items }));
+   */
+  callEach<T>(peers: string[], m: PeerRpc, body: unknown, timeoutMs: number = C.callMs): Promise<T>[] {
+    const text = new BodyText(body);
+    return peers.map((peer) => this.ask<T>(peer, m, text, (frame) => this.host.net.call(peer, frame, timeoutMs)));
+  }
+
   /**
    * A visit to a peer, carried by another member while our own link to it is broken. The link counts as broken after a visit
    * that got no answer, and as whole again once a direct ping is answered.
--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -137,6 +137,9 @@
     const board: Partial<Record<keyof Board, unknown>> = {
       say: () => undefined,
       pass: () => undefined,
+      paced: (leastMs: number) => leastMs,
+      wellLinked: (peer: string) => peer,
+      isLarge: () => false,
       somePeers: () => [],
       contacts: () => [],
       ofDisk: (d: string) => ({ peer: d }),
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -95,6 +95,28 @@
   }
 }
 
+/** What frames cost a machine, so that one that is sent too many falls behind. */
+export interface Load {
+  /** The machine's share of a core: a frame that comes or goes takes `FRAME_CORE_MS` of it and more for its length. */
+  coreShare: number;
+  /** Bytes that its link carries in a millisecond, each way. */
+  linkBytesPerMs: number;
+}
+
+/**
+ * Time of a whole core that a frame takes, sent or received, and that each KiB of it adds. Processes that have just begun, and whose code
+ * is not compiled yet, were seen to take 0.65 to 1.2 ms.
+ */
+const FRAME_CORE_MS = 0.5;
+const FRAME_CORE_MS_PER_KIB = 0.1;
+
+/** What a loaded machine is busy with, and for how long yet. */
+interface Busy {
+  coreUntil: number;
+  inUntil: number;
+  outUntil: number;
+}
+
 export interface SimNode {
   name: string;
   config: NodeConfig;
@@ -110,6 +132,11 @@
   frozenWork: (() => void)[];
   slowMs: number;
   diskMs: number;
+  /** Frames cost nothing where left out. */
+  load?: Load;
+  busy: Busy;
+  /** Frames sent and received, and their bytes, requests and answers; counted while `measure` is set. */
+  frames: { n: number; bytes: number };
   /** Syncs that stop the whole loop, for a time between these. */
   stallMs?: [number, number];
   /** Rate of its clock (see setRate), and what its wall clock was corrected by while running. */
@@ -229,6 +256,8 @@
       frozenWork: [],
       slowMs: 0,
       diskMs: 2,
+      busy: { coreUntil: 0, inUntil: 0, outUntil: 0 },
+      frames: { n: 0, bytes: 0 },
       rate: 1,
       stepMs: 0,
       calls: new Set(),
@@ -270,6 +299,20 @@
     return at - this.now;
   }
 
+  /** Puts a frame through a machine's link and processor; gives how long it takes from now, after what came before it. */
+  private through(n: SimNode, bytes: number, direction: 'inUntil' | 'outUntil'): number {
+    if (this.measure) {
+      n.frames.n++;
+      n.frames.bytes += bytes;
+    }
+    const { load, busy } = n;
+    if (!load) return 0;
+    const core = (FRAME_CORE_MS + (FRAME_CORE_MS_PER_KIB * bytes) / 1024) / load.coreShare;
+    busy.coreUntil = Math.max(this.now, busy.coreUntil) + core;
+    busy[direction] = Math.max(this.now, busy[direction]) + bytes / load.linkBytesPerMs;
+    return Math.max(busy.coreUntil, busy[direction]) - this.now;
+  }
+
   private isCut(a: string, b: string): boolean {
     return this.cuts.has(`${a}>${b}`);
   }
@@ -498,7 +541,8 @@
         return;
       }
       const conn = `${from.name}/${life}>${to.name}/${to.life}`;
-      this.at(this.inOrder(conn, this.way(from.slowMs + to.slowMs)), () => {
+      const leaves = this.through(from, frame.length, 'outUntil');
+      this.at(this.inOrder(conn, leaves + this.way(from.slowMs + to.slowMs)), () => {
         if (this.isCut(from.name, to.name)) return; // silence until the time limit
         if (!to.up || !to.handle) {
           this.at(this.way(), () =>
@@ -514,24 +558,34 @@
           });
         };
         to.calls.add(broken);
-        this.work(to, toLife, () => {
-          to.handle!(frame).then(
-            (s) => {
-              if (m) this.answers.set(m, (this.answers.get(m) ?? 0) + s.length);
-              if (!to.up || to.life !== toLife) return;
-              this.at(this.inOrder(`${conn} back`, this.way(from.slowMs + to.slowMs)), () => {
-                if (!this.isCut(to.name, from.name)) end(() => res(s));
-              });
-            },
-            (e) => {
-              this.errors.push(`${to.name} handler: ${e}`);
-            },
-          );
-        });
+        this.loaded(to, frame.length, () =>
+          this.work(to, toLife, () => {
+            to.handle!(frame).then(
+              (s) => {
+                if (m) this.answers.set(m, (this.answers.get(m) ?? 0) + s.length);
+                if (!to.up || to.life !== toLife) return;
+                const answered = this.through(to, s.length, 'outUntil');
+                this.at(this.inOrder(`${conn} back`, answered + this.way(from.slowMs + to.slowMs)), () => {
+                  if (!this.isCut(to.name, from.name)) this.loaded(from, s.length, () => end(() => res(s)));
+                });
+              },
+              (e) => {
+                this.errors.push(`${to.name} handler: ${e}`);
+              },
+            );
+          }),
+        );
       });
     });
   }
 
+  /** Does something with a frame that has arrived, once the machine has come to it; at once where frames cost nothing. */
+  private loaded(n: SimNode, bytes: number, fn: () => void): void {
+    const ms = this.through(n, bytes, 'inUntil');
+    if (ms > 0) this.at(ms, fn);
+    else fn();
+  }
+
   /** The outside's way in. `outside` is the name cuts use for it. */
   readonly outside: Way = {
     nodes: (domain) =>
