Relay: holds.ts cut into sessions, interest leases and delivery

holds.ts (888 lines formatted) is now session.ts (state of one client's connection), sessions.ts (opening, closing, subscriptions, signs of life), lease-table.ts (interest leases and what owners are told), delivery.ts (buffers, the final send, catching up), session-homes.ts (one session a client), relocation.ts (clients sent elsewhere), outgoing.ts (frames). Names are the field's: lease, session, subscription, generation. RPCs, frames, counters, log lines and what Node answers are as they were; so are the order in which loops begin and chance is drawn.

The tests reach the same methods under their new names. The plant 'a final send that does not look at holds' had a second patch, of drop, which only the patched end called; it is gone with no change to what is planted.

--- a/packages/data/src/edge.ts
+++ b/packages/data/src/edge.ts
@@ -15,8 +15,9 @@
 import { Rpcs, configFaults, familyOf, isUrgent, visitFault, type Method, type Visit } from '@harecross/schema';
 import type { FastifyError, FastifyReply } from 'fastify';
 import { firstValueFrom } from 'rxjs';
-import { frameLines, type Holds, type Sink } from './holds.js';
+import { frameLines, type Sink } from './outgoing.js';
 import type { Route } from './route.js';
+import type { Sessions } from './sessions.js';
 
 declare module '@harecross/kernel' {
   interface Faces {
@@ -89,7 +90,7 @@
  */
 export class Edge {
   private holding: Holding<Request, Reply>;
-  private holds?: Holds;
+  private sessions?: Sessions;
 
   constructor(
     private k: Kernel,
@@ -99,13 +100,13 @@
     private ops: Operators,
   ) {
     this.holding = new Holding(C.edgeHoldingN, C.edgeHoldingN, (v) => this.serve(v));
-    if (k.has('holds')) this.holds = k.use('holds');
+    if (k.has('sessions')) this.sessions = k.use('sessions');
     k.on('Pass', (b: { m: string; body: unknown }) => this.visit(b.m, b.body));
   }
 
   /** Whether the platform may send us conns. */
   ready(): boolean {
-    return this.serving() && this.holds !== undefined;
+    return this.serving() && this.sessions !== undefined;
   }
 
   /** Whether a conn that comes all the same is better taken and sent on than refused. */
@@ -123,10 +124,10 @@
     try {
       const bad = visitFault('Attach', body);
       if (bad) throw this.bad('Attach', bad);
-      if (!this.holds) throw this.bad('Attach', 'this node is a store and takes no conns');
+      if (!this.sessions) throw this.bad('Attach', 'this node is a store and takes no conns');
       if (!this.takes()) throw notReady(this.k, 'Attach');
       const b = body as Visit<'Attach'>;
-      return { id: this.holds.attach(b.consumer, b.pingS, sink) };
+      return { id: this.sessions.attach(b.consumer, b.pingS, sink) };
     } catch (e) {
       return this.failed('Attach', e);
     }
@@ -137,7 +138,7 @@
    */
   starting(): Promise<void> | undefined {
     const left = this.k.startedAt + C.startWaitMs - this.k.host.clock.now();
-    if (this.takes() || left <= 0 || !this.holds || this.k.phase === 'draining' || this.k.phase === 'stopped')
+    if (this.takes() || left <= 0 || !this.sessions || this.k.phase === 'draining' || this.k.phase === 'stopped')
       return undefined;
     return within(this.k.host.clock, left, firstValueFrom(this.reg.fresh$, { defaultValue: undefined })).then(
       () => undefined,
@@ -145,13 +146,13 @@
   }
   /** Any word of a consumer is a sign of life of its conn. */
   heard(id: string): void {
-    this.holds?.sign(id);
+    this.sessions?.sign(id);
   }
   gone(id: string): void {
-    this.holds?.gone(id);
+    this.sessions?.gone(id);
   }
   drained(id: string): void {
-    this.holds?.drained(id);
+    this.sessions?.drained(id);
   }
 
   async visit(m: string, body: unknown): Promise<Reply> {
@@ -305,9 +306,9 @@
   private mustServe(m: string): void {
     if (!this.reg.fresh()) throw notReady(this.k, m);
   }
-  private conns(m: string): Holds {
-    if (!this.holds) throw new Failure({ tag: 'unknown_conn', step: m, peer: this.k.self });
-    return this.holds;
+  private conns(m: string): Sessions {
+    if (!this.sessions) throw new Failure({ tag: 'unknown_conn', step: m, peer: this.k.self });
+    return this.sessions;
   }
   private family(m: string, topic: string) {
     const f = familyOf(this.reg.value!.config, topic);
@@ -366,14 +367,14 @@
       holdings: [
         this.holding.told('edge'),
         ...(this.k.has('owner') ? this.k.use('owner').holdings() : []),
-        ...(this.holds?.holdings() ?? []),
+        ...(this.sessions?.queues() ?? []),
       ],
       counters: Object.fromEntries([...this.k.counters].sort(([a], [b]) => (a < b ? -1 : 1))),
       keys: this.k.has('owner') ? this.k.use('owner').owned() : [],
       copies: this.k.has('copies') ? this.k.use('copies').table() : [],
       interest: this.k.has('owner') ? this.k.use('owner').interestTable() : [],
-      holds: this.holds?.table() ?? [],
-      conns: this.holds?.conns.size ?? 0,
+      holds: this.sessions?.table() ?? [],
+      conns: this.sessions?.size ?? 0,
     };
   }
 }
--- a/packages/data/src/node.ts
+++ b/packages/data/src/node.ts
@@ -5,7 +5,7 @@
 /**
  * The plug-ins of a node by its role and disk.
  * @example
- * pluginsOf('relay', false); // ['board', 'register', 'route', 'holds', 'operators', 'edge']
+ * pluginsOf('relay', false); // ['board', 'register', 'route', 'sessions', 'operators', 'edge']
  */
 export function pluginsOf(role: Role, disk: boolean, uses: DiskUse[] = ['seat', 'copies']): (keyof Faces)[] {
   return [
@@ -15,7 +15,7 @@
     ...(disk && uses.includes('seat') ? (['keeper'] as const) : []),
     ...(disk && uses.includes('copies') ? (['copies', 'owner'] as const) : []),
     'route',
-    ...(role === 'relay' ? (['holds'] as const) : []),
+    ...(role === 'relay' ? (['sessions'] as const) : []),
     'operators',
     'edge',
   ];
--- a/packages/trial/src/faults/operator-faults.ts
+++ b/packages/trial/src/faults/operator-faults.ts
@@ -322,7 +322,7 @@
         await s.sim.start(a);
         await pause(s, 19_000);
         if (r.edge!.ready()) throw new Error(`${r.name} takes conns while it is away`);
-        const conns = r.kernel!.use('holds').conns.size;
+        const conns = r.kernel!.use('sessions').size;
         if (conns) throw new Error(`${r.name} still has ${conns} conns`);
         await s.sim.stop(r);
         await pause(s, 1_500);
--- a/packages/trial/src/test/fuzz.test.ts
+++ b/packages/trial/src/test/fuzz.test.ts
@@ -133,7 +133,7 @@
         JSON.stringify(r),
       );
   }
-  t.true(s.relays[0]!.kernel!.use('holds').conns.size > 0, 'some were right');
+  t.true(s.relays[0]!.kernel!.use('sessions').size > 0, 'some were right');
   s.sim.close();
 });
 
--- a/packages/trial/src/test/holds.test.ts
+++ b/packages/trial/src/test/holds.test.ts
@@ -121,8 +121,8 @@
   await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1' });
   await s.pass(300);
   t.not(interest(s, 'feed/1')!.gen, gen);
-  const holds = s.relays[0]!.kernel!.use('holds') as Json;
-  holds.frame({ topic: 'feed/1', gen, off: 1, sender: 'ghost', seq: 1, body: 'old' });
+  const sessions = s.relays[0]!.kernel!.use('sessions') as Json;
+  sessions.delivery.take({ topic: 'feed/1', gen, off: 1, sender: 'ghost', seq: 1, body: 'old' });
   await s.pass(500);
   t.deepEqual(delivered(c.frames), []);
   t.is(s.relays[0]!.kernel!.counters.get('frame.old_generation'), 1);
@@ -134,11 +134,11 @@
   const c = await s.attach(s.relays[0]!, 'phone');
   await s.ask(s.relays[0]!, 'Subscribe', { conn: c.conn, topic: 'feed/1' });
   await publish(s, 1);
-  const holds = s.relays[0]!.kernel!.use('holds');
-  const conn = holds.conns.get(c.conn)!;
-  for (let i = 0; i < 100 && !conn.buf.length; i++) await s.sim.run(s.sim.now + 1);
-  t.is(conn.buf.length, 1, 'the message waits for the flush');
-  holds.unsubscribe(c.conn, 'feed/1');
+  const sessions = s.relays[0]!.kernel!.use('sessions');
+  const session = sessions.get(c.conn)!;
+  for (let i = 0; i < 100 && !session.queue.length; i++) await s.sim.run(s.sim.now + 1);
+  t.is(session.queue.length, 1, 'the message waits for the flush');
+  sessions.unsubscribe(c.conn, 'feed/1');
   await s.pass(600);
   t.deepEqual(
     c.frames.map((f) => f.t),
--- a/packages/trial/src/test/plant-tests.ts
+++ b/packages/trial/src/test/plant-tests.ts
@@ -1,5 +1,16 @@
 import { Operators, Register } from '@harecross/control';
-import { Copies, Edge, Holds, Interests, Key, Owner, Replication, Route } from '@harecross/data';
+import {
+  Copies,
+  Delivery,
+  Edge,
+  Interests,
+  Key,
+  LeaseTable,
+  Owner,
+  Replication,
+  Route,
+  Sessions,
+} from '@harecross/data';
 import { C, Db, Failure } from '@harecross/kernel';
 import { senderKey, Store } from '@harecross/state';
 import test from 'ava';
@@ -192,11 +203,11 @@
   },
   {
     what: 'a relay that never reads history',
-    proto: Holds.prototype,
+    proto: Delivery.prototype,
     sc: 'churn',
     seeds: [1, 2],
     rules: ['lost', 'skipped'],
-    patch: { pull: () => () => undefined },
+    patch: { catchUp: () => () => undefined },
   },
   {
     what: 'a node that serves by a configuration it cannot confirm',
@@ -213,15 +224,14 @@
   },
   {
     what: 'a final send that does not look at holds',
-    proto: Holds.prototype,
+    proto: LeaseTable.prototype,
     sc: 'churn',
     seeds: [1, 2, 3],
     rules: ['left'],
     patch: {
-      drop: () => () => undefined,
       end: () =>
         function (this: any, s: any) {
-          s.conn.subs.delete(s.topic);
+          s.session.subscriptions.delete(s.topic);
         },
     },
   },
@@ -340,7 +350,7 @@
   },
   {
     what: 'a relay that sends every new conn one topic it never asked for',
-    proto: Holds.prototype,
+    proto: Sessions.prototype,
     sc: 'churn',
     seeds: [1],
     rules: ['unasked'],
@@ -429,28 +439,28 @@
   },
   {
     what: 'a relay that sends some frames twice',
-    proto: Holds.prototype,
+    proto: Delivery.prototype,
     sc: 'calm',
     seeds: [1],
     rules: ['once'],
     patch: {
-      push: (old) =>
+      enqueue: (old) =>
         function (this: any, c: any, w: any) {
           old.call(this, c, w);
-          if (w.sub && w.sub.next % 9 === 0) old.call(this, c, { ...w });
+          if (w.subscription && w.subscription.next % 9 === 0) old.call(this, c, { ...w });
         },
     },
   },
   {
     what: 'a relay that sends what waits in a conn backwards',
-    proto: Holds.prototype,
+    proto: Delivery.prototype,
     sc: 'resets',
     seeds: [1, 2],
     rules: ['order'],
     patch: {
       flush: (old) =>
         function (this: any, c: any) {
-          c.buf.reverse();
+          c.queue.reverse();
           old.call(this, c);
         },
     },
@@ -512,21 +522,21 @@
   },
   {
     what: 'relays that deliver nothing once many conns were lost',
-    proto: Holds.prototype,
+    proto: Delivery.prototype,
     sc: 'closing',
     seeds: [1],
     rules: ['served'],
     patch: {
-      push: (old) =>
+      enqueue: (old) =>
         function (this: any, c: any, w: any) {
-          if (w.sub && this.board.live().length < 8) return;
+          if (w.subscription && this.kernel.use('board').live().length < 8) return;
           old.call(this, c, w);
         },
     },
   },
   {
     what: 'a relay that counts one listener too many',
-    proto: Holds.prototype,
+    proto: LeaseTable.prototype,
     sc: 'calm',
     seeds: [1],
     rules: ['counts'],
@@ -578,12 +588,12 @@
   },
   {
     what: 'a relay that sits on frames for two seconds',
-    proto: Holds.prototype,
+    proto: Delivery.prototype,
     sc: 'calm',
     seeds: [1],
     rules: ['late'],
     patch: {
-      arm: (old) =>
+      scheduleFlush: (old) =>
         function (this: any, c: any, ms: number) {
           old.call(this, c, ms + 2_000);
         },
@@ -591,23 +601,23 @@
   },
   {
     what: 'a conn buffer with four times its bound',
-    proto: Holds.prototype,
+    proto: Delivery.prototype,
     sc: 'thin-links',
     seeds: [1],
     rules: ['bounds'],
     patch: {
-      push: (old) =>
+      enqueue: (old) =>
         function (this: any, c: any, w: any) {
           if (c.consumer !== 'thin0') {
             old.call(this, c, w);
             return;
           }
-          const { std } = c;
-          c.std = std / 4;
+          const { standardBytes } = c;
+          c.standardBytes = standardBytes / 4;
           old.call(this, c, w);
           if (c.state !== 'closed') {
-            c.std = std + w.bytes;
-            this.mostStd = Math.max(this.mostStd, c.std);
+            c.standardBytes = standardBytes + w.bytes;
+            this.mostStandardBytes = Math.max(this.mostStandardBytes, c.standardBytes);
           }
         },
     },
--- a/packages/trial/src/test/platform-names.test.ts
+++ b/packages/trial/src/test/platform-names.test.ts
@@ -245,14 +245,14 @@
   const planted = (line: string): string[] => beyond(new Map([...platform, ['platform/src/more.ts', line]]));
   for (const [line, said] of [
     ["import { Register } from '@harecross/control';", 'imports Register of @harecross/control'],
-    ["import { Holds, type Edge } from '@harecross/data';", 'imports Holds of @harecross/data'],
+    ["import { Sessions, type Edge } from '@harecross/data';", 'imports Sessions of @harecross/data'],
     ["import { register } from '@harecross/kernel';", 'imports register of @harecross/kernel'],
     ["import { familyOf } from '@harecross/schema';", 'imports @harecross/schema'],
     ["import Database from 'better-sqlite3';", 'imports better-sqlite3'],
     ["const b = await import('@harecross/state');", 'imports @harecross/state'],
     ["if (k.use('register').fresh()) serve();", 'uses kernel.use'],
     ["kernel.call(peer, 'Fan', {})", 'uses kernel.call'],
-    ['edge.holds.close(c)', 'uses edge.holds'],
+    ['edge.sessions.close(c)', 'uses edge.sessions'],
     ['k.host.rnd.next()', 'uses host.rnd'],
     ['setTimeout(retry, 500);', 'uses setTimeout'],
     ['if (Math.random() < 0.5) refuse();', 'uses Math.random'],
