--- a/packages/trial/src/hot.ts
+++ b/packages/trial/src/hot.ts
@@ -160,6 +160,9 @@
   }
 }
 
+/** The listener's signs of life: well within the time after which a lease ends unless it is renewed. */
+const PROBE_MS = 10_000;
+
 async function fleet(): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'harecross-hot-'));
   const ports = await freePorts(8);
@@ -175,6 +178,7 @@
   const procs = [0, 1, 2].map((i) => start('store', `store ${i + 1}`, of(i, 'store')));
   procs.push(start('relay', 'relay', of(3, 'relay')));
   const agent = new Agent({ connections: 64, pipelining: 1 });
+  let probing: NodeJS.Timeout | undefined;
   try {
     await Promise.all(procs.map(up));
     const at = procs[3]!.config.client;
@@ -218,6 +222,10 @@
       arrived();
     });
     await until('attached', async () => conn !== '');
+    // Without a sign of life its leases would end after a minute, which a busy machine needs for the rounds alone.
+    probing = setInterval(() => {
+      visit(at, agent, 'Probe', { conn }).catch(() => undefined);
+    }, PROBE_MS);
     for (const fam of ['r', 'u'])
       for (let i = 0; i < a.topics; i++)
         await until(
@@ -305,6 +313,7 @@
       await part(procs, `${fam}${wide}`, () => round(fam, wide));
     stream.body.destroy();
   } finally {
+    clearInterval(probing);
     for (const p of procs) p.child.kill('SIGTERM');
     await Promise.all(procs.filter((p) => p.child.exitCode === null).map((p) => once(p.child, 'exit')));
     await agent.destroy();
