--- a/.ci/verdict.mjs
+++ b/.ci/verdict.mjs
@@ -1,12 +1,13 @@
-// Reads a run of ava as TAP from standard input, passes it on, and says whether it holds: no test may fail but those of KNOWN-RED.txt,
-// and those must. Usage: { npm test -- --tap || code=$?; echo "# exit ${code:-0}"; } | node .ci/verdict.mjs KNOWN-RED.txt
+// Reads a run of ava as TAP from standard input, passes it on, and says whether it holds: no test may fail but those of
+// KNOWN-RED.txt, and those must. Usage:
+//   { npm test -- --tap || code=$?; echo "# exit ${code:-0}"; } | node .ci/verdict.mjs KNOWN-RED.txt
 import { existsSync, readFileSync } from 'node:fs';
 import { createInterface } from 'node:readline';
 import { pathToFileURL } from 'node:url';
 
 /**
- * The tests that may fail: one line each, `title | cause | issue`, the title as the run prints it. Empty lines and those that begin
- * with `#` say nothing.
+ * The tests that may fail: one line each, `title | cause | issue`, the title as the run prints it. Empty lines and
+ * those that begin with `#` say nothing.
  * @example
  * knownRed('sim › a day | lost beat | 12'); // { known: Map { 'sim › a day' => { cause: 'lost beat', issue: '12' } }, wrong: [] }
  */
@@ -45,8 +46,8 @@
 }
 
 /**
- * Whether a run holds, and what to print: `lines`, the last of which is `N passed, N failed`. Failed are those that nobody listed, those
- * listed that pass or were not run, and whatever the run did not finish.
+ * Whether a run holds, and what to print: `lines`, the last of which is `N passed, N failed`. Failed are those that
+ * nobody listed, those listed that pass or were not run, and whatever the run did not finish.
  * @example
  * verdict(readTap(text), knownRed('')).ok
  */
--- a/packages/data/src/delivery.ts
+++ b/packages/data/src/delivery.ts
@@ -1,4 +1,7 @@
-/** Delivery of messages to a relay's sessions: their bounded buffers, the final send, and catching up from the owner's history. */
+/**
+ * Delivery of messages to a relay's sessions: their bounded buffers, the final send, and catching up from the owner's
+ * history.
+ */
 import { C, type HoldingInfo, type Kernel } from '@harecross/kernel';
 import type { Register } from '@harecross/control';
 import { familyOf, urgencyOf } from '@harecross/schema';
@@ -13,9 +16,9 @@
 const HISTORY_PAGES = 200;
 
 /**
- * Gives each subscription every message from its beginning on, once and in order. A subscription knows the next offset that it is owed;
- * a gap, a lost frame, or a new owner is mended from the owner's history. Nothing is sent without a live lease, the current generation
- * and a configuration that is confirmed.
+ * Gives each subscription every message from its beginning on, once and in order. A subscription knows the next offset
+ * that it is owed; a gap, a lost frame, or a new owner is mended from the owner's history. Nothing is sent without a
+ * live lease, the current generation and a configuration that is confirmed.
  * @example
  * delivery.take({ topic: 'feed/7', gen, off: 41, sender: 'desk', seq: 7, body: 'hello' });
  */
--- a/packages/data/src/interest.ts
+++ b/packages/data/src/interest.ts
@@ -71,7 +71,8 @@
 }
 
 /**
- * What the owner knows of relays' interest, and what follows from it: whom a frame goes to, and who is asked how many listen.
+ * What the owner knows of relays' interest, and what follows from it: whom a frame goes to, and who is asked how many
+ * listen.
  * @example
  * for (const e of agreed) interests.fan(e);
  */
@@ -201,7 +202,8 @@
         try {
           return await this.k.reach<number>(relay, 'CountHolds', { topic }, C.countWaitMs);
         } catch (e) {
-          // No process there: it has no listeners any more. One that is there and silent, or to which no way leads, makes the answer partial.
+          // No process there: it has no listeners any more. One that is there and silent, or to which no way leads,
+          // makes the answer partial.
           const f = faultOf(e, 'CountHolds', relay);
           return f.tag === 'unreachable' && f.detail !== 'ETIMEDOUT' ? 0 : 'silent';
         }
--- a/packages/data/src/lease-table.ts
+++ b/packages/data/src/lease-table.ts
@@ -32,9 +32,9 @@
 }
 
 /**
- * The relay's side of interest leases (the paper's design). A subscription's lease is renewed by this node from traffic on its session;
- * it ends at its deadline, on unsubscribe, or with the session. Owners are told one deadline a topic, and compare heads with us so that
- * a lost last frame is found.
+ * The relay's side of interest leases (the paper's design). A subscription's lease is renewed by this node from traffic
+ * on its session; it ends at its deadline, on unsubscribe, or with the session. Owners are told one deadline a topic,
+ * and compare heads with us so that a lost last frame is found.
  * @example
  * const lease = leases.add(subscription);
  */
--- a/packages/data/src/run.ts
+++ b/packages/data/src/run.ts
@@ -57,7 +57,8 @@
     process.stderr.write(`${program}: cannot start: ${e instanceof Error ? e.message : String(e)}\n`);
     process.exit(1);
   };
-  // Signals may come before there is anything to say them to: a changed file is read again once we are up, and to leave is to end.
+  // Signals may come before there is anything to say them to: a changed file is read again once we are up, and to leave
+  // is to end.
   let heard: (() => void) | undefined;
   let early = false;
   let leave = (_sig: string): void => process.exit(0);
--- a/packages/data/src/session-homes.ts
+++ b/packages/data/src/session-homes.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * Each client has a home: the relay that rendezvous hashing gives for its name. Relays tell homes of their sessions; a home that hears
- * of two has the older one closed.
+ * Each client has a home: the relay that rendezvous hashing gives for its name. Relays tell homes of their sessions; a
+ * home that hears of two has the older one closed.
  * @example
  * homes.tell([session]);
  */
--- a/packages/data/src/sessions.ts
+++ b/packages/data/src/sessions.ts
@@ -31,7 +31,10 @@
 /** Leases, silent sessions and our own standing are looked at this often (ms). */
 const TICK_MS = 200;
 
-/** What an owner answers to Open: its head, the first offset in its history, and the topic's first offset since it is there. */
+/**
+ * What an owner answers to Open: its head, the first offset in its history, and the topic's first offset since it is
+ * there.
+ */
 interface OpenAnswer {
   head: number;
   first: number;
@@ -39,8 +42,8 @@
 }
 
 /**
- * The sessions of a relay's clients. A client has one session in the fleet, and a subscription one lease, renewed by any sign of life of
- * the session; leases end with the session, and what waits for them goes too.
+ * The sessions of a relay's clients. A client has one session in the fleet, and a subscription one lease, renewed by
+ * any sign of life of the session; leases end with the session, and what waits for them goes too.
  * @example
  * const session = sessions.attach('phone-7', 2, sink);
  * await sessions.subscribe(session, 'feed/7', 41);
@@ -219,8 +222,8 @@
   }
 
   /**
-   * Subscribes a session to a topic, behind its cursor or else behind the head. Asked again, it is the same subscription with the same
-   * beginning: frames behind that may still be on their way.
+   * Subscribes a session to a topic, behind its cursor or else behind the head. Asked again, it is the same
+   * subscription with the same beginning: frames behind that may still be on their way.
    */
   async subscribe(id: string, topic: string, cursor: number | undefined): Promise<{ sub: string; next: number }> {
     const session = this.heard(id, 'Subscribe');
@@ -285,7 +288,10 @@
     }
   }
 
-  /** Asks the owner for its head. It confirms the head where a subscription begins there, and where a cursor seems to be ahead of it. */
+  /**
+   * Asks the owner for its head. It confirms the head where a subscription begins there, and where a cursor seems to be
+   * ahead of it.
+   */
   private async askOwner(topic: string, cursor: number | undefined, patienceMs: number): Promise<OpenAnswer> {
     const ask = (confirm: boolean): Promise<OpenAnswer> =>
       this.route.atOwner<OpenAnswer>(topic, 'Open', () => ({ topic, confirm }), patienceMs);
@@ -296,7 +302,9 @@
     throw new Failure({ tag: 'cursor_ahead', step: 'Subscribe', peer: this.kernel.self, head: confirmed.head });
   }
 
-  /** A subscription that ended while it was opened: its family went meanwhile, or its session, or the client left it. */
+  /**
+   * A subscription that ended while it was opened: its family went meanwhile, or its session, or the client left it.
+   */
   private whyEnded(topic: string): Failure {
     const removed = this.register.value !== undefined && !familyOf(this.register.value.config, topic);
     if (removed) return this.unknownTopic(topic);
--- a/packages/kernel/src/disk.ts
+++ b/packages/kernel/src/disk.ts
@@ -9,7 +9,8 @@
 const checks: DiskCheck[] = [];
 
 /**
- * Plug-ins that keep matter on disk call this when their module loads: an opened database is asked of each before it is used.
+ * Plug-ins that keep matter on disk call this when their module loads: an opened database is asked of each before it is
+ * used.
  * @example
  * checkDisk((sql) => (allSumsRight(sql) ? undefined : 'entry 7 of shard 3 was altered'));
  */
@@ -41,8 +42,8 @@
 
 /**
  * One database per node. Work given to `commit` is gathered and run in one transaction; the promise resolves once that
- * transaction lasts. Nothing is answered before. One transaction at a time is on its way to the disk, and what comes meanwhile is
- * the next one: so commits are synced one after another, and a slow disk gets larger ones.
+ * transaction lasts. Nothing is answered before. One transaction at a time is on its way to the disk, and what comes
+ * meanwhile is the next one: so commits are synced one after another, and a slow disk gets larger ones.
  * @example
  * const n = await db.commit((sql) => sql.prepare('insert into t values (1)').run().changes);
  */
--- a/packages/kernel/src/flow.ts
+++ b/packages/kernel/src/flow.ts
@@ -178,8 +178,9 @@
 }
 
 /**
- * A budget for tries after the first: a share of the first tries, and a little by time. While what they ask for is away, tries after
- * the first would only add to what it finds when it is back. Urgent ones may spend all of it, routine ones the upper half.
+ * A budget for tries after the first: a share of the first tries, and a little by time. While what they ask for is
+ * away, tries after the first would only add to what it finds when it is back. Urgent ones may spend all of it, routine
+ * ones the upper half.
  * @example
  * const b = new RetryBudget(clock, { perS: 60, share: 0.5, burst: 240 });
  * b.first(); if (!b.retry(urgent)) give up;
--- a/packages/kernel/src/host.ts
+++ b/packages/kernel/src/host.ts
@@ -65,7 +65,10 @@
   name?: string;
   /** What the disk is for, in order; copies, then a seat where left out, but a control node's is for a seat only. */
   diskUses?: DiskUse[];
-  /** Machines with a disk that may be lost at once while nothing is lost: sets the copies of a shard where the configuration doesn't. */
+  /**
+   * Machines with a disk that may be lost at once while nothing is lost: sets the copies of a shard where the
+   * configuration doesn't.
+   */
   losses?: number;
   /** A change of configuration is in force within this time (ms) after it was acknowledged, or the node silent. */
   applyMs?: number;
--- a/packages/kernel/src/node-config.ts
+++ b/packages/kernel/src/node-config.ts
@@ -86,7 +86,8 @@
 }
 
 /**
- * A value as the config of a node of this role; throws an Error with one clear line. `from` names where the value came from.
+ * A value as the config of a node of this role; throws an Error with one clear line. `from` names where the value came
+ * from.
  * @example
  * const c = checkedNodeConfig('relay', { domain: 'fatick', peer, client, seeds }, 'relay-11.json');
  */
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -54,7 +54,8 @@
     const lost = wrongInWal(file);
     if (lost !== undefined) return { tag: 'damaged', why: lost };
     sql = new Database(file);
-    // Nobody else opens it: no shared memory file, no mapping, less work at each commit. Must come before the journal mode.
+    // Nobody else opens it: no shared memory file, no mapping, less work at each commit. Must come before the journal
+    // mode.
     sql.pragma('locking_mode = EXCLUSIVE');
     sql.pragma('journal_mode = WAL');
     sql.pragma('synchronous = FULL');
@@ -91,9 +92,10 @@
   });
 
 /**
- * The syncs of a database with a write-ahead log, done by us and off the loop instead of by the database. A commit only writes the
- * log, and lasts once the log is synced. A long log is written back into the database, that is synced, and only then the log is
- * emptied, and that is synced before anything new goes into it: else a loss of power could leave old frames at its beginning.
+ * The syncs of a database with a write-ahead log, done by us and off the loop instead of by the database. A commit only
+ * writes the log, and lasts once the log is synced. A long log is written back into the database, that is synced, and
+ * only then the log is emptied, and that is synced before anything new goes into it: else a loss of power could leave
+ * old frames at its beginning.
  */
 function ownSyncs(sql: Sql, file: string, sync: SyncFile): DiskSync {
   const wal = `${file}-wal`;
--- a/packages/kernel/src/wal.ts
+++ b/packages/kernel/src/wal.ts
@@ -29,10 +29,10 @@
 }
 
 /**
- * Why a database's write-ahead log can't be trusted; undefined when it can. The database reads the log up to the first frame
- * whose checksum is wrong and leaves out the rest, as it should after a torn write. But commits are synced one after another:
- * two whole commits behind a wrong frame (or a wrong head) were never torn, and leaving them out would take back what was answered. A wrong
- * frame in the very last commit can't be told from a torn one.
+ * Why a database's write-ahead log can't be trusted; undefined when it can. The database reads the log up to the first
+ * frame whose checksum is wrong and leaves out the rest, as it should after a torn write. But commits are synced one
+ * after another: two whole commits behind a wrong frame (or a wrong head) were never torn, and leaving them out would
+ * take back what was answered. A wrong frame in the very last commit can't be told from a torn one.
  * @example
  * wrongInWal('/var/lib/harecross/state.db'); // 'frame 7 of the log is altered, 3 commits are behind it'
  */
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -8,7 +8,10 @@
 const Name = (max: number) => Type.String({ minLength: 1, maxLength: max });
 const Count = Type.Integer({ minimum: 0 });
 
-/** Topics and patterns are any printable ASCII without a space. A pattern is an exact name, or a prefix and a `*` behind it. */
+/**
+ * Topics and patterns are any printable ASCII without a space. A pattern is an exact name, or a prefix and a `*` behind
+ * it.
+ */
 const NAME_CHARS = '^[!-~]+$';
 export const Topic = Type.String({ minLength: 1, maxLength: 200, pattern: NAME_CHARS });
 export const Pattern = Type.String({ minLength: 1, maxLength: 201, pattern: NAME_CHARS });
@@ -28,7 +31,10 @@
     aimMs: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
     /** How long messages stay in memory, in seconds. */
     memoryS: Type.Number({ minimum: 0, maximum: 86_400 }),
-    /** What order subscribers need: per sender (default) or one for all of a topic. Every topic has one order for all, which is both. */
+    /**
+     * What order subscribers need: per sender (default) or one for all of a topic. Every topic has one order for all,
+     * which is both.
+     */
     order: Type.Optional(Type.Union([Type.Literal('sender'), Type.Literal('topic')])),
     /** No body is above 1 MiB, whatever is allowed here. */
     limits: Type.Optional(Type.Object({ bodyBytes: Type.Optional(Type.Integer({ minimum: 1 })) }, strict)),
@@ -165,8 +171,8 @@
 export const FaultShape = Type.Union([...FAULTS.values()].map((f) => f.shape));
 
 /**
- * A publish that stored nothing in this try. Only with `final` does it say so of every try of its number, earlier ones and those still
- * on their way: it was never accepted and never will be. Without it the same number may be sent again.
+ * A publish that stored nothing in this try. Only with `final` does it say so of every try of its number, earlier ones
+ * and those still on their way: it was never accepted and never will be. Without it the same number may be sent again.
  */
 export const Rejected = Type.Object(
   { rejected: Type.Object({ reason: Type.String(), final: Type.Boolean(), retryAfterMs: Count }, strict) },
@@ -528,8 +534,8 @@
 }
 
 /**
- * A table by topic patterns. An exact name goes before any prefix, and among prefixes the longest wins. Finding costs one look-up a
- * distinct length of prefix, however many patterns there are.
+ * A table by topic patterns. An exact name goes before any prefix, and among prefixes the longest wins. Finding costs
+ * one look-up a distinct length of prefix, however many patterns there are.
  * @example
  * new Patterns([['a.*', 1], ['a.b.*', 2], ['a.b.c', 3]]).find('a.b.d'); // 2
  */
@@ -568,7 +574,10 @@
   }
 }
 
-/** What a configuration says, laid out for looking up; made once for each, since it is looked at several times a message. */
+/**
+ * What a configuration says, laid out for looking up; made once for each, since it is looked at several times a
+ * message.
+ */
 interface Index {
   families: Patterns<Family>;
   top: number | undefined;
@@ -590,7 +599,8 @@
 }
 
 /**
- * The family a topic belongs to: by its exact name, else by the longest prefix. A configuration is not to be altered once it was asked.
+ * The family a topic belongs to: by its exact name, else by the longest prefix. A configuration is not to be altered
+ * once it was asked.
  * @example
  * familyOf(config, 'pay/77')?.name; // 'payments'
  */
@@ -599,7 +609,8 @@
 }
 
 /**
- * How urgent a family is: as it says itself; else the families of the highest precedence are urgent, where there are two different ones.
+ * How urgent a family is: as it says itself; else the families of the highest precedence are urgent, where there are
+ * two different ones.
  * @example
  * urgencyOf(config, familyOf(config, 'warn/1')!); // 'urgent'
  */
--- a/packages/trial/client/day.ts
+++ b/packages/trial/client/day.ts
@@ -92,7 +92,8 @@
   const conn = first.conn;
   await patient(() => api.POST('/rpc/Subscribe', { body: { conn, topic: 'level/7' } }));
 
-  // The sender publishes; an accepted seq has its first outcome again, a lower one that never was accepted is rejected for good.
+  // The sender publishes; an accepted seq has its first outcome again, a lower one that never was accepted is rejected
+  // for good.
   for (const seq of [1, 2, 2, 4, 1]) {
     const r = await patient(() =>
       api.POST('/rpc/Publish', { body: { sender: 'gauge', topic: 'level/7', seq, body: `level ${seq}` } }),
--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -4,8 +4,8 @@
 import type { Journal } from './journal.js';
 
 /**
- * A connection on which several visits may be on their way: when the last of them arrives, and those that arrived and were not read.
- * Answers come back in the order in which they were given.
+ * A connection on which several visits may be on their way: when the last of them arrives, and those that arrived and
+ * were not read. Answers come back in the order in which they were given.
  */
 export interface Line {
   name: string;
@@ -401,7 +401,10 @@
     }
   }
 
-  /** Sends an accepted number once more, while later ones are on their way, at any node: an answer may have got lost to others. */
+  /**
+   * Sends an accepted number once more, while later ones are on their way, at any node: an answer may have got lost to
+   * others.
+   */
   private async repeat(topic: string, seq: number, body: string): Promise<void> {
     const { clock, rnd } = this.w;
     await sleep(clock, 9_000 * rnd.next());
@@ -443,8 +446,8 @@
 }
 
 /**
- * A sender with up to eight publishes on the way at once on one topic, on one connection. What was given up it sends again, in
- * order and before anything new; when the connection breaks it takes another, elsewhere.
+ * A sender with up to eight publishes on the way at once on one topic, on one connection. What was given up it sends
+ * again, in order and before anything new; when the connection breaks it takes another, elsewhere.
  * @example
  * new Pipeliner(world, 'pipe', 'kaolack', 'warn/1', 80).start();
  */
@@ -577,8 +580,8 @@
   }
 
   /**
-   * Sends a configuration with a revision, the same one to any node until it has a clear answer; a second of silence is none. Callers
-   * of this kind may be several: the highest revision holds.
+   * Sends a configuration with a revision, the same one to any node until it has a clear answer; a second of silence is
+   * none. Callers of this kind may be several: the highest revision holds.
    */
   async revise(
     revision: number,
@@ -700,7 +703,8 @@
 }
 
 /**
- * Asks every access node, all the time, which of two marker topics is in force there: each marker is in one configuration only.
+ * Asks every access node, all the time, which of two marker topics is in force there: each marker is in one
+ * configuration only.
  * @example
  * const m = new Marker(world); m.at = 3; m.start(nodes);
  */
@@ -791,8 +795,8 @@
 }
 
 /**
- * Reads back, with a cursor, every accepted message of the day that is still within memory, on every topic. What it gets is in
- * the journal like any consumer's; the oracle knows what it must get.
+ * Reads back, with a cursor, every accepted message of the day that is still within memory, on every topic. What it
+ * gets is in the journal like any consumer's; the oracle knows what it must get.
  * @example
  * await audit(world, 'audit-1', config);
  */
--- a/packages/trial/src/capacity-data.ts
+++ b/packages/trial/src/capacity-data.ts
@@ -12,7 +12,10 @@
     /** What the size counts, and the unit of the quantity. */
     x: Type.String({ minLength: 1 }),
     y: Type.String({ minLength: 1 }),
-    /** `virtual`: real code in the simulator; `loopback`: real processes; `direct`: real functions called in one process. */
+    /**
+     * `virtual`: real code in the simulator; `loopback`: real processes; `direct`: real functions called in one
+     * process.
+     */
     way: Type.Union([Type.Literal('virtual'), Type.Literal('loopback'), Type.Literal('direct')]),
     command: Type.String({ minLength: 1 }),
     commit: Type.String({ pattern: '^[0-9a-f]{7,40}$' }),
--- a/packages/trial/src/capacity-hollow.ts
+++ b/packages/trial/src/capacity-hollow.ts
@@ -1,7 +1,9 @@
 import { Kernel, realHost } from '@harecross/kernel';
 import { freePorts } from './fleet.js';
 
-/** Relays that only listen and take frames: `node capacity-hollow.js 550`. Writes their addresses as one line of JSON. */
+/**
+ * Relays that only listen and take frames: `node capacity-hollow.js 550`. Writes their addresses as one line of JSON.
+ */
 const n = Number(process.argv[2]);
 const ports = await freePorts(n);
 for (const port of ports) {
--- a/packages/trial/src/capacity-page.ts
+++ b/packages/trial/src/capacity-page.ts
@@ -134,7 +134,8 @@
   // Keys change hands when a machine restarts: away from it, and back.
   const keyChangesPerS = (facts_: number): number => (TARGET.restartsPerDay * 2 * (facts_ / TARGET.nodes)) / DAY_S;
   const factKiB = f.slope('board-join');
-  /** A node's share of what the board moves, KiB/s, both ways: news to four and from four; digests where boards differ, about half a
+  /** A node's share of what the board moves, KiB/s, both ways: news to four and from four; digests where boards differ,
+   * about half a
    * second a change. */
   const boardKiB = (n: number): number => {
     const rate = keyChangesPerS(n);
@@ -146,7 +147,8 @@
   const quietKiB = f.top('control-bytes').y;
   const quietSentKiB = quietKiB / 2;
   const budgetKiB = (TARGET.controlKBPerS * 1_000) / 1_024;
-  /** The largest number of shards for which a cost, in KiB/s both ways, still fits into what the quiet fleet leaves of the budget as
+  /** The largest number of shards for which a cost, in KiB/s both ways, still fits into what the quiet fleet leaves of
+   * the budget as
    * sent. */
   const breaksAt = (cost: (n: number) => number): number => {
     const room = Math.max(0, budgetKiB - quietSentKiB);
@@ -154,7 +156,8 @@
     for (let step = 2 ** 20; step >= 1; step /= 2) if (cost(n + step) / 2 <= room) n += step;
     return n;
   };
-  // One call to each machine that shares shards, every 0.4 s, and as many got; each names the shards for which nothing else was said.
+  // One call to each machine that shares shards, every 0.4 s, and as many got; each names the shards for which nothing
+  // else was said.
   const callKiB = f.slope('seat-bytes') / f.slope('seat-confirms');
   const beatCalls = (shards: number): number =>
     Math.min(TARGET.nodes - 1, (shards / TARGET.nodes) * (ASSUMED.copies - 1)) / 0.4;
@@ -266,7 +269,10 @@
   step: string;
 }
 
-/** The rows of the verdict, hardest gap first. `factor`: how many times too much; 1 and below is carried; Infinity stops the fleet. */
+/**
+ * The rows of the verdict, hardest gap first. `factor`: how many times too much; 1 and below is carried; Infinity stops
+ * the fleet.
+ */
 export function verdict(m: Measured): Row[] {
   const f = new Figures(m);
   const x = worked(f);
--- a/packages/trial/src/capacity-virtual.ts
+++ b/packages/trial/src/capacity-virtual.ts
@@ -181,8 +181,9 @@
 }
 
 /**
- * A fleet of hollow nodes: four control machines, every fifth of the others with a disk for copies, no callers. Two losses are to be
- * borne: five seats, the fifth on a machine with copies; with `controlSeatsOnly` the four have three seats and a spare.
+ * A fleet of hollow nodes: four control machines, every fifth of the others with a disk for copies, no callers. Two
+ * losses are to be borne: five seats, the fifth on a machine with copies; with `controlSeatsOnly` the four have three
+ * seats and a spare.
  */
 async function hollow(seed: number, size: number, controlSeatsOnly = false): Promise<Hollow> {
   const sim = new Sim(seed);
@@ -596,7 +597,9 @@
   return out;
 }
 
-/** What listening costs, with nobody saying anything: a relay with so many subscriptions, each to a topic of its own. */
+/**
+ * What listening costs, with nobody saying anything: a relay with so many subscriptions, each to a topic of its own.
+ */
 export async function takeInterest(sizes: number[], say: Say): Promise<Taken[]> {
   const one = (id: string, title: string, y: string): Taken => ({
     id,
@@ -770,7 +773,10 @@
   return [publish, append, fan];
 }
 
-/** Shards that keep a majority of their copies when a zone or a region of the four zones goes, by the fleet's own placement. */
+/**
+ * Shards that keep a majority of their copies when a zone or a region of the four zones goes, by the fleet's own
+ * placement.
+ */
 export function takePlacement(sizes: number[], say: Say): Taken[] {
   const one = (id: string, title: string): Taken => ({
     id,
--- a/packages/trial/src/collection-sizes.ts
+++ b/packages/trial/src/collection-sizes.ts
@@ -1,6 +1,11 @@
-/** Sizes of every collection that a node's objects hold, found by walking them: notices a map that nobody thought of. */
+/**
+ * Sizes of every collection that a node's objects hold, found by walking them: notices a map that nobody thought of.
+ */
 
-/** Fields that lead to the surroundings, into a library, or back to the kernel, from which each part is walked by itself. */
+/**
+ * Fields that lead to the surroundings, into a library, or back to the kernel, from which each part is walked by
+ * itself.
+ */
 const FOREIGN = new Set(['k', 'kernel', 'host', 'sql', 'db', 'clock', 'net', 'rnd', 'log', 'prepared', 'q']);
 /** Deeper than any state of a node. */
 const DEPTH_LIMIT = 12;
@@ -8,8 +13,8 @@
 const isRxjs = (x: object): boolean => 'subscribe' in x || 'unsubscribe' in x;
 
 /**
- * Entries of all maps, sets and arrays reachable from an object, by path; `[]` stands for any entry of a collection, whose sizes are
- * added up.
+ * Entries of all maps, sets and arrays reachable from an object, by path; `[]` stands for any entry of a collection,
+ * whose sizes are added up.
  * @example
  * collectionSizes(kernel).get('faces[].members'); // 9
  */
--- a/packages/trial/src/disk-writer.ts
+++ b/packages/trial/src/disk-writer.ts
@@ -1,7 +1,10 @@
 import { openDb, realClock } from '@harecross/kernel';
 import { lastIdx, makeFence, NO_FENCE, Store, type Copy } from '@harecross/state';
 
-/** Writes to a node's database as fast as it takes it, and says each thing once it lasts. Killed in mid-write by disk.test.ts. */
+/**
+ * Writes to a node's database as fast as it takes it, and says each thing once it lasts. Killed in mid-write by
+ * disk.test.ts.
+ */
 const [folder, shards] = process.argv.slice(2) as [string, string];
 const quiet = {
   info: () => undefined,
--- a/packages/trial/src/journal.ts
+++ b/packages/trial/src/journal.ts
@@ -121,16 +121,20 @@
     }
   /** A node that did not answer a look. */
   | { k: 'node.silent'; t: number; asked: number; node: string }
-  /** Whether the topic that only configuration `mark` has was in force at a node, by a publish or a subscription there. */
+  /**
+   * Whether the topic that only configuration `mark` has was in force at a node, by a publish or a subscription there.
+   */
   | { k: 'mark'; t: number; asked: number; node: string; mark: number; by: 'Publish' | 'Subscribe'; seen: 'in' | 'out' }
-  /** From now on an auditor reads back a topic behind `cursor`; at its end it must have all that was accepted by now. */
+  /**
+   * From now on an auditor reads back a topic behind `cursor`; at its end it must have all that was accepted by now.
+   */
   | { k: 'audit'; t: number; consumer: string; topic: string; cursor: number }
   | { k: 'audit.end'; t: number; consumer: string }
   | { k: 'node'; t: number; node: string; domain: string; role: Role }
   /**
-   * What the stage does to the fleet, told when it changes. `well`: up, running, and joined to a majority of the register's
-   * seats. `able`: every shard has a majority of its copies on well machines. `rough`: lossy or slow anywhere, or a link cut.
-   * `poor`: consumers on thin or dead links. `ailing`: nodes that are up and not well.
+   * What the stage does to the fleet, told when it changes. `well`: up, running, and joined to a majority of the
+   * register's seats. `able`: every shard has a majority of its copies on well machines. `rough`: lossy or slow
+   * anywhere, or a link cut. `poor`: consumers on thin or dead links. `ailing`: nodes that are up and not well.
    */
   | { k: 'weather'; t: number; well: string[]; ailing: string[]; able: boolean; rough: boolean; poor: string[] }
   | { k: 'closing'; t: number }
--- a/packages/trial/src/link.ts
+++ b/packages/trial/src/link.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * A caller's poor link: a TCP relay in front of a client address, whose connections can be made thin, stall, be reset or die
- * half-open (nothing is passed on any more, and neither side is told).
+ * A caller's poor link: a TCP relay in front of a client address, whose connections can be made thin, stall, be reset
+ * or die half-open (nothing is passed on any more, and neither side is told).
  * @example
  * const l = await Link.before('127.0.0.1:7004'); l.reset(0.97, rnd);
  */
--- a/packages/trial/src/model-key.ts
+++ b/packages/trial/src/model-key.ts
@@ -368,8 +368,8 @@
 }
 
 /**
- * Searches what can become of one key at three nodes: takes, messages, losses and restarts in every order, by running the real owner and
- * copies anew along each path.
+ * Searches what can become of one key at three nodes: takes, messages, losses and restarts in every order, by running
+ * the real owner and copies anew along each path.
  * @example
  * (await exploreKey(KEY_PLANS.get('handover')!)).states
  */
--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -74,8 +74,8 @@
 }
 
 /**
- * A few seats and proposers of the real register. Nothing happens by itself: the search chooses which message arrives next, which is
- * lost, who begins again, and which seat restarts.
+ * A few seats and proposers of the real register. Nothing happens by itself: the search chooses which message arrives
+ * next, which is lost, who begins again, and which seat restarts.
  */
 class World {
   pending: Event[] = [];
@@ -311,7 +311,10 @@
     return out;
   }
 
-  /** The seat does its part, and its answer arrives at once: a proposer that hears late is one whose next messages are late. */
+  /**
+   * The seat does its part, and its answer arrives at once: a proposer that hears late is one whose next messages are
+   * late.
+   */
   private arrives(e: Extract<Event, { t: 'ask' }>, answer: (x: unknown) => void): void {
     const h = this.handlers[Number(e.disk.slice(1))]!.get(e.m)!;
     const hides = this.plan.planted === 'hides what it accepted' && e.m === 'RegPrepare';
@@ -341,8 +344,8 @@
 }
 
 /**
- * Searches every order of messages, losses and restarts of a small register, by running the real code anew along each path. Two paths
- * that lead to the same state are followed once.
+ * Searches every order of messages, losses and restarts of a small register, by running the real code anew along each
+ * path. Two paths that lead to the same state are followed once.
  * @example
  * (await explore(PLANS.get('seat-change')!)).states
  */
--- a/packages/trial/src/outage.ts
+++ b/packages/trial/src/outage.ts
@@ -52,7 +52,8 @@
       : [];
   const victim = kind === 'relay killed' ? m.relays[5]! : m.stores[seed % m.stores.length]!;
   const shards = new Set(victim.config.data ? owned(victim) : []);
-  // A publisher for each of many topics, through a relay without a disk that lives on: a new message as soon as the last is answered.
+  // A publisher for each of many topics, through a relay without a disk that lives on: a new message as soon as the
+  // last is answered.
   const topics = Array.from({ length: 64 }, (_, i) => `r/${i}`).filter(
     (t) => !victim.config.data || shards.has(shardOf(t)),
   );
--- a/packages/trial/src/scale.ts
+++ b/packages/trial/src/scale.ts
@@ -167,7 +167,8 @@
     await sim.run(sim.now + 1_000);
   }
 
-  // A frozen machine (nobody refuses a connection): until the first and the last node suspect it, and its keys are served again.
+  // A frozen machine (nobody refuses a connection): until the first and the last node suspect it, and its keys are
+  // served again.
   await sim.run(sim.now + 3_000);
   const before = owners();
   const victim =
--- a/packages/trial/src/test/control-fleet.ts
+++ b/packages/trial/src/test/control-fleet.ts
@@ -3,13 +3,19 @@
 import { Sim, type SimNode } from '../sim.js';
 import { FAMILIES, settled } from './small-fleet.js';
 
-/** Control nodes with the seats, stores with the copies (and seats where those are too few), relays without a disk, in virtual time. */
+/**
+ * Control nodes with the seats, stores with the copies (and seats where those are too few), relays without a disk, in
+ * virtual time.
+ */
 export interface ControlFleet {
   sim: Sim;
   controls: SimNode[];
   stores: SimNode[];
   relays: SimNode[];
-  /** A machine with an empty disk at an address that was never used; not started. Its seeds are the controls as listed now. */
+  /**
+   * A machine with an empty disk at an address that was never used; not started. Its seeds are the controls as listed
+   * now.
+   */
   spare(role: 'control' | 'store' | 'relay', domain: string): SimNode;
   /** A visit at a node; virtual time passes until it is answered. Status 0: no answer. */
   ask(n: SimNode, method: string, body: unknown): Promise<{ status: number; body: Json }>;
--- a/packages/trial/src/test/long-life.ts
+++ b/packages/trial/src/test/long-life.ts
@@ -17,7 +17,10 @@
 export interface Sizes {
   /** Characters of the agreed value as it is sent and stored. */
   valueChars: number;
-  /** Records and bytes by name: parts of the value, rows of a voter's disk, collections in the memory of a store, control node and relay. */
+  /**
+   * Records and bytes by name: parts of the value, rows of a voter's disk, collections in the memory of a store,
+   * control node and relay.
+   */
   parts: Map<string, number>;
 }
 
@@ -30,7 +33,10 @@
   sizes(): Sizes;
 }
 
-/** Nested families that come and go: the outermost is there in every other round, so that spaces lie under one another anew. */
+/**
+ * Nested families that come and go: the outermost is there in every other round, so that spaces lie under one another
+ * anew.
+ */
 function configOf(round: number, step: number): FleetConfig {
   const under = ['space/*', `space/${round % 7}/*`, `space/${round % 7}/${round}/*`];
   const there = step < 3 ? under.slice(0, step + 1) : under.slice(step - 2);
--- a/packages/trial/src/test/platform-client.ts
+++ b/packages/trial/src/test/platform-client.ts
@@ -7,8 +7,8 @@
 }
 
 /**
- * Clients come from an address of their own: thousands of them on 127.0.0.1 would take ports there that the OS has just named as free
- * to other tests' processes.
+ * Clients come from an address of their own: thousands of them on 127.0.0.1 would take ports there that the OS has just
+ * named as free to other tests' processes.
  */
 const OURS = '127.0.0.2';
 
--- a/packages/trial/src/test/platform-names.test.ts
+++ b/packages/trial/src/test/platform-names.test.ts
@@ -30,8 +30,8 @@
 const platform = sourceUnder('platform', (p) => p.endsWith('.ts'));
 
 /**
- * The platform's own names: words, causes, paths, fields. Left out: what is ordinary English (`condition`, `host`, `name`, `revision`,
- * `limits`, `zone`), and DELIVER, which is the product's own frame and older than the platform.
+ * The platform's own names: words, causes, paths, fields. Left out: what is ordinary English (`condition`, `host`,
+ * `name`, `revision`, `limits`, `zone`), and DELIVER, which is the product's own frame and older than the platform.
  */
 const WORDS = [
   'ATTACH',
@@ -187,8 +187,8 @@
 const DECIDING =
   /Math\.random|Date\.now|performance\.now|\bset(?:Timeout|Interval|Immediate)\b|\bwriteFile\w*|better-sqlite3/g;
 /**
- * Characters of code in the folder, all files together, without blanks and comments: 640 lines of 35.5 characters, the mean of the folder
- * before a formatter chose where lines break. Line breaks no longer count.
+ * Characters of code in the folder, all files together, without blanks and comments: 640 lines of 35.5 characters, the
+ * mean of the folder before a formatter chose where lines break. Line breaks no longer count.
  */
 const CODE_CHARACTERS = 22_700;
 const LINE = 140;
--- a/packages/trial/src/test/platform-process.test.ts
+++ b/packages/trial/src/test/platform-process.test.ts
@@ -85,7 +85,10 @@
   ended: Promise<void>;
 }
 
-/** The three roles as processes, each machine with an address of its own on loopback, as the deploy file and settings files have it. */
+/**
+ * The three roles as processes, each machine with an address of its own on loopback, as the deploy file and settings
+ * files have it.
+ */
 class Deployment {
   readonly procs: Proc[] = [];
   readonly folder = mkdtempSync(join(tmpdir(), 'harecross-platform-'));
--- a/packages/trial/src/test/senders.test.ts
+++ b/packages/trial/src/test/senders.test.ts
@@ -140,7 +140,10 @@
   told: number;
   answer: string;
 }
-/** Publishes a number every 5 ms on one connection, up to eight on the way, while something happens to the topic's owner at 300 ms. */
+/**
+ * Publishes a number every 5 ms on one connection, up to eight on the way, while something happens to the topic's owner
+ * at 300 ms.
+ */
 async function pipelined(
   seed: number,
   happen: (s: Small, owner: SimNode) => void,
--- a/packages/trial/src/weather.ts
+++ b/packages/trial/src/weather.ts
@@ -6,8 +6,8 @@
 const GRAIN_MS = 150;
 
 /**
- * What the stage did to the fleet, by time. Where a journal tells nothing of it, no node counts as well, so that checks which
- * ask for a well node judge nothing.
+ * What the stage did to the fleet, by time. Where a journal tells nothing of it, no node counts as well, so that checks
+ * which ask for a well node judge nothing.
  * @example
  * new Sky(seen).well('10.0.0.4:7000', t - 3_000, t);
  */
