Constants in named groups; the relay's modules import the group they use

C stays as all groups in one, for code that does not name its group yet. The drain times stood among those of placement and are with the sessions now.

With it: the plant of an edge that calls stored messages rejected follows answer(), which takes one request since its any was typed (the plant failed in vain), and a comment no longer has a word that is a name of the platform's.

--- a/packages/data/src/delivery.ts
+++ b/packages/data/src/delivery.ts
@@ -2,7 +2,7 @@
  * Delivery of messages to a relay's sessions: their bounded buffers, the final send, and catching up from the owner's
  * history.
  */
-import { C, type HoldingInfo, type Kernel } from '@harecross/kernel';
+import { REQUEST, SESSION, type HoldingInfo, type Kernel } from '@harecross/kernel';
 import type { Register } from '@harecross/control';
 import { familyOf, urgencyOf } from '@harecross/schema';
 import type { FanFrame } from './interest.js';
@@ -62,7 +62,7 @@
       if (subscription.next !== entry.off) continue;
       const { session } = subscription;
       // More follows once this has gone out; see flush.
-      if (catchingUp && session.standardBytes > C.catchUpBytes) {
+      if (catchingUp && session.standardBytes > SESSION.catchUpBytes) {
         this.scheduleFlush(session, 0);
         continue;
       }
@@ -73,7 +73,7 @@
         seq: entry.seq,
         offset: entry.off,
         body: entry.body,
-        bytes: Buffer.byteLength(entry.body) + C.frameHeadBytes,
+        bytes: Buffer.byteLength(entry.body) + SESSION.frameHeadBytes,
       };
       this.enqueue(session, {
         frame: { t: 'DELIVER', sub: subscription.id, msg: message },
@@ -91,9 +91,9 @@
   private flushMs(topic: string): number {
     const value = this.register.value;
     const family = value && familyOf(value.config, topic);
-    if (!family) return C.flushMs;
-    const most = urgencyOf(value.config, family) === 'urgent' ? C.flushUrgentMs : C.flushMs;
-    return family.aimMs === undefined ? most : Math.min(most, family.aimMs * C.flushShare);
+    if (!family) return SESSION.flushMs;
+    const most = urgencyOf(value.config, family) === 'urgent' ? SESSION.flushUrgentMs : SESSION.flushMs;
+    return family.aimMs === undefined ? most : Math.min(most, family.aimMs * SESSION.flushShare);
   }
 
   /** Reads the owner's history from the least offset owed, one reader per topic. */
@@ -120,7 +120,12 @@
       const from = Math.min(...behind.map((s) => s.next));
       let answer: HistoryAnswer;
       try {
-        answer = await this.route.atOwner<HistoryAnswer>(topic, 'History', () => ({ topic, from }), C.ownerTryMs * 2);
+        answer = await this.route.atOwner<HistoryAnswer>(
+          topic,
+          'History',
+          () => ({ topic, from }),
+          REQUEST.ownerTryMs * 2,
+        );
       } catch {
         this.kernel.count('pull.fail');
         return; // tried again with the next heads, within a second
@@ -146,15 +151,15 @@
 
   /** Queues a control frame, which waits as little as an urgent message. */
   send(session: Session, frame: ControlFrame): void {
-    this.enqueue(session, { frame, bytes: C.frameHeadBytes, oversized: false, flushMs: C.flushUrgentMs });
+    this.enqueue(session, { frame, bytes: SESSION.frameHeadBytes, oversized: false, flushMs: SESSION.flushUrgentMs });
   }
 
   private enqueue(session: Session, queued: QueuedFrame): void {
     if (session.state === 'closed') return;
-    queued.oversized = queued.bytes > C.oversizedFromBytes;
+    queued.oversized = queued.bytes > SESSION.oversizedFromBytes;
     const full = queued.oversized
-      ? session.oversizedBytes + queued.bytes > C.oversizedLaneBytes
-      : session.standardBytes + queued.bytes > C.laneBytes;
+      ? session.oversizedBytes + queued.bytes > SESSION.oversizedLaneBytes
+      : session.standardBytes + queued.bytes > SESSION.laneBytes;
     if (full) {
       // A saturated session is retired; its client comes again with its cursor instead of getting a partial stream.
       this.saturated(session);
@@ -217,7 +222,7 @@
       session.sent++;
     }
     session.queue = kept;
-    if (kept.length) this.scheduleFlush(session, C.flushMs);
+    if (kept.length) this.scheduleFlush(session, SESSION.flushMs);
     if (!out.length) return;
     if (session.sink.write(out)) this.resume(session);
     else session.blocked = true;
@@ -254,13 +259,13 @@
         name: 'conn',
         length: Math.max(0, ...all.map((s) => s.standardBytes)),
         most: this.mostStandardBytes,
-        bound: C.laneBytes,
+        bound: SESSION.laneBytes,
       },
       {
         name: 'conn.oversized',
         length: Math.max(0, ...all.map((s) => s.oversizedBytes)),
         most: this.mostOversizedBytes,
-        bound: C.oversizedLaneBytes,
+        bound: SESSION.oversizedLaneBytes,
       },
     ];
   }
@@ -268,7 +273,7 @@
 
 /** Whether a session takes part in catching up: beyond this it would fill its buffer by itself. */
 function hasRoom(session: Session): boolean {
-  return session.standardBytes <= C.catchUpBytes && !session.blocked;
+  return session.standardBytes <= SESSION.catchUpBytes && !session.blocked;
 }
 
 /** Takes a frame's bytes off its lane. */
--- a/packages/data/src/interest.ts
+++ b/packages/data/src/interest.ts
@@ -1,5 +1,5 @@
 import type { Board } from '@harecross/control';
-import { C, type HoldingInfo, type Kernel, faultOf, hash, shardOf } from '@harecross/kernel';
+import { SESSION, SHARD, type HoldingInfo, type Kernel, faultOf, hash, shardOf } from '@harecross/kernel';
 import type { Entry } from '@harecross/state';
 
 /** What a relay tells the owner of a topic: a deadline, never who or how many. */
@@ -92,12 +92,12 @@
   /** Frames held for the relay that has most of them. */
   holding(): HoldingInfo {
     const length = Math.max(0, ...[...this.fanOut.values()].map((o) => o.frames.length));
-    return { name: 'fan', length, most: this.fanMost, bound: C.fanHoldingN };
+    return { name: 'fan', length, most: this.fanMost, bound: SHARD.fanHoldingN };
   }
 
   /** Ended interest is kept for a while so that a late older revision is still known to be old. */
   trim(): void {
-    const past = this.k.host.clock.now() - C.holdTtlMs;
+    const past = this.k.host.clock.now() - SESSION.holdTtlMs;
     for (const [relay, r] of this.interest) {
       for (const [t, i] of r.topics) if (i.deadline < past) r.topics.delete(t);
       if (!r.topics.size && !this.board.isLive(relay)) {
@@ -125,7 +125,7 @@
         gen: i.gen,
         shard: old?.shard ?? shardOf(i.topic),
         mark: old?.mark ?? hash(i.topic),
-        deadline: i.expiresAt === 0 ? this.k.host.clock.now() : toLocal(i.expiresAt) + C.holdSkewMs,
+        deadline: i.expiresAt === 0 ? this.k.host.clock.now() : toLocal(i.expiresAt) + SESSION.holdSkewMs,
       });
     }
     return true;
@@ -160,7 +160,7 @@
         o = { frames: [], flying: false };
         this.fanOut.set(relay, o);
       }
-      if (o.frames.length >= C.fanHoldingN) {
+      if (o.frames.length >= SHARD.fanHoldingN) {
         this.k.count('fan.lost');
         continue;
       }
@@ -188,9 +188,9 @@
   async countListeners(topic: string, takenAt: number): Promise<{ count: number; partial: boolean }> {
     const asked = new Set(this.interested(topic).map(([relay]) => relay));
     // A process that began this lately may not have heard of every relay.
-    const young = this.k.host.clock.now() - this.k.startedAt < C.countAllMs;
+    const young = this.k.host.clock.now() - this.k.startedAt < SESSION.countAllMs;
     // A new owner has not heard of every interest yet: it asks all relays.
-    if (this.k.host.clock.now() - takenAt < C.countAllMs)
+    if (this.k.host.clock.now() - takenAt < SESSION.countAllMs)
       for (const m of this.board.live()) if (m.role === 'relay') asked.add(m.peer);
     // One that is suspected may have listeners of whom it could not tell us; one that is dead has sent them elsewhere.
     for (const m of this.board.members.values()) {
@@ -200,7 +200,7 @@
     const got = await Promise.all(
       [...asked].map(async (relay) => {
         try {
-          return await this.k.reach<number>(relay, 'CountHolds', { topic }, C.countWaitMs);
+          return await this.k.reach<number>(relay, 'CountHolds', { topic }, SESSION.countWaitMs);
         } catch (e) {
           // No process there: it has no listeners any more. One that is there and silent, or to which no way leads,
           // makes the answer partial.
--- a/packages/data/src/lease-table.ts
+++ b/packages/data/src/lease-table.ts
@@ -1,5 +1,5 @@
 /** Interest leases of a relay's clients by topic, and what the owners of the topics are told of them. */
-import { C, hash, shardOf, type Kernel } from '@harecross/kernel';
+import { SESSION, hash, shardOf, type Kernel } from '@harecross/kernel';
 import { interestRow, placeSum, type InterestItem } from './interest.js';
 import type { HeadsAnswer } from './owner.js';
 import type { Route } from './route.js';
@@ -101,9 +101,9 @@
   /** Renews the leases of a session that gave a sign of life, those that are due. */
   renew(session: Session, now: number): void {
     for (const subscription of session.subscriptions.values()) {
-      if (now - subscription.renewedAt < C.holdRenewMs) continue;
+      if (now - subscription.renewedAt < SESSION.holdRenewMs) continue;
       subscription.renewedAt = now;
-      subscription.expiresAt = now + C.holdTtlMs;
+      subscription.expiresAt = now + SESSION.holdTtlMs;
       this.dirty.add(subscription.topic);
     }
   }
@@ -123,7 +123,7 @@
     const now = this.kernel.host.clock.now();
     let listening = 0;
     for (const { expiresAt, session } of this.topics.get(topic)?.subscriptions ?? [])
-      if (expiresAt > now && now - session.heardAt <= C.countFreshMs) listening++;
+      if (expiresAt > now && now - session.heardAt <= SESSION.countFreshMs) listening++;
     return listening;
   }
 
--- a/packages/data/src/relocation.ts
+++ b/packages/data/src/relocation.ts
@@ -1,6 +1,6 @@
 /** Sends a relay's clients to other relays, before a planned restart or a stop. */
 import type { Board } from '@harecross/control';
-import { C, sample, type Kernel } from '@harecross/kernel';
+import { SESSION, sample, type Kernel } from '@harecross/kernel';
 import type { ControlFrame } from './outgoing.js';
 import type { Session } from './session.js';
 
@@ -32,7 +32,7 @@
 
   /** A client that came meanwhile is sent on as soon as it has attached. */
   opened(session: Session): void {
-    if (this.underWay) this.kernel.host.clock.after(C.flushUrgentMs, () => this.sendAway(session));
+    if (this.underWay) this.kernel.host.clock.after(SESSION.flushUrgentMs, () => this.sendAway(session));
   }
 
   private sendAway(session: Session): void {
--- a/packages/data/src/session-homes.ts
+++ b/packages/data/src/session-homes.ts
@@ -1,6 +1,6 @@
 /** One session a client: which of its sessions, at whatever relay, is the latest. */
 import type { Board } from '@harecross/control';
-import { C, rank, type Kernel } from '@harecross/kernel';
+import { SESSION, rank, type Kernel } from '@harecross/kernel';
 import type { Session } from './session.js';
 
 /** A session as its home is told of it. Names and units as they are sent: `age` in milliseconds. */
@@ -66,18 +66,19 @@
     for (const notice of notices) {
       const at = now - notice.age;
       const known = this.latest.get(notice.consumer);
-      if (known && known.conn !== notice.conn && now - known.seenAt < C.homeForgetMs) {
+      if (known && known.conn !== notice.conn && now - known.seenAt < SESSION.homeForgetMs) {
         const [replaced, holder] = known.at <= at ? [known.conn, known.peer] : [notice.conn, relay];
         this.kernel.call(holder, 'Replace', { conn: replaced }).catch(() => undefined);
         if (replaced === notice.conn) continue;
       }
       this.latest.set(notice.consumer, { conn: notice.conn, peer: relay, at, seenAt: now });
     }
-    if (this.latest.size > C.connsN * 2) this.forget(now);
+    if (this.latest.size > SESSION.connsN * 2) this.forget(now);
     return true;
   }
 
   private forget(now: number): void {
-    for (const [consumer, { seenAt }] of this.latest) if (now - seenAt > C.homeForgetMs) this.latest.delete(consumer);
+    for (const [consumer, { seenAt }] of this.latest)
+      if (now - seenAt > SESSION.homeForgetMs) this.latest.delete(consumer);
   }
 }
--- a/packages/data/src/sessions.ts
+++ b/packages/data/src/sessions.ts
@@ -1,7 +1,8 @@
 /** The relay's sessions: opening and closing them, subscriptions, signs of life, and sending clients elsewhere. */
 import { awayNow, type Board, type Register } from '@harecross/control';
 import {
-  C,
+  REQUEST,
+  SESSION,
   Failure,
   faultOf,
   loop,
@@ -108,8 +109,8 @@
     const { kernel } = this;
     const { clock, rnd } = kernel.host;
     kernel.keep(loop(clock, TICK_MS, rnd, () => this.tick()));
-    kernel.keep(loop(clock, C.headsMs, rnd, () => this.leases.checkHeads()));
-    kernel.keep(loop(clock, C.homeRenewMs, rnd, async () => this.homes.tell(this.byId.values())));
+    kernel.keep(loop(clock, SESSION.headsMs, rnd, () => this.leases.checkHeads()));
+    kernel.keep(loop(clock, SESSION.homeRenewMs, rnd, async () => this.homes.tell(this.byId.values())));
   }
 
   private watch(): void {
@@ -134,7 +135,7 @@
           distinctUntilChanged(),
         )
         .subscribe((away) => {
-          if (away) this.relocation.begin(this.byId.values(), C.awaySpreadMs);
+          if (away) this.relocation.begin(this.byId.values(), SESSION.awaySpreadMs);
           else this.relocation.end();
         }),
     );
@@ -152,9 +153,9 @@
   /** Opens a session and gives its id. Throws `overloaded` beyond the number that a relay may have. */
   attach(consumer: string, pingS: number | undefined, sink: Sink): string {
     const { clock } = this.kernel.host;
-    if (this.byId.size >= C.connsN) throw this.overloaded('Attach');
+    if (this.byId.size >= SESSION.connsN) throw this.overloaded('Attach');
     // The client may ask for longer silence, but is told the ping by which it is counted.
-    const ping = pingS ?? C.pingS;
+    const ping = pingS ?? SESSION.pingS;
     const id = `${this.kernel.self}/${this.kernel.inst}/${this.nextNumber()}`;
     const session = new Session(id, consumer, ping * 1000, sink, clock.now());
     const older = this.byConsumer.get(consumer);
@@ -163,14 +164,14 @@
     this.byConsumer.set(consumer, session);
     this.board.say({ weight: this.byId.size });
     this.kernel.count('conn.open');
-    this.delivery.send(session, { t: 'ATTACHED', conn: id, pingS: Math.min(ping, C.pingS) });
+    this.delivery.send(session, { t: 'ATTACHED', conn: id, pingS: Math.min(ping, SESSION.pingS) });
     this.homes.tell([session]);
     this.relocation.opened(session);
     return id;
   }
 
   private overloaded(step: string): Failure {
-    const retryAfterMs = retryAfter(this.kernel.host.rnd, C.retryMs);
+    const retryAfterMs = retryAfter(this.kernel.host.rnd, REQUEST.retryMs);
     return new Failure({ tag: 'overloaded', step, peer: this.kernel.self, retryAfterMs });
   }
 
@@ -186,7 +187,7 @@
     if (this.byConsumer.get(session.consumer) === session) this.byConsumer.delete(session.consumer);
     this.board.say({ weight: this.byId.size });
     if (reason !== 'gone') {
-      const retryAfterMs = reason === 'replaced' ? 0 : retryAfter(this.kernel.host.rnd, C.retryMs / 2);
+      const retryAfterMs = reason === 'replaced' ? 0 : retryAfter(this.kernel.host.rnd, REQUEST.retryMs / 2);
       session.sink.write([{ t: 'CLOSED', reason, retryAfterMs }]);
     }
     session.sink.close();
@@ -232,7 +233,7 @@
       await known.opened;
       return { sub: known.id, next: known.first };
     }
-    const most = this.register.value?.config.limits?.subscriptionsPerConn ?? C.subsPerConnN;
+    const most = this.register.value?.config.limits?.subscriptionsPerConn ?? SESSION.subsPerConnN;
     if (session.subscriptions.size >= most) throw this.overloaded('Subscribe');
     const family = this.register.value && familyOf(this.register.value.config, topic);
     if (!family) throw this.unknownTopic(topic);
@@ -254,7 +255,7 @@
       next: Infinity,
       first: Infinity,
       opened: Promise.resolve(),
-      expiresAt: now + C.holdTtlMs,
+      expiresAt: now + SESSION.holdTtlMs,
       renewedAt: now,
       live: true,
     };
@@ -322,7 +323,7 @@
   private async tick(): Promise<void> {
     const now = this.kernel.host.clock.now();
     if (this.register.fresh()) this.freshAt = now;
-    else if (now - this.freshAt > C.unfreshMs) this.closeCutOff();
+    else if (now - this.freshAt > SESSION.unfreshMs) this.closeCutOff();
     this.homes.tellMoved(this.byId.values());
     for (const session of Array.from(this.byId.values())) this.endOverdue(session, now);
     await this.leases.tellOwners();
@@ -337,7 +338,7 @@
 
   /** Ends a silent session, and leases that are past their deadline. */
   private endOverdue(session: Session, now: number): void {
-    if (now - session.heardAt > C.silencePingsN * session.pingMs) {
+    if (now - session.heardAt > SESSION.silencePingsN * session.pingMs) {
       this.close(session, 'silent');
       return;
     }
@@ -358,9 +359,9 @@
   /** Sends everyone away with times to come back that are spread out, and waits a moment for them to go. */
   private async drain(): Promise<void> {
     const { clock } = this.kernel.host;
-    this.relocation.begin(this.byId.values(), C.drainSpreadMs);
+    this.relocation.begin(this.byId.values(), SESSION.drainSpreadMs);
     // New sessions still come until the callers' platform has seen that we leave.
-    const until = clock.now() + C.drainMs;
+    const until = clock.now() + SESSION.drainMs;
     while (clock.now() < until) await sleep(clock, 50);
     for (const session of Array.from(this.byId.values())) {
       this.delivery.flush(session);
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -1,9 +1,10 @@
 /**
- * Every constant of the system, with its unit and the reason for it.
+ * Every constant of the system, in groups by area, with its unit and the reason for it.
  * Names end in the unit: Ms, S, Bytes, N (a count).
  */
-export const C = {
-  // --- interest holds (the paper's design; values are ours) ---
+
+/** Sessions of clients at a relay, their interest leases and delivery (the paper's design; values are ours). */
+export const SESSION = {
   /** A hold ends this long after its last renewal. Three renewals fit, so two may be lost. */
   holdTtlMs: 60_000,
   /** A relay renews a hold from traffic this often. A third of the TTL, as in the source. */
@@ -50,8 +51,15 @@
   unfreshMs: 4_000,
   /** Relay re-registers its conns at their homes this often. */
   homeRenewMs: 15_000,
+  /** A planned restart sends its conns away over this long; a stop has less time. */
+  awaySpreadMs: 3_000,
+  drainSpreadMs: 1_000,
+  /** A stopping relay stays for late comers: the platform notices after two polls, a second apart. */
+  drainMs: 2_600,
+} as const;
 
-  // --- data: shards, copies ---
+/** Shards: their copies, owners and history. */
+export const SHARD = {
   /** Shards of the topic space: several per disk at today's 8 disks, so that duty evens out. */
   shardsN: 32,
   /** Default copies of a shard; survives two lost disks. */
@@ -112,8 +120,10 @@
   trimCopyMs: 10_000,
   /** Copies follow in snapshots when behind the base; a snapshot call may take this long. */
   snapshotMs: 5_000,
+} as const;
 
-  // --- visits ---
+/** Requests of clients: their way to an owner, and bounds of what a node takes at once. */
+export const REQUEST = {
   /** Visits in work at one edge; beyond it they are rejected with a time to come back. */
   edgeHoldingN: 3_000,
   /** Retry hint base; a random share of as much again spreads callers out. */
@@ -163,8 +173,10 @@
   accessSweepMs: 1_000,
   /** Default limit of a body. */
   bodyBytes: 64 * 1024,
+} as const;
 
-  // --- membership, gossip ---
+/** Membership: gossip, partial views, probes of silent members. */
+export const MEMBERSHIP = {
   /** One gossip exchange with this many peers per period. */
   gossipPeersN: 2,
   gossipMs: 500,
@@ -206,8 +218,10 @@
   /** A gap in our own loop this long means we were frozen: duties are in doubt until confirmed. */
   frozenMs: 1_200,
   loopTickMs: 200,
+} as const;
 
-  // --- register ---
+/** The consensus register: read lease, changes, operators' orders, bootstrap. */
+export const REGISTER = {
   /** Every node confirms its version at a majority this often ... */
   confirmMs: 600,
   /** Before the first confirmation after a start a node tries this often, this many at once: traffic waits for it. */
@@ -254,8 +268,10 @@
   /** ... and for as many as a shard needs copies up to this long; later ones join one step at a time. */
   foundAnywayMs: 4_000,
   foundMs: 500,
+} as const;
 
-  // --- keeper: disks and placement ---
+/** Which disks vote and hold copies: joining, replacement, planned moves. */
+export const PLACEMENT = {
   keeperMs: 500,
   /** ... and this long after news of a member or of an owner: what comes together is looked at together. */
   keeperWakeMs: 30,
@@ -281,14 +297,10 @@
   forgettableN: 64,
   /** Shards in motion at once; keeps repair from taking traffic's share. */
   movingN: 8,
+} as const;
 
-  /** A planned restart sends its conns away over this long; a stop has less time. */
-  awaySpreadMs: 3_000,
-  drainSpreadMs: 1_000,
-  /** A stopping relay stays for late comers: the platform notices after two polls, a second apart. */
-  drainMs: 2_600,
-
-  // --- process ---
+/** A process: start, stop, its disk, and the transport between peers. */
+export const PROCESS = {
   /** Hashes remembered: those of some thousand topics and of the copies of all shards; about a megabyte. */
   hashesN: 16_384,
   /** A node this young lets an Attach wait until it serves: turned away, a consumer would stay away for longer than that. */
@@ -323,3 +335,14 @@
   /** At a stop, last words have this long to get out. */
   peerCloseMs: 300,
 } as const;
+
+/** All groups as one, for code that does not name its group yet. No name stands in two groups: see `constants.test.ts`. */
+export const C = {
+  ...SESSION,
+  ...SHARD,
+  ...REQUEST,
+  ...MEMBERSHIP,
+  ...REGISTER,
+  ...PLACEMENT,
+  ...PROCESS,
+} as const;
--- a/packages/kernel/src/peer-rpcs.ts
+++ b/packages/kernel/src/peer-rpcs.ts
@@ -8,7 +8,7 @@
  * Whether an RPC may be sent again when its outcome is unknown.
  * - `read`: it changes nothing, so that any number of runs is the same as one.
  * - `idempotent`: a second run has no effect beyond the first; `toldApartBy` says what marks a repeat, `for` how long it is known.
- * - `never`: a second run could do something else than the first; only its originator may decide to ask anew.
+ * - `never`: a second run could do something else than the first; only who asked first may decide to ask anew.
  */
 export type Repeatability =
   | { repeat: 'read'; why: string }
--- a/packages/trial/src/test/plant-tests.ts
+++ b/packages/trial/src/test/plant-tests.ts
@@ -270,10 +270,10 @@
     rules: ['turned_away'],
     patch: {
       answer: (old) =>
-        async function (this: any, m: string, b: any) {
-          const r = await old.call(this, m, b);
-          if (m === 'Publish' && b.seq % 5 === 0)
-            throw new Failure({ tag: 'not_ready', step: m, peer: 'planted', retryAfterMs: 100 });
+        async function (this: any, request: any) {
+          const r = await old.call(this, request);
+          if (request.m === 'Publish' && request.body.seq % 5 === 0)
+            throw new Failure({ tag: 'not_ready', step: request.m, peer: 'planted', retryAfterMs: 100 });
           return r;
         },
     },
