--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -1,7 +1,8 @@
-import { Register, type Board, type Value } from '@harecross/control';
+import { fromText, Register, type Board, type Value } from '@harecross/control';
 import { Failure, pack, type Clock, type Kernel } from '@harecross/kernel';
 import type { Seat } from '@harecross/state';
 import { pathToFileURL } from 'node:url';
+import { NEVER } from 'rxjs';
 import type { Json } from './json.js';
 
 /** A change that a proposer makes: the seats it asks for, if any; each change leaves its name in the value. */
@@ -22,7 +23,12 @@
   /** Times a seat's process may end and begin anew, with what it had saved. */
   restarts: number;
   /** A fault planted into the seats, to see that it is found. */
-  planted?: 'accepts below its promise' | 'forgets its promise' | 'hides what it accepted' | 'comes back older';
+  planted?:
+    | 'accepts below its promise'
+    | 'forgets its promise'
+    | 'hides what it accepted'
+    | 'comes back older'
+    | 'heeds no voters before';
   /** The search ends after this many states. */
   mostStates?: number;
 }
@@ -74,8 +80,8 @@
 }
 
 /**
- * A few seats and proposers of the real register. Nothing happens by itself: the search chooses which message arrives next, which is
- * lost, who begins again, and which seat restarts.
+ * A few seats and proposers of the real register. Nothing happens by itself: the search chooses which message arrives
+ * next, which is lost, who begins again, and which seat restarts.
  */
 class World {
   pending: Event[] = [];
@@ -137,10 +143,15 @@
     const board: Partial<Record<keyof Board, unknown>> = {
       say: () => undefined,
       pass: () => undefined,
+      paced: (leastMs: number) => leastMs,
+      wellLinked: (peer: string) => peer,
+      isLarge: () => false,
       somePeers: () => [],
       contacts: () => [],
+      state$: NEVER,
       ofDisk: (d: string) => ({ peer: d }),
       live: () => [],
+      isLive: () => true,
     };
     return board as Board;
   }
@@ -203,6 +214,7 @@
       },
       call: (_peer: string, m: string, body: Json) =>
         new Promise((res, rej) => {
+          if (this.ignored(m, body)) return res({ disk: body.disk, ok: true, promised: body.ballot });
           this.notes(i, body.ballot, `> ${m} ${body.disk} ${body.value ?? ''}`);
           this.pending.push({ t: 'ask', from: i, disk: body.disk, m, body, res, rej });
         }),
@@ -215,6 +227,12 @@
     this.ready = true;
   }
 
+  /** Planted: a change is taken as accepted by the voters that go with it, without asking them. */
+  private ignored(m: string, body: { disk: string; value?: string }): boolean {
+    if (this.plan.planted !== 'heeds no voters before' || m !== 'RegAccept') return false;
+    return !fromText(body.value!).seats.includes(body.disk);
+  }
+
   /** What belongs to an earlier ballot can only raise the number of the next one; see `key`. */
   private notes(i: number, ballot: string, text: string): void {
     const h = this.history[i]!;
@@ -311,7 +329,10 @@
     return out;
   }
 
-  /** The seat does its part, and its answer arrives at once: a proposer that hears late is one whose next messages are late. */
+  /**
+   * The seat does its part, and its answer arrives at once: a proposer that hears late is one whose next messages are
+   * late.
+   */
   private arrives(e: Extract<Event, { t: 'ask' }>, answer: (x: unknown) => void): void {
     const h = this.handlers[Number(e.disk.slice(1))]!.get(e.m)!;
     const hides = this.plan.planted === 'hides what it accepted' && e.m === 'RegPrepare';
@@ -341,8 +362,8 @@
 }
 
 /**
- * Searches every order of messages, losses and restarts of a small register, by running the real code anew along each path. Two paths
- * that lead to the same state are followed once.
+ * Searches every order of messages, losses and restarts of a small register, by running the real code anew along each
+ * path. Two paths that lead to the same state are followed once.
  * @example
  * (await explore(PLANS.get('seat-change')!)).states
  */
@@ -388,6 +409,9 @@
   { name: 'out', seats: (s) => s.filter((d) => d !== 'd0') },
 ];
 
+/** A voter is replaced by another in one step, and nothing settles it before the next change. */
+const replace: Change[] = [{ name: 'swap', seats: (seats) => seats.map((disk) => (disk === 'd0' ? 'd3' : disk)) }];
+
 /** What is searched, by name. */
 export const PLANS = new Map<string, ModelPlan>([
   // Two operators at once.
@@ -396,6 +420,9 @@
   ['lossy-change', { seats: 3, proposers: [[{ name: 'a' }, { name: 'b' }]], losses: 1, retries: 1, restarts: 1 }],
   // A seat goes to another disk while an operator makes a change.
   ['seat-change', { seats: 4, proposers: [swap, [{ name: 'a' }]], losses: 0, retries: 1, restarts: 0 }],
+  // A voter is replaced in one step while an operator makes a change.
+  ['voter-replaced', { seats: 4, proposers: [replace, [{ name: 'a' }]], losses: 0, retries: 0, restarts: 0 }],
+  ['voter-replaced-again', { seats: 4, proposers: [replace, [{ name: 'a' }]], losses: 0, retries: 1, restarts: 0 }],
   ['seat-change-lossy', { seats: 4, proposers: [swap, [{ name: 'a' }]], losses: 1, retries: 2, restarts: 1 }],
 ]);
 
