--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -43,7 +43,16 @@
 const ANSWER = /^(\d+) (-?\d+) ([+-])/;
 
 /** What every frame says stands before its matter, in as few bytes as it can: most frames are small, and bytes between sites cost. */
-const packAsk = (a: Ask): string => `${a.m} ${a.from} ${a.inst} ${a.rev} ${Math.round(a.now)} ${stringify(a.body)}`;
+const packAsk = (a: Ask): string => `${a.m} ${a.from} ${a.inst} ${a.rev} ${Math.round(a.now)} ${textOf(a.body)}`;
+
+/** A body that is already text, for a request that goes to several peers. */
+class BodyText {
+  readonly text: string;
+  constructor(body: unknown) {
+    this.text = stringify(body);
+  }
+}
+const textOf = (body: unknown): string => (body instanceof BodyText ? body.text : stringify(body));
 /** A peer's ask; throws when the frame is none. */
 function readAsk(frame: string): Ask {
   const h = ASK.exec(frame);
@@ -118,6 +127,9 @@
   /** Peers to which our own link is broken, and who carries visits to them; '' until somebody did. */
   private broken = new Map<string, string>();
   private stops: (() => void | Promise<void>)[] = [];
+  /** When our loop last came round, and when it last came round after it had stood still. */
+  private loopAt = -Infinity;
+  private thawedAt = -Infinity;
 
   constructor(readonly host: Host) {
     this.self = host.config.peer;
@@ -146,20 +158,30 @@
   async boot(names: (keyof Faces)[]): Promise<void> {
     for (const n of names) await this.load(n);
     await this.host.net.serve((f) => this.answer(f), { broken: (p) => this.onBroken(p), count: (n) => this.count(n) });
-    let last = this.host.clock.now();
+    this.loopAt = this.host.clock.now();
     this.keep(
       every(this.host.clock, C.loopTickMs).subscribe(() => {
         const now = this.host.clock.now();
-        if (now - last > C.frozenMs) {
-          this.count('loop.frozen');
-          this.thawed$.next(now - last);
-        }
-        last = now;
+        const gapMs = now - this.loopAt;
+        this.loopAt = now;
+        if (gapMs <= C.frozenMs) return;
+        this.thawedAt = now;
+        this.count('loop.frozen');
+        this.thawed$.next(gapMs);
       }),
     );
     this.become('running');
   }
 
+  /**
+   * Whether this process stands still no more only since a moment ago: what it reads now may have waited in a buffer for as long as
+   * that took, and who sent it may have gone elsewhere. Asks the steady clock, as the loop itself may not have come round yet.
+   */
+  wokeJustNow(): boolean {
+    const now = this.host.clock.now();
+    return now - this.loopAt > C.frozenMs || now - this.thawedAt <= C.wokenMs;
+  }
+
   private async load(n: string): Promise<void> {
     if (this.faces.has(n)) return;
     const p = known.get(n);
@@ -254,6 +276,16 @@
     return this.ask(peer, m, body, (frame) => this.host.net.call(peer, frame, timeoutMs));
   }
 
+  /**
+   * The same request to several other peers, made into text once.
+   * @example
+   * await Promise.allSettled(k.callEach(peers, 'News', { items }));
+   */
+  callEach<T>(peers: string[], m: PeerRpc, body: unknown, timeoutMs: number = C.callMs): Promise<T>[] {
+    const text = new BodyText(body);
+    return peers.map((peer) => this.ask<T>(peer, m, text, (frame) => this.host.net.call(peer, frame, timeoutMs)));
+  }
+
   /**
    * A visit to a peer, carried by another member while our own link to it is broken. The link counts as broken after a visit
    * that got no answer, and as whole again once a direct ping is answered.
