--- a/packages/trial/src/test/calls.test.ts
+++ b/packages/trial/src/test/calls.test.ts
@@ -212,8 +212,8 @@
     attach(slow, () => {
       earlierEnded = true;
     });
-    const { conns } = slow.kernel!.use('holds');
-    const taken = (): boolean => [...conns.values()].some((c) => c.consumer === name);
+    const byId = Reflect.get(slow.kernel!.use('sessions'), 'byId') as Map<string, { consumer: string }>;
+    const taken = (): boolean => [...byId.values()].some((c) => c.consumer === name);
     while (!taken()) await s.pass(5);
     await s.pass(50);
     attach(quick, () => {
--- a/packages/trial/src/test/repair.test.ts
+++ b/packages/trial/src/test/repair.test.ts
@@ -229,7 +229,7 @@
   for (let ms = 0; ms < 30_000; ms += LOOK_MS) {
     await fleet.pass(LOOK_MS);
     synced.look(fleet);
-    if (fleet.controls[0]!.kernel!.use('operators').emptyStatus(disk).state === 'emptied') break;
+    if ((await fleet.ask(fleet.controls[0]!, 'EmptyStatus', { disk })).body.state === 'emptied') break;
   }
   const lacked = lacking(fleet, had, synced.replicas());
   added.diskMs = quickMs;
