--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -8,3 +8,4 @@
 export * from './keeper.js';
 export * from './operators.js';
 export * from './placement.js';
+export * from './revision-outcomes.js';
--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -1,5 +1,5 @@
 /** The consensus register: one agreed value, changed by ballots at a majority of the voters' disks. */
-import { C, Failure, Kernel, every, loop, register as plug, retryAfter, within } from '@harecross/kernel';
+import { C, Failure, Kernel, every, loop, register as plug, retryAfter, within, type PeerRpc } from '@harecross/kernel';
 import type { Store } from '@harecross/state';
 import { BehaviorSubject } from 'rxjs';
 import type { Board } from './board.js';
@@ -22,8 +22,8 @@
 /**
  * The register: one compare-and-set value, agreed on a majority of the seats' disks by ballots. There is no log
  * and no leader: whoever wants a change prepares a ballot, takes the highest accepted value, applies the change
- * and has it accepted. A value that changes the seats needs a majority of the old and of the new ones, and only
- * one seat changes at a time, so that any two majorities in a row share a disk.
+ * and has it accepted. A value that changes the seats needs a majority of the old and of the new ones, until the next
+ * change; one seat comes or goes at a time, or one is replaced by another.
  * @example
  * await reg.change((v) => ({ next: { ...v, version: v.version + 1 }, out: v.version + 1 }));
  */
@@ -53,7 +53,7 @@
       this.acceptor = new Acceptor(k, this.store, this.disk, () => this.value?.rev ?? 0);
       rememberEmptied(k, board, this, this.store);
     }
-    const ask = <T>(disks: string[], method: string, body: object): Promise<T>[] => this.ask<T>(disks, method, body);
+    const ask = <T>(disks: string[], method: PeerRpc, body: object): Promise<T>[] => this.ask<T>(disks, method, body);
     const learn = (v: Value): void => this.learn(v);
     this.proposer = new Proposer(k, this.ballots, { ask, learn, start: () => this.newestSeen() });
     this.reader = new Reader(k, board, this.ballots, this.lease, this.acceptor, {
@@ -183,7 +183,7 @@
     return accepted && textOf(accepted) === text ? accepted : fromText(text);
   }
 
-  private ask<T>(disks: string[], method: string, body: object): Promise<T>[] {
+  private ask<T>(disks: string[], method: PeerRpc, body: object): Promise<T>[] {
     return disks.map((disk) => {
       const peer = this.peerOf(disk);
       return peer
--- a/packages/trial/src/model.ts
+++ b/packages/trial/src/model.ts
@@ -1,8 +1,8 @@
-import { NEVER } from 'rxjs';
 import { Register, type Board, type Value } from '@harecross/control';
 import { Failure, pack, type Clock, type Kernel } from '@harecross/kernel';
 import type { Seat } from '@harecross/state';
 import { pathToFileURL } from 'node:url';
+import { NEVER } from 'rxjs';
 import type { Json } from './json.js';
 
 /** A change that a proposer makes: the seats it asks for, if any; each change leaves its name in the value. */
