--- a/packages/trial/src/test/growth.test.ts
+++ b/packages/trial/src/test/growth.test.ts
@@ -3,10 +3,17 @@
 import { longLife, withConstants, type LongLife } from './long-life.js';
 
 /**
- * Times after which something is forgotten, about a tenth as long as they are, and as much fewer records waiting for it: a tenth of the
- * life shows whether sizes stay. The order of the times among one another is kept.
+ * Times after which something is forgotten, about a tenth as long as they are, and as much fewer records that are kept by count: a tenth
+ * of the life shows whether sizes stay. The order of the times among one another is kept.
  */
-const SHORTENED = { deadMs: 4_000, forgetMs: 8_000, tombstoneMs: 20_000, forgetDiskMs: 20_000, forgettableN: 8 };
+const SHORTENED = {
+  deadMs: 4_000,
+  forgetMs: 8_000,
+  tombstoneMs: 20_000,
+  forgetDiskMs: 20_000,
+  forgettableN: 8,
+  revisionOutcomesN: 32,
+};
 const HALF_ROUNDS = 12;
 /** Sizes are the smallest of the last rounds of each half: what comes and goes in bursts is left out, what grows is not. */
 const LOOK_ROUNDS = 4;
