Mutation tests of the operators' orders follow them into Submissions

Three plants patched Operators.tell and Operators.taken, which moved to submissions.ts under other names; they threw 'no method' in place of planting. Ruled out: that the planted faults are no longer there.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -9,3 +9,4 @@
 export * from './operators.js';
 export * from './placement.js';
 export * from './revision-outcomes.js';
+export { Submissions } from './submissions.js';
--- a/packages/trial/src/test/plant-tests.ts
+++ b/packages/trial/src/test/plant-tests.ts
@@ -1,4 +1,4 @@
-import { Operators, Register } from '@harecross/control';
+import { Operators, Register, Submissions } from '@harecross/control';
 import {
   Copies,
   Delivery,
@@ -396,44 +396,45 @@
   },
   {
     what: 'an operator visit that answers an overtaken revision as if it were in force',
-    proto: Operators.prototype,
+    proto: Submissions.prototype,
     sc: 'revisions',
     seeds: [1, 2],
     rules: ['config_lost'],
     patch: {
-      tell: () =>
-        async function (this: any, revision: number, _until: number, waits: any[]) {
-          for (const w of waits) w.res({ version: this.reg.value.version, revision });
+      submit: (old) =>
+        async function (this: any, request: any) {
+          const answer = await old.call(this, request);
+          return { ...answer, revision: request.revision, outcome: 'accepted' };
         },
     },
   },
   {
     what: 'an operator visit that keeps no words of the operators',
-    proto: Operators.prototype,
+    proto: Submissions.prototype,
     sc: 'revisions',
     seeds: [1],
     rules: ['read_back'],
     patch: {
-      taken: (old) =>
-        function (this: any, v: any, x: any) {
-          return old.call(this, v, { ...x, document: undefined });
+      applied: (old) =>
+        function (this: any, value: any, submission: any) {
+          return old.call(this, value, { ...submission, document: undefined });
         },
     },
   },
   {
     what: 'a configuration that makes all topics anew',
-    proto: Operators.prototype,
+    proto: Submissions.prototype,
     sc: 'revisions',
     seeds: [1, 2],
     rules: ['lost', 'skipped', 'resume'],
     patch: {
-      taken: (old) =>
-        function (this: any, v: any, x: any) {
-          const n = old.call(this, v, x);
-          return {
-            ...n,
-            eras: new Map(x.config.families.flatMap((f: any) => f.topics.map((p: string) => [p, n.version]))),
-          };
+      applied: (old) =>
+        function (this: any, value: any, submission: any) {
+          const result = old.call(this, value, submission);
+          if (!result.next) return result;
+          const patterns = submission.config.families.flatMap((f: any) => f.topics);
+          const eras = new Map(patterns.map((p: string) => [p, result.next.version]));
+          return { ...result, next: { ...result.next, eras } };
         },
     },
   },
