--- a/packages/control/src/operators.ts
+++ b/packages/control/src/operators.ts
@@ -3,6 +3,7 @@
 import { configFaults, type FleetConfig, type Move, type PathFault } from '@harecross/schema';
 import type { Board } from './board.js';
 import { barTo, copiesOn, diskNamed, emptyingOrdered, isBare, moveKey } from './fleet-state.js';
+import { OperatorAnswers } from './operator-answers.js';
 import { notReady, type Register } from './register.js';
 import { Submissions, overloaded, type Revised } from './submissions.js';
 import { withConfig, type DiskRec, type MoveState, type Outcome, type Value } from './value.js';
@@ -32,6 +33,7 @@
  */
 export class Operators {
   private readonly submissions: Submissions;
+  private readonly answers: OperatorAnswers;
   /** Changes by change id that are under way at this node. */
   private changing = 0;
 
@@ -40,6 +42,7 @@
     private board: Board,
     private reg: Register,
   ) {
+    this.answers = new OperatorAnswers(k, reg);
     this.submissions = new Submissions(k, reg, (value, config) => this.machineFaults(value, config));
   }
 
@@ -47,7 +50,8 @@
    * Takes a configuration. With a revision the highest holds: what is not above it is answered with the one in force, and fails with
    * `conflict` where another configuration came into force under its revision. Without one the first outcome of its changeId is
    * given. Fails with `invalid_config`, `conflict`, `overloaded` (too many at once), `outcome_unknown` (its outcome is forgotten), and
-   * with `not_ready` or `no_majority` after C.submitMs.
+   * with `not_ready` or `no_majority`: within C.operatorAnswerMs where no majority answers, else after C.submitMs. One that failed so
+   * may still come into force, up to C.submitMs after it was last sent to this node.
    */
   async submit(request: {
     changeId?: string;
@@ -57,7 +61,9 @@
     config: unknown;
   }): Promise<{ version: number } | Revised> {
     const { revision, changeId, config } = request;
-    if (revision !== undefined) return this.submissions.submit({ ...request, revision });
+    this.answers.mustBeNew('SubmitConfig');
+    if (revision !== undefined)
+      return this.answers.inTime('SubmitConfig', this.submissions.submit({ ...request, revision }));
     const document = request.document === undefined ? undefined : JSON.stringify(request.document);
     return this.change('SubmitConfig', changeId!, request.expect, () => ({ config, document }));
   }
@@ -76,11 +82,13 @@
     expect: number | undefined,
     make: (value: Value) => { config: unknown; document?: string },
   ): Promise<{ version: number }> {
+    this.answers.mustBeNew(step);
     if (!this.reg.value) throw notReady(this.k, step);
     if (this.changing >= C.changesAtOnceN) throw overloaded(this.k, step);
     this.changing++;
     try {
-      const outcome = await this.reg.change((value) => this.changed(value, changeId, expect, make(value)));
+      const changed = this.reg.change((value) => this.changed(value, changeId, expect, make(value)), C.submitMs);
+      const outcome = await this.answers.inTime(step, changed);
       return this.versionOf(step, outcome);
     } finally {
       this.changing--;
@@ -158,8 +166,7 @@
     document?: unknown;
     config: unknown;
   }> {
-    if (!this.reg.value) throw notReady(this.k, 'ReadConfig');
-    const v = (await this.reg.confirm()) ? this.reg.value! : await this.reg.read();
+    const v = await this.answers.confirmedValue('ReadConfig');
     return {
       version: v.version,
       changeId: v.changeId,
@@ -174,8 +181,10 @@
    * change id, an order that was carried out is not carried out again, however late its repeat comes: another may have been given since.
    */
   async setDisk(disk: string, state: 'active' | 'emptying', step: string, changeId?: string): Promise<DiskTold> {
+    this.answers.mustBeNew(step);
     if (!this.reg.value) throw notReady(this.k, step);
-    const outcome = await this.reg.change((value) => this.diskSetOnce(value, disk, state, changeId));
+    const changed = this.reg.change((value) => this.diskSetOnce(value, disk, state, changeId), C.submitMs);
+    const outcome = await this.answers.inTime(step, changed);
     const peer = this.k.self;
     switch (outcome.tag) {
       case 'done':
@@ -224,10 +233,9 @@
     return { next: { ...value, disks }, out: { tag: 'done', told } };
   }
 
-  /** How far the emptying of a disk has come. */
-  emptyStatus(disk: string): { disk: string; state: string; copies: number; seat: boolean } {
-    const v = this.reg.value;
-    if (!v) throw notReady(this.k, 'EmptyStatus');
+  /** How far the emptying of a disk has come, confirmed at a majority: a machine that is said to be emptied is taken away. */
+  async emptyStatus(disk: string): Promise<DiskTold> {
+    const v = await this.answers.confirmedValue('EmptyStatus');
     const d = diskNamed(v, disk);
     if (!d) throw new Failure({ tag: 'unknown_disk', step: 'EmptyStatus', peer: this.k.self, disk });
     const { id } = d;
@@ -239,15 +247,12 @@
     };
   }
 
-  /** The calendar in force, with how far each move has come. */
-  moves(): { version: number; moves: (Move & { state: MoveState | 'planned'; why: string })[] } {
-    const v = this.reg.value;
+  /** The calendar in force, confirmed at a majority, with how far each move has come. */
+  async moves(): Promise<{ version: number; moves: (Move & { state: MoveState | 'planned'; why: string })[] }> {
+    const { version, config, moves } = await this.answers.confirmedValue('Moves');
     return {
-      version: v?.version ?? 0,
-      moves: (v?.config.moves ?? []).map((m) => ({
-        ...m,
-        ...(v!.moves.get(moveKey(m)) ?? { state: 'planned', why: '' }),
-      })),
+      version,
+      moves: (config.moves ?? []).map((m) => ({ ...m, ...(moves.get(moveKey(m)) ?? { state: 'planned', why: '' }) })),
     };
   }
 }
--- a/packages/data/src/session-homes.ts
+++ b/packages/data/src/session-homes.ts
@@ -1,6 +1,6 @@
 /** One session a client: which of its sessions, at whatever relay, is the latest. */
 import type { Board } from '@harecross/control';
-import { SESSION, rank, type Kernel } from '@harecross/kernel';
+import { SESSION, rank, type From, type Kernel } from '@harecross/kernel';
 import type { Session } from './session.js';
 
 /** A session as its home is told of it. Names and units as they are sent: `age` in milliseconds. */
@@ -60,11 +60,11 @@
     for (const [home, conns] of byHome) this.kernel.call(home, 'Home', { conns }).catch(() => undefined);
   }
 
-  /** As a home: sessions that a relay has. Of two sessions of one client the older is closed. */
-  hear(notices: SessionNotice[], relay: string): true {
+  /** As a home: sessions that a relay has. Of two of one client the one opened last stays, in whatever order news of them comes. */
+  hear(notices: SessionNotice[], { peer: relay, sentAt }: From): true {
     const now = this.kernel.host.clock.now();
     for (const notice of notices) {
-      const at = now - notice.age;
+      const at = sentAt - notice.age;
       const known = this.latest.get(notice.consumer);
       if (known && known.conn !== notice.conn && now - known.seenAt < SESSION.homeForgetMs) {
         const [replaced, holder] = known.at <= at ? [known.conn, known.peer] : [notice.conn, relay];
--- a/packages/data/src/sessions.ts
+++ b/packages/data/src/sessions.ts
@@ -96,7 +96,7 @@
     );
     kernel.on('CountHolds', (b: { topic: string }) => this.leases.count(b.topic));
     kernel.on('Home', (b: { conns: { consumer: string; conn: string; age: number }[] }, from) =>
-      this.homes.hear(b.conns, from.peer),
+      this.homes.hear(b.conns, from),
     );
     kernel.on('Replace', (b: { conn: string }) => {
       const session = this.byId.get(b.conn);
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -1,5 +1,6 @@
 import { parse, stringify } from 'devalue';
 import { Subject, type Subscription } from 'rxjs';
+import { ClockOffsets } from './clock-offsets.js';
 import { C } from './constants.js';
 import { Failure, faultOf, type Fault } from './fault.js';
 import { every, sleep, within } from './flow.js';
@@ -42,7 +43,16 @@
 const ANSWER = /^(\d+) (-?\d+) ([+-])/;
 
 /** What every frame says stands before its matter, in as few bytes as it can: most frames are small, and bytes between sites cost. */
-const packAsk = (a: Ask): string => `${a.m} ${a.from} ${a.inst} ${a.rev} ${Math.round(a.now)} ${stringify(a.body)}`;
+const packAsk = (a: Ask): string => `${a.m} ${a.from} ${a.inst} ${a.rev} ${Math.round(a.now)} ${textOf(a.body)}`;
+
+/** A body that is already text, for a request that goes to several peers. */
+class BodyText {
+  readonly text: string;
+  constructor(body: unknown) {
+    this.text = stringify(body);
+  }
+}
+const textOf = (body: unknown): string => (body instanceof BodyText ? body.text : stringify(body));
 /** A peer's ask; throws when the frame is none. */
 function readAsk(frame: string): Ask {
   const h = ASK.exec(frame);
@@ -68,10 +78,12 @@
   }
 }
 
-/** What a handler learns of the sender. `ageOf` turns the sender's clock into ours. */
+/** What a handler learns of the sender. `toLocal` turns the sender's clock into ours. */
 export interface From {
   peer: string;
   inst: string;
+  /** When it sent the request, by our clock: also one that was held up on its way. */
+  sentAt: number;
   toLocal: (t: number) => number;
 }
 /** Answers a request of one method. Each method's handler names the body that its callers send. */
@@ -109,11 +121,15 @@
   /** When this process began, by our clock. */
   readonly startedAt: number;
   private faces = new Map<string, unknown>();
+  private offsets = new ClockOffsets();
   private handlers = new Map<string, { h: Handler; current: boolean }>();
   private subs: Subscription[] = [];
   /** Peers to which our own link is broken, and who carries visits to them; '' until somebody did. */
   private broken = new Map<string, string>();
   private stops: (() => void | Promise<void>)[] = [];
+  /** When our loop last came round, and when it last came round after it had stood still. */
+  private loopAt = -Infinity;
+  private thawedAt = -Infinity;
 
   constructor(readonly host: Host) {
     this.self = host.config.peer;
@@ -142,20 +158,30 @@
   async boot(names: (keyof Faces)[]): Promise<void> {
     for (const n of names) await this.load(n);
     await this.host.net.serve((f) => this.answer(f), { broken: (p) => this.onBroken(p), count: (n) => this.count(n) });
-    let last = this.host.clock.now();
+    this.loopAt = this.host.clock.now();
     this.keep(
       every(this.host.clock, C.loopTickMs).subscribe(() => {
         const now = this.host.clock.now();
-        if (now - last > C.frozenMs) {
-          this.count('loop.frozen');
-          this.thawed$.next(now - last);
-        }
-        last = now;
+        const gapMs = now - this.loopAt;
+        this.loopAt = now;
+        if (gapMs <= C.frozenMs) return;
+        this.thawedAt = now;
+        this.count('loop.frozen');
+        this.thawed$.next(gapMs);
       }),
     );
     this.become('running');
   }
 
+  /**
+   * Whether this process stands still no more only since a moment ago: what it reads now may have waited in a buffer for as long as
+   * that took, and who sent it may have gone elsewhere. Asks the steady clock, as the loop itself may not have come round yet.
+   */
+  wokeJustNow(): boolean {
+    const now = this.host.clock.now();
+    return now - this.loopAt > C.frozenMs || now - this.thawedAt <= C.wokenMs;
+  }
+
   private async load(n: string): Promise<void> {
     if (this.faces.has(n)) return;
     const p = known.get(n);
@@ -240,7 +266,9 @@
       const got = await within(
         this.host.clock,
         timeoutMs,
-        (async () => ({ ok: await h.h(body, { peer, inst: this.inst, toLocal: (t) => t }) }))(),
+        (async () => ({
+          ok: await h.h(body, { peer, inst: this.inst, sentAt: this.host.clock.now(), toLocal: (t) => t }),
+        }))(),
       );
       if (!got) throw new Failure({ tag: 'timeout', step: m, peer });
       return got.ok as T;
@@ -248,6 +276,16 @@
     return this.ask(peer, m, body, (frame) => this.host.net.call(peer, frame, timeoutMs));
   }
 
+  /**
+   * The same request to several other peers, made into text once.
+   * @example
+   * await Promise.allSettled(k.callEach(peers, 'News', { items }));
+   */
+  callEach<T>(peers: string[], m: PeerRpc, body: unknown, timeoutMs: number = C.callMs): Promise<T>[] {
+    const text = new BodyText(body);
+    return peers.map((peer) => this.ask<T>(peer, m, text, (frame) => this.host.net.call(peer, frame, timeoutMs)));
+  }
+
   /**
    * A visit to a peer, carried by another member while our own link to it is broken. The link counts as broken after a visit
    * that got no answer, and as whole again once a direct ping is answered.
@@ -345,7 +383,7 @@
     const now = this.host.clock.now();
     this.count('peer.in');
     const a = readAsk(frame);
-    const shift = now - a.now;
+    const offset = this.offsets.learn(`${a.from} ${a.inst}`, now - a.now, now);
     this.onHeard(a.from, a.inst);
     const out = (x: { ok: unknown } | { err: Fault }): string =>
       packAnswer({ rev: this.rev, now: this.host.clock.now(), ...x });
@@ -367,7 +405,9 @@
       });
     }
     try {
-      return out({ ok: await h.h(a.body, { peer: a.from, inst: a.inst, toLocal: (t) => t + shift }) });
+      return out({
+        ok: await h.h(a.body, { peer: a.from, inst: a.inst, sentAt: a.now + offset, toLocal: (t) => t + offset }),
+      });
     } catch (e) {
       const f = faultOf(e, a.m, this.self);
       if (f.tag === 'internal') {
