--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -15,3 +15,4 @@
 export * from './operator-answers.js';
 export * from './placement.js';
 export * from './revision-outcomes.js';
+export { Submissions } from './submissions.js';
