--- a/packages/trial/src/trouble/network-kinds.ts
+++ b/packages/trial/src/trouble/network-kinds.ts
@@ -3,6 +3,8 @@
 import type { KindName } from './schedule.js';
 import { claim, note, pause, type Play } from './stage.js';
 
+/** From the end of a process to its next start. */
+const RESTART_MS = 300;
 /** How many times longer a slow disk takes. */
 const SLOW_DISK_FACTOR = 30;
 
@@ -36,6 +38,7 @@
   if (trouble.how.includes('both')) {
     for (const m of victims.machines) {
       s.machines.kill(m);
+      await pause(s, RESTART_MS);
       await s.machines.start(m);
     }
   }
@@ -53,6 +56,7 @@
   note(s, 'restart', victims.machines);
   for (const m of victims.machines) {
     s.machines.kill(m);
+    await pause(s, RESTART_MS);
     await s.machines.start(m);
   }
   victims.back();
