--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -9,3 +9,8 @@
 export * from './operators.js';
 export * from './placement.js';
 export * from './revision-outcomes.js';
+export * from './outbox.js';
+export * from './packed.js';
+export * from './peer-view.js';
+export * from './table-sums.js';
+export * from './value-transfer.js';
