--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -16,3 +16,8 @@
 export * from './placement.js';
 export * from './revision-outcomes.js';
 export { Submissions } from './submissions.js';
+export * from './outbox.js';
+export * from './packed.js';
+export * from './peer-view.js';
+export * from './table-sums.js';
+export * from './value-transfer.js';
