--- a/packages/trial/src/test/calls.test.ts
+++ b/packages/trial/src/test/calls.test.ts
@@ -1,4 +1,4 @@
-import { callFleet, type HttpAnswer, type Outcome } from 'harecross';
+import { callFleet, newChangeId, type HttpAnswer, type Outcome } from 'harecross';
 import { C, Kernel, PEER_RPCS, isRepeatable, type PeerRpc, type RepeatablePeerRpc } from '@harecross/kernel';
 import { mayRepeat, Rpcs, type Method } from '@harecross/schema';
 import { emit } from '@harecross/schema/openapi';
@@ -131,6 +131,11 @@
   t.like(await calling('ReadConfig', {}, [refusal('not_ready')]), { outcome: { tag: 'no_answer' } });
 });
 
+test('no two changes get the same name by themselves', (t) => {
+  const names = new Set(Array.from({ length: 1_000 }, () => newChangeId('cli')));
+  t.is(names.size, 1_000);
+});
+
 test('an order to empty that comes again after it was taken back changes nothing', async (t) => {
   const s = await smallFleet(9, { relayDisk: true });
   const disk = s.relays[0]!.kernel!.use('register').disk!;
@@ -192,3 +197,30 @@
   t.is(r.body.error.tag, 'unreachable');
   t.false(suspected.includes(there.config.peer));
 });
+
+test("of a client's two connections the later stays, also when news of the earlier comes late", async (t) => {
+  const s = await smallFleet(23);
+  const [slow, quick] = s.relays as [SimNode, SimNode];
+  await s.pass(2_000);
+  slow.slowMs = 300;
+  for (let i = 0; i < 8; i++) {
+    const name = `phone${i}`;
+    let earlierEnded = false;
+    let laterEnded = false;
+    const attach = (n: SimNode, ended: () => void): (() => void) =>
+      s.sim.outside.attach(n.config.client, { consumer: name, pingS: 2 }, () => undefined, ended);
+    attach(slow, () => {
+      earlierEnded = true;
+    });
+    const byId = Reflect.get(slow.kernel!.use('sessions'), 'byId') as Map<string, { consumer: string }>;
+    const taken = (): boolean => [...byId.values()].some((c) => c.consumer === name);
+    while (!taken()) await s.pass(5);
+    await s.pass(50);
+    attach(quick, () => {
+      laterEnded = true;
+    });
+    await s.pass(2_000);
+    t.false(laterEnded, name);
+    t.true(earlierEnded, name);
+  }
+});
