--- a/packages/trial/src/test/rejoin.test.ts
+++ b/packages/trial/src/test/rejoin.test.ts
@@ -215,12 +215,16 @@
   l.fleet.sim.kill(n);
   isolate(l, n);
   void l.fleet.sim.start(n);
-  await l.fleet.pass(5_000);
+  let everFresh = false;
+  for (let passed = 0; passed < 5_000; passed += STEP_MS) {
+    await l.fleet.pass(STEP_MS);
+    everFresh ||= n.kernel?.has('register') === true && registerOf(n).fresh();
+  }
   const read = await l.fleet.ask(n, 'ReadConfig', {});
   const publish = await l.fleet.ask(n, 'Publish', { sender: 'desk', topic: 'feed/1', seq: 1, body: 'm' });
   l.fleet.sim.close();
   return [
-    ...(registerOf(n).fresh() ? ['it calls its value fresh'] : []),
+    ...(everFresh ? ['it called its value fresh'] : []),
     ...(read.status === 503 ? [] : [`read: ${read.status}`]),
     ...(publish.status === 503 ? [] : [`publish: ${publish.status}`]),
   ];
