--- a/packages/control/src/register.ts
+++ b/packages/control/src/register.ts
@@ -10,6 +10,7 @@
 import { ReadLease } from './register/lease.js';
 import { Proposer, type ChangeFn } from './register/proposer.js';
 import { Reader } from './register/reader.js';
+import { fromText, sameText, textOf } from './text.js';
 import { valueAnswer, valueIn, valueRequest, type ValueAnswer, type ValueRequest } from './value-transfer.js';
 import type { Value } from './value.js';
 
@@ -166,7 +167,7 @@
     if (!old || old.version !== v.version) this.k.host.log.info(`configuration ${v.version} in force`, { rev: v.rev });
     this.k.rev = v.rev;
     // The same version is the same configuration: what was laid out for looking things up in it stays.
-    this.value$.next(old?.version === v.version ? { ...v, config: old.config, eras: old.eras } : v);
+    this.value$.next(old?.version === v.version ? sameText({ ...v, config: old.config, eras: old.eras }, v) : v);
     // Every disk remembers its fleet, with a seat or without: founding asks for it.
     const { store } = this;
     if (store && store.get('fleet') !== v.fleet)
@@ -199,7 +200,7 @@
         .call<ValueAnswer>(peer, 'RegGet', valueRequest(this.value), this.board.paced(C.callMs, C.fetchPerMemberMs))
         .then(
           (answer) => {
-            const newer = valueIn(answer, this.value);
+            const newer = valueIn(answer, this.value, (text) => this.readText(text));
             if (newer) this.learn(newer);
           },
           () => undefined /* the next frame tells us again */,
@@ -210,6 +211,12 @@
     return p;
   }
 
+  /** The value in a text; a voter has read the one that it accepted. */
+  private readText(text: string): Value {
+    const accepted = this.acceptor?.accepted;
+    return accepted && textOf(accepted) === text ? accepted : fromText(text);
+  }
+
   private ask<T>(disks: string[], method: PeerRpc, body: object): Promise<T>[] {
     return disks.map((disk) => {
       const peer = this.peerOf(disk);
--- a/packages/control/src/value-transfer.ts
+++ b/packages/control/src/value-transfer.ts
@@ -49,12 +49,17 @@
 
 /**
  * The value in an answer. Undefined when there is none, or when our own configuration has changed since we asked: then we have a newer value.
+ * `read` makes a value of a whole text; it may know the value already.
  * @example
  * const newer = valueIn(answer, reg.value);
  */
-export function valueIn(answer: ValueAnswer, own: Value | undefined): Value | undefined {
+export function valueIn(
+  answer: ValueAnswer,
+  own: Value | undefined,
+  read: (text: string) => Value = fromText,
+): Value | undefined {
   if (answer === undefined) return undefined;
-  if (typeof answer === 'string') return answer === '' ? undefined : fromText(answer);
+  if (typeof answer === 'string') return answer === '' ? undefined : read(answer);
   const v = fromText(answer.exceptConfiguration);
   if (!own || own.fleet !== v.fleet || own.version !== v.version) return undefined;
   return { ...v, config: own.config, eras: own.eras, document: own.document };
