A stopping machine with a successor hands over its vote and replicas before it ends

What callers saw: a control machine was replaced by plan (successor up for 9 s, SIGTERM, gone), another control machine lost its disk half a second later.

Cause: a stop handed over the shards that a process owned, but neither its vote nor its replicas. These were given away after 3 s of silence, as if the machine were restarting, so until then a machine that had gone counted in every majority. A shorter wait does not help: the second loss may come at any moment, also before the end.

Why it works: the controller marks the disk of a stopping process as leaving when a successor is there (a machine that joined the zone later, or a disk that holds nothing), replaces its votes and replicas in one step each, and the process ends only when it holds nothing. While it still runs it is in the old majorities, and once it has ended it is in none. A vote moves to the machine that joined its zone last before any stop, so a removal without SIGTERM is borne there too. A machine without a successor ends at once and keeps what it has.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -13,6 +13,7 @@
 export * from './value/fleet-queries.js';
 export * from './reconcile/forget-planner.js';
 export * from './reconcile/controller.js';
+export * from './reconcile/departure.js';
 export * from './operators/operators.js';
 export * from './operators/operator-answers.js';
 export * from './placement/placement.js';
--- a/packages/control/src/reconcile/controller.ts
+++ b/packages/control/src/reconcile/controller.ts
@@ -9,6 +9,7 @@
 } from '@harecross/kernel';
 import type { MembershipTable } from '../membership/membership-table.js';
 import { ForgetPlanner } from './forget-planner.js';
+import { planDepartures } from './plan-departures.js';
 import { planDisks } from './plan-disks.js';
 import { planMoves } from './plan-moves.js';
 import type { FleetView, Planner, Step } from './planner.js';
@@ -62,7 +63,7 @@
     const { clock, random } = kernel.host;
     const forgetting = new ForgetPlanner(kernel, membership);
     // Forgetting comes last of all: it frees room, and nothing waits for it.
-    this.planners = [planDisks, planVoters, planMoves, planReplicas, (value) => forgetting.step(value)];
+    this.planners = [planDisks, planDepartures, planVoters, planMoves, planReplicas, (value) => forgetting.step(value)];
     kernel.addSubscription(runPeriodically(clock, PLACEMENT.controllerMs, random, () => this.reconcile()));
     // A loss or a new machine is looked at when it is heard of, and a disk again once it may join.
     kernel.addSubscription(
--- a/packages/control/src/reconcile/plan-disks.ts
+++ b/packages/control/src/reconcile/plan-disks.ts
@@ -1,9 +1,10 @@
 /** Lets disks into the fleet, and declares those lost whose machine is gone. */
-import { PLACEMENT, SHARD } from '@harecross/kernel';
+import { PLACEMENT } from '@harecross/kernel';
 import type { Member } from '../membership/member.js';
-import { holdsNothing, plannedJoinTime } from '../value/fleet-queries.js';
+import { hasSameUses, holdsNothing, plannedJoinTime } from '../value/fleet-queries.js';
 import { liveMember, silentFor, type FleetView, type Step } from './planner.js';
-import { isUsedFor, type DiskRecord, type DiskState, type FleetValue } from '../value/fleet-value.js';
+import { successorOf } from './successor.js';
+import type { DiskRecord, DiskState, FleetValue } from '../value/fleet-value.js';
 
 /** Disks that joined, came back or were lost, in one step. */
 export function planDisks(value: FleetValue, fleet: FleetView): Step | undefined {
@@ -29,6 +30,7 @@
         uses: member.diskUses,
         name: member.name,
         ms: member.diskMs,
+        machineJoinedRev: machineJoinedRev(value, member.peer),
       });
       said.push(`disk ${member.disk} joins at ${member.peer}`);
       for (const other of value.disks.values()) {
@@ -44,6 +46,12 @@
   }
 }
 
+/** Since which revision a machine is there: a new disk at an address that had one before is of the same machine. */
+function machineJoinedRev(value: FleetValue, peer: string): number | undefined {
+  const before = [...value.disks.values()].find((disk) => disk.peer === peer);
+  return before ? before.machineJoinedRev : value.rev;
+}
+
 /** A disk that was emptied for an operator stays so until that is taken back, however long it was away. */
 function stateOnJoining(member: Member): DiskState {
   return member.emptied ? 'emptying' : 'active';
@@ -79,41 +87,20 @@
   const spares = [...disks.values()].filter(
     (disk) =>
       disk.state === 'active' &&
-      sameUses(disk, gone) &&
+      hasSameUses(disk, gone) &&
       holdsNothing(value, disk.id) &&
       fleet.membership.memberOfDisk(disk.id)?.state === 'live',
   );
   const waiting = [...disks.values()].filter(
-    (disk) => disk.state === 'lost' && sameUses(disk, gone) && !holdsNothing(value, disk.id),
+    (disk) => disk.state === 'lost' && hasSameUses(disk, gone) && !holdsNothing(value, disk.id),
   );
   if (spares.length <= waiting.length)
-    return silent > PLACEMENT.spareAfterMs ? laterNeighbour(value, fleet, gone)?.id : undefined;
+    return silent > PLACEMENT.spareAfterMs ? successorOf(value, fleet, gone)?.id : undefined;
   const successor = spares.find((disk) => succeeds(fleet, disk, gone));
   if (successor && silent > PLACEMENT.successorAfterMs) return successor.id;
   return silent > PLACEMENT.spareAfterMs ? spares[waiting.length]!.id : undefined;
 }
 
-/**
- * A live disk of the same uses that came to the same domain after this one did, where the copies have room without this one: where a
- * machine is replaced by plan, the new one comes first and has copies before the old one goes. Nothing else will come in its place.
- */
-function laterNeighbour(value: FleetValue, fleet: FleetView, gone: DiskRecord): DiskRecord | undefined {
-  const cameAt = fleet.membership.memberOfDisk(gone.id)?.liveSince;
-  if (cameAt === undefined || !isUsedFor(gone, 'copies')) return undefined;
-  const there = [...value.disks.values()].filter(
-    (disk) => disk.id !== gone.id && disk.state === 'active' && sameUses(disk, gone) && liveMember(fleet, disk.id),
-  );
-  if (there.length < (value.config.copies ?? value.copies ?? SHARD.replicaCount)) return undefined;
-  return there.find(
-    (disk) =>
-      disk.domain === gone.domain && liveMember(fleet, disk.id)!.liveSince > cameAt + PLACEMENT.successorAfterMs,
-  );
-}
-
-function sameUses(one: DiskRecord, other: DiskRecord): boolean {
-  return (['seat', 'copies'] as const).every((use) => isUsedFor(one, use) === isUsedFor(other, use));
-}
-
 /** Whether a disk came, in the same domain, after the other's machine was last heard of. */
 function succeeds(fleet: FleetView, spare: DiskRecord, gone: DiskRecord): boolean {
   const member = liveMember(fleet, spare.id);
--- a/packages/control/src/reconcile/plan-replicas.ts
+++ b/packages/control/src/reconcile/plan-replicas.ts
@@ -60,15 +60,16 @@
     const missing = target.filter((disk) => !placement.copies.includes(disk));
     const extra = placement.copies.filter((disk) => !target.includes(disk));
     const lost = extra.find((disk) => this.isLost(disk));
+    const urgent = lost ?? extra.find((disk) => this.isLeaving(disk));
     const settled = this.settled(view);
-    if (settled && !lost) return settled;
+    if (settled && !urgent) return settled;
     const pending = placement.previous !== undefined || placement.retained !== undefined;
     if (!missing.length && !extra.length && !pending) return undefined;
-    if (!lost && ++this.moving > PLACEMENT.movingShardLimit) return undefined;
+    if (!urgent && ++this.moving > PLACEMENT.movingShardLimit) return undefined;
     // The last step must be established before the next: the majorities of just two generations are heeded.
     if (!owner) return undefined;
     const fresh = missing.filter((disk) => liveMember(this.fleet, disk));
-    if (fresh.length && lost) return this.replace(placement, lost, fresh);
+    if (fresh.length && urgent) return this.replace(placement, urgent, fresh);
     if (pending) return undefined;
     if (missing.length) return this.move(view, extra, fresh);
     return extra.length ? this.remove(view, lost ?? extra[0]!) : undefined;
@@ -78,6 +79,11 @@
     return this.value.disks.get(disk)?.state === 'lost';
   }
 
+  /** Whether the disk's process is about to end: unlike one that is emptied it can't wait for the other copies. */
+  private isLeaving(disk: string): boolean {
+    return this.value.disks.get(disk)?.state === 'leaving';
+  }
+
   /** Whether these copies have the shard's history now, by what its owner says. One whose owner is not there is not known to. */
   private inSync(view: ShardView, disks: string[]): boolean {
     const { owner } = view;
--- a/packages/control/src/reconcile/plan-voters.ts
+++ b/packages/control/src/reconcile/plan-voters.ts
@@ -1,7 +1,9 @@
 /** Keeps as many voters as are wanted, on disks that are active: a lost or leaving one is replaced in one step. */
 import { REGISTER, rendezvousOrder } from '@harecross/kernel';
 import { awaitsSuccessor } from '../placement/placement.js';
+import { hasSameUses } from '../value/fleet-queries.js';
 import { liveMember, type FleetView, type Step } from './planner.js';
+import { isStaying, joinedLater } from './successor.js';
 import { isPrimarilyFor, isUsedFor, type DiskRecord, type FleetValue } from '../value/fleet-value.js';
 
 /** Seeds the rendezvous order of candidates. All nodes of a fleet agree on it, also those of earlier versions. */
@@ -28,7 +30,34 @@
   const voters = value.voters.filter((disk) => disk !== drop);
   if (drop !== undefined && majorityLive(fleet, voters))
     return { next: { ...value, voters }, why: `vote of ${drop} is given up` };
-  return settle(value);
+  return settle(value) ?? moveToLaterDisk(value, fleet, bad);
+}
+
+/**
+ * A vote goes to the disk whose machine joined the domain last: where a machine is replaced by plan, the new one comes first, and the old one may
+ * then be removed at the moment of the next loss.
+ */
+function moveToLaterDisk(value: FleetValue, fleet: FleetView, bad: string[]): Step | undefined {
+  if (bad.length) return undefined;
+  for (const voter of value.voters) {
+    const later = laterDiskWithoutVote(value, fleet, value.disks.get(voter)!);
+    if (!later) continue;
+    const voters = value.voters.map((disk) => (disk === voter ? later.id : disk));
+    if (majorityLive(fleet, voters)) return { next: { ...value, voters }, why: `vote of ${voter} goes to ${later.id}` };
+  }
+  return undefined;
+}
+
+function laterDiskWithoutVote(value: FleetValue, fleet: FleetView, voter: DiskRecord): DiskRecord | undefined {
+  return [...value.disks.values()]
+    .filter(
+      (disk) =>
+        joinedLater(disk, voter) &&
+        hasSameUses(disk, voter) &&
+        !value.voters.includes(disk.id) &&
+        isStaying(fleet, disk),
+    )
+    .at(-1);
 }
 
 /** Odd, so that one more voter never costs a larger majority without bearing one more loss. */
--- a/packages/control/src/value/fleet-queries.ts
+++ b/packages/control/src/value/fleet-queries.ts
@@ -27,6 +27,9 @@
 /** Whether nothing of the fleet is left on a disk: it is in no majority that is still needed, and has no copy. */
 export const holdsNothing = (v: FleetValue, disk: string): boolean =>
   replicaCountOn(v, disk) === 0 && !v.voters.includes(disk) && !v.previousVoters.includes(disk);
+/** Whether two disks are for the same things: one may stand in for the other. */
+export const hasSameUses = (one: DiskRecord, other: DiskRecord): boolean =>
+  (['seat', 'copies'] as const).every((use) => isUsedFor(one, use) === isUsedFor(other, use));
 /** A machine that the calendar adds later is not let in before. */
 export const plannedJoinTime = (v: FleetValue, peer: string): number =>
   Math.max(
--- a/packages/control/src/value/fleet-value.ts
+++ b/packages/control/src/value/fleet-value.ts
@@ -4,7 +4,11 @@
 import { incarnationsAfter, type TopicIncarnations } from './topic-incarnations.js';
 import { withRevision, type RevisionOrder, type RevisionOutcomes } from './revision-outcomes.js';
 
-export type DiskState = 'active' | 'emptying' | 'lost';
+/**
+ * `active`: it takes replicas and votes. `emptying`: an operator has it emptied. `leaving`: its process is stopping, and what it has goes
+ * to others first, since another machine is there in its place. `lost`: its machine is gone.
+ */
+export type DiskState = 'active' | 'emptying' | 'leaving' | 'lost';
 /** `ms`: how long it took when it was first opened. `uses`: what the disk is for; a record of before there was a choice has none and is for everything. */
 export interface DiskRecord {
   id: string;
@@ -14,6 +18,8 @@
   uses?: DiskUse[];
   name?: string;
   ms?: number;
+  /** The revision of the value in which its machine joined; the machines of the bootstrap have none. */
+  machineJoinedRev?: number;
   /** An order to empty it was taken, and not taken back; it stays when the disk is lost, so that the order may be sent again. */
   emptyingTaken?: boolean;
 }
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -331,6 +331,10 @@
   spareAfterMs: 3_000,
   /** ... and this long, if that one came to the same domain after the other fell silent: it was sent in its place. */
   successorAfterMs: 1_000,
+  /** A stopping process looks this often whether others have what its disk had ... */
+  departureCheckMs: 20,
+  /** ... and leaves this much of the time for its stop to what comes after. */
+  departureReserveMs: 600,
   /** The record of a lost or emptied disk that holds nothing is forgotten when its machine was not seen for this long: operators ask
    * for the outcome of an emptying within minutes. */
   forgetDiskMs: 600_000,
