Zones and regions of fault_tolerance are borne, and what can't be borne is refused

What callers saw: three zones with {"machine_losses": 0, "zones": 1}. One zone was lost 5 s after the last acknowledgement, and 3 to 11 of 24 acknowledged messages did not come any more.

Cause: zones and regions were read by nobody. Replicas and voters were counted from machine_losses alone, so each message was acknowledged with one replica. The same promise was broken on related paths: nothing was spread over regions, a fleet was founded with fewer replicas than bear the losses, raised settings were not followed, machine_losses 4 had seven voters (which bear three losses), and a store was emptied without which the replicas could not be spread.

Why it works: a set has the fewest members, an odd number, with which every loss that is asked for leaves a majority, at most so many of them in one zone and one region; placement and votes keep to these limits. A config that no spread can bear ends the process with one line and code 2. The fleet is founded only by disks that bear it; until then the first seed says what is missing. Changed settings are followed once there is room, and reported until then.

--- a/packages/control/src/consensus/bootstrap.ts
+++ b/packages/control/src/consensus/bootstrap.ts
@@ -1,13 +1,12 @@
 /** Bootstrap of the consensus register: the first value of a fleet, agreed on by all three seeds. */
 import { REGISTER, SHARD, type Kernel } from '@harecross/kernel';
 import type { MembershipTable } from '../membership/membership-table.js';
+import { durabilityOf, shortfallOf } from '../placement/durability.js';
 import { matchCopies } from '../placement/placement.js';
 import { isUsedFor, type DiskRecord, type FleetValue, type Placement } from '../value/fleet-value.js';
 import { deserializeValue, serializeValue } from '../value/value-text.js';
 import type { Accepted, BallotSource, Prepared } from './ballots.js';
 
-/** Fewest voters of a fleet: one may be lost. */
-const LEAST_VOTERS = 3;
 /** Fleet ids are random numbers below this. */
 const FLEET_ID_RANGE = 2 ** 48;
 const FLEET_ID_RADIX = 36;
@@ -26,6 +25,9 @@
 
 /** Bootstraps the fleet, once. */
 export class Bootstrap {
+  /** When a shortfall of disks was last reported (steady clock, ms). */
+  private reportedAt = -Infinity;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly membership: MembershipTable,
@@ -57,27 +59,35 @@
     this.learn(value);
   }
 
-  /** Whether enough disks for a shard's replicas are there, or have been waited for long enough. */
+  /**
+   * Whether the disks that are there bear what the configuration of the process asks for. Where it asks for nothing, those that came
+   * within some time are enough.
+   */
   private isDue(): boolean {
     const { config, clock } = this.kernel.host;
     if (this.known() || config.firstStart === false) return false;
     const waitedMs = clock.now() - this.kernel.startedAt;
     if (waitedMs < REGISTER.bootstrapAfterMs) return false;
-    if (waitedMs >= REGISTER.bootstrapAnywayMs) return true;
-    const forReplicas = this.membership.liveMembers().filter((member) => member.diskUses?.[0] === 'copies');
-    return forReplicas.length >= this.replicaCount();
+    const durability = durabilityOf(config);
+    if (!durability.tolerance)
+      return waitedMs >= REGISTER.bootstrapAnywayMs || this.disksForReplicas() >= durability.copies;
+    const shortfall = shortfallOf(durability, [...this.liveDisks().values()]);
+    if (shortfall !== undefined && waitedMs >= REGISTER.bootstrapAnywayMs) this.reportShortfall(shortfall);
+    return shortfall === undefined;
   }
 
-  /** As many replicas as bear the losses that the configuration of the process asks for. */
-  private replicaCount(): number {
-    const { losses } = this.kernel.host.config;
-    return losses === undefined ? SHARD.replicaCount : 2 * losses + 1;
+  /** Live disks that are for replicas before anything else. */
+  private disksForReplicas(): number {
+    return this.membership.liveMembers().filter((member) => member.diskUses?.[0] === 'copies').length;
   }
 
-  private voterCount(): number {
-    const { losses } = this.kernel.host.config;
-    if (losses === undefined) return REGISTER.voterCount;
-    return Math.min(REGISTER.voterCount, Math.max(LEAST_VOTERS, 2 * losses + 1));
+  /** Says why the fleet is not founded: at once, and again while it stays so. */
+  private reportShortfall(shortfall: string): void {
+    const now = this.kernel.host.clock.now();
+    if (now - this.reportedAt < REGISTER.bootstrapReportMs) return;
+    this.reportedAt = now;
+    this.kernel.incrementCounter('bootstrap.short');
+    this.kernel.host.log.warn(`cannot found the fleet: ${shortfall}`);
   }
 
   /** All seeds with their disks; undefined unless each answers that it belongs to no fleet. */
@@ -126,9 +136,10 @@
   private genesis(seeds: Seed[]): FleetValue {
     const fleet = Math.floor(this.kernel.host.random.next() * FLEET_ID_RANGE).toString(FLEET_ID_RADIX);
     const disks = this.firstDisks(seeds);
-    const copies = this.replicaCount();
+    const durability = durabilityOf(this.kernel.host.config);
+    const { copies, tolerance } = durability;
     const forReplicas = [...disks.values()].filter((disk) => isUsedFor(disk, 'copies'));
-    const placements = [...matchCopies(forReplicas, copies)];
+    const placements = [...matchCopies(forReplicas, copies, SHARD.shardCount, tolerance)];
     const voters = seeds.map((seed) => seed.disk);
     return {
       fleet,
@@ -141,8 +152,7 @@
       voters,
       previousVoters: voters,
       shards: new Map(placements.map(([shard, on]): [number, Placement] => [shard, { gen: 1, copies: on }])),
-      copies,
-      votersWanted: this.voterCount(),
+      ...durability,
       changes: new Map(),
       moves: new Map(),
     };
@@ -150,11 +160,16 @@
 
   /** The disks of all live members, and those of the seeds. */
   private firstDisks(seeds: Seed[]): Map<string, DiskRecord> {
-    const disks = new Map<string, DiskRecord>();
-    for (const { disk: id, peer, domain, diskUses: uses, name, diskMs: ms } of this.membership.liveMembers())
-      if (id) disks.set(id, { id, peer, domain, state: 'active', uses, name, ms });
+    const disks = this.liveDisks();
     for (const { peer, disk: id } of seeds)
       if (!disks.has(id)) disks.set(id, { id, peer, domain: '', state: 'active', uses: ['seat'] });
     return disks;
   }
+
+  private liveDisks(): Map<string, DiskRecord> {
+    const disks = new Map<string, DiskRecord>();
+    for (const { disk: id, peer, domain, region, diskUses: uses, name, diskMs: ms } of this.membership.liveMembers())
+      if (id) disks.set(id, { id, peer, domain, region, state: 'active', uses, name, ms });
+    return disks;
+  }
 }
--- a/packages/control/src/membership/member.ts
+++ b/packages/control/src/membership/member.ts
@@ -15,6 +15,8 @@
   client: string;
   /** Failure domain. */
   domain: string;
+  /** Region of its failure domain, where it was told. */
+  region?: string;
   role: Role;
   /** By which operators call the machine. */
   name: string;
--- a/packages/control/src/membership/own-record.ts
+++ b/packages/control/src/membership/own-record.ts
@@ -76,6 +76,8 @@
       packs: true,
       ...this.state,
     };
+    const region = config.domains?.[config.domain];
+    if (region !== undefined) record.region = region;
     if (record.disk === undefined) return record;
     record.diskUses = diskUsesOf(config);
     record.jointFences = true;
--- a/packages/control/src/placement/placement.ts
+++ b/packages/control/src/placement/placement.ts
@@ -1,5 +1,6 @@
-import { PLACEMENT, SHARD, rendezvousOrder } from '@harecross/kernel';
+import { PLACEMENT, SHARD, rendezvousOrder, type FaultTolerance } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
+import { Spread } from './spread.js';
 import { isPrimarilyFor, type DiskRecord, type Placement, type FleetValue } from '../value/fleet-value.js';
 
 /**
@@ -78,7 +79,7 @@
 }
 
 /**
- * The disks on which each shard's copies belong. Rendezvous order, domains taken in turn so that copies spread,
+ * The disks on which each shard's copies belong. Rendezvous order, domains taken in turn so that copies spread as the tolerance asks,
  * and within a domain no disk above its share times a slack while another has room.
  * @example
  * matchCopies(disks, 5).get(3); // ['disk-a', 'disk-f', ...]
@@ -87,6 +88,7 @@
   all: DiskRecord[],
   copies: number,
   shardCount: number = SHARD.shardCount,
+  tolerance?: FaultTolerance,
 ): Map<number, string[]> {
   const quick = quickOf(all);
   const disks = copyDisks(all, quick);
@@ -97,19 +99,18 @@
   const out = new Map<number, string[]>();
   for (let s = 0; s < shardCount; s++) {
     const left = rendezvousOrder(`copy/${s}`, disks, (d) => d.id);
-    const used = new Map<string, number>();
+    const spread = new Spread(n, tolerance);
     const got: string[] = [];
     while (got.length < n) {
       // The spread over domains goes first: it bears the loss of a site, evenness only saves work.
-      const least = Math.min(...left.map((d) => used.get(d.domain) ?? 0));
-      const near = left.filter((d) => (used.get(d.domain) ?? 0) === least);
+      const near = spread.leastCrowded(left);
       // A majority on quick disks answers without waiting for the slow ones; the others bear the losses.
       const wantQuick = got.filter((x) => quick.has(x)).length < most;
       const some = near.filter((d) => quick.has(d.id) === wantQuick);
       const pool = some.length ? some : near;
       const d = pool.find((x) => quick.has(x.id) || (weight.get(x.id) ?? 0) < cap) ?? pool[0]!;
       left.splice(left.indexOf(d), 1);
-      used.set(d.domain, least + 1);
+      spread.add(d);
       weight.set(d.id, (weight.get(d.id) ?? 0) + 1);
       got.push(d.id);
     }
@@ -152,8 +153,9 @@
   c: FleetConfig,
   active: DiskRecord[],
   copies: number = SHARD.replicaCount,
+  tolerance?: FaultTolerance,
 ): Map<number, string[]> {
-  const out = matchCopies(active, c.copies ?? copies);
+  const out = matchCopies(active, c.copies ?? copies, SHARD.shardCount, tolerance);
   const at = new Map(active.map((d) => [d.peer, d.id]));
   for (const p of c.placement ?? []) {
     const found = p.nodes.map((n) => at.get(n)).filter((d) => d !== undefined);
--- a/packages/control/src/reconcile/controller.ts
+++ b/packages/control/src/reconcile/controller.ts
@@ -8,6 +8,7 @@
   type Kernel,
 } from '@harecross/kernel';
 import type { MembershipTable } from '../membership/membership-table.js';
+import { DurabilityPlanner } from './durability-planner.js';
 import { ForgetPlanner } from './forget-planner.js';
 import { planDepartures } from './plan-departures.js';
 import { planDisks } from './plan-disks.js';
@@ -61,9 +62,18 @@
     private register: ConsensusRegister,
   ) {
     const { clock, random } = kernel.host;
+    const durability = new DurabilityPlanner(kernel);
     const forgetting = new ForgetPlanner(kernel, membership);
     // Forgetting comes last of all: it frees room, and nothing waits for it.
-    this.planners = [planDisks, planDepartures, planVoters, planMoves, planReplicas, (value) => forgetting.step(value)];
+    this.planners = [
+      planDisks,
+      planDepartures,
+      (value) => durability.step(value),
+      planVoters,
+      planMoves,
+      planReplicas,
+      (value) => forgetting.step(value),
+    ];
     kernel.addSubscription(runPeriodically(clock, PLACEMENT.controllerMs, random, () => this.reconcile()));
     // A loss or a new machine is looked at when it is heard of, and a disk again once it may join.
     kernel.addSubscription(
--- a/packages/control/src/reconcile/plan-disks.ts
+++ b/packages/control/src/reconcile/plan-disks.ts
@@ -26,6 +26,7 @@
         id: member.disk,
         peer: member.peer,
         domain: member.domain,
+        region: member.region,
         state: stateOnJoining(member),
         uses: member.diskUses,
         name: member.name,
@@ -40,8 +41,11 @@
       }
     } else if (known.peer !== member.peer || known.domain !== member.domain || known.state === 'lost') {
       const state = known.state === 'lost' ? stateOnJoining(member) : known.state;
-      disks.set(known.id, { ...known, peer: member.peer, domain: member.domain, state });
+      disks.set(known.id, { ...known, peer: member.peer, domain: member.domain, region: member.region, state });
       said.push(`disk ${known.id} is back at ${member.peer}`);
+    } else if (known.region !== member.region) {
+      disks.set(known.id, { ...known, region: member.region });
+      said.push(`disk ${known.id} is in region ${member.region}`);
     }
   }
 }
--- a/packages/control/src/reconcile/plan-replicas.ts
+++ b/packages/control/src/reconcile/plan-replicas.ts
@@ -21,7 +21,7 @@
 export function planReplicas(value: FleetValue, fleet: FleetView): Step | undefined {
   const active = [...value.disks.values()].filter((disk) => disk.state === 'active' && isUsedFor(disk, 'copies'));
   if (!active.length) return undefined;
-  const targets = targetsOf(value.config, active, value.copies);
+  const targets = targetsOf(value.config, active, value.copies, value.tolerance);
   const planner = new ReplicaPlanner(value, fleet);
   const shards = new Map(value.shards);
   let steps = 0;
--- a/packages/control/src/reconcile/plan-voters.ts
+++ b/packages/control/src/reconcile/plan-voters.ts
@@ -1,6 +1,7 @@
 /** Keeps as many voters as are wanted, on disks that are active: a lost or leaving one is replaced in one step. */
 import { REGISTER, rendezvousOrder } from '@harecross/kernel';
 import { awaitsSuccessor } from '../placement/placement.js';
+import { Spread } from '../placement/spread.js';
 import { hasSameUses } from '../value/fleet-queries.js';
 import { liveMember, type FleetView, type Step } from './planner.js';
 import { isStaying, joinedLater } from './successor.js';
@@ -17,7 +18,7 @@
   const bad = value.voters.filter((disk) => value.disks.get(disk)?.state !== 'active');
   const goodCount = value.voters.length - bad.length;
   const wanted = votersWanted(value);
-  const candidate = goodCount < wanted ? candidateFor(value, fleet) : undefined;
+  const candidate = goodCount < wanted ? candidatesFor(value, fleet, spreadOf(value))[0] : undefined;
   if (candidate && bad.length > 0 && value.voters.length <= wanted) {
     const gone = bad[0]!;
     const voters = value.voters.map((disk) => (disk === gone ? candidate.id : disk));
@@ -30,7 +31,7 @@
   const voters = value.voters.filter((disk) => disk !== drop);
   if (drop !== undefined && majorityLive(fleet, voters))
     return { next: { ...value, voters }, why: `vote of ${drop} is given up` };
-  return settle(value) ?? moveToLaterDisk(value, fleet, bad);
+  return settle(value) ?? moveToLaterDisk(value, fleet, bad) ?? spreadVoters(value, fleet, bad);
 }
 
 /**
@@ -60,6 +61,32 @@
     .at(-1);
 }
 
+/** A vote leaves a failure domain or region that has more of them than may be lost with it: the first voters are the seeds, wherever they are. */
+function spreadVoters(value: FleetValue, fleet: FleetView, bad: string[]): Step | undefined {
+  if (bad.length) return undefined;
+  const crowding = value.voters.filter((voter) => spreadOf(value).exceeds(value.disks.get(voter)!));
+  for (const voter of crowding) {
+    const spread = spreadOf(value);
+    spread.remove(value.disks.get(voter)!);
+    const candidate = candidatesFor(value, fleet, spread)[0];
+    if (!candidate || !spread.fits(candidate)) continue;
+    const voters = value.voters.map((disk) => (disk === voter ? candidate.id : disk));
+    if (majorityLive(fleet, voters))
+      return { next: { ...value, voters }, why: `vote of ${voter} goes to ${candidate.id}` };
+  }
+  return undefined;
+}
+
+/** How the voters on active disks are spread. */
+function spreadOf(value: FleetValue): Spread {
+  const spread = new Spread(value.votersWanted ?? REGISTER.voterCount, value.tolerance);
+  for (const voter of value.voters) {
+    const disk = value.disks.get(voter);
+    if (disk?.state === 'active') spread.add(disk);
+  }
+  return spread;
+}
+
 /** Odd, so that one more voter never costs a larger majority without bearing one more loss. */
 function votersWanted(value: FleetValue): number {
   const able = [...value.disks.values()].filter((disk) => disk.state === 'active' && isUsedFor(disk, 'seat')).length;
@@ -71,23 +98,19 @@
   return voters.filter((disk) => liveMember(fleet, disk)).length * 2 > voters.length;
 }
 
-function candidateFor(value: FleetValue, fleet: FleetView): DiskRecord | undefined {
+/** Disks that may become voters, the best first. */
+function candidatesFor(value: FleetValue, fleet: FleetView, spread: Spread): DiskRecord[] {
   const able = [...value.disks.values()].filter(
-    (disk) =>
-      disk.state === 'active' &&
-      isUsedFor(disk, 'seat') &&
-      liveMember(fleet, disk.id) !== undefined &&
-      !value.voters.includes(disk.id),
+    (disk) => isUsedFor(disk, 'seat') && isStaying(fleet, disk) && !value.voters.includes(disk.id),
   );
-  const votersIn = (domain: string): number =>
-    value.voters.filter((disk) => value.disks.get(disk)?.domain === domain && value.disks.get(disk)?.state === 'active')
-      .length;
   // Disks that are for nothing else first: voters are asked by every node, and copies have work of their own.
   return rendezvousOrder(VOTER_HASH_KEY, able, (disk) => disk.id).sort(
     (one, other) =>
+      Number(spread.fits(other)) - Number(spread.fits(one)) ||
       Number(isPrimarilyFor(one, 'copies')) - Number(isPrimarilyFor(other, 'copies')) ||
-      votersIn(one.domain) - votersIn(other.domain),
-  )[0];
+      spread.regionalMembers(one) - spread.regionalMembers(other) ||
+      spread.membersIn(one) - spread.membersIn(other),
+  );
 }
 
 /** A voter to be given up without another in its place; none while the place of a lost one is kept for it. */
--- a/packages/control/src/reconcile/successor.ts
+++ b/packages/control/src/reconcile/successor.ts
@@ -1,5 +1,6 @@
 /** Finds the disk that is there in the place of another: where a machine is replaced by plan, the new one comes before the old one goes. */
 import { REGISTER, SHARD } from '@harecross/kernel';
+import { roomFor } from '../placement/spread.js';
 import type { MembershipTable } from '../membership/membership-table.js';
 import { hasSameUses, holdsNothing, replicaCountOn } from '../value/fleet-queries.js';
 import { isUsedFor, type DiskRecord, type FleetValue } from '../value/fleet-value.js';
@@ -52,10 +53,12 @@
     (other) => other.id !== disk.id && other.state === 'active' && !isStopping(view, other),
   );
   if (replicaCountOn(value, disk.id) > 0) {
+    const wanted = value.config.copies ?? value.copies ?? SHARD.replicaCount;
     const forReplicas = others.filter((other) => hasSameUses(other, disk));
-    if (forReplicas.length < (value.config.copies ?? value.copies ?? SHARD.replicaCount)) return false;
+    if (roomFor(wanted, forReplicas, value.tolerance) < wanted) return false;
   }
   if (!value.voters.includes(disk.id)) return true;
+  const wanted = Math.min(value.votersWanted ?? REGISTER.voterCount, value.voters.length);
   const forVotes = others.filter((other) => isUsedFor(other, 'seat'));
-  return forVotes.length >= Math.min(value.votersWanted ?? REGISTER.voterCount, value.voters.length);
+  return roomFor(wanted, forVotes, value.tolerance) >= wanted;
 }
--- a/packages/control/src/value/fleet-queries.ts
+++ b/packages/control/src/value/fleet-queries.ts
@@ -5,6 +5,7 @@
 import { SHARD } from '@harecross/kernel';
 import type { Move } from '@harecross/schema';
 import type { MembershipTable } from '../membership/membership-table.js';
+import { shortfallOf } from '../placement/durability.js';
 import { copiesFor, copyDisks, quickOf } from '../placement/placement.js';
 import { moveKey, isUsedFor, type DiskRecord, type FleetValue } from './fleet-value.js';
 
@@ -77,5 +78,11 @@
   const now = copiesFor(v.config.copies ?? v.copies ?? SHARD.replicaCount, active.length);
   const left = active.filter((d) => d.id !== disk.id && live(d.id));
   if (left.length < now) return `${left.length} active live disks would be left for ${now} copies`;
-  return undefined;
+  const usable = [...v.disks.values()].filter((d) => d.state === 'active');
+  // What is short already may be for want of another machine: this one does not make it so.
+  if (shortfallOf(v, usable) !== undefined) return undefined;
+  return shortfallOf(
+    v,
+    usable.filter((d) => d.id !== disk.id),
+  );
 }
--- a/packages/control/src/value/fleet-value.ts
+++ b/packages/control/src/value/fleet-value.ts
@@ -1,5 +1,5 @@
 /** The one value that the fleet agrees on, and the records in it. */
-import type { DiskUse } from '@harecross/kernel';
+import type { DiskUse, FaultTolerance } from '@harecross/kernel';
 import type { FleetConfig, Move } from '@harecross/schema';
 import { incarnationsAfter, type TopicIncarnations } from './topic-incarnations.js';
 import { withRevision, type RevisionOrder, type RevisionOutcomes } from './revision-outcomes.js';
@@ -14,6 +14,7 @@
   id: string;
   peer: string;
   domain: string;
+  region?: string;
   state: DiskState;
   uses?: DiskUse[];
   name?: string;
@@ -77,10 +78,12 @@
   voters: string[];
   previousVoters: string[];
   shards: Map<number, Placement>;
-  /** Copies of a shard where the configuration says nothing: as many as bear the losses that the founder was told. */
+  /** Replicas of a shard where the configuration says nothing: as many as bear the tolerance. */
   copies: number;
-  /** Seats wanted, likewise: as many as bear those losses. Unknown in a value of before there was a choice. */
+  /** Voters wanted, likewise. Unknown in a value of before there was a choice. */
   votersWanted?: number;
+  /** What the fleet bears. Unknown in a value of before it was kept, and where the processes are told none. */
+  tolerance?: FaultTolerance;
   /** First outcomes by change id, the oldest first; REGISTER.changeIdLimit at most. */
   changes: Map<string, ChangeOutcomeRecord>;
   /** The version told by the newest outcome that was forgotten: nothing is known of a change id that expects no more than this. */
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -306,9 +306,14 @@
   changeIdLimit: 4_096,
   /** Founders look around this long for other disks before they found. */
   bootstrapAfterMs: 1_200,
-  /** ... and for as many as a shard needs copies up to this long; later ones join one step at a time. */
+  /**
+   * ... and for as many as a shard needs replicas up to this long; later ones join one step at a time. Where the config says what is to
+   * be borne, the fleet is not founded before it is, and after this long that is reported.
+   */
   bootstrapAnywayMs: 4_000,
   bootstrapEveryMs: 500,
+  /** While the disks that are there can't bear what is asked for, that is said this often. */
+  bootstrapReportMs: 10_000,
 } as const;
 
 /** Which disks vote and hold copies: joining, replacement, planned moves. */
--- a/packages/kernel/src/host.ts
+++ b/packages/kernel/src/host.ts
@@ -66,10 +66,16 @@
   /** What the disk is for, in order; copies, then a seat where left out, but a control node's is for a seat only. */
   diskUses?: DiskUse[];
   /**
-   * Machines with a disk that may be lost at once while nothing is lost: sets the copies of a shard where the
-   * configuration doesn't.
+   * Machines with a disk that may be lost at once while nothing is lost: sets the replicas of a shard where the
+   * configuration doesn't, and the voters.
    */
   losses?: number;
+  /** Failure domains that may be lost at once instead, with all machines in them. */
+  domainLosses?: number;
+  /** Regions that may be lost at once instead, with all machines in them. */
+  regionLosses?: number;
+  /** The region of each failure domain of the deployment; needed where domains or regions may be lost. */
+  domains?: Record<string, string>;
   /** A change of configuration is in force within this time (ms) after it was acknowledged, or the node silent. */
   applyMs?: number;
   /** Whether this is the very first start of the whole fleet; false forbids founding. Unknown where left out. */
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,5 +1,6 @@
 export * from './constants.js';
 export * from './fault.js';
+export * from './fault-tolerance.js';
 export * from './host.js';
 export * from './flow.js';
 export * from './disk.js';
--- a/packages/kernel/src/node-config.ts
+++ b/packages/kernel/src/node-config.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import Type from 'typebox';
 import { Compile } from 'typebox/compile';
+import { faultInTolerance } from './fault-tolerance.js';
 import type { DiskUse, NodeConfig, Role } from './host.js';
 
 const Address = Type.String({ pattern: '^\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}$' });
@@ -19,6 +20,9 @@
       Type.Array(Type.Union([Type.Literal('seat'), Type.Literal('copies')]), { minItems: 1, uniqueItems: true }),
     ),
     losses: Type.Optional(Type.Integer({ minimum: 0, maximum: 4 })),
+    domainLosses: Type.Optional(Type.Integer({ minimum: 0, maximum: 4 })),
+    regionLosses: Type.Optional(Type.Integer({ minimum: 0, maximum: 4 })),
+    domains: Type.Optional(Type.Record(Type.String({ minLength: 1 }), Type.String({ minLength: 1 }))),
     applyMs: Type.Optional(Type.Number({ minimum: 500, maximum: 600_000 })),
     pingS: Type.Optional(Type.Number({ minimum: 0.2, maximum: 60 })),
     firstStart: Type.Optional(Type.Boolean()),
@@ -61,7 +65,7 @@
     if (Number(port) < 1 || Number(port) > 65535) return `${k}: port ${port} is out of range 1..65535`;
   }
   if (c.peer === c.client) return 'peer and client: must be two different addresses';
-  return undefined;
+  return faultInTolerance(c);
 }
 
 /**
--- /dev/null
+++ b/packages/trial/src/test/fault-tolerance.test.ts
@@ -0,0 +1,314 @@
+/** Failure domains and regions that may be lost at once: how many replicas and voters that takes, where they are, and what is refused. */
+import {
+  faultInTolerance,
+  roomUnder,
+  setSizeFor,
+  spreadLimits,
+  type FaultTolerance,
+  type NodeConfig,
+} from '@harecross/kernel';
+import { matchCopies, roomFor, type DiskRecord } from '@harecross/control';
+import { Sim, type SimNode } from '../sim.js';
+import test from 'ava';
+import fc from 'fast-check';
+import { controlFleet, copiesAt, diskOf, seatsOf, type ControlFleet } from './control-fleet.js';
+import { FAMILIES } from './small-fleet.js';
+
+/** The sites' `sync_s`: a machine that is back counts as lost until this long after. */
+const SYNC_MS = 4_000;
+/** The sites' `recovery_s`: what was accepted is served this long after a loss. */
+const RECOVERY_MS = 12_000;
+/** Longer than a silent disk keeps its place. */
+const LONG_AWAY_MS = 50_000;
+
+const SEED = 20261204;
+const topics = Array.from({ length: 40 }, (_, i) => `feed/${i}`);
+const THREE_ZONES = { a: 'r', b: 'r', c: 'r' };
+const THREE_REGIONS = { a1: 'a', a2: 'a', b1: 'b', b2: 'b', c1: 'c', c2: 'c' };
+
+/** Publishes to every topic; the offset tells whether everything accepted before is there. */
+async function publishAll(fleet: ControlFleet, relay: SimNode, seq: number): Promise<string[]> {
+  const faults: string[] = [];
+  for (const topic of topics) {
+    const answer = await fleet.ask(relay, 'Publish', { sender: 'desk', topic, seq, body: `message ${seq}` });
+    if (answer.body?.accepted?.offset !== seq) faults.push(`${topic}: ${JSON.stringify(answer.body)}`);
+  }
+  return faults;
+}
+
+const submit = (fleet: ControlFleet, node: SimNode, revision: number) =>
+  fleet.ask(node, 'SubmitConfig', { revision, document: { n: revision }, config: { families: FAMILIES } });
+
+const machinesIn = (fleet: ControlFleet, domains: string[]): SimNode[] =>
+  [...fleet.sim.nodes.values()].filter((node) => domains.includes(node.config.domain));
+
+const outside = (nodes: SimNode[], domains: string[]): SimNode =>
+  nodes.find((node) => !domains.includes(node.config.domain))!;
+
+/** What callers miss while these failure domains are lost. */
+async function missedWithout(fleet: ControlFleet, domains: string[], seq: number, revision: number): Promise<string[]> {
+  const control = outside(fleet.controls, domains);
+  const relay = outside(fleet.relays, domains);
+  const faults = await publishAll(fleet, relay, seq);
+  const read = await fleet.ask(control, 'ReadConfig', {});
+  if (read.body?.revision !== revision) faults.push(`read back: ${JSON.stringify(read.body)}`);
+  const order = await submit(fleet, control, revision + 1);
+  if (order.status !== 200) faults.push(`order: ${order.status}`);
+  return faults;
+}
+
+// Guards against a deployment that tolerates the loss of a zone acknowledging messages with their only copy in that zone.
+for (const lost of ['a', 'b', 'c'])
+  for (const losses of [0, 1])
+    test(`zone ${lost} of three is lost, as the settings allow, beside ${losses} machines: nothing acknowledged is gone`, async (t) => {
+      const spread = { domainLosses: 1, regionLosses: 0, domains: THREE_ZONES };
+      const fleet = await controlFleet(81 + losses, { losses, spread });
+      t.deepEqual(await publishAll(fleet, fleet.relays[0]!, 1), []);
+      t.is((await submit(fleet, fleet.controls[0]!, 2)).status, 200);
+      for (const node of machinesIn(fleet, [lost])) fleet.sim.loseDisk(node);
+      await fleet.pass(RECOVERY_MS);
+      t.deepEqual(await missedWithout(fleet, [lost], 2, 2), []);
+      fleet.sim.close();
+    });
+
+// Guards against votes and replicas that are spread over zones which lie in one region.
+for (const lost of ['a', 'b', 'c'])
+  test(`region ${lost} of three is lost, as the settings allow: nothing acknowledged is gone`, async (t) => {
+    const spread = { domainLosses: 0, regionLosses: 1, domains: THREE_REGIONS };
+    // The seeds, which are the first voters, are in a1, a2 and b1.
+    const fleet = await controlFleet(83, { losses: 0, controls: 6, stores: 6, relays: 6, spread });
+    t.deepEqual(await publishAll(fleet, fleet.relays[0]!, 1), []);
+    t.is((await submit(fleet, fleet.controls[0]!, 2)).status, 200);
+    const domains = [`${lost}1`, `${lost}2`];
+    for (const node of machinesIn(fleet, domains)) fleet.sim.loseDisk(node);
+    await fleet.pass(RECOVERY_MS);
+    t.deepEqual(await missedWithout(fleet, domains, 2, 2), []);
+    fleet.sim.close();
+  });
+
+// Guards against sets that stay crowded in the zones that were left after a long loss, so that the next lost zone takes a majority.
+test('a zone is away for long and comes back: after sync_s another zone may be lost', async (t) => {
+  const spread = { domainLosses: 1, regionLosses: 0, domains: THREE_ZONES };
+  for (const seed of [84, 85]) {
+    const fleet = await controlFleet(seed, { losses: 0, controls: 6, stores: 6, spread });
+    t.deepEqual(await publishAll(fleet, fleet.relays[0]!, 1), []);
+    const away = machinesIn(fleet, ['c']);
+    for (const node of away) fleet.sim.kill(node);
+    await fleet.pass(LONG_AWAY_MS);
+    t.deepEqual(await publishAll(fleet, fleet.relays[0]!, 2), [], `seed ${seed}`);
+    for (const node of away) void fleet.sim.start(node);
+    await fleet.pass(SYNC_MS);
+    for (const node of machinesIn(fleet, ['a'])) fleet.sim.loseDisk(node);
+    await fleet.pass(RECOVERY_MS);
+    t.deepEqual(await missedWithout(fleet, ['a'], 3, 1), [], `seed ${seed}`);
+    fleet.sim.close();
+  }
+});
+
+test('votes and replicas are within the limits of each tolerance', async (t) => {
+  const cases: [FaultTolerance, Record<string, string>, number][] = [
+    [{ machines: 0, domains: 1, regions: 0 }, THREE_ZONES, 3],
+    [{ machines: 2, domains: 1, regions: 0 }, THREE_ZONES, 6],
+    [{ machines: 1, domains: 1, regions: 1 }, THREE_REGIONS, 6],
+    [{ machines: 0, domains: 2, regions: 0 }, { a: 'r', b: 'r', c: 'r', d: 'r', e: 'r' }, 5],
+  ];
+  for (const [{ machines, domains: domainLosses, regions: regionLosses }, domains, count] of cases) {
+    const spread = { domainLosses, regionLosses, domains };
+    const fleet = await controlFleet(86, { losses: machines, controls: count, stores: count, spread });
+    await fleet.pass(SYNC_MS);
+    const value = fleet.controls[0]!.kernel!.use('register').value!;
+    const name = JSON.stringify(spread);
+    t.is(value.voters.length, value.votersWanted!, name);
+    for (const set of [seatsOf(fleet.controls[0]!), ...copiesAt(fleet.controls[0]!)]) {
+      const disks = set.map((disk) => value.disks.get(disk)!);
+      t.true(set.length >= value.copies, name);
+      t.is(
+        roomFor(set.length, disks, value.tolerance),
+        set.length,
+        `${name}: ${disks.map((disk) => disk.domain).join()}`,
+      );
+    }
+    fleet.sim.close();
+  }
+});
+
+/** A fleet whose machines start together and of which it is not expected that it is founded. */
+async function startTogether(count: { controls: number; stores: number }, config: Partial<NodeConfig>): Promise<Sim> {
+  const sim = new Sim(87, { delayMs: [0.5, 2] });
+  const add = (role: 'control' | 'store', i: number): void => {
+    const node = sim.add(`${role}${i}`, { role, domain: 'abc'[i % 3]!, disk: true });
+    Object.assign(node.config, config, {
+      diskUses: role === 'store' ? ['copies', 'seat'] : ['seat'],
+      firstStart: true,
+    });
+  };
+  for (let i = 0; i < count.controls; i++) add('control', i);
+  for (let i = 0; i < count.stores; i++) add('store', i);
+  const seeds = [...sim.nodes.values()].slice(0, 3).map((node) => node.config.peer);
+  for (const node of sim.nodes.values()) {
+    node.config.seeds = seeds;
+    void sim.start(node);
+  }
+  await sim.run(10_000);
+  return sim;
+}
+
+const isFounded = (sim: Sim): boolean =>
+  [...sim.nodes.values()].some((node) => node.kernel!.use('register').value !== undefined);
+
+// Guards against a fleet that is founded with fewer copies than bear what the settings promise.
+test('with too few disks for what is to be borne the fleet is not founded, and says why; with the missing one it is', async (t) => {
+  const sim = await startTogether({ controls: 3, stores: 2 }, { losses: 1 });
+  t.false(isFounded(sim));
+  const said = sim.lines.filter((line) => line.includes('cannot found the fleet'));
+  t.is(said.length, 1);
+  t.regex(said[0]!, /replicas: to bear the loss of 1 machines, .* 3 disks are needed, .* the 2 there have room for 2/);
+  const third = sim.add('store2', { role: 'store', domain: 'c', disk: true });
+  const { seeds } = sim.get('store1').config;
+  Object.assign(third.config, { losses: 1, diskUses: ['copies', 'seat'], seeds });
+  void sim.start(third);
+  await sim.run(sim.now + 3_000);
+  t.true(isFounded(sim));
+  t.true(copiesAt(sim.get('control0')).every((copies) => copies.length === 3));
+  sim.close();
+});
+
+test('where all stores are in two of three zones the loss of a zone is not promised', async (t) => {
+  const spread = { domainLosses: 1, regionLosses: 0, domains: THREE_ZONES };
+  const sim = await startTogether({ controls: 3, stores: 2 }, { losses: 0, ...spread });
+  t.false(isFounded(sim));
+  t.true(sim.lines.some((line) => line.includes('cannot found the fleet: replicas: to bear')));
+  sim.close();
+});
+
+test('a store without which the replicas could not be spread is not emptied', async (t) => {
+  const spread = { domainLosses: 1, regionLosses: 0, domains: THREE_ZONES };
+  const fleet = await controlFleet(88, { losses: 0, stores: 4, spread });
+  const [first, second] = fleet.stores as [SimNode, SimNode];
+  const refused = await fleet.ask(fleet.controls[0]!, 'EmptyDisk', { disk: diskOf(second) });
+  t.is(refused.status, 409);
+  t.regex(JSON.stringify(refused.body), /replicas: to bear the loss of/);
+  t.is((await fleet.ask(fleet.controls[0]!, 'EmptyDisk', { disk: diskOf(first) })).status, 200, 'zone a has another');
+  fleet.sim.close();
+});
+
+// Guards against settings that promise more after a change while the fleet goes on with what it was founded with.
+test('the settings are raised while the fleet runs: it follows once its disks have room, and says so until then', async (t) => {
+  const fleet = await controlFleet(89, { losses: 0 });
+  const control = fleet.controls[0]!;
+  t.true(copiesAt(control).every((copies) => copies.length === 1));
+  const change = async (config: Partial<NodeConfig>): Promise<void> => {
+    for (const node of fleet.sim.nodes.values()) Object.assign(node.config, config);
+    await fleet.pass(SYNC_MS);
+  };
+  await change({ losses: 2 });
+  t.true(copiesAt(control).every((copies) => copies.length === 1));
+  t.true(fleet.sim.lines.some((line) => line.includes('does not bear what its settings ask for: replicas: to bear')));
+  await change({ losses: 1 });
+  t.true(copiesAt(control).every((copies) => copies.length === 3));
+  t.deepEqual(await publishAll(fleet, fleet.relays[0]!, 1), []);
+  for (const store of fleet.stores.slice(0, 1)) fleet.sim.loseDisk(store);
+  await fleet.pass(SYNC_MS);
+  t.deepEqual(await publishAll(fleet, fleet.relays[0]!, 2), []);
+  fleet.sim.close();
+});
+
+test('what no spread can bear is told before a process starts, and what one can is not', (t) => {
+  const config: NodeConfig = {
+    role: 'store',
+    domain: 'a',
+    peer: '10.0.0.1:7100',
+    client: '10.0.0.1:7000',
+    seeds: ['10.0.0.1:7100'],
+    data: 'data',
+    losses: 1,
+  };
+  const told = (more: Partial<NodeConfig>): string | undefined => faultInTolerance({ ...config, ...more });
+  t.is(told({}), undefined);
+  t.is(told({ domainLosses: 0, regionLosses: 0 }), undefined);
+  t.is(told({ domainLosses: 1, domains: THREE_ZONES }), undefined);
+  t.regex(told({ domainLosses: 1 })!, /^domains: missing/);
+  t.regex(told({ losses: undefined, regionLosses: 1, domains: THREE_REGIONS })!, /^losses: missing/);
+  t.regex(told({ domainLosses: 1, domains: { b: 'r', c: 'r', d: 'r' } })!, /^domain: 'a' is not among domains/);
+  t.regex(
+    told({ domainLosses: 1, domains: { a: 'r', b: 'r' } })!,
+    /^domainLosses: the loss of 1 failure domain is borne with 3 of them or more, and there are 2/,
+  );
+  t.regex(
+    told({ domainLosses: 2, domains: { a: 'r', b: 'r', c: 'r', d: 'r' } })!,
+    /^domainLosses: the loss of 2 failure domains is borne with 5/,
+  );
+  t.regex(
+    told({ regionLosses: 1, domains: THREE_ZONES })!,
+    /^regionLosses: the loss of 1 region is borne with 3 of them or more, and there are 1/,
+  );
+  t.regex(
+    told({ domainLosses: 2, regionLosses: 1, domains: { a: 'r', b: 'r', c: 'r', d: 's', e: 'u' } })!,
+    /^domainLosses and regionLosses: no spread/,
+  );
+});
+
+/** All ways to lose so many of the places. */
+function losses<T>(places: T[], count: number): T[][] {
+  if (count === 0) return [[]];
+  return places.flatMap((place, i) => losses(places.slice(i + 1), count - 1).map((others) => [place, ...others]));
+}
+
+test('whatever the zones and the tolerance: a set of that size outlives each loss', (t) => {
+  const layout = fc.array(fc.integer({ min: 1, max: 4 }), { minLength: 1, maxLength: 6 });
+  const tolerance = fc.record({
+    machines: fc.integer({ min: 0, max: 4 }),
+    domains: fc.integer({ min: 0, max: 2 }),
+    regions: fc.integer({ min: 0, max: 2 }),
+  });
+  t.notThrows(() =>
+    fc.assert(
+      fc.property(layout, tolerance, (zonesOf, bears) => {
+        const domains = Object.fromEntries(
+          zonesOf.flatMap((zones, region) =>
+            Array.from({ length: zones }, (_, i) => [`z${region}.${i}`, `r${region}`]),
+          ),
+        );
+        const size = setSizeFor(bears, domains);
+        if (size === undefined) return;
+        const disks: DiskRecord[] = Object.entries(domains).flatMap(([domain, region]) =>
+          Array.from({ length: size }, (_, i) => ({
+            id: `${domain}/${i}`,
+            peer: `${domain}/${i}`,
+            domain,
+            region,
+            state: 'active' as const,
+          })),
+        );
+        const byId = new Map(disks.map((disk) => [disk.id, disk]));
+        for (const copies of matchCopies(disks, size, 8, bears).values()) {
+          const set = copies.map((id) => byId.get(id)!);
+          const outlives = (isLost: (disk: DiskRecord) => boolean): boolean =>
+            set.filter((disk) => !isLost(disk)).length * 2 > set.length;
+          const regions = [...new Set(Object.values(domains))];
+          const borne =
+            set.length >= 2 * bears.machines + 1 &&
+            losses(Object.keys(domains), bears.domains).every((lost) =>
+              outlives((disk) => lost.includes(disk.domain)),
+            ) &&
+            losses(regions, bears.regions).every((lost) => outlives((disk) => lost.includes(disk.region!)));
+          if (!borne) throw new Error(`${set.map((disk) => disk.domain).join()}`);
+        }
+      }),
+      { seed: SEED, numRuns: 300 },
+    ),
+  );
+});
+
+test('room and limits', (t) => {
+  t.deepEqual(spreadLimits(3, undefined), { perDomain: Infinity, perRegion: Infinity });
+  t.deepEqual(spreadLimits(7, { machines: 0, domains: 2, regions: 1 }), { perDomain: 1, perRegion: 3 });
+  const places = [
+    { domain: 'a', region: 'r', count: 3 },
+    { domain: 'b', region: 'r', count: 3 },
+    { domain: 'c', region: 's', count: 1 },
+  ];
+  t.is(roomUnder(places, { perDomain: Infinity, perRegion: Infinity }), 7);
+  t.is(roomUnder(places, { perDomain: 2, perRegion: Infinity }), 5);
+  t.is(roomUnder(places, { perDomain: 2, perRegion: 3 }), 4);
+});
--- a/packages/trial/src/test/platform-boot.test.ts
+++ b/packages/trial/src/test/platform-boot.test.ts
@@ -154,9 +154,39 @@
   ]);
   t.deepEqual(changed({ initial_start: false, loss_counted: false }), ['firstStart']);
   t.deepEqual(changed({ fault_tolerance: { machine_losses: 2 } }), ['losses']);
+  t.deepEqual(changed({ fault_tolerance: { machine_losses: 1, zones: 1, regions: 0 } }), [
+    'domainLosses',
+    'regionLosses',
+    'domains',
+  ]);
   t.deepEqual(changed({ limits: { ...SHOWN.limits, memory_mb: 100 } }), []);
 });
 
+// Guards against a tolerance of zones or regions that is read from the settings by nobody.
+test('zones and regions that may be lost are in the config, with the region of each zone; what no zones bear is refused', (t) => {
+  const boot = booted(t);
+  const zones = { [SHOWN.zone]: 'east', second: 'west', third: 'north' };
+  const tolerance = (machine_losses: number, z: number, r: number): object => ({
+    fault_tolerance: { machine_losses, zones: z, regions: r },
+  });
+  const config = boot({ ...SHOWN, zones, ...tolerance(0, 1, 1) }) as Record<string, unknown>;
+  t.is(config.losses, 0);
+  t.is(config.domainLosses, 1);
+  t.is(config.regionLosses, 1);
+  t.deepEqual(config.domains, zones);
+  const refused: [object, RegExp][] = [
+    [tolerance(0, 2, 0), /^settings: domainLosses: .* 5 of them or more, and there are 3$/],
+    [tolerance(0, 0, 2), /^settings: regionLosses: .* 5 of them or more, and there are 3$/],
+    [{ ...tolerance(1, 0, 1), zones: { [SHOWN.zone]: 'east' } }, /^settings: regionLosses: .* there are 1$/],
+    [{ ...tolerance(1, 1, 0), zones: { other: 'east' } }, /^settings: domain: 'fatick-hall' is not among domains$/],
+    [{ ...tolerance(1, 1, 0), zones: undefined }, /^settings: domains: missing/],
+    [tolerance(1, 9, 0), /^settings: domainLosses: /],
+    [tolerance(1, 0.5, 0), /^settings: \/fault_tolerance\/zones: must be integer/],
+    [tolerance(1, 0, -1), /^settings: \/fault_tolerance\/regions: /],
+  ];
+  for (const [more, why] of refused) t.regex(boot({ ...SHOWN, zones, ...more }) as string, why);
+});
+
 test('seeds: fewer than three, the same twice, more than three', (t) => {
   const boot = booted(t);
   const seeds = (...a: string[]): unknown => (boot({ ...SHOWN, seed_nodes: a }) as { seeds: string[] }).seeds;
