A seed that is started again during the first start may still found the fleet

What callers saw: the first seed's control process was killed 0.3 s after it was up and started again with initial_start false, as every process is that is started again. For 60 s no order was acknowledged and every relay stayed unready; by reading, for good.

Cause: only the first seed's process could found the fleet, and only while its own settings called the start the first one.

Why it works: a disk keeps the seeds of the first start, so the process may found the fleet with those seeds whatever its settings say by then; the first of the three seeds that may does it. Founding needs the acceptance of all three disks, so one of them that is whole and has accepted nothing proves that there is no fleet. An emptied disk has no right, and a disk that was no seed never has one.

--- a/packages/control/src/consensus/acceptor.ts
+++ b/packages/control/src/consensus/acceptor.ts
@@ -39,7 +39,6 @@
     kernel.on('RegPrepare', (b: { disk: string; ballot: string }) => this.prepare(b));
     kernel.on('RegAccept', (b: AcceptRequest) => this.accept(b));
     kernel.on('RegRead', (b: { disk: string }) => this.voterState(b));
-    kernel.on('RegWho', () => ({ disk, fleet: store.get('fleet') }));
   }
 
   private mustBeOurs(disk: string, step: string): void {
--- a/packages/control/src/consensus/bootstrap.ts
+++ b/packages/control/src/consensus/bootstrap.ts
@@ -6,21 +6,24 @@
 import { isUsedFor, type DiskRecord, type FleetValue, type Placement } from '../value/fleet-value.js';
 import { deserializeValue, serializeValue } from '../value/value-text.js';
 import type { Accepted, BallotSource, Prepared } from './ballots.js';
+import type { FoundingRight } from './founding-right.js';
 
 /** Fleet ids are random numbers below this. */
 const FLEET_ID_RANGE = 2 ** 48;
 const FLEET_ID_RADIX = 36;
 
-/** A seed's answer to `RegWho`: its disk, and the fleet that the disk belongs to, if any. */
+/** A seed's answer to `RegWho`: its disk, the fleet that the disk belongs to, if any, and whether it may found one. Wire format. */
 interface SeedIdentity {
   disk: string;
   fleet?: string;
+  mayFound?: boolean;
 }
 
 /** A seed with its disk. */
 interface Seed {
   peer: string;
   disk: string;
+  mayFound: boolean;
 }
 
 /** Bootstraps the fleet, once. */
@@ -32,6 +35,7 @@
     private readonly kernel: Kernel,
     private readonly membership: MembershipTable,
     private readonly ballots: BallotSource,
+    private readonly right: FoundingRight,
     /** The value that is known here, if any. */
     private readonly known: () => FleetValue | undefined,
     /** Called with the first value once it is chosen. */
@@ -39,15 +43,16 @@
   ) {}
 
   /**
-   * One attempt. Only the first seed makes it, and only while all three seeds answer that their disks belong to no
+   * One attempt. Only the first seed that may makes it, and only while all three seeds answer that their disks belong to no
    * fleet: asking, preparing and accepting all need all three. A value accepted anywhere is on a seed's disk and is
-   * found again; a disk that learns of its fleet remembers it, with a vote or without. So a second fleet could arise only
-   * if all three seeds' disks were emptied together and none had joined since.
+   * found again; a disk that learns of its fleet remembers it, with a vote or without. So a disk of a seed of the first start that has
+   * nothing accepted proves that there is no fleet, and a second one could arise only if all three seeds' disks were emptied together.
    */
   async tryBootstrap(): Promise<void> {
-    if (!this.isDue()) return;
-    const seeds = await this.seedsWithoutFleet();
-    if (!seeds) return;
+    const peers = this.right.seeds;
+    if (!peers || !this.isDue()) return;
+    const seeds = await this.seedsWithoutFleet(peers);
+    if (!seeds || seeds.find((seed) => seed.mayFound)?.peer !== this.kernel.self) return;
     const ballot = this.ballots.next();
     const promises = await this.prepare(seeds, ballot);
     if (!promises) return;
@@ -65,7 +70,7 @@
    */
   private isDue(): boolean {
     const { config, clock } = this.kernel.host;
-    if (this.known() || config.firstStart === false) return false;
+    if (this.known()) return false;
     const waitedMs = clock.now() - this.kernel.startedAt;
     if (waitedMs < REGISTER.bootstrapAfterMs) return false;
     const durability = durabilityOf(config);
@@ -91,14 +96,13 @@
   }
 
   /** All seeds with their disks; undefined unless each answers that it belongs to no fleet. */
-  private async seedsWithoutFleet(): Promise<Seed[] | undefined> {
-    const peers = this.kernel.host.config.seeds;
+  private async seedsWithoutFleet(peers: string[]): Promise<Seed[] | undefined> {
     const calls = peers.map((peer) => this.kernel.call<SeedIdentity>(peer, 'RegWho', {}).catch(() => undefined));
     const identities = await Promise.all(calls);
     const seeds: Seed[] = [];
     for (const [i, identity] of identities.entries()) {
       if (!identity || identity.fleet !== undefined) return undefined;
-      seeds.push({ peer: peers[i]!, disk: identity.disk });
+      seeds.push({ peer: peers[i]!, disk: identity.disk, mayFound: identity.mayFound === true });
     }
     return seeds;
   }
--- a/packages/control/src/consensus/consensus-register.ts
+++ b/packages/control/src/consensus/consensus-register.ts
@@ -17,6 +17,7 @@
 import { Acceptor } from './acceptor.js';
 import { BallotSource } from './ballots.js';
 import { Bootstrap } from './bootstrap.js';
+import { FoundingRight } from './founding-right.js';
 import { ReadLease } from './read-lease.js';
 import { Proposer, type ChangeFn } from './proposer.js';
 import { Reader } from './reader.js';
@@ -100,12 +101,30 @@
     kernel.addSubscription(
       membership.memberStateChanged$.subscribe((m) => m.state === 'live' && void this.renewExpiredLease()),
     );
-    if (db && kernel.host.config.seeds[0] === kernel.self) {
-      const bootstrap = new Bootstrap(kernel, membership, this.ballots, () => this.value, learn);
-      kernel.addSubscription(runPeriodically(clock, REGISTER.bootstrapEveryMs, random, () => bootstrap.tryBootstrap()));
+    if (this.state) {
+      const right = new FoundingRight(kernel, this.state);
+      this.answerIdentity(this.state, right);
+      if (right.seeds) this.startBootstrap(right);
     }
   }
 
+  private startBootstrap(right: FoundingRight): void {
+    const { kernel } = this;
+    const { clock, random } = kernel.host;
+    const learn = (value: FleetValue): void => this.learn(value);
+    const bootstrap = new Bootstrap(kernel, this.membership, this.ballots, right, () => this.value, learn);
+    kernel.addSubscription(runPeriodically(clock, REGISTER.bootstrapEveryMs, random, () => bootstrap.tryBootstrap()));
+  }
+
+  /** Tells who founds the fleet what this disk is, and whether it could found one itself. */
+  private answerIdentity(state: DurableState, right: FoundingRight): void {
+    this.kernel.on('RegWho', () => ({
+      disk: this.disk,
+      fleet: state.get(FLEET_ROW),
+      mayFound: right.seeds !== undefined,
+    }));
+  }
+
   /** Until the first confirmation, tries often and not one after another: whom we ask may itself not be there yet. */
   private startFirstConfirmation(): void {
     const { clock, random } = this.kernel.host;
--- a/packages/trial/src/test/register.test.ts
+++ b/packages/trial/src/test/register.test.ts
@@ -87,3 +87,68 @@
     sim.close();
   }
 });
+
+/** The first moments of a fleet in which one seed's process ends and is started again: it is then told that this is no first start. */
+async function restartedWhileFounding(
+  seed: number,
+  restarted: number,
+  afterMs: number,
+  isWiped: boolean,
+): Promise<string[]> {
+  const { sim, all, seeds } = fleet(seed, 5);
+  for (const n of all) {
+    Object.assign(n.config, { firstStart: true, losses: 1 });
+    void sim.start(n);
+  }
+  await sim.run(afterMs);
+  const early = fleets(all);
+  const node = seeds[restarted]!;
+  if (isWiped) sim.loseDisk(node);
+  else sim.kill(node);
+  node.config.firstStart = false;
+  // The settings of that moment may name other seeds.
+  node.config.seeds = all.slice(2, 5).map((n) => n.config.peer);
+  await sim.run(sim.now + 1_000);
+  void sim.start(node);
+  await sim.run(sim.now + 10_000);
+  const late = fleets(all);
+  const faults: string[] = [];
+  if (late.length !== 1 || !all.every((n) => value(n))) faults.push(`fleets: ${late.join()}`);
+  if (early.length && early.join() !== late.join()) faults.push(`${early.join()} became ${late.join()}`);
+  sim.close();
+  return faults;
+}
+
+// Guards against a fleet that is never founded because the one process that may found it was started again.
+for (const isWiped of [false, true])
+  test(`a seed is started again while the fleet first starts, ${isWiped ? 'with its disk lost' : 'its disk as it was'}: one fleet is founded`, async (t) => {
+    for (const restarted of [0, 1, 2])
+      for (let i = 0; i < 8; i++) {
+        const faults = await restartedWhileFounding(90 + i, restarted, 100 + i * 200, isWiped);
+        t.deepEqual(faults, [], `seed ${restarted}, after ${100 + i * 200} ms`);
+      }
+  });
+
+// Guards against a second fleet: what a disk remembers of the first start must not found one for machines that came later.
+test('machines that come later found no fleet, whatever the disk of the first start that is with them', async (t) => {
+  const { sim, all } = fleet(98, 4);
+  for (const n of all) {
+    Object.assign(n.config, { firstStart: true, losses: 1 });
+    void sim.start(n);
+  }
+  // The fourth is no seed, and is away before it hears of the fleet.
+  await sim.run(300);
+  sim.kill(all[3]!);
+  await sim.run(8_000);
+  t.is(fleets(all).length, 1);
+  for (const n of all) if (n.up) sim.kill(n);
+  const later = ['x', 'y'].map((name) => sim.add(name, { role: 'store', domain: 'a', disk: true }));
+  const together = [all[3]!, ...later];
+  for (const n of together) {
+    Object.assign(n.config, { firstStart: false, losses: 1, seeds: together.map((m) => m.config.peer) });
+    void sim.start(n);
+  }
+  await sim.run(sim.now + 15_000);
+  t.deepEqual(fleets(together), []);
+  sim.close();
+});
