The voters refuse other ballots for a moment while the controller repairs

What callers saw: control disks were lost in turn while eight operators ordered without a pause. After one of the losses no order was acknowledged any more and the acknowledged configuration could not be read back.

Cause: a step of the repair is a change of the agreed value like any order and competes with all of them by ballots. Whoever prepares next ends the ballot before, and who was outbid waits longer each time; three steps in a row were not agreed before the next loss.

Why it works: a prepare for the controller's step says so, and a voter that hears of one refuses the prepares of other proposers for 300 ms. A refusal is always safe, and is kept in memory only. A refused order is tried again after its usual wait.

--- a/packages/control/src/consensus/acceptor.ts
+++ b/packages/control/src/consensus/acceptor.ts
@@ -3,7 +3,21 @@
 import type { DurableState } from '@harecross/state';
 import { deserializeValue } from '../value/value-text.js';
 import type { FleetValue } from '../value/fleet-value.js';
-import type { Accepted, Prepared, VoterState } from './ballots.js';
+import { proposerOf, type Accepted, type Prepared, type VoterState } from './ballots.js';
+
+/** A ballot to promise. */
+interface PrepareRequest {
+  disk: string;
+  ballot: string;
+  /** It is for a repair, which orders must not outbid; other ballots leave it out. */
+  repair?: true;
+}
+
+/** For whom ballots of others are refused, and until when (steady clock, ms). */
+interface Reservation {
+  proposer: string;
+  until: number;
+}
 
 /** A value to accept under a ballot. */
 interface AcceptRequest {
@@ -23,6 +37,8 @@
   /** What was accepted last, chosen or not, and under which ballot. */
   accepted?: FleetValue;
   acceptedBallot = '';
+  /** Of a proposer that repairs; in memory only, since a refusal more or less decides nothing. */
+  private reservation?: Reservation;
 
   constructor(
     private kernel: Kernel,
@@ -36,7 +52,7 @@
       this.accepted = deserializeValue(saved.value);
       this.acceptedBallot = saved.ballot;
     }
-    kernel.on('RegPrepare', (b: { disk: string; ballot: string }) => this.prepare(b));
+    kernel.on('RegPrepare', (b: PrepareRequest) => this.prepare(b));
     kernel.on('RegAccept', (b: AcceptRequest) => this.accept(b));
     kernel.on('RegRead', (b: { disk: string }) => this.voterState(b));
   }
@@ -45,10 +61,15 @@
     if (disk !== this.disk) throw new HarecrossError({ tag: 'unknown_disk', step, peer: this.kernel.self, disk });
   }
 
-  private prepare(b: { disk: string; ballot: string }): Promise<Prepared> {
+  private async prepare(b: PrepareRequest): Promise<Prepared> {
     const { store, disk } = this;
     this.mustBeOurs(b.disk, 'RegPrepare');
     const at = this.kernel.host.clock.now();
+    if (b.repair) this.reservation = { proposer: proposerOf(b.ballot), until: at + REGISTER.repairReservationMs };
+    else if (this.isReservedForAnother(b.ballot, at)) {
+      const { promised, ballot } = store.acceptorState();
+      return { disk, ok: false, promised, ballot };
+    }
     return store.db.commit((): Prepared => {
       const saved = store.acceptorState();
       if (b.ballot <= saved.promised) return { disk, ok: false, promised: saved.promised, ballot: saved.ballot };
@@ -57,6 +78,11 @@
     });
   }
 
+  private isReservedForAnother(ballot: string, now: number): boolean {
+    const { reservation } = this;
+    return reservation !== undefined && now < reservation.until && reservation.proposer !== proposerOf(ballot);
+  }
+
   private async accept(b: AcceptRequest): Promise<Accepted> {
     const { store, disk } = this;
     this.mustBeOurs(b.disk, 'RegAccept');
--- a/packages/control/src/consensus/ballots.ts
+++ b/packages/control/src/consensus/ballots.ts
@@ -49,6 +49,9 @@
 /** Digits of a ballot's number: ballots compare as strings. */
 const NUMBER_DIGITS = 12;
 
+/** The process that made a ballot. */
+export const proposerOf = (ballot: string): string => ballot.slice(NUMBER_DIGITS + 1);
+
 /** Makes ballots that no other process makes, each above all that were seen. */
 export class BallotSource {
   private count = 0;
--- a/packages/control/src/consensus/consensus-register.ts
+++ b/packages/control/src/consensus/consensus-register.ts
@@ -272,6 +272,11 @@
   change<T>(fn: ChangeFn<T>, limitMs: number = REGISTER.changeMs, wanted: () => boolean = () => true): Promise<T> {
     return this.proposer.change(fn, limitMs, wanted);
   }
+
+  /** Applies a change that restores what bears the next loss: the voters refuse others' ballots for a moment, so that it is agreed in time. */
+  repair<T>(fn: ChangeFn<T>, limitMs: number): Promise<T> {
+    return this.proposer.change(fn, limitMs, () => true, 'repair');
+  }
 }
 
 /** A newer value of the same version has the same configuration: what was laid out for looking things up in it stays. */
--- a/packages/control/src/consensus/proposer.ts
+++ b/packages/control/src/consensus/proposer.ts
@@ -17,6 +17,9 @@
 /** What a change makes of a value: the next one, or none to read only, and the caller's outcome. */
 export type ChangeFn<T> = (v: FleetValue) => { next?: FleetValue; out: T };
 
+/** Whether other proposers give way: a repair must be agreed before the next loss, and orders may come without a pause. */
+export type ChangePriority = 'ordinary' | 'repair';
+
 /** The answers to `RegPrepare` under one ballot, come or still to come, by disk. */
 type Promises = Map<string, Promise<Prepared>>;
 
@@ -42,7 +45,12 @@
   ) {}
 
   /** See `Register.change`. */
-  async change<T>(fn: ChangeFn<T>, limitMs: number, wanted: () => boolean): Promise<T> {
+  async change<T>(
+    fn: ChangeFn<T>,
+    limitMs: number,
+    wanted: () => boolean,
+    priority: ChangePriority = 'ordinary',
+  ): Promise<T> {
     const { clock, random } = this.kernel.host;
     const until = clock.now() + limitMs;
     let why = 'no value known';
@@ -50,7 +58,7 @@
       if (tries > 0) await sleep(clock, Math.min(600, 30 * 2 ** Math.min(tries, 4)) * (0.5 + random.next()));
       const start = this.context.start();
       if (!start || !wanted()) continue;
-      const result = await this.round(start, fn, () => clock.now() < until && wanted());
+      const result = await this.round(start, fn, priority, () => clock.now() < until && wanted());
       switch (result.tag) {
         case 'done':
           return result.out;
@@ -64,16 +72,21 @@
   }
 
   /** One ballot. `mayAccept` says, before each value is sent to be accepted, whether the change is still to be made. */
-  private async round<T>(start: FleetValue, fn: ChangeFn<T>, mayAccept: () => boolean): Promise<RoundResult<T>> {
+  private async round<T>(
+    start: FleetValue,
+    fn: ChangeFn<T>,
+    priority: ChangePriority,
+    mayAccept: () => boolean,
+  ): Promise<RoundResult<T>> {
     const ballot = this.ballots.next();
-    const prepared = await this.prepare(ballot, start);
+    const prepared = await this.prepare(ballot, start, priority);
     if (prepared.tag === 'again') return prepared;
     const latest = prepared.value;
     const outcome = outcomeOf(fn, latest);
     const change = outcome.tag === 'changed' ? outcome.next : undefined;
     const next = change ? { ...change, rev: latest.rev + 1, previousVoters: latest.voters } : latest;
     invariant(!change || oneVoterChanges(latest.voters, next.voters), 'one voter at a time');
-    const why = await this.accept(ballot, next, prepared.promises, mayAccept);
+    const why = await this.accept(ballot, next, prepared.promises, priority, mayAccept);
     if (why !== undefined) return { tag: 'again', why };
     this.context.learn(next);
     if (outcome.tag === 'refused') throw outcome.error;
@@ -84,6 +97,7 @@
   private async prepare(
     ballot: string,
     start: FleetValue,
+    priority: ChangePriority,
   ): Promise<{ tag: 'prepared'; value: FleetValue; promises: Promises } | { tag: 'again'; why: string }> {
     let latest = start;
     const promises: Promises = new Map();
@@ -91,7 +105,7 @@
     for (;;) {
       const sets = voterSets(latest);
       const voters = allVoters(latest);
-      for (const disk of voters) if (!promises.has(disk)) promises.set(disk, this.askPrepare(disk, ballot));
+      for (const disk of voters) if (!promises.has(disk)) promises.set(disk, this.askPrepare(disk, ballot, priority));
       const heard = new Set<string>();
       let refused = false;
       await collectUntil(
@@ -117,8 +131,9 @@
     }
   }
 
-  private async askPrepare(disk: string, ballot: string): Promise<Prepared> {
-    const answer = await this.context.ask<Prepared>([disk], 'RegPrepare', { ballot })[0]!;
+  private async askPrepare(disk: string, ballot: string, priority: ChangePriority): Promise<Prepared> {
+    const request = priority === 'repair' ? { ballot, repair: true } : { ballot };
+    const answer = await this.context.ask<Prepared>([disk], 'RegPrepare', request)[0]!;
     if (!answer.ok) this.ballots.outbid(answer.promised);
     return answer;
   }
@@ -131,6 +146,7 @@
     ballot: string,
     next: FleetValue,
     promises: Promises,
+    priority: ChangePriority,
     mayAccept: () => boolean,
   ): Promise<string | undefined> {
     const value = serializeValue(next);
@@ -140,7 +156,7 @@
     const heard = new Set<string>();
     let refused = false;
     const send = async (disk: string): Promise<void> => {
-      const promise = await (promises.get(disk) ?? this.askPrepare(disk, ballot));
+      const promise = await (promises.get(disk) ?? this.askPrepare(disk, ballot, priority));
       if (!promise.ok || !mayAccept()) throw new Error(`${disk} is not asked to accept`);
       const body = { ballot, value, promisedAt: promise.at };
       const answer = await this.context.ask<Accepted>([disk], 'RegAccept', body)[0]!;
--- a/packages/control/src/reconcile/controller.ts
+++ b/packages/control/src/reconcile/controller.ts
@@ -126,7 +126,7 @@
   private async applyNextStep(): Promise<boolean> {
     if (!this.register.hasReadLease() || this.kernel.phase !== 'running' || !this.isElected()) return false;
     if (!this.plan(this.register.value!)) return false;
-    const made = await this.register.change((value) => {
+    const made = await this.register.repair((value) => {
       const step = this.plan(value);
       return { next: step?.next, out: step?.why };
     }, MEMBERSHIP.callMs * 3);
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -287,6 +287,8 @@
    * while a machine stood still or was cut off must not be chosen when it wakes.
    */
   promiseLifeMs: 3_000,
+  /** A voter that hears of a repair refuses the ballots of other proposers for this long: some rounds, with a wait between them. */
+  repairReservationMs: 300,
   /** Different submissions that one node works on; resent ones share one, and few operators are at work at a time. */
   submissionLimit: 32,
   /** Callers that wait for one submission at one node: a few operators, each of whom resends it every second while it is worked on. */
