A control process does not run on without its disk

What callers saw: two control disks took no bytes for 5 s, 12 s apart. From then on nothing was served any more, though all machines ran and all disks took writes again.

Cause: a process whose disk refuses a write ends and is started again. A control process that started while its disk was still full went on as a relay without copies, and nothing opened the disk again. Its machine counted as running and its vote was gone.

Evidence: full-disk.test.ts on the code before: both tests of control machines fail, those of stores (which ended already) pass.

Why it works: a control process ends with code 1 as a store does, until its disk can be used. A relay with a disk has connections to serve: it goes on, looks every 2 s, and then drains and ends with code 3, to be started again. The simulator's processes do the same.

Measured: full-disk.test.ts 6 of 6, two of them with real processes.

--- a/packages/data/src/node/run.ts
+++ b/packages/data/src/node/run.ts
@@ -1,9 +1,11 @@
 import { watchFile, unwatchFile } from 'node:fs';
 import {
   PROCESS,
+  isDiskUsable,
   readNodeConfig,
   realClock,
   realHost,
+  runPeriodically,
   withTimeout,
   type Host,
   type Kernel,
@@ -13,6 +15,9 @@
 import { serveHttp, type Edge } from '../gateway/edge.js';
 import { startNode } from './node.js';
 
+/** Exit code of a process that is to be started again for its disk, as after a disk fault. */
+const DISK_EXIT_CODE = 3;
+
 /** A node's process: where its config comes from, and who it listens to. */
 export interface ProcessPlan {
   /** Named in messages. */
@@ -61,7 +66,7 @@
   // is to end.
   let heard: (() => void) | undefined;
   let early = false;
-  let leave = (_sig: string): void => process.exit(0);
+  let leave = (_reason: string, _code?: number): void => process.exit(0);
   process.on('SIGHUP', () => {
     if (heard) heard();
     else early = true;
@@ -114,15 +119,22 @@
   }
 
   let leaving = false;
-  leave = (sig) => {
+  leave = (reason, code = 0) => {
     if (leaving) return;
     leaving = true;
-    host.log.info(`leaving on ${sig}`);
+    host.log.info(`leaving on ${reason}`);
     if (file) unwatchFile(file);
     void withTimeout(realClock, config.stopMs ?? PROCESS.stopMs, kernel.stop()).then(() => {
       void closeListeners();
       host.log.info('left', { counters: Object.fromEntries(kernel.counters) });
-      process.exit(0);
+      process.exit(code);
     });
   };
+  const { data } = config;
+  if (data !== undefined && !host.db) {
+    const restartOnceUsable = async (): Promise<void> => {
+      if (isDiskUsable(data)) leave('its disk being usable again', DISK_EXIT_CODE);
+    };
+    kernel.addSubscription(runPeriodically(realClock, PROCESS.diskRetryMs, host.random, restartOnceUsable));
+  }
 }
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -364,6 +364,8 @@
   /** A log this long is written back; looked at every so many commits. A start reads it whole. */
   walBytes: 4 * 1024 * 1024,
   walCheckCommits: 32,
+  /** A relay whose disk could not be opened looks this often whether it can be. */
+  diskRetryMs: 2_000,
   /** Settings files are compared this often, for changes without a signal. */
   rereadMs: 1_000,
   /** A closed conn's last words have this long to get out before its socket is destroyed. */
--- a/packages/kernel/src/real.ts
+++ b/packages/kernel/src/real.ts
@@ -156,6 +156,22 @@
   return db;
 }
 
+/**
+ * Whether the database in a folder can be opened and written to now.
+ * @example
+ * if (isDiskUsable('/var/lib/harecross')) restart();
+ */
+export function isDiskUsable(folder: string): boolean {
+  try {
+    mkdirSync(folder, { recursive: true });
+  } catch {
+    return false;
+  }
+  const opened = tryOpen(join(folder, 'state.db'));
+  if (opened.tag === 'well') opened.sql.close();
+  return opened.tag !== 'unwritable';
+}
+
 /**
  * The real surroundings of a node.
  * @example
@@ -179,9 +195,10 @@
     try {
       host.db = openDb(config.data, realClock, log, (e) => die(`disk fault: ${e.message}`), config.peer);
     } catch (e) {
-      if (config.role === 'store') throw e;
+      // What is on the disk counts as there while the process runs: only a relay has anything to do without it, and only until it is back.
+      if (config.role !== 'relay') throw e;
       log.warn(
-        `the disk cannot be used, going on as a relay without copies: ${e instanceof Error ? e.message : String(e)}`,
+        `the disk cannot be used, going on as a relay without copies until it can: ${e instanceof Error ? e.message : String(e)}`,
       );
     }
   }
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -377,8 +377,8 @@
       terminate: () => this.kill(n),
     };
     if (n.config.data && n.disk !== undefined && n.fullDisk) {
-      // The product's programs: a store ends, others go on without a disk.
-      if (n.config.role === 'store') {
+      // The product's programs: a relay goes on without a disk until there is room again, others end.
+      if (n.config.role !== 'relay') {
         this.kill(n);
         return;
       }
@@ -494,6 +494,8 @@
   /** No more room on the disk, or room again. */
   fillDisk(n: SimNode, full: boolean): void {
     n.fullDisk = full;
+    const runsWithout = n.up && n.config.data !== undefined && n.kernel !== undefined && !n.kernel.host.db;
+    if (!full && runsWithout) void this.stop(n).then(() => this.start(n));
     if (n.sql?.open)
       n.sql.pragma(`max_page_count = ${full ? Number(n.sql.pragma('page_count', { simple: true })) : 1_073_741_823}`);
   }
--- a/packages/trial/src/test/control-fleet.ts
+++ b/packages/trial/src/test/control-fleet.ts
@@ -36,10 +36,12 @@
     losses?: number;
     /** What else is borne at once, and the region of each failure domain; the machines are in these in turn. */
     spread?: Required<Pick<NodeConfig, 'domainLosses' | 'regionLosses' | 'domains'>>;
+    /** Disks are files; see `SimOpts.files`. */
+    files?: boolean;
     log?: boolean;
   } = {},
 ): Promise<ControlFleet> {
-  const sim = new Sim(seed, { log: x.log, delayMs: [0.5, 2] });
+  const sim = new Sim(seed, { log: x.log, files: x.files, delayMs: [0.5, 2] });
   let n = 0;
   const add = (role: 'control' | 'store' | 'relay', domain: string): SimNode => {
     const m = sim.add(`${role}${++n}`, { role, domain, disk: role !== 'relay' });
