--- a/packages/trial/src/actors.ts
+++ b/packages/trial/src/actors.ts
@@ -69,7 +69,7 @@
     readonly name: string,
     public domain: string,
     topics: string[],
-    private opts: { pingS?: number; jitterMs?: number } = {},
+    private opts: { pingS?: number; jitterMs?: number; staysUntilEnd?: boolean } = {},
   ) {
     this.want = new Set(topics);
   }
@@ -223,6 +223,8 @@
               break;
             case 'GOAWAY':
               hint = f.retryAfterMs;
+              // Some clients go on with an open connection for as long as there is one.
+              if (this.opts.staysUntilEnd) break;
               close();
               over('goaway', f.retryAfterMs);
               break;
--- a/packages/trial/src/day.ts
+++ b/packages/trial/src/day.ts
@@ -9,7 +9,7 @@
 import { Fleet, type Proc } from './fleet.js';
 import { Journal } from './journal.js';
 import type { Link } from './link.js';
-import { judge, recovery, SETTLE_MS, type Rule } from './oracle.js';
+import { judge, recovery, SETTLE_MS, TIMELESS_RULES } from './oracle.js';
 import { configOf, crowd, DUNARE, SINE_SALOUM, SMALL, type Site } from './scenario.js';
 import { seeded } from './sim.js';
 
@@ -392,24 +392,8 @@
 await cr.operator.read(true);
 journal.add({ k: 'end' });
 
-// Rules that need no watch: the only ones judged where the machine has other work.
-const TIMELESS: Rule[] = [
-  'once',
-  'order',
-  'skipped',
-  'turned_away',
-  'invented',
-  'unasked',
-  'left',
-  'lost',
-  'config_lost',
-  'fell_back',
-  'invalid_taken',
-  'unanswered',
-  'read_back',
-];
 const bad = judge(journal.seen, { wayMs: 1_500, timed: a.timed, inForceMs: 3_000 }).filter(
-  (v) => a.timed || TIMELESS.includes(v.rule),
+  (v) => a.timed || TIMELESS_RULES.includes(v.rule),
 );
 const back = recovery(journal.seen);
 if (back)
--- a/packages/trial/src/oracle.ts
+++ b/packages/trial/src/oracle.ts
@@ -13,7 +13,7 @@
 
 export { recovery } from './oracle/recovery.js';
 export { SETTLE_MS } from './oracle/record.js';
-export { RULES, type Bounds, type Rule, type Violation } from './oracle/rules.js';
+export { RULES, TIMELESS_RULES, type Bounds, type Rule, type Violation } from './oracle/rules.js';
 
 const SIM: Bounds = { wayMs: 250, timed: true, inForceMs: 3_000 };
 
--- a/packages/trial/src/oracle/rules.ts
+++ b/packages/trial/src/oracle/rules.ts
@@ -28,6 +28,22 @@
   'bounds',
 ] as const;
 export type Rule = (typeof RULES)[number];
+/** Rules that need no watch: the only ones judged where the machine has other work. */
+export const TIMELESS_RULES: readonly Rule[] = [
+  'once',
+  'order',
+  'skipped',
+  'turned_away',
+  'invented',
+  'unasked',
+  'left',
+  'lost',
+  'config_lost',
+  'fell_back',
+  'invalid_taken',
+  'unanswered',
+  'read_back',
+];
 export interface Violation {
   rule: Rule;
   t: number;
--- a/packages/trial/src/scenario.ts
+++ b/packages/trial/src/scenario.ts
@@ -100,7 +100,7 @@
  * @example
  * for (const c of crowd(world, SMALL).consumers) c.start();
  */
-export function crowd(w: World, site: Site): Crowd {
+export function crowd(w: World, site: Site, consumerOptions: { staysUntilEnd?: boolean } = {}): Crowd {
   const consumers: Consumer[] = [];
   const senders: (Sender | Pipeliner)[] = [];
   const topics = site.families.flatMap((f) => Array.from({ length: f.topics }, (_, i) => `${f.prefix}${i}`));
@@ -113,7 +113,7 @@
         for (const n of randomSample(w.random, [...Array(followed(f.topics)).keys()], 3)) mine.add(`${f.prefix}${n}`);
       if (f.urgency === 'urgent') mine.add(`${f.prefix}0`);
     }
-    consumers.push(new Consumer(w, `c${i}`, site.domains[i % site.domains.length]!, [...mine]));
+    consumers.push(new Consumer(w, `c${i}`, site.domains[i % site.domains.length]!, [...mine], consumerOptions));
   }
   for (const f of site.families) {
     const n = Math.max(2, Math.min(20, Math.floor(f.topics / 3)));
--- a/packages/trial/src/trouble/tolerance.ts
+++ b/packages/trial/src/trouble/tolerance.ts
@@ -7,13 +7,22 @@
 /** ... and does not happen if its turn has not come by then. */
 const GIVE_UP_MS = 30_000;
 
+/** What the count needs to know of a machine. */
+export interface Losable {
+  /** Whether its loss counts. */
+  readonly counted: boolean;
+  /** Gone for good. */
+  readonly removed: boolean;
+  isUp(): boolean;
+}
+
 /** Victims that a trouble may strike now. */
-export interface Claim {
-  machines: Machine[];
+export interface Claim<M extends Losable = Machine> {
+  machines: M[];
   /** They are back, with their process started: they count as lost for the time that repair may take. */
   back(): void;
   /** Another machine takes the place of one that is gone for good: it counts instead, from its start. */
-  succeeded(by: Machine): void;
+  succeeded(by: M): void;
 }
 
 /**
@@ -21,9 +30,9 @@
  * @example
  * const claim = await tolerance.claim(stores, 1, random); ...; claim?.back();
  */
-export class Tolerance {
-  private lost = new Set<Machine>();
-  private syncing = new Map<Machine, number>();
+export class Tolerance<M extends Losable = Machine> {
+  private lost = new Set<M>();
+  private syncing = new Map<M, number>();
   /** One trouble that strikes all at once is under way, or waits for the others to be over. */
   private closed = false;
 
@@ -32,7 +41,7 @@
     private readonly losses: number,
     private readonly syncMs: number,
     /** Called when machines that count are about to be struck. */
-    private readonly onStrike: (machines: readonly Machine[]) => void = () => {},
+    private readonly onStrike: (machines: readonly M[]) => void = () => {},
   ) {}
 
   /** Machines that count as lost now. */
@@ -41,12 +50,12 @@
     return new Set([...this.lost, ...this.syncing.keys()].filter((m) => m.counted)).size;
   }
 
-  private free(machines: readonly Machine[]): Machine[] {
+  private free(machines: readonly M[]): M[] {
     return machines.filter((m) => !m.removed && m.isUp() && !this.lost.has(m) && !this.syncing.has(m));
   }
 
   /** Up to `count` of these machines that may be lost together now; undefined if their turn does not come. */
-  async claim(machines: () => readonly Machine[], count: number, random: RandomSource): Promise<Claim | undefined> {
+  async claim(machines: () => readonly M[], count: number, random: RandomSource): Promise<Claim<M> | undefined> {
     for (const until = this.clock.now() + GIVE_UP_MS; this.clock.now() < until; await sleep(this.clock, LOOK_MS)) {
       if (this.closed) continue;
       const lost = this.count();
@@ -60,7 +69,7 @@
   }
 
   /** Everything that counts, once nothing is lost: disks stay, power goes. Meanwhile nobody else is struck. */
-  async claimAll(machines: () => readonly Machine[]): Promise<Claim | undefined> {
+  async claimAll(machines: () => readonly M[]): Promise<Claim<M> | undefined> {
     for (const until = this.clock.now() + GIVE_UP_MS; this.clock.now() < until; await sleep(this.clock, LOOK_MS)) {
       if (this.closed) continue;
       if (this.count() || this.lost.size) continue;
@@ -77,7 +86,7 @@
     return undefined;
   }
 
-  private taken(machines: Machine[]): Claim {
+  private taken(machines: M[]): Claim<M> {
     if (machines.some((m) => m.counted)) this.onStrike(machines);
     for (const m of machines) this.lost.add(m);
     const over = (): void => {
