A stop hands over to the successor also while another machine restarts

It ended at once and handed nothing over; after the next lost disk 97 acknowledged messages could not be read back.

Cause: a successor is looked for only where enough disks are there without the one that stops, and a disk whose process had stopped was not counted, though it was only restarting. Disks that leave are counted out by their state.

Evidence: planned-replacement.test.ts, `replaced by plan while another restarts`: fails for stores on the code before.

Why it works: each active disk counts, whether its machine is up or not; of two that stop together the second is judged by the value in which the first leaves.

The soak struck machines again 4 s after their process was spawned, while on a busy machine it had not begun to run yet: a machine is now back once its process answers.

--- a/packages/control/src/reconcile/plan-departures.ts
+++ b/packages/control/src/reconcile/plan-departures.ts
@@ -12,7 +12,8 @@
   const disks = new Map(value.disks);
   const said: string[] = [];
   for (const disk of value.disks.values()) {
-    const state = stateOf(value, fleet, disk);
+    // One that leaves is none of those that another can leave its things to.
+    const state = stateOf({ ...value, disks }, fleet, disk);
     if (state === disk.state) continue;
     disks.set(disk.id, { ...disk, state });
     said.push(`disk ${disk.id}: ${disk.state} -> ${state}`);
--- a/packages/control/src/reconcile/successor.ts
+++ b/packages/control/src/reconcile/successor.ts
@@ -17,7 +17,7 @@
  * successorOf(value, fleet, disk)?.id // undefined where the machine can only be restarting
  */
 export function successorOf(value: FleetValue, view: MembershipView, disk: DiskRecord): DiskRecord | undefined {
-  if (!hasRoomWithout(value, view, disk)) return undefined;
+  if (!hasRoomWithout(value, disk)) return undefined;
   const candidates = [...value.disks.values()].filter(
     (other) => other.id !== disk.id && hasSameUses(other, disk) && isStaying(view, other),
   );
@@ -46,12 +46,10 @@
 
 /**
  * Whether as many disks as replicas and votes are wanted are there without this one, as far as it has replicas or a vote. One whose machine
- * is down counts: its place is kept for it, or goes to another.
+ * is down or restarting counts: its place is kept for it, or goes to another.
  */
-function hasRoomWithout(value: FleetValue, view: MembershipView, disk: DiskRecord): boolean {
-  const others = [...value.disks.values()].filter(
-    (other) => other.id !== disk.id && other.state === 'active' && !isStopping(view, other),
-  );
+function hasRoomWithout(value: FleetValue, disk: DiskRecord): boolean {
+  const others = [...value.disks.values()].filter((other) => other.id !== disk.id && other.state === 'active');
   if (replicaCountOn(value, disk.id) > 0) {
     const wanted = value.config.copies ?? value.copies ?? SHARD.replicaCount;
     const forReplicas = others.filter((other) => hasSameUses(other, disk));
--- a/packages/trial/src/fleet.ts
+++ b/packages/trial/src/fleet.ts
@@ -19,6 +19,8 @@
   file: string;
   child?: ChildProcess;
   well: boolean;
+  /** Its process has been asked for its condition and has answered: it is beyond its start. */
+  answers?: boolean;
   up: boolean;
   stopped?: boolean;
   leaving?: boolean;
@@ -144,6 +146,7 @@
     child.on('exit', (code, sig) => {
       p.up = false;
       p.well = false;
+      p.answers = false;
       p.exits.push(sig ? -1 : (code ?? -1));
     });
   }
@@ -192,6 +195,7 @@
             });
             await r.body.dump();
             p.well = r.statusCode === 200;
+            p.answers = p.up;
           } catch {
             p.well = false;
           }
--- a/packages/trial/src/soak/stage.ts
+++ b/packages/trial/src/soak/stage.ts
@@ -15,6 +15,8 @@
 /** An ended process is started again after this long. */
 const RESTART_MS: readonly [number, number] = [500, 2_000];
 const FREEZE_MS: readonly [number, number] = [300, 5_000];
+/** A process that has not answered by then has ended by itself. */
+const START_LIMIT_MS = 20_000;
 /** Relays that are never struck at the same time as the others: somebody must serve. */
 const LEAST_RELAYS = 2;
 const RESET_SHARE = 0.5;
@@ -95,6 +97,7 @@
       this.say(`${what} ${machine.proc.name}`);
     }
     await Promise.all(claim.machines.map((machine) => act(machine.proc)));
+    await Promise.all(claim.machines.map((machine) => hasStarted(machine.proc)));
     for (const machine of claim.machines) machine.struck = false;
   }
 
@@ -165,6 +168,8 @@
     const [old] = claim.machines as [Machine];
     old.struck = true;
     const successor = await this.addLike(old.proc);
+    await hasStarted(successor.proc);
+    successor.struck = false;
     claim.succeeded(successor);
     await sleep(realClock, SYNC_MS + randomInt(random, SYNC_MS));
     this.say(`${old.proc.name} goes for good`);
@@ -185,10 +190,17 @@
     this.added(proc);
     this.fleet.start(proc);
     const machine = new Machine(proc);
+    machine.struck = true;
     this.machines.push(machine);
     return machine;
   }
 }
 
+/** A machine is back once its process answers: on a busy machine loading it takes seconds. */
+async function hasStarted(proc: Proc): Promise<void> {
+  const until = realClock.now() + START_LIMIT_MS;
+  while (!proc.answers && realClock.now() < until) await sleep(realClock, 50);
+}
+
 const between = (random: RandomSource, [least, most]: readonly [number, number]): number =>
   least + randomInt(random, most - least + 1);
--- a/packages/trial/src/test/planned-replacement.test.ts
+++ b/packages/trial/src/test/planned-replacement.test.ts
@@ -119,6 +119,44 @@
         t.deepEqual(await missedBy(61 + at.old, role, at, moment), [], JSON.stringify(at));
     });
 
+// Guards against a stop that hands nothing over because another machine happens to restart at that moment.
+for (const role of ['control', 'store'] as const)
+  test(`a ${role} is replaced by plan while another restarts, and a third loses its disk later: nothing acknowledged is gone`, async (t) => {
+    for (const seed of [65, 66, 67]) {
+      const fleet = await controlFleet(seed);
+      const [old, restarting, third] = machinesOf(fleet, role) as [SimNode, SimNode, SimNode];
+      const successor = fleet.spare(role, old.config.domain);
+      void fleet.sim.start(successor);
+      await fleet.pass(2 * SYNC_MS);
+      t.deepEqual(await publishAll(fleet, 1), []);
+      t.is((await submit(fleet, fleet.relays[0]!, 8)).status, 200);
+      const oldDisk = diskOf(old);
+      void fleet.sim.stop(restarting);
+      await fleet.pass(500);
+      let ended = false;
+      void fleet.sim.stop(old).then(() => {
+        ended = true;
+      });
+      while (!ended) await fleet.pass(10);
+      const { voters } = fleet.sim.get(third.name).kernel!.use('register').value!;
+      t.false(voters.includes(oldDisk), `seed ${seed}`);
+      t.true(
+        copiesAt(third).every((copies) => !copies.includes(oldDisk)),
+        `seed ${seed}`,
+      );
+      fleet.sim.loseDisk(old);
+      void fleet.sim.start(restarting);
+      await fleet.pass(SYNC_MS);
+      fleet.sim.loseDisk(third);
+      const machines = machinesOf(fleet, role);
+      machines.splice(0, machines.length, successor, restarting);
+      await fleet.pass(RECOVERY_MS);
+      t.deepEqual(await publishAll(fleet, 2), [], `seed ${seed}`);
+      t.is((await fleet.ask(fleet.controls[0]!, 'ReadConfig', {})).body.revision, 8, `seed ${seed}`);
+      fleet.sim.close();
+    }
+  });
+
 // Guards against a vote that stays with a machine whose successor is there: without SIGTERM nothing tells that it goes.
 test('a control machine with a successor is removed without notice as another loses its disk: the configuration stays', async (t) => {
   for (const seed of [71, 72, 73]) {
