A store whose successor runs holds no replicas, so it may go without notice

What callers saw: a successor starts in the zone of an old store, the old store is removed without SIGTERM and another store loses its disk at about that time. A part of the acknowledged messages is gone for good: SUBSCRIBE with the saved cursor is refused with CONGEST.

Cause: the placement spread replicas over all stores of a zone. The old store kept about half of its shards, and with the next loss two of three replicas of these were gone. No wait before a silent store counts as lost can help, since both losses may come in one moment.

Fix: the agreed value records machines that were added to the running fleet (addedLater). A disk is superseded by a machine of the same role that was added to its zone later; replicas are placed on superseded disks only if the others cannot hold a whole set. Superseded disks are no spare disks. Whether a machine took part in the first start is said by its settings and checked by the age of the fleet: several stores of a zone that first start together supersede nobody. A store no longer takes the vote of a control machine of its zone: the same mistake, made because both disks may serve for both.

Why it works: about 1 s after the successor joined, no shard names the old store, not even as a previous replica, so only the other loss counts.

Agreed values gain an optional field that older builds keep unread; a controller of an older build places replicas as before.

--- a/packages/control/src/consensus/bootstrap-eligibility.ts
+++ b/packages/control/src/consensus/bootstrap-eligibility.ts
@@ -22,6 +22,11 @@
     else if (kernel.host.config.firstStart === true) this.store(kernel.host.config.seeds);
   }
 
+  /** Whether this disk took part in the first start of the fleet; undefined if the process config does not say. */
+  get inFirstStart(): boolean | undefined {
+    return this.storedSeeds !== undefined ? true : this.kernel.host.config.firstStart;
+  }
+
   /** The ordered seeds that may bootstrap the fleet together; undefined if this node is not one of them. */
   get seeds(): string[] | undefined {
     const { config } = this.kernel.host;
--- a/packages/control/src/consensus/consensus-register.ts
+++ b/packages/control/src/consensus/consensus-register.ts
@@ -46,6 +46,8 @@
 export class ConsensusRegister {
   readonly value$ = new BehaviorSubject<FleetValue | undefined>(undefined);
   readonly disk?: string;
+  /** Since when this disk has known the fleet (steady clock, ms): -Infinity if an earlier process learned of it, Infinity while none is known. */
+  fleetKnownSince = Infinity;
   private readonly lease: ReadLease;
   private readonly ballots: BallotGenerator;
   private readonly acceptor?: Acceptor;
@@ -65,6 +67,7 @@
     if (db) {
       this.state = kernel.use('state');
       this.disk = this.state.get('disk')!;
+      if (this.state.get(FLEET_ID_KEY) !== undefined) this.fleetKnownSince = -Infinity;
       membership.updateOwnState({ disk: this.disk });
       this.acceptor = new Acceptor(kernel, this.state, this.disk, () => this.value?.rev ?? 0);
       persistEmptiedState(kernel, membership, this, this.state);
@@ -103,6 +106,7 @@
     );
     if (this.state) {
       const eligibility = new BootstrapEligibility(kernel, this.state);
+      membership.updateOwnState({ inFirstStart: eligibility.inFirstStart });
       this.serveIdentity(this.state, eligibility);
       if (eligibility.seeds) this.startBootstrap(eligibility);
     }
@@ -215,6 +219,7 @@
       this.kernel.incrementCounter('register.foreign');
       return;
     }
+    this.fleetKnownSince = Math.min(this.fleetKnownSince, this.kernel.host.clock.now());
     const { fleet, version, rev } = value;
     if (old?.version !== version) this.kernel.host.log.info(`configuration ${version} in force`, { rev });
     this.kernel.rev = rev;
--- a/packages/control/src/membership/member.ts
+++ b/packages/control/src/membership/member.ts
@@ -27,6 +27,8 @@
   diskMs?: number;
   /** Its disk was drained at an operator's request, and the request has not been cancelled. */
   emptied?: boolean;
+  /** Whether its disk took part in the first start of the fleet; false: the machine was added later. Earlier versions omit this. */
+  inFirstStart?: boolean;
   /**
    * It takes ownership of shards by `hasFenceQuorum`. Versions without that rule omit this; while a node of such a version is present, no
    * replica is replaced in one step.
--- a/packages/control/src/membership/own-record.ts
+++ b/packages/control/src/membership/own-record.ts
@@ -3,7 +3,7 @@
 import type { MemberRecord } from './member.js';
 
 /** The fields of a node's own record that change while the process runs. */
-export type OwnState = Pick<MemberRecord, 'condition' | 'weight' | 'disk' | 'emptied'>;
+export type OwnState = Pick<MemberRecord, 'condition' | 'weight' | 'disk' | 'emptied' | 'inFirstStart'>;
 
 /** Width to which the number in a record's version is padded, because versions are compared as strings. */
 const VERSION_DIGITS = 10;
@@ -48,6 +48,7 @@
     const onlyWeightChanged =
       previous.condition === this.state.condition &&
       previous.disk === this.state.disk &&
+      previous.inFirstStart === this.state.inFirstStart &&
       (previous.emptied ?? false) === (this.state.emptied ?? false);
     if (onlyWeightChanged) this.publishWeightIfChanged();
     else this.publish();
--- a/packages/control/src/placement/placement.ts
+++ b/packages/control/src/placement/placement.ts
@@ -1,7 +1,13 @@
 import { PLACEMENT, SHARD, rendezvousOrder, type FaultTolerance } from '@harecross/kernel';
 import type { FleetConfig } from '@harecross/schema';
-import { Spread } from './spread.js';
-import { isPrimarilyFor, type DiskRecord, type Placement, type FleetValue } from '../value/fleet-value.js';
+import { Spread, maxPlaceableMembers } from './spread.js';
+import {
+  isPrimarilyFor,
+  isSuperseded,
+  type DiskRecord,
+  type Placement,
+  type FleetValue,
+} from '../value/fleet-value.js';
 
 /**
  * How many replicas a shard gets on this many disks. The number is odd: an even number needs a larger majority without tolerating one more
@@ -152,6 +158,17 @@
   return assignment;
 }
 
+/** The disks that are not superseded; all disks if those can't hold a whole set of replicas. */
+function withoutSuperseded(disks: DiskRecord[], copies: number, tolerance: FaultTolerance | undefined): DiskRecord[] {
+  const remaining = disks.filter((disk) => !isSuperseded(disk, disks));
+  const room = (pool: DiskRecord[]): number => {
+    const usable = replicaDisks(pool, fastDiskIds(pool));
+    const replicaCount = oddReplicaCount(copies, usable.length);
+    return Math.min(replicaCount, maxPlaceableMembers(replicaCount, usable, tolerance));
+  };
+  return room(remaining) < room(disks) ? disks : remaining;
+}
+
 /**
  * The disks on which each shard's replicas belong under the configuration. A manual placement is followed as far as the named machines have
  * an active disk; missing ones are replaced by other disks in rendezvous order.
@@ -164,7 +181,8 @@
   copies: number = SHARD.replicaCount,
   tolerance?: FaultTolerance,
 ): Map<number, string[]> {
-  const targets = assignReplicas(active, config.copies ?? copies, SHARD.shardCount, tolerance);
+  const pool = withoutSuperseded(active, config.copies ?? copies, tolerance);
+  const targets = assignReplicas(pool, config.copies ?? copies, SHARD.shardCount, tolerance);
   const diskAt = new Map(active.map((disk) => [disk.peer, disk.id]));
   for (const manual of config.placement ?? []) {
     const namedDisks = manual.nodes.map((node) => diskAt.get(node)).filter((disk) => disk !== undefined);
--- a/packages/control/src/reconcile/controller.ts
+++ b/packages/control/src/reconcile/controller.ts
@@ -144,6 +144,7 @@
       now: clock.now(),
       wallTime: clock.wall(),
       startedAt: this.kernel.startedAt,
+      fleetKnownSince: this.register.fleetKnownSince,
     };
     for (const planner of this.planners) {
       const step = planner(value, fleet);
--- a/packages/control/src/reconcile/plan-disks.ts
+++ b/packages/control/src/reconcile/plan-disks.ts
@@ -4,7 +4,7 @@
 import { hasSameUses, isDiskUnused, plannedJoinTime } from '../value/fleet-queries.js';
 import { liveMember, silenceMs, type FleetView, type PlannedStep } from './planner.js';
 import { successorOf } from './successor.js';
-import type { DiskRecord, DiskState, FleetValue } from '../value/fleet-value.js';
+import { isSuperseded, type DiskRecord, type DiskState, type FleetValue } from '../value/fleet-value.js';
 
 /** Records disks that joined, came back or were lost, in one step. */
 export function planDisks(value: FleetValue, fleet: FleetView): PlannedStep | undefined {
@@ -31,7 +31,7 @@
         uses: member.diskUses,
         name: member.name,
         ms: member.diskMs,
-        machineJoinedRev: machineJoinedRev(value, member.peer),
+        ...joiningOf(value, fleet, member),
       });
       changes.push(`disk ${member.disk} joins at ${member.peer}`);
       for (const other of value.disks.values()) {
@@ -50,10 +50,22 @@
   }
 }
 
-/** The revision at which a disk's machine joined: a new disk at an address that had a disk before belongs to the same machine. */
-function machineJoinedRev(value: FleetValue, peer: string): number | undefined {
-  const before = [...value.disks.values()].find((disk) => disk.peer === peer);
-  return before ? before.machineJoinedRev : value.rev;
+/** When and how a disk's machine joined: a new disk at an address that had a disk before belongs to the same machine. */
+function joiningOf(
+  value: FleetValue,
+  fleet: FleetView,
+  member: Member,
+): Pick<DiskRecord, 'machineJoinedRev' | 'addedLater'> {
+  const before = [...value.disks.values()].find((disk) => disk.peer === member.peer);
+  const machineJoinedRev = before ? before.machineJoinedRev : value.rev;
+  const addedLater = before ? before.addedLater : wasAddedLater(fleet, member);
+  return addedLater ? { machineJoinedRev, addedLater } : { machineJoinedRev };
+}
+
+/** Whether a new machine was added to the running fleet: it says so, or the fleet's first start is over. */
+function wasAddedLater(fleet: FleetView, member: Member): boolean {
+  if (member.inFirstStart === undefined) return false;
+  return !member.inFirstStart || fleet.now - fleet.fleetKnownSince > PLACEMENT.firstStartMs;
 }
 
 /** A disk that an operator had emptied stays emptied until the operator cancels that, however long it was away. */
@@ -78,8 +90,8 @@
 }
 
 /**
- * The disk that replaces one whose machine is silent: a live spare disk of the same uses that holds nothing and that isn't needed for a
- * disk lost earlier, or else the disk's successor. A spare that appeared in the same domain after the machine fell silent was sent in its
+ * The disk that replaces one whose machine is silent: a live spare disk of the same uses that holds nothing, that isn't superseded and that isn't
+ * needed for a disk lost earlier, or else the disk's successor. A spare that appeared in the same domain after the machine fell silent was sent in its
  * place, and is used after a shorter silence than one that was there before: the machine may only be restarting.
  */
 function findReplacement(
@@ -94,6 +106,7 @@
       disk.state === 'active' &&
       hasSameUses(disk, missing) &&
       isDiskUnused(value, disk.id) &&
+      !isSuperseded(disk, disks.values()) &&
       fleet.membership.memberOfDisk(disk.id)?.state === 'live',
   );
   const earlierLost = [...disks.values()].filter(
--- a/packages/control/src/reconcile/plan-voters.ts
+++ b/packages/control/src/reconcile/plan-voters.ts
@@ -2,10 +2,16 @@
 import { REGISTER, rendezvousOrder } from '@harecross/kernel';
 import { isAwaitingReplacement } from '../placement/placement.js';
 import { Spread } from '../placement/spread.js';
-import { hasSameUses } from '../value/fleet-queries.js';
 import { liveMember, type FleetView, type PlannedStep } from './planner.js';
-import { canTakeOver, joinedLater } from './successor.js';
-import { isPrimarilyFor, isUsedFor, type DiskRecord, type FleetValue } from '../value/fleet-value.js';
+import { canTakeOver } from './successor.js';
+import {
+  hasSameRole,
+  isPrimarilyFor,
+  isUsedFor,
+  joinedLater,
+  type DiskRecord,
+  type FleetValue,
+} from '../value/fleet-value.js';
 
 /** Seed of the rendezvous order of candidates. It must be the same on all nodes of a fleet, including those of earlier versions. */
 const VOTER_HASH_KEY = 'seat';
@@ -56,7 +62,7 @@
     .filter(
       (disk) =>
         joinedLater(disk, voter) &&
-        hasSameUses(disk, voter) &&
+        hasSameRole(disk, voter) &&
         !value.voters.includes(disk.id) &&
         canTakeOver(fleet, disk),
     )
--- a/packages/control/src/reconcile/planner.ts
+++ b/packages/control/src/reconcile/planner.ts
@@ -11,6 +11,8 @@
   wallTime: number;
   /** When the controller's process started: a machine that it has never seen has been away for at least that long. */
   startedAt: number;
+  /** Since when the controller's disk has known the fleet; -Infinity if an earlier process learned of it. */
+  fleetKnownSince: number;
 }
 
 /** One change of the agreed value, and its description for the log. */
--- a/packages/control/src/reconcile/successor.ts
+++ b/packages/control/src/reconcile/successor.ts
@@ -3,7 +3,14 @@
 import { maxPlaceableMembers } from '../placement/spread.js';
 import type { MembershipTable } from '../membership/membership-table.js';
 import { hasSameUses, isDiskUnused, replicaCountOn } from '../value/fleet-queries.js';
-import { isUsedFor, type DiskRecord, type FleetValue } from '../value/fleet-value.js';
+import {
+  hasSameRole,
+  isSuperseded,
+  isUsedFor,
+  joinedLater,
+  type DiskRecord,
+  type FleetValue,
+} from '../value/fleet-value.js';
 
 /** The part of the fleet's state that the search for a successor needs beside the agreed value. */
 export interface MembershipView {
@@ -12,7 +19,7 @@
 
 /**
  * The successor of a disk, provided that other disks have room for what it holds: a disk of the same uses whose machine joined the same
- * domain later, or else one that holds nothing, in any domain.
+ * domain later, or else one that holds nothing and is not superseded, in any domain.
  * @example
  * successorOf(value, fleet, disk)?.id // undefined if no disk can take over: then the machine is taken to be restarting
  */
@@ -22,15 +29,11 @@
     (other) => other.id !== disk.id && hasSameUses(other, disk) && canTakeOver(view, other),
   );
   return (
-    candidates.find((other) => joinedLater(other, disk)) ?? candidates.find((other) => isDiskUnused(value, other.id))
+    candidates.find((other) => joinedLater(other, disk) && hasSameRole(other, disk)) ??
+    candidates.find((other) => isDiskUnused(value, other.id) && !isSuperseded(other, value.disks.values()))
   );
 }
 
-/** Whether the first disk's machine joined the domain of both later than the other's did. */
-export function joinedLater(one: DiskRecord, other: DiskRecord): boolean {
-  return one.domain === other.domain && (one.machineJoinedRev ?? 0) > (other.machineJoinedRev ?? 0);
-}
-
 /** Whether a disk is active and its machine is live and not stopping: only such a disk is given a vote or is a successor. */
 export function canTakeOver(view: MembershipView, disk: DiskRecord): boolean {
   const member = view.membership.memberOfDisk(disk.id);
--- a/packages/control/src/value/fleet-value.ts
+++ b/packages/control/src/value/fleet-value.ts
@@ -22,6 +22,8 @@
   ms?: number;
   /** The revision of the value in which its machine joined; absent for machines that took part in the bootstrap. */
   machineJoinedRev?: number;
+  /** Its machine was added to a running fleet. Absent for machines of the first start, and in records of older versions. */
+  addedLater?: true;
   /** A drain order was accepted and not cancelled. Kept when the disk is lost, so that the same order may be sent again. */
   emptyingTaken?: boolean;
 }
@@ -37,6 +39,23 @@
  * isUsedFor(disk, 'copies') // false for the disk of a control node that takes no replicas
  */
 export const isUsedFor = (disk: DiskRecord, use: DiskUse): boolean => disk.uses?.includes(use) ?? true;
+/**
+ * Whether two disks belong to machines of the same role: they have the same uses in the same order of preference. The disks of stores and of
+ * control machines may both serve for votes and for replicas, but a store does not take the place of a control machine.
+ */
+export const hasSameRole = (one: DiskRecord, other: DiskRecord): boolean => one.uses?.join() === other.uses?.join();
+/** Whether the first disk's machine joined the domain of both later than the other's did. */
+export const joinedLater = (one: DiskRecord, other: DiskRecord): boolean =>
+  one.domain === other.domain && (one.machineJoinedRev ?? 0) > (other.machineJoinedRev ?? 0);
+/**
+ * Whether a machine of the same role was added to the disk's domain later, while the fleet was running. The older machine may then be removed
+ * without notice, just when another one fails, so nothing should depend on its disk.
+ */
+export const isSuperseded = (disk: DiskRecord, disks: Iterable<DiskRecord>): boolean =>
+  [...disks].some(
+    (other) =>
+      other.state === 'active' && other.addedLater === true && hasSameRole(other, disk) && joinedLater(other, disk),
+  );
 /**
  * The disks with the replicas of a shard in one generation. A generation is established once an owner serves under it: by then a
  * majority of its replicas has the whole history.
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -394,6 +394,8 @@
    * A disk joins the disk set after its process has been live for this long, which leaves out a process that ends right after its start.
    */
   joinAfterMs: 250,
+  /** Machines that join within this time after the fleet was bootstrapped took part in its first start; later ones were added to it. */
+  firstStartMs: 2_000,
   /** A disk that has been dead for this long is replaced. Longer than a restart, shorter than the time until a second failure is likely. */
   replaceAfterMs: 45_000,
   /**
--- a/packages/trial/src/test/control-fleet.ts
+++ b/packages/trial/src/test/control-fleet.ts
@@ -35,6 +35,8 @@
     stores?: number;
     relays?: number;
     losses?: number;
+    /** Uses of the control nodes' disks; votes only, if omitted. */
+    controlDiskUses?: NodeConfig['diskUses'];
     /** Tolerated losses of domains and regions, and the region of each failure domain. Machines are assigned to the domains in turn. */
     spread?: Required<Pick<NodeConfig, 'domainLosses' | 'regionLosses' | 'domains'>>;
     /** Whether disks are files; see `SimOpts.files`. */
@@ -50,7 +52,9 @@
       losses: options.losses ?? 1,
       ...options.spread,
       name: machine.name,
-      ...(role === 'relay' ? {} : { diskUses: role === 'store' ? ['copies', 'seat'] : ['seat'] }),
+      ...(role === 'relay'
+        ? {}
+        : { diskUses: role === 'store' ? ['copies', 'seat'] : (options.controlDiskUses ?? ['seat']) }),
     });
     return machine;
   };
--- a/packages/trial/src/test/planned-replacement.test.ts
+++ b/packages/trial/src/test/planned-replacement.test.ts
@@ -176,6 +176,40 @@
   }
 });
 
+// Guards against replicas that stay on a store whose successor runs: nothing announces its removal, and the next loss takes acknowledged messages.
+for (const storeCount of [3, 6])
+  for (const pauseMs of [0, 500, 2_500])
+    test(`a store of ${storeCount} with a successor is removed without SIGTERM, and another loses its disk ${pauseMs} ms later: nothing acknowledged is lost`, async (t) => {
+      for (let i = 0; i < storeCount; i++) {
+        const fleet = await startControlFleet(81 + i, { stores: storeCount });
+        const old = fleet.stores[i]!;
+        const second = fleet.stores[(i + 1) % storeCount]!;
+        const successor = fleet.addMachine('store', old.config.domain);
+        const startedAt = fleet.sim.now;
+        void fleet.sim.start(successor);
+        const faults = await publishAll(fleet, 1);
+        await fleet.advance(Math.max(0, startedAt + SYNC_MS - fleet.sim.now));
+        fleet.sim.loseDisk(old);
+        await fleet.advance(pauseMs);
+        await loseDiskAndReturn(fleet, second);
+        await fleet.advance(RECOVERY_MS);
+        faults.push(...(await publishAll(fleet, 2)));
+        t.deepEqual(faults, [], `store ${i}`);
+        fleet.sim.close();
+      }
+    });
+
+// Guards against a store that takes the vote or the replicas of a control machine of its zone, because both disks may serve for both.
+test('a store added in a zone leaves the vote of the control machine there', async (t) => {
+  const fleet = await startControlFleet(91, { controlDiskUses: ['seat', 'copies'] });
+  const voters = [...votersAt(fleet.controls[0]!)];
+  const added = fleet.addMachine('store', fleet.controls[0]!.config.domain);
+  void fleet.sim.start(added);
+  await fleet.advance(2 * SYNC_MS);
+  t.deepEqual([...votersAt(fleet.controls[0]!)].sort(), voters.sort());
+  fleet.sim.close();
+});
+
 // Guards against a restart that costs a machine its vote and replicas: only a successor may take them over.
 test('a machine without a successor stops at once, and has its vote and replicas after the restart', async (t) => {
   for (const role of ['control', 'store'] as const) {
