Ages of stored messages continue across restarts

What callers saw: all machines that count are killed at once and come back a second later; a minute on, the stores end with heap out of memory, again and again, under bodies of 16 KiB.

Cause, first part: a restart gave every entry on the disk the time of the restart as its receive time, so nothing was trimmed for another whole retention. A store then kept twice as much as without the restart, and with restarts in series nothing was ever trimmed.

Fix: receive times are stored in the disk's own time, which counts how long processes have run on the disk and continues from the newest time on it. Ages are never overestimated: the time without a process does not count. Rows of earlier versions hold times since 1970; they count as received when the process opened the disk, as before. Earlier versions read the new rows as they read their own.

Related path: the records of senders' last numbers, which had the same rule, age in the same way.

--- a/packages/state/src/durable-state.ts
+++ b/packages/state/src/durable-state.ts
@@ -1,6 +1,7 @@
 /** A node's durable state on its disk: the state of its consensus acceptor, its replicas of shards, and a few named values. */
 import { registerPlugin, type Sql, type SyncedDatabase } from '@harecross/kernel';
 import type { Statement } from 'better-sqlite3';
+import { DiskClock, isComparable } from './disk-clock.js';
 import type { Fence } from './fence.js';
 import { emptyBase, foldIntoBase, senderKey, type Entry, type Replica, type TrimmedBase } from './replica.js';
 import { checksumOf, columnNames, createTables } from './tables.js';
@@ -41,6 +42,7 @@
 export class DurableState {
   private readonly sql: Sql;
   private readonly prepared = new Map<string, Statement>();
+  private clock = new DiskClock(0, 0);
 
   constructor(readonly db: SyncedDatabase) {
     this.sql = db.sql;
@@ -103,18 +105,20 @@
   }
 
   /**
-   * Loads all replicas from the disk. The monotonic clock may differ from the one before the restart, so the age of entries and sender
-   * numbers starts again at `now`: they are kept somewhat longer than necessary, and never dropped too early.
+   * Loads all replicas from the disk. `now`: time of this process's steady clock. The ages of entries and sender numbers continue from the
+   * newest one on the disk: the time without a process does not count, so nothing is dropped too early.
    */
   loadReplicas(now: number): Map<number, Replica> {
-    const replicas = this.loadBases(now);
+    this.clock = new DiskClock(now, this.newestTime());
+    const replicas = this.loadBases();
     const intern = createInterner();
     const rows = this.sql
-      .prepare('select shard, idx, fence, topic, off, era, sender, seq, body from entry order by shard, idx')
+      .prepare('select shard, idx, fence, topic, off, era, sender, seq, body, at from entry order by shard, idx')
       .raw()
       .iterate();
-    for (const row of rows as Iterable<[number, number, string, string, number, number, string, number, string]>) {
-      const [shard, idx, fence, topic, off, era, sender, seq, body] = row;
+    type EntryRow = [number, number, string, string, number, number, string, number, string, number];
+    for (const row of rows as Iterable<EntryRow>) {
+      const [shard, idx, fence, topic, off, era, sender, seq, body, at] = row;
       replicas.get(shard)?.entries.push({
         idx,
         fence: intern(fence),
@@ -124,13 +128,22 @@
         sender: intern(sender),
         seq,
         body,
-        at: now,
+        at: this.clock.fromDisk(at),
       });
     }
     return replicas;
   }
 
-  private loadBases(now: number): Map<number, Replica> {
+  /** The latest time on the disk; 0 if there is none. */
+  private newestTime(): number {
+    let newest = 0;
+    for (const table of ['entry', 'sender'])
+      for (const at of this.sql.prepare(`select at from ${table}`).pluck().iterate() as Iterable<number>)
+        if (isComparable(at)) newest = Math.max(newest, at);
+    return newest;
+  }
+
+  private loadBases(): Map<number, Replica> {
     const replicas = new Map<number, Replica>();
     type ReplicaRow = { shard: number; promised: string; idx: number; fence: string };
     for (const { shard, promised, idx, fence } of this.statement('select * from copy').all() as ReplicaRow[])
@@ -138,9 +151,9 @@
     type TopicRow = { shard: number; topic: string; head: number; since: number; era: number };
     for (const { shard, topic, head, since, era } of this.statement('select * from topic').all() as TopicRow[])
       replicas.get(shard)?.base.topics.set(topic, { head, since, era });
-    type SenderRow = { shard: number; k: string; seq: number; off: number };
-    for (const { shard, k, seq, off } of this.statement('select * from sender').all() as SenderRow[])
-      replicas.get(shard)?.base.senders.set(k, { seq, off, at: now });
+    type SenderRow = { shard: number; k: string; seq: number; off: number; at: number };
+    for (const { shard, k, seq, off, at } of this.statement('select * from sender').all() as SenderRow[])
+      replicas.get(shard)?.base.senders.set(k, { seq, off, at: this.clock.fromDisk(at) });
     return replicas;
   }
 
@@ -169,7 +182,7 @@
   appendEntry(replica: Replica, entry: Entry): void {
     replica.entries.push(entry);
     const { idx, fence, topic, off, era, sender, seq, body, at } = entry;
-    this.upsert('entry', '', [replica.shard, idx, fence, topic, off, era, sender, seq, body, at]);
+    this.upsert('entry', '', [replica.shard, idx, fence, topic, off, era, sender, seq, body, this.clock.toDisk(at)]);
   }
 
   /**
@@ -217,7 +230,7 @@
     this.upsert(
       'sender',
       'on conflict (shard, k) do update set seq = excluded.seq, off = excluded.off, at = excluded.at, sum = excluded.sum',
-      [shard, key, seq, off, at],
+      [shard, key, seq, off, this.clock.toDisk(at)],
     );
   }
 
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,4 +1,5 @@
 /** Durable state on a node's disk. */
+export * from './disk-clock.js';
 export * from './durable-state.js';
 export * from './fence.js';
 export * from './replica.js';
