--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -11,6 +11,7 @@
 export * from './interest/interest-table.js';
 export * from './ownership/shard-state.js';
 export * from './replication/replication.js';
+export * from './replication/catch-up-budget.js';
 export * from './routing/shard-router.js';
 export * from './sessions/outgoing.js';
 export * from './sessions/session.js';
--- a/packages/data/src/interest/interest-table.ts
+++ b/packages/data/src/interest/interest-table.ts
@@ -3,7 +3,10 @@
  */
 import type { MembershipTable } from '@harecross/control';
 import { SESSION, SHARD, type QueueInfo, type Kernel, toErrorDetails, hash, shardOf } from '@harecross/kernel';
-import type { Entry } from '@harecross/state';
+import { takeWithin, type Entry } from '@harecross/state';
+
+/** How much one call to a relay carries. */
+const FAN_OUT_LIMITS = { entries: SHARD.fanOutQueueLimit, bytes: SHARD.fanOutBytesLimit } as const;
 
 /** A relay's report of its interest to a topic's owner: only a deadline, never who subscribes or how many. */
 export interface InterestItem {
@@ -216,7 +219,7 @@
     if (queue.sending) return;
     queue.sending = true;
     while (queue.frames.length) {
-      const frames = queue.frames.splice(0);
+      const frames = queue.frames.splice(0, takeWithin(queue.frames, FAN_OUT_LIMITS).length);
       this.kernel.incrementCounter('fan.frames', frames.length);
       try {
         await this.kernel.callAnyPath(relay, 'Fan', { frames: frames.map(toFanRow) });
--- a/packages/data/src/ownership/ownership-check.ts
+++ b/packages/data/src/ownership/ownership-check.ts
@@ -7,7 +7,7 @@
   type ShardOwnerRecord,
 } from '@harecross/control';
 import { REQUEST, SHARD, runPeriodically, type Kernel } from '@harecross/kernel';
-import { parseFence, type Fence } from '@harecross/state';
+import { lastIdx, parseFence, type Fence } from '@harecross/state';
 import type { ReplicaStore } from '../replication/replica-store.js';
 import type { HandOver } from './hand-over.js';
 import type { ShardAssignment } from './shard-assignment.js';
@@ -173,7 +173,7 @@
    */
   private mayRelease(shardId: number, placement: Placement, record: ShardOwnerRecord | undefined): boolean {
     const replica = this.replicas.all.get(shardId);
-    if (!replica || (!replica.entries.length && !replica.base.idx)) return false;
+    if (!replica || lastIdx(replica) === 0) return false;
     if (placement.retained?.includes(this.replicas.disk)) return false;
     return record !== undefined && record.gen === placement.gen && record.behind.length === 0;
   }
--- a/packages/data/src/ownership/publish-handler.ts
+++ b/packages/data/src/ownership/publish-handler.ts
@@ -41,6 +41,8 @@
 /** Queues publishes at an owner, with a bound, and processes them. */
 export class PublishHandler {
   private readonly queue: BoundedQueue<PublishRequest, PublishAnswer>;
+  /** Characters of the bodies of publishes that are not answered yet. */
+  private pendingBytes = 0;
 
   constructor(
     private readonly kernel: Kernel,
@@ -64,8 +66,8 @@
   private enqueue(request: PublishRequest): Promise<PublishAnswer> {
     const family = this.shards.requireFamily(request.topic, 'Publish');
     const isUrgent = urgencyOf(this.register.value!.config, family) === 'urgent';
-    const answer = this.queue.offer(request, isUrgent);
-    if (answer) return answer;
+    const answer = this.hasRoom(request, isUrgent) ? this.queue.offer(request, isUrgent) : undefined;
+    if (answer) return this.countBytes(request, answer);
     throw new HarecrossError({
       tag: 'overloaded',
       step: 'Publish',
@@ -74,6 +76,19 @@
     });
   }
 
+  /** Whether the bodies that only memory holds, in the queue and in the tails of the logs, leave room for one more. */
+  private hasRoom({ body }: PublishRequest, isUrgent: boolean): boolean {
+    const limit = isUrgent ? SHARD.pendingBytesLimit : SHARD.pendingBytesLimit / 2;
+    return Math.max(this.pendingBytes, this.shards.tailBytes()) + body.length <= limit;
+  }
+
+  private countBytes({ body }: PublishRequest, answer: Promise<PublishAnswer>): Promise<PublishAnswer> {
+    this.pendingBytes += body.length;
+    return answer.finally(() => {
+      this.pendingBytes -= body.length;
+    });
+  }
+
   /**
    * Accepts a publish, or returns the outcome of an earlier one with the same sequence number. Fails with `too_large`, with `stale_seq` (a
    * higher number was stored, so this one never will be), with `outcome_unknown`, and with `not_owner`, `not_ready` or `fenced` if a retry,
--- a/packages/data/src/ownership/shard-election.ts
+++ b/packages/data/src/ownership/shard-election.ts
@@ -3,9 +3,9 @@
  * valid history among them, and owns the shard once a majority has its first entry, the barrier.
  */
 import { hasFenceQuorum, type ConsensusRegister, type Placement } from '@harecross/control';
-import { SHARD, collectUntil, sleep, toErrorDetails, withTimeout, type Kernel } from '@harecross/kernel';
-import { lastFence, lastIdx, makeFence, parseFence, type Fence, type Replica } from '@harecross/state';
-import type { FenceAnswer, FetchAnswer, ReplicaStore } from '../replication/replica-store.js';
+import { BoundedQueue, SHARD, collectUntil, sleep, toErrorDetails, withTimeout, type Kernel } from '@harecross/kernel';
+import { fenceAt, lastFence, lastIdx, makeFence, outlineOf, parseFence, type Fence } from '@harecross/state';
+import type { FenceAnswer, FetchAnswer, FetchRequest, ReplicaStore } from '../replication/replica-store.js';
 import type { Replication } from '../replication/replication.js';
 import type { OwnershipPhase, ShardState } from './shard-state.js';
 import type { ShardTable } from './shard-table.js';
@@ -15,7 +15,7 @@
 /** Pause between two rounds (ms): the minimum, and the range of the random part added to it. */
 const ROUND_PAUSE_MS = 20;
 const ROUND_PAUSE_SPREAD_MS = 60;
-/** Matches no fence, so that the replica asked returns its whole history. */
+/** Matches no fence, so that a replica of an earlier version returns its whole history. */
 const UNKNOWN_FENCE = '?';
 
 /** An item of a `Fence` request: a shard and the fencing token to promise. Wire format. */
@@ -32,9 +32,27 @@
 
 type FencePromise = Extract<FenceAnswer, { ok: true }>;
 
+/** A part of a shard's history that a candidate lacks. */
+interface MissingPart {
+  peer: string;
+  fence: Fence;
+  request: FetchRequest;
+}
+
+/** What became of it. */
+interface FetchResult {
+  /** False if the candidate's replica has promised a higher fence meanwhile. */
+  isAdopted: boolean;
+  entryCount: number;
+}
+
 /** Runs elections in which this node is the candidate. */
 export class ShardElection {
   private readonly batches = new Map<string, FenceBatch>();
+  /** All that wait are elections under way, of which there is one for each shard at most. */
+  private readonly fetches = new BoundedQueue<MissingPart, FetchResult>(Infinity, SHARD.fetchConcurrency, (part) =>
+    this.fetch(part),
+  );
 
   constructor(
     private readonly kernel: Kernel,
@@ -141,16 +159,35 @@
     this.shards.announce(shard);
   }
 
-  /** Brings this node's replica to the longest valid history among the promises; false when it has promised a higher fence meanwhile. */
+  /**
+   * Brings this node's replica to the longest valid history among the promises, part by part; false when it has promised a higher fence
+   * meanwhile, or when the other replica does not have that history any more.
+   */
   private async completeHistory(shard: ShardState, fence: Fence, promises: FencePromise[]): Promise<boolean> {
     const own = this.replicas.get(shard.id);
     const best = promises.reduce((one, other) => (hasLongerHistory(other, one) ? other : one));
-    if (best.lastFence === lastFence(own) && best.lastIdx === lastIdx(own)) return true;
-    const from = Math.min(lastIdx(own), best.lastIdx);
-    const request = { disk: best.disk, shard: shard.id, from, fromFence: fenceAtIndex(own, from) };
     const peer = this.register.peerOf(best.disk)!;
+    while (best.lastFence !== lastFence(own) || best.lastIdx !== lastIdx(own)) {
+      const before = lastIdx(own);
+      const from = Math.min(before, best.lastIdx);
+      const request: FetchRequest = {
+        disk: best.disk,
+        shard: shard.id,
+        from,
+        fromFence: fenceAt(own, from) ?? UNKNOWN_FENCE,
+        outline: outlineOf(own),
+      };
+      const { isAdopted, entryCount } = (await this.fetches.offer({ peer, fence, request }))!;
+      if (!isAdopted) return false;
+      if (!entryCount && lastIdx(own) === before) return false;
+    }
+    return true;
+  }
+
+  private async fetch({ peer, fence, request }: MissingPart): Promise<FetchResult> {
     const fetched = await this.kernel.call<FetchAnswer>(peer, 'Fetch', request, SHARD.snapshotTimeoutMs);
-    return this.replicas.adoptHistory(shard.id, fence, fetched, from);
+    const isAdopted = await this.replicas.adoptHistory(request.shard, fence, fetched, request.from);
+    return { isAdopted, entryCount: fetched.entries.length };
   }
 }
 
@@ -158,10 +195,3 @@
 function hasLongerHistory(one: FencePromise, other: FencePromise): boolean {
   return one.lastFence > other.lastFence || (one.lastFence === other.lastFence && one.lastIdx > other.lastIdx);
 }
-
-/** The fence of a replica's entry at an index; `UNKNOWN_FENCE` where the entry is trimmed. */
-function fenceAtIndex(replica: Replica, index: number): Fence {
-  if (index === replica.base.idx) return replica.base.fence;
-  if (index > replica.base.idx) return replica.entries[index - replica.base.idx - 1]!.fence;
-  return UNKNOWN_FENCE;
-}
--- a/packages/data/src/ownership/shard-owner.ts
+++ b/packages/data/src/ownership/shard-owner.ts
@@ -12,7 +12,6 @@
 import { PublishHandler } from './publish-handler.js';
 import { ShardAssignment } from './shard-assignment.js';
 import { ShardElection } from './shard-election.js';
-import type { ShardState } from './shard-state.js';
 import { ShardTable, type OwnedShard } from './shard-table.js';
 import { TopicHistory } from './topic-history.js';
 
@@ -49,8 +48,8 @@
     const { clock, random } = kernel.host;
     this.shards = new ShardTable(kernel, membership, register, replicas);
     this.interests = new InterestTable(kernel, membership);
-    this.replication = new Replication(kernel, membership, register, {
-      committed: (shard, entry, isNew) => this.applyCommitted(shard, entry, isNew),
+    this.replication = new Replication(kernel, membership, register, replicas, {
+      committed: (entry) => this.fanOutCommitted(entry),
       fenced: (shard) => this.shards.setPhase(shard, 'none'),
       caughtUp: (shard) => {
         if (shard.phase === 'owner') this.shards.announce(shard);
@@ -62,7 +61,7 @@
     this.history = new TopicHistory(kernel, register, this.shards, this.replication, this.interests);
     this.history.serve();
     this.handOver = new HandOver(kernel, membership, replicas, this.shards, assignment, election);
-    this.trimmer = new HistoryTrimmer(kernel, register, this.shards);
+    this.trimmer = new HistoryTrimmer(kernel, register, this.shards, replicas.reader);
     this.ownershipCheck = new OwnershipCheck(
       kernel,
       membership,
@@ -141,13 +140,9 @@
     this.trimmer.trim();
   }
 
-  /** Makes a committed entry visible to consumers. `isNew`: it was written under this node's own fence. */
-  private applyCommitted(shard: ShardState, entry: Entry, isNew: boolean): void {
-    if (!entry.topic) return;
-    const topic = shard.topicOf(entry.topic, entry.era);
-    topic.head = entry.off;
-    if (entry.off >= topic.since) topic.entries.push(entry);
-    if (isNew && this.isVisible(entry)) this.interests.fanOut(entry);
+  /** Sends a message that was committed under this node's own fence to the relays with interest in its topic. */
+  private fanOutCommitted(entry: Entry): void {
+    if (entry.topic && this.isVisible(entry)) this.interests.fanOut(entry);
   }
 
   /** Whether a family has the entry's topic, in the incarnation in which the message was published. */
--- a/packages/data/src/ownership/shard-table.ts
+++ b/packages/data/src/ownership/shard-table.ts
@@ -37,7 +37,7 @@
     private readonly register: ConsensusRegister,
     private readonly replicas: ReplicaStore,
   ) {
-    for (let id = 0; id < SHARD.shardCount; id++) this.shards.set(id, new ShardState(id));
+    for (let id = 0; id < SHARD.shardCount; id++) this.shards.set(id, new ShardState(id, replicas.reader));
   }
 
   all(): Iterable<ShardState> {
@@ -56,6 +56,13 @@
     return this.get(shardOf(topic));
   }
 
+  /** Characters of the bodies in the tails of all shards. */
+  tailBytes(): number {
+    let bytes = 0;
+    for (const shard of this.shards.values()) bytes += shard.tailBytes;
+    return bytes;
+  }
+
   owned(): ShardState[] {
     return [...this.shards.values()].filter((shard) => shard.phase === 'owner');
   }
@@ -102,9 +109,7 @@
       waiter.reject(new HarecrossError({ tag: 'fenced', step: 'Publish', peer: this.kernel.self, fence }));
     // Without a fence nothing is replicated: the next election must not send entries under the fence of the ended ownership.
     shard.fence = NO_FENCE;
-    shard.topics.clear();
-    shard.senders.clear();
-    shard.entries = [];
+    shard.clearLog();
     for (const waiting of Array.from(shard.outOfOrder.values())) for (const publish of waiting) publish.resume();
   }
 
--- a/packages/data/src/ownership/topic-history.ts
+++ b/packages/data/src/ownership/topic-history.ts
@@ -2,6 +2,7 @@
 import { notReadyError, type ConsensusRegister } from '@harecross/control';
 import { HarecrossError, REQUEST, SESSION, sleep, type Kernel } from '@harecross/kernel';
 import { familyOf } from '@harecross/schema';
+import type { TopicMessage } from '@harecross/state';
 import { positionChecksum, type InterestTable, type ListenerCount } from '../interest/interest-table.js';
 import type { Replication } from '../replication/replication.js';
 import type { ShardState, TopicState } from './shard-state.js';
@@ -12,6 +13,9 @@
 /** Interval of polling for a majority's answers (ms). */
 const CONFIRM_POLL_MS = 4;
 
+/** How much of a topic's history one answer carries. */
+const PAGE_LIMITS = { entries: SESSION.historyPageLimit, bytes: SESSION.historyPageBytes } as const;
+
 /** Messages of a topic from an offset on, with the bounds of the topic. Wire format. */
 export interface HistoryPage {
   tag: 'page';
@@ -21,7 +25,7 @@
   first: number;
   /** First offset of the topic's current incarnation. */
   since: number;
-  entries: { off: number; sender: string; seq: number; body: string }[];
+  entries: TopicMessage[];
 }
 
 /** A page, or `gone` if no family has the topic any more. Wire format. */
@@ -80,7 +84,7 @@
     if (shard.fence !== fence || shard.phase !== 'owner')
       throw new HarecrossError({ tag: 'not_owner', step: 'Open', peer: this.kernel.self });
     this.shards.requireFamily(topic, 'History');
-    return boundsOf(this.shards.topic(shard, topic));
+    return boundsOf(shard, topic, this.shards.topic(shard, topic));
   }
 
   /**
@@ -107,11 +111,8 @@
     const shard = this.shards.requireServing(topic, 'History');
     this.shards.requireFamily(topic, 'History');
     const state = this.shards.topic(shard, topic);
-    const bounds = boundsOf(state);
-    const start = Math.max(0, Math.max(from, bounds.since) - bounds.first);
-    const entries = state.entries
-      .slice(start, start + SESSION.historyPageLimit)
-      .map(({ off, sender, seq, body }) => ({ off, sender, seq, body }));
+    const bounds = boundsOf(shard, topic, state);
+    const entries = shard.messagesFrom(topic, state, from, PAGE_LIMITS);
     return { tag: 'page', head: bounds.head, first: bounds.first, since: bounds.since, entries };
   }
 
@@ -148,6 +149,6 @@
   }
 }
 
-function boundsOf(topic: TopicState): TopicBounds {
-  return { head: topic.head, first: topic.entries[0]?.off ?? topic.head + 1, since: topic.since };
+function boundsOf(shard: ShardState, name: string, topic: TopicState): TopicBounds {
+  return { head: topic.head, first: shard.firstOffset(name, topic), since: topic.since };
 }
--- a/packages/data/src/replication/replica-store.ts
+++ b/packages/data/src/replication/replica-store.ts
@@ -4,11 +4,15 @@
  */
 import { HarecrossError, Kernel, SHARD, registerPlugin } from '@harecross/kernel';
 import {
+  commonIndex,
+  emptyReplica,
   fenceAt,
   lastFence,
   lastIdx,
   NO_FENCE,
   parseFence,
+  type HistoryOutline,
+  type HistoryReader,
   type TrimmedBase,
   type Replica,
   type Entry,
@@ -27,6 +31,9 @@
   senders: Map<string, { seq: number; off: number; age: number }>;
 }
 
+/** How much history one message between nodes carries: a longer one is sent in parts, so that memory does not depend on its length. */
+export const CHUNK_LIMITS = { entries: SHARD.appendEntryLimit, bytes: SHARD.appendBytesLimit } as const;
+
 /** Answer of `Fence`: the position of the replica's history, or the higher fence that it has promised already. Wire format. */
 export type FenceAnswer =
   | { ok: true; disk: string; lastIdx: number; lastFence: Fence; baseIdx: number }
@@ -41,7 +48,7 @@
   | { tag: 'behind'; disk: string; last: number };
 /**
  * Entries to append after `prevIdx`, where the replica's entry must have the fence `prevFence`. `trimTo`: the index up to which the replica
- * may trim. Wire format.
+ * may trim. `outline`: which entries the owner has, as long as it does not know where the replica's history parts from its own. Wire format.
  */
 export interface AppendRequest {
   disk: string;
@@ -51,10 +58,14 @@
   prevFence: Fence;
   entries: WireEntry[];
   trimTo: number;
+  outline?: HistoryOutline;
 }
 /** An owner's heartbeat for one shard, sent to a replica that has no entry left to receive. Wire format. */
 export type HeartbeatRow = [shard: number, fence: Fence, prevIdx: number, prevFence: Fence, trimTo: number];
-/** A snapshot of the owner's whole log, for a replica that needs entries which the owner has trimmed. Wire format. */
+/**
+ * A snapshot for a replica that needs entries which the owner has trimmed: the trimmed base and the first entries after it. The others follow
+ * as appends. Wire format.
+ */
 export interface InstallRequest {
   disk: string;
   shard: number;
@@ -62,9 +73,23 @@
   base: WireBase;
   entries: WireEntry[];
 }
-/** Answer of `Fetch`: the entries after the requested index, or the whole history if the two histories differ at it. Wire format. */
+/**
+ * Requests the history that a candidate's replica lacks. `outline`: which entries it has; the answer then has the first missing ones only.
+ * Earlier versions send no outline, and get all entries after `from`, or the whole history if the two differ there. Wire format.
+ */
+export interface FetchRequest {
+  disk: string;
+  shard: number;
+  from: number;
+  fromFence: Fence;
+  outline?: HistoryOutline;
+}
+/**
+ * Answer of `Fetch`: entries after the index `from`, up to which the histories are the same, or a base with the entries after it.
+ * Earlier versions omit `from`: it is the requested one. Wire format.
+ */
 export type FetchAnswer =
-  { tag: 'follow'; entries: WireEntry[] } | { tag: 'snapshot'; base: WireBase; entries: WireEntry[] };
+  { tag: 'follow'; from?: number; entries: WireEntry[] } | { tag: 'snapshot'; base: WireBase; entries: WireEntry[] };
 
 declare module '@harecross/kernel' {
   interface ServiceRegistry {
@@ -152,24 +177,22 @@
     kernel.on('Append', (request: AppendRequest) => this.handleAppend(request));
     kernel.on('Beats', (request: { disk: string; beats: HeartbeatRow[] }) => this.handleHeartbeats(request));
     kernel.on('Install', (request: InstallRequest) => this.handleInstall(request));
-    kernel.on('Fetch', (request: { disk: string; shard: number; from: number; fromFence: Fence }) =>
-      this.handleFetch(request),
-    );
+    kernel.on('Fetch', (request: FetchRequest) => this.handleFetch(request));
     kernel.on('Who', (request: { shards: number[] }) =>
       request.shards.map((shardId) => this.all.get(shardId)?.promised ?? NO_FENCE),
     );
   }
 
+  /** Reads of the history on this disk. */
+  get reader(): HistoryReader {
+    return this.state.reader;
+  }
+
   /** The replica of a shard; an empty one where this disk has none. */
   get(shardId: number): Replica {
     let replica = this.all.get(shardId);
     if (!replica) {
-      replica = {
-        shard: shardId,
-        promised: NO_FENCE,
-        base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
-        entries: [],
-      };
+      replica = emptyReplica(shardId);
       this.all.set(shardId, replica);
     }
     return replica;
@@ -184,7 +207,7 @@
         return {
           shard: replica.shard,
           last: lastIdx(replica),
-          kept: replica.entries.length,
+          kept: lastIdx(replica) - replica.base.idx,
           gen: fence.gen,
           number: fence.number,
           by: fence.peer,
@@ -280,6 +303,12 @@
   private findMismatch(request: AppendRequest): Exclude<AppendAnswer, { tag: 'ok' }> | undefined {
     const replica = this.get(request.shard);
     if (request.fence < replica.promised) return { tag: 'fenced', disk: this.disk, promised: replica.promised };
+    if (
+      request.outline &&
+      fenceAt(replica, request.prevIdx) !== request.prevFence &&
+      request.prevIdx >= replica.base.idx
+    )
+      return { tag: 'behind', disk: this.disk, last: commonIndex(replica, request.outline) ?? replica.base.idx };
     if (request.prevIdx > lastIdx(replica)) return { tag: 'behind', disk: this.disk, last: lastIdx(replica) };
     if (request.prevIdx >= replica.base.idx && fenceAt(replica, request.prevIdx) !== request.prevFence) {
       // The entry at prevIdx conflicts with the owner's history: skip back over all entries with the same fence in one step.
@@ -295,7 +324,7 @@
   private applyAppend(request: AppendRequest): AppendAnswer {
     const now = this.kernel.host.clock.now();
     const replica = this.get(request.shard);
-    if (request.fence > replica.promised) this.state.savePromise(replica, request.fence);
+    this.followOwner(replica, request.fence);
     const mismatch = this.findMismatch(request);
     if (mismatch) return mismatch;
     for (const wireEntry of request.entries) {
@@ -316,32 +345,47 @@
     return { tag: 'ok', disk: this.disk, match };
   }
 
+  /** Promises the fence of an owner that writes to the replica. A node that owned the shard until now stops reading it at once. */
+  private followOwner(replica: Replica, fence: Fence): void {
+    if (fence <= replica.promised) return;
+    this.state.savePromise(replica, fence);
+    this.fencePromised$.next(replica.shard);
+  }
+
   private handleInstall(request: InstallRequest): Promise<AppendAnswer> {
     this.requireOwnDisk(request.disk, 'Install');
     return this.state.db.commit((): AppendAnswer => {
       const now = this.kernel.host.clock.now();
       const replica = this.get(request.shard);
       if (request.fence < replica.promised) return { tag: 'fenced', disk: this.disk, promised: replica.promised };
-      if (request.fence > replica.promised) this.state.savePromise(replica, request.fence);
+      this.followOwner(replica, request.fence);
       this.state.installSnapshot(replica, fromWireBase(request.base, now), request.entries.map(fromWireEntry(now)));
       this.kernel.incrementCounter('copy.snapshots');
       return { tag: 'ok', disk: this.disk, match: lastIdx(replica) };
     });
   }
 
-  private handleFetch(request: { disk: string; shard: number; from: number; fromFence: Fence }): FetchAnswer {
+  private handleFetch(request: FetchRequest): FetchAnswer {
     this.requireOwnDisk(request.disk, 'Fetch');
     const now = this.kernel.host.clock.now();
     const replica = this.get(request.shard);
-    if (request.from >= replica.base.idx && fenceAt(replica, request.from) === request.fromFence) {
-      return { tag: 'follow', entries: replica.entries.slice(request.from - replica.base.idx).map(toWireEntry(now)) };
-    }
-    return { tag: 'snapshot', base: toWireBase(replica.base, now), entries: replica.entries.map(toWireEntry(now)) };
+    const limits = request.outline ? CHUNK_LIMITS : { entries: Number.MAX_SAFE_INTEGER, bytes: Infinity };
+    const from = request.outline ? commonIndex(replica, request.outline) : matchingIndex(replica, request);
+    const start = from !== undefined && from >= replica.base.idx ? from : undefined;
+    const entries = this.reader.entries(request.shard, (start ?? replica.base.idx) + 1, limits).map(toWireEntry(now));
+    if (start !== undefined) return { tag: 'follow', from: start, entries };
+    return { tag: 'snapshot', base: this.wireBase(replica, now), entries };
+  }
+
+  /** The trimmed base of a replica, as it is sent to another one. */
+  wireBase(replica: Replica, now: number): WireBase {
+    return toWireBase({ ...replica.base, ...this.reader.base(replica.shard) }, now);
   }
 
   /**
-   * Replaces this replica's history after `from` with the answer of another replica to `Fetch`; entries keep the fences under which they
-   * were written. Resolves to false if this replica has promised another fence than `fence` meanwhile.
+   * Replaces this replica's history after the index from which the answer of another replica to `Fetch` continues; entries keep the fences
+   * under which they were written. `from`: the requested index, for answers of earlier versions. Resolves to false if this replica has
+   * promised another fence than `fence` meanwhile.
    */
   adoptHistory(shardId: number, fence: Fence, fetched: FetchAnswer, from: number): Promise<boolean> {
     return this.state.db.commit(() => {
@@ -350,7 +394,7 @@
       if (replica.promised !== fence) return false;
       switch (fetched.tag) {
         case 'follow':
-          this.state.truncateFrom(replica, from + 1);
+          this.state.truncateFrom(replica, (fetched.from ?? from) + 1);
           for (const wireEntry of fetched.entries) this.state.appendEntry(replica, fromWireEntry(now)(wireEntry));
           break;
         case 'snapshot':
@@ -370,6 +414,11 @@
   }
 }
 
+/** The index that an earlier version asks to continue from, if the replica has the same entry there. */
+function matchingIndex(replica: Replica, { from, fromFence }: FetchRequest): number | undefined {
+  return fenceAt(replica, from) === fromFence ? from : undefined;
+}
+
 registerPlugin({
   name: 'copies',
   needs: ['state'],
--- a/packages/data/src/replication/replication.ts
+++ b/packages/data/src/replication/replication.ts
@@ -2,13 +2,22 @@
 import type { MembershipTable, ConsensusRegister } from '@harecross/control';
 import { HarecrossError, SHARD, toErrorDetails, type Kernel } from '@harecross/kernel';
 import { NO_FENCE, type Entry } from '@harecross/state';
-import { toWireBase, toWireEntry, type AppendAnswer, type HeartbeatRow, type WireEntry } from './replica-store.js';
+import { CatchUpBudget } from './catch-up-budget.js';
+import {
+  CHUNK_LIMITS,
+  toWireEntry,
+  type AppendAnswer,
+  type AppendRequest,
+  type HeartbeatRow,
+  type InstallRequest,
+  type ReplicaStore,
+} from './replica-store.js';
 import type { ShardState } from '../ownership/shard-state.js';
 
 /** Callbacks of the owner for results of replication. */
 export interface ReplicationEvents {
-  /** A majority of the replicas has the entry; `isNew`: it was written under the owner's own fence. */
-  committed(shard: ShardState, entry: Entry, isNew: boolean): void;
+  /** A majority of the replicas has the entry, which was written under the owner's own fence. */
+  committed(entry: Entry): void;
   /** A replica has promised a higher fence. */
   fenced(shard: ShardState): void;
   /** A replica that lacked some of the history before the owner's barrier has all of it now. */
@@ -17,18 +26,20 @@
 
 /**
  * Replicates the log of owned shards: one append at a time to each disk and shard, a snapshot to a replica that needs trimmed entries, and
- * a commit index that follows the majority.
+ * a commit index that follows the majority. No message is larger than `CHUNK_LIMITS`, whatever a replica lacks.
  * @example
  * replication.replicate(shard, false); // after entries were appended to the log
  */
 export class Replication {
   /** Disks to which a heartbeat call is under way. */
   private heartbeatsInFlight = new Set<string>();
+  private readonly catchUp = new CatchUpBudget<ShardState>(SHARD.catchUpConcurrency);
 
   constructor(
     private kernel: Kernel,
     private membership: MembershipTable,
     private register: ConsensusRegister,
+    private replicas: ReplicaStore,
     private events: ReplicationEvents,
   ) {}
 
@@ -41,7 +52,7 @@
     const now = this.kernel.host.clock.now();
     const shardsByDisk = new Map<string, ShardState[]>();
     for (const shard of shards) {
-      if (shard.phase === 'none' || !shard.base || shard.fence === NO_FENCE) continue;
+      if (shard.phase === 'none' || shard.fence === NO_FENCE) continue;
       for (const disk of shard.replicas) {
         if (shard.appendsInFlight.has(disk)) continue;
         if ((shard.nextIndex.get(disk) ?? shard.lastIndex() + 1) <= shard.lastIndex()) {
@@ -99,7 +110,7 @@
    * known to be live.
    */
   replicate(shard: ShardState, force: boolean): void {
-    if (shard.phase === 'none' || !shard.base || shard.fence === NO_FENCE) return;
+    if (shard.phase === 'none' || shard.fence === NO_FENCE) return;
     for (const disk of shard.replicas) void this.sendAppend(shard, disk, force);
   }
 
@@ -110,54 +121,62 @@
     if (next > shard.lastIndex() && !force) return;
     const peer = this.register.peerOf(disk);
     if (!peer || (peer !== this.kernel.self && !this.membership.isLive(peer) && !force)) return;
+    // Another owner has written to this node's replica, from which the log is read.
+    if (!shard.isReplicaIntact()) {
+      this.events.fenced(shard);
+      return;
+    }
+    // While a replica catches up, its parts of the history are sent within a budget for its disk; the others wait.
+    const release = shard.isBeforeTail(next) ? this.catchUp.reserve(disk, shard) : undefined;
+    if (release === 'full') return;
     shard.appendsInFlight.add(disk);
-    const { clock } = this.kernel.host;
-    const now = clock.now();
+    const now = this.kernel.host.clock.now();
     let hasMore = false;
     try {
-      let answer: AppendAnswer;
-      if (next <= shard.base.idx) {
-        answer = await this.kernel.call<AppendAnswer>(
-          peer,
-          'Install',
-          {
-            disk,
-            shard: shard.id,
-            fence,
-            base: toWireBase(shard.base, now),
-            entries: shard.entries.map(toWireEntry(now)),
-          },
-          SHARD.snapshotTimeoutMs,
-        );
-      } else {
-        const entries: WireEntry[] = shard.entries
-          .slice(next - shard.base.idx - 1, next - shard.base.idx - 1 + SHARD.appendEntryLimit)
-          .map(toWireEntry(now));
-        answer = await this.kernel.call<AppendAnswer>(
-          peer,
-          'Append',
-          {
-            disk,
-            shard: shard.id,
-            fence,
-            prevIdx: next - 1,
-            prevFence: shard.fenceAt(next - 1),
-            entries,
-            trimTo: shard.trimIndex,
-          },
-          SHARD.appendTimeoutMs,
-        );
-      }
+      const answer =
+        next <= shard.replica.base.idx
+          ? await this.callInstall(peer, shard, disk)
+          : await this.callAppend(peer, shard, disk, next);
       if (shard.fence !== fence || shard.phase === 'none') return;
       hasMore = this.applyAnswer(shard, disk, now, next, answer);
     } catch (error) {
       this.recordFailure(error, 'append', peer);
     } finally {
       if (shard.fence === fence) shard.appendsInFlight.delete(disk);
+      for (const waiting of release?.() ?? []) void this.sendAppend(waiting, disk, true);
     }
     if (hasMore) void this.sendAppend(shard, disk, false);
   }
 
+  /** Sends the trimmed base with the first part of the entries; the others follow as appends. */
+  private callInstall(peer: string, shard: ShardState, disk: string): Promise<AppendAnswer> {
+    const now = this.kernel.host.clock.now();
+    const request: InstallRequest = {
+      disk,
+      shard: shard.id,
+      fence: shard.fence,
+      base: this.replicas.wireBase(shard.replica, now),
+      entries: shard.entriesFrom(shard.replica.base.idx + 1, CHUNK_LIMITS).map(toWireEntry(now)),
+    };
+    return this.kernel.call<AppendAnswer>(peer, 'Install', request, SHARD.snapshotTimeoutMs);
+  }
+
+  private callAppend(peer: string, shard: ShardState, disk: string, next: number): Promise<AppendAnswer> {
+    const now = this.kernel.host.clock.now();
+    const request: AppendRequest = {
+      disk,
+      shard: shard.id,
+      fence: shard.fence,
+      prevIdx: next - 1,
+      prevFence: shard.fenceAt(next - 1),
+      entries: shard.entriesFrom(next, CHUNK_LIMITS).map(toWireEntry(now)),
+      trimTo: shard.trimIndex,
+    };
+    // Until the replica has matched up to here, its answer has to tell where its history parts from this one.
+    if (shard.matchIndex.get(disk) !== next - 1) request.outline = shard.outline();
+    return this.kernel.call<AppendAnswer>(peer, 'Append', request, SHARD.appendTimeoutMs);
+  }
+
   private recordFailure(error: unknown, step: 'append' | 'beat', peer: string): void {
     this.kernel.incrementCounter(`${step}.fail`);
     const details = toErrorDetails(error, step, peer);
@@ -190,6 +209,7 @@
     shard.matchIndex.set(disk, current);
     shard.nextIndex.set(disk, current + 1);
     this.advanceCommit(shard);
+    shard.releaseTail();
     if (before < shard.barrierIndex && current >= shard.barrierIndex) this.events.caughtUp(shard);
   }
 
@@ -202,14 +222,11 @@
     const majorityIndex = matches[Math.floor(shard.replicas.length / 2)]!;
     if (
       majorityIndex <= shard.commitIndex ||
-      majorityIndex <= shard.base.idx ||
+      majorityIndex <= shard.replica.base.idx ||
       shard.fenceAt(majorityIndex) !== shard.fence
     )
       return;
-    const from = Math.max(shard.commitIndex, shard.base.idx);
-    shard.commitIndex = majorityIndex;
-    for (const entry of shard.entries.slice(from - shard.base.idx, majorityIndex - shard.base.idx))
-      this.events.committed(shard, entry, entry.fence === shard.fence);
+    for (const entry of shard.commitTo(majorityIndex)) this.events.committed(entry);
     const stillWaiting: typeof shard.commitWaiters = [];
     for (const waiter of shard.commitWaiters) {
       if (waiter.index <= majorityIndex) waiter.resolve();
--- a/packages/kernel/src/constants.ts
+++ b/packages/kernel/src/constants.ts
@@ -43,6 +43,8 @@
   headsMs: 1_000,
   /** Entries requested from history at a time; a page stays far below the size of a queue. */
   historyPageLimit: 64,
+  /** Characters of bodies in one page. */
+  historyPageBytes: 256 * 1024,
   /** How long the owner waits for relays when it counts listeners; the client that asked waits about 2 s. */
   countTimeoutMs: 700,
   /**
@@ -135,12 +137,22 @@
   unhealthyMs: 20_000,
   /** Time limit of one Append; a slow disk may take that long, and the other replicas form the majority meanwhile. */
   appendTimeoutMs: 1_500,
-  /** Entries in one Append. */
+  /** Entries in one Append, snapshot or answer to a Fetch ... */
   appendEntryLimit: 256,
+  /** ... and characters of their bodies. */
+  appendBytesLimit: 512 * 1024,
+  /** Appends that are read from an owner's disk and on the way at once to one disk that lags behind. */
+  catchUpConcurrency: 2,
+  /** Parts of histories that a candidate for several shards fetches at once. */
+  fetchConcurrency: 8,
+  /** Characters of bodies at one owner that are not yet committed or not yet on its own disk; beyond that it rejects publishes. */
+  pendingBytesLimit: 16 * 1024 * 1024,
   /** Publishes waiting at one owner before it rejects more; urgent ones may use the whole queue, routine ones half of it. */
   ownerQueueLimit: 2_000,
   /** Frames queued at an owner for one relay; the relay reads what is beyond that from history. */
   fanOutQueueLimit: 1_000,
+  /** Characters of the bodies in one call to a relay. */
+  fanOutBytesLimit: 256 * 1024,
   /** Interval at which an owner trims its history ... */
   trimMs: 2_000,
   /** ... and at which a replica does the same: each trim writes more pages than the appends since the last one. */
@@ -453,7 +465,7 @@
    * A connection that has unanswered calls and is quiet for this long is pinged, and closed after the same time again: 1.4 to 2.1 s in all.
    */
   peerQuietMs: 700,
-  /** Largest frame between peers: the whole snapshot of a shard. */
+  /** Largest frame between peers: earlier versions send the whole snapshot of a shard in one. */
   peerFrameBytes: 64 * 1024 * 1024,
   /** Bytes queued for one peer, in each direction; room for one snapshot beside the other traffic. */
   peerWaitingBytes: 80 * 1024 * 1024,
--- a/packages/kernel/src/disk.ts
+++ b/packages/kernel/src/disk.ts
@@ -86,6 +86,18 @@
     });
   }
 
+  /**
+   * Runs `run` in a transaction that is durable when this returns. It blocks the event loop, so it is for the time before the node serves.
+   * @example
+   * db.commitBlocking((sql) => sql.exec('create table if not exists t (x integer)'));
+   */
+  commitBlocking(run: (sql: Sql) => void): void {
+    const synchronous = Number(this.sql.pragma('synchronous', { simple: true }));
+    this.sql.pragma('synchronous = FULL');
+    this.sql.transaction(run)(this.sql);
+    this.sql.pragma(`synchronous = ${synchronous}`);
+  }
+
   /**
    * Resolves when all changes made so far are durable. For callers that answer from memory with data that is possibly still being
    * synced.
--- a/packages/kernel/src/real-host.ts
+++ b/packages/kernel/src/real-host.ts
@@ -61,7 +61,7 @@
     sql.pragma('locking_mode = EXCLUSIVE');
     sql.pragma('journal_mode = WAL');
     sql.pragma('synchronous = FULL');
-    const checkResult = String(sql.pragma('quick_check(1)', { simple: true })).replaceAll('\n', ' ');
+    const checkResult = String(sql.pragma('integrity_check(1)', { simple: true })).replaceAll('\n', ' ');
     if (checkResult !== 'ok') {
       sql.close();
       return { tag: 'damaged', why: checkResult };
--- a/packages/kernel/src/wal.ts
+++ b/packages/kernel/src/wal.ts
@@ -1,4 +1,4 @@
-import { closeSync, existsSync, openSync, readFileSync, readSync } from 'node:fs';
+import { closeSync, existsSync, openSync, readSync } from 'node:fs';
 
 const WAL_HEADER_BYTES = 32;
 const FRAME_HEADER_BYTES = 24;
@@ -34,6 +34,69 @@
   return size === 1 ? 65_536 : size;
 }
 
+/** Reads a file part by part, so that memory does not depend on its length. */
+class FileReader {
+  private offset = 0;
+
+  constructor(private readonly fd: number) {}
+
+  /** Fills a buffer with the next bytes; false if the file has fewer. */
+  fill(buffer: Buffer): boolean {
+    const bytes = readSync(this.fd, buffer, 0, buffer.length, this.offset);
+    this.offset += bytes;
+    return bytes === buffer.length;
+  }
+}
+
+/** The header of a log. */
+interface WalHeader {
+  isIntact: boolean;
+  bigEndian: boolean;
+  pageSize: number;
+  salts: Buffer;
+  checksum: [number, number];
+}
+
+function readWalHeader(header: Buffer): WalHeader {
+  const bigEndian = (header.readUInt32BE(0) & 1) === 1;
+  const checksum = updateChecksum(header, 0, 24, bigEndian, [0, 0]);
+  const isIntact =
+    (header.readUInt32BE(0) | 1) === MAGIC &&
+    header.readUInt32BE(24) === checksum[0] &&
+    header.readUInt32BE(28) === checksum[1];
+  return { isIntact, bigEndian, pageSize: header.readUInt32BE(8), salts: header.subarray(16, 24), checksum };
+}
+
+/** Where a log is corrupt, and how many commits end at or after that place. */
+interface WalCorruption {
+  /** Number of the first corrupt frame; 0 stands for the header. */
+  frame: number;
+  commitsBehind: number;
+}
+
+function scanFrames(reader: FileReader, { isIntact, bigEndian, pageSize, salts, checksum }: WalHeader): WalCorruption {
+  const frame = Buffer.alloc(FRAME_HEADER_BYTES + pageSize);
+  let corruptFrame = isIntact ? -1 : 0;
+  let commitsBehind = 0;
+  let expectedSalts = isIntact ? salts : undefined;
+  for (let i = 1; reader.fill(frame); i++) {
+    // With a corrupt header, the salts of the first frame are assumed.
+    expectedSalts ??= Buffer.from(frame.subarray(8, 16));
+    // Frames left from before the last restart of the log have other salts.
+    if (!frame.subarray(8, 16).equals(expectedSalts)) {
+      if (corruptFrame < 0) break;
+      continue;
+    }
+    if (corruptFrame < 0) {
+      checksum = updateChecksum(frame, 0, 8, bigEndian, checksum);
+      checksum = updateChecksum(frame, FRAME_HEADER_BYTES, frame.length, bigEndian, checksum);
+      if (frame.readUInt32BE(16) !== checksum[0] || frame.readUInt32BE(20) !== checksum[1]) corruptFrame = i;
+    }
+    if (corruptFrame >= 0 && frame.readUInt32BE(4) !== 0) commitsBehind++;
+  }
+  return { frame: corruptFrame, commitsBehind };
+}
+
 /**
  * Describes a corruption of a database's write-ahead log; undefined if none is found. SQLite reads the log up to the first frame with a
  * wrong checksum and ignores the rest, which is right after a torn write. But commits are synced one after another, so if two commits end
@@ -45,46 +108,23 @@
 export function findWalCorruption(file: string): string | undefined {
   const wal = `${file}-wal`;
   if (!existsSync(wal)) return undefined;
-  const log = readFileSync(wal);
-  if (log.length < WAL_HEADER_BYTES) return undefined;
-  const bigEndian = (log.readUInt32BE(0) & 1) === 1;
-  let checksum = updateChecksum(log, 0, 24, bigEndian, [0, 0]);
-  const headerOk =
-    (log.readUInt32BE(0) | 1) === MAGIC && log.readUInt32BE(24) === checksum[0] && log.readUInt32BE(28) === checksum[1];
-  // With a corrupt header, the page size of the database and the salts of the first frame are assumed.
-  const pageSize = headerOk ? log.readUInt32BE(8) : readPageSize(file);
-  if (pageSize < 512 || pageSize > 65_536) return 'the header of the write-ahead log is corrupt';
-  const salts = headerOk ? log.subarray(16, 24) : log.subarray(WAL_HEADER_BYTES + 8, WAL_HEADER_BYTES + 16);
-  /** Number of the first corrupt frame: 0 stands for the header, -1 for none. */
-  let corruptFrame = headerOk ? -1 : 0;
-  /** Commits that end at or after that frame. */
-  let commitsBehind = 0;
-  for (
-    let offset = WAL_HEADER_BYTES, i = 1;
-    offset + FRAME_HEADER_BYTES + pageSize <= log.length;
-    offset += FRAME_HEADER_BYTES + pageSize, i++
-  ) {
-    // Frames left from before the last restart of the log have other salts.
-    if (!log.subarray(offset + 8, offset + 16).equals(salts)) {
-      if (corruptFrame < 0) break;
-      continue;
-    }
-    if (corruptFrame < 0) {
-      checksum = updateChecksum(log, offset, offset + 8, bigEndian, checksum);
-      checksum = updateChecksum(
-        log,
-        offset + FRAME_HEADER_BYTES,
-        offset + FRAME_HEADER_BYTES + pageSize,
-        bigEndian,
-        checksum,
-      );
-      if (log.readUInt32BE(offset + 16) !== checksum[0] || log.readUInt32BE(offset + 20) !== checksum[1])
-        corruptFrame = i;
-    }
-    if (corruptFrame >= 0 && log.readUInt32BE(offset + 4) !== 0) commitsBehind++;
+  const fd = openSync(wal, 'r');
+  try {
+    return describeCorruption(new FileReader(fd), file);
+  } finally {
+    closeSync(fd);
   }
-  if (corruptFrame < 0 || commitsBehind < 2) return undefined;
-  return corruptFrame === 0
-    ? `the header of the write-ahead log is corrupt, and ${commitsBehind} commits end at or after it`
-    : `frame ${corruptFrame} of the write-ahead log is corrupt, and ${commitsBehind} commits end at or after it`;
+}
+
+function describeCorruption(reader: FileReader, file: string): string | undefined {
+  const bytes = Buffer.alloc(WAL_HEADER_BYTES);
+  if (!reader.fill(bytes)) return undefined;
+  const header = readWalHeader(bytes);
+  // With a corrupt header, the page size of the database is assumed.
+  if (!header.isIntact) header.pageSize = readPageSize(file);
+  if (header.pageSize < 512 || header.pageSize > 65_536) return 'the header of the write-ahead log is corrupt';
+  const { frame, commitsBehind } = scanFrames(reader, header);
+  if (frame < 0 || commitsBehind < 2) return undefined;
+  const place = frame === 0 ? 'the header' : `frame ${frame}`;
+  return `${place} of the write-ahead log is corrupt, and ${commitsBehind} commits end at or after it`;
 }
--- a/packages/state/src/disk-clock.ts
+++ b/packages/state/src/disk-clock.ts
@@ -1,7 +1,7 @@
 /** The time base of a disk: receive times on it stay comparable when the process, and with it the steady clock, is replaced by another. */
 
 /** Times from here on (ms) were written by earlier versions, as times of the steady clock of a process that has ended. */
-const EARLIER_VERSIONS_FROM = 1e11;
+export const EARLIER_VERSIONS_FROM = 1e11;
 
 /**
  * Converts between the steady clock of this process and the disk's time, which counts how long processes have run on this disk (ms). While no
--- a/packages/state/src/durable-state.ts
+++ b/packages/state/src/durable-state.ts
@@ -1,9 +1,21 @@
 /** A node's durable state on its disk: the state of its consensus acceptor, its replicas of shards, and a few named values. */
 import { registerPlugin, type Sql, type SyncedDatabase } from '@harecross/kernel';
 import type { Statement } from 'better-sqlite3';
-import { DiskClock, isComparable } from './disk-clock.js';
+import { DiskClock, EARLIER_VERSIONS_FROM, isComparable } from './disk-clock.js';
 import type { Fence } from './fence.js';
-import { emptyBase, foldIntoBase, senderKey, type Entry, type Replica, type TrimmedBase } from './replica.js';
+import { HistoryReader } from './history-reader.js';
+import {
+  emptyBase,
+  recordAppended,
+  recordTrimmed,
+  recordTruncated,
+  senderKey,
+  type Entry,
+  type Replica,
+  type SenderBase,
+  type TopicBase,
+  type TrimmedBase,
+} from './replica.js';
 import { checksumOf, columnNames, createTables } from './tables.js';
 
 /** Keys of the named values. They are part of the format on disk and must not change. */
@@ -16,6 +28,9 @@
 const DISK_ID_RANGE = 2 ** 48;
 const DISK_ID_RADIX = 36;
 
+/** Entries whose topics and senders a trim holds in memory at once. */
+const TRIM_CHUNK_ENTRIES = 1_000;
+
 declare module '@harecross/kernel' {
   interface ServiceRegistry {
     state: DurableState;
@@ -43,6 +58,11 @@
   private readonly sql: Sql;
   private readonly prepared = new Map<string, Statement>();
   private clock = new DiskClock(0, 0);
+  /** Reads of the replicas' history. */
+  readonly reader = new HistoryReader(
+    (text) => this.statement(text),
+    () => this.clock,
+  );
 
   constructor(readonly db: SyncedDatabase) {
     this.sql = db.sql;
@@ -58,10 +78,10 @@
     return statement;
   }
 
-  /** Creates the tables. */
+  /** Creates missing tables and indexes. */
   init(): void {
-    // A single commit, because the corruption check of the write-ahead log assumes that at most one commit is not yet synced.
-    this.sql.transaction(() => createTables(this.sql))();
+    // Durable at once, because the corruption check of the write-ahead log assumes that at most one commit is not yet synced.
+    this.db.commitBlocking(createTables);
   }
 
   /** Writes a row with its checksum. Columns are given by name, because `alter table` leaves them in another order in older tables. */
@@ -105,58 +125,33 @@
   }
 
   /**
-   * Loads all replicas from the disk. `now`: time of this process's steady clock. The ages of entries and sender numbers continue from the
-   * newest one on the disk: the time without a process does not count, so nothing is dropped too early.
+   * Loads the outlines of all replicas from the disk. `now`: time of this process's steady clock. The ages of entries and sender numbers
+   * continue from the newest one on the disk: the time without a process does not count, so nothing is dropped too early.
    */
   loadReplicas(now: number): Map<number, Replica> {
-    this.clock = new DiskClock(now, this.newestTime());
-    const replicas = this.loadBases();
-    const intern = createInterner();
-    const rows = this.sql
-      .prepare('select shard, idx, fence, topic, off, era, sender, seq, body, at from entry order by shard, idx')
-      .raw()
-      .iterate();
-    type EntryRow = [number, number, string, string, number, number, string, number, string, number];
-    for (const row of rows as Iterable<EntryRow>) {
-      const [shard, idx, fence, topic, off, era, sender, seq, body, at] = row;
-      replicas.get(shard)?.entries.push({
-        idx,
-        fence: intern(fence),
-        topic: intern(topic),
-        off,
-        era,
-        sender: intern(sender),
-        seq,
-        body,
-        at: this.clock.fromDisk(at),
-      });
+    const replicas = new Map<number, Replica>();
+    type ReplicaRow = { shard: number; promised: string; idx: number; fence: string };
+    for (const { shard, promised, idx, fence } of this.statement('select * from copy').all() as ReplicaRow[])
+      replicas.set(shard, { shard, promised, base: { idx, fence }, last: idx, runs: [] });
+    let newest = this.newestSenderTime();
+    const rows = this.sql.prepare('select shard, idx, fence, at from entry order by shard, idx').raw().iterate();
+    for (const [shard, idx, fence, at] of rows as Iterable<[number, number, string, number]>) {
+      const replica = replicas.get(shard);
+      if (replica) recordAppended(replica, { idx, fence });
+      if (isComparable(at)) newest = Math.max(newest, at);
     }
+    this.clock = new DiskClock(now, newest);
     return replicas;
   }
 
-  /** The latest time on the disk; 0 if there is none. */
-  private newestTime(): number {
+  /** The latest time of a sender number on the disk; 0 if there is none. */
+  private newestSenderTime(): number {
     let newest = 0;
-    for (const table of ['entry', 'sender'])
-      for (const at of this.sql.prepare(`select at from ${table}`).pluck().iterate() as Iterable<number>)
-        if (isComparable(at)) newest = Math.max(newest, at);
+    for (const at of this.sql.prepare('select at from sender').pluck().iterate() as Iterable<number>)
+      if (isComparable(at)) newest = Math.max(newest, at);
     return newest;
   }
 
-  private loadBases(): Map<number, Replica> {
-    const replicas = new Map<number, Replica>();
-    type ReplicaRow = { shard: number; promised: string; idx: number; fence: string };
-    for (const { shard, promised, idx, fence } of this.statement('select * from copy').all() as ReplicaRow[])
-      replicas.set(shard, { shard, promised, base: { ...emptyBase(), idx, fence }, entries: [] });
-    type TopicRow = { shard: number; topic: string; head: number; since: number; era: number };
-    for (const { shard, topic, head, since, era } of this.statement('select * from topic').all() as TopicRow[])
-      replicas.get(shard)?.base.topics.set(topic, { head, since, era });
-    type SenderRow = { shard: number; k: string; seq: number; off: number; at: number };
-    for (const { shard, k, seq, off, at } of this.statement('select * from sender').all() as SenderRow[])
-      replicas.get(shard)?.base.senders.set(k, { seq, off, at: this.clock.fromDisk(at) });
-    return replicas;
-  }
-
   savePromise(replica: Replica, fence: Fence): void {
     replica.promised = fence;
     this.saveReplica(replica);
@@ -173,50 +168,60 @@
 
   /** Deletes all entries from an index on. */
   truncateFrom(replica: Replica, index: number): void {
-    const kept = index - replica.base.idx - 1;
-    if (kept >= replica.entries.length) return;
-    replica.entries.length = kept;
+    if (index > replica.last) return;
     this.statement('delete from entry where shard = ? and idx >= ?').run(replica.shard, index);
+    recordTruncated(replica, index - 1);
   }
 
   appendEntry(replica: Replica, entry: Entry): void {
-    replica.entries.push(entry);
     const { idx, fence, topic, off, era, sender, seq, body, at } = entry;
     this.upsert('entry', '', [replica.shard, idx, fence, topic, off, era, sender, seq, body, this.clock.toDisk(at)]);
+    recordAppended(replica, entry);
   }
 
   /**
    * Removes the entries up to an index and folds them into the base. Must be called only for entries that a majority of replicas holds.
-   * Sender numbers whose last entry is from before `dedupeAfter` (monotonic clock, ms) are forgotten.
+   * Sender numbers whose last entry is from before `dedupeAfter` (steady clock, ms) are forgotten.
    */
   trim(replica: Replica, index: number, dedupeAfter: number): void {
-    const count = Math.min(index - replica.base.idx, replica.entries.length);
-    if (count <= 0) return;
-    const topics = new Set<string>();
-    const senders = new Set<string>();
-    for (const entry of replica.entries.splice(0, count)) {
-      foldIntoBase(replica.base, entry);
-      if (!entry.topic) continue;
-      topics.add(entry.topic);
-      senders.add(senderKey(entry.topic, entry.sender));
-    }
-    this.statement('delete from entry where shard = ? and idx <= ?').run(replica.shard, replica.base.idx);
-    for (const topic of topics) this.saveTopic(replica, topic);
-    for (const key of senders) this.saveSender(replica, key);
-    this.forgetSenders(replica, dedupeAfter);
+    const until = Math.min(index, replica.last);
+    if (until <= replica.base.idx) return;
+    for (let from = replica.base.idx; from < until; from += TRIM_CHUNK_ENTRIES)
+      this.foldIntoBase(replica.shard, from, Math.min(from + TRIM_CHUNK_ENTRIES, until));
+    this.statement('delete from entry where shard = ? and idx <= ?').run(replica.shard, until);
+    recordTrimmed(replica, until);
+    this.forgetSenders(replica.shard, dedupeAfter);
     this.saveReplica(replica);
   }
 
-  private forgetSenders(replica: Replica, cutoff: number): void {
-    for (const [key, { at }] of replica.base.senders) {
-      if (at >= cutoff) continue;
-      replica.base.senders.delete(key);
-      this.statement('delete from sender where shard = ? and k = ?').run(replica.shard, key);
+  /** Extends the base of a shard by the entries after an index, up to and including another. */
+  private foldIntoBase(shard: number, after: number, to: number): void {
+    type Row = { topic: string; off: number; era: number; sender: string; seq: number; at: number };
+    const rows = this.statement(
+      "select topic, off, era, sender, seq, at from entry where shard = ? and idx > ? and idx <= ? and topic <> '' order by idx",
+    ).all(shard, after, to) as Row[];
+    const topics = new Map<string, TopicBase>();
+    const senders = new Map<string, SenderBase>();
+    for (const { topic, off, era, sender, seq, at } of rows) {
+      const known = topics.get(topic) ?? this.reader.topicBase(shard, topic);
+      topics.set(topic, { head: off, since: known?.era === era ? known.since : off, era });
+      senders.set(senderKey(topic, sender), { seq, off, at: this.clock.fromDisk(at) });
     }
+    for (const [topic, base] of topics) this.saveTopic(shard, topic, base);
+    for (const [key, base] of senders) this.saveSender(shard, key, base);
+  }
+
+  /** Rows of earlier versions hold times of a clock that continues in the steady clock of later processes. */
+  private forgetSenders(shard: number, cutoff: number): void {
+    this.statement('delete from sender where shard = ? and (at < ? or (at >= ? and at < ?))').run(
+      shard,
+      this.clock.toDisk(cutoff),
+      EARLIER_VERSIONS_FROM,
+      cutoff,
+    );
   }
 
-  private saveTopic({ shard, base }: Replica, topic: string): void {
-    const { head, since, era } = base.topics.get(topic)!;
+  private saveTopic(shard: number, topic: string, { head, since, era }: TopicBase): void {
     this.upsert(
       'topic',
       `on conflict (shard, topic) do update set head = excluded.head, since = excluded.since, era = excluded.era,
@@ -225,8 +230,7 @@
     );
   }
 
-  private saveSender({ shard, base }: Replica, key: string): void {
-    const { seq, off, at } = base.senders.get(key)!;
+  private saveSender(shard: number, key: string, { seq, off, at }: SenderBase): void {
     this.upsert(
       'sender',
       'on conflict (shard, k) do update set seq = excluded.seq, off = excluded.off, at = excluded.at, sum = excluded.sum',
@@ -234,14 +238,13 @@
     );
   }
 
-  /** Replaces the contents of a replica with a snapshot. The promised fence is kept. */
+  /** Replaces the contents of a replica with a base and the first entries after it. The promised fence is kept. */
   installSnapshot(replica: Replica, base: TrimmedBase, entries: Entry[]): void {
-    for (const table of ['entry', 'topic', 'sender'])
-      this.statement(`delete from ${table} where shard = ?`).run(replica.shard);
-    replica.base = base;
-    replica.entries = [];
-    for (const topic of base.topics.keys()) this.saveTopic(replica, topic);
-    for (const key of base.senders.keys()) this.saveSender(replica, key);
+    const { shard } = replica;
+    for (const table of ['entry', 'topic', 'sender']) this.statement(`delete from ${table} where shard = ?`).run(shard);
+    Object.assign(replica, { base: { idx: base.idx, fence: base.fence }, last: base.idx, runs: [] });
+    for (const [topic, bounds] of base.topics) this.saveTopic(shard, topic, bounds);
+    for (const [key, last] of base.senders) this.saveSender(shard, key, last);
     for (const entry of entries) this.appendEntry(replica, entry);
     this.saveReplica(replica);
   }
@@ -252,17 +255,6 @@
   }
 }
 
-/** A function that returns the same string object for equal texts. Saves memory, as fences, topics and senders occur in many entries. */
-function createInterner(): (text: string) => string {
-  const strings = new Map<string, string>();
-  return (text) => {
-    const known = strings.get(text);
-    if (known !== undefined) return known;
-    strings.set(text, text);
-    return text;
-  };
-}
-
 registerPlugin({
   name: 'state',
   needs: [],
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -2,4 +2,6 @@
 export * from './disk-clock.js';
 export * from './durable-state.js';
 export * from './fence.js';
+export * from './history-reader.js';
 export * from './replica.js';
+export { TABLES, createTables } from './tables.js';
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -1,4 +1,4 @@
-/** A replica of one shard's history: its entries, and a summary of the trimmed ones. */
+/** A replica of one shard's history: entries on disk, and a summary of the trimmed ones. In memory there is only its outline. */
 import type { Fence } from './fence.js';
 
 /** One entry of a shard's history. The fields are also those of the wire format and the columns on disk: their names must not change. */
@@ -34,28 +34,56 @@
   at: number;
 }
 
-/** Summary of the trimmed entries, which are those up to and including `idx`. */
-export interface TrimmedBase {
+/** The last trimmed entry: its position and fence. */
+export interface BasePosition {
   idx: number;
   fence: Fence;
+}
+
+/** Summary of the trimmed entries, which are those up to and including `idx`. */
+export interface TrimmedBase extends BasePosition {
   topics: Map<string, TopicBase>;
   /** By `senderKey`. */
   senders: Map<string, SenderBase>;
 }
 
-/** A replica of one shard. It mirrors in memory what is on disk, and is changed only together with it. */
-export interface Replica {
+/** Consecutive entries with the same fence, up to the next run. */
+export interface FenceRun {
+  /** Index of the first entry. */
+  from: number;
+  fence: Fence;
+}
+
+/**
+ * Which entries a replica has, without their content: enough to find where two histories part. Its size depends on how often the owner
+ * changed, and not on the number of entries. Wire format.
+ */
+export interface HistoryOutline {
+  base: BasePosition;
+  /** Index of the last entry; that of the base if there is none. */
+  last: number;
+  runs: FenceRun[];
+}
+
+/** A replica of one shard: what memory holds of it. It is changed only together with the entries on disk. */
+export interface Replica extends HistoryOutline {
   shard: number;
   /** The highest promised fence. */
   promised: Fence;
-  base: TrimmedBase;
-  /** entries[i].idx === base.idx + 1 + i */
-  entries: Entry[];
 }
 
 /** The base of an empty history. */
 export const emptyBase = (): TrimmedBase => ({ idx: 0, fence: '', topics: new Map(), senders: new Map() });
 
+/** A replica without history. */
+export const emptyReplica = (shard: number): Replica => ({
+  shard,
+  promised: '',
+  base: { idx: 0, fence: '' },
+  last: 0,
+  runs: [],
+});
+
 /**
  * The key of `TrimmedBase.senders`.
  * @example
@@ -63,41 +91,68 @@
  */
 export const senderKey = (topic: string, sender: string): string => `${topic}\n${sender}`;
 
-/**
- * The index of the last entry of a replica, or of the last trimmed one if it holds none.
- * @example
- * lastIdx(replica); // base.idx + entries.length
- */
-export const lastIdx = (replica: Replica): number => replica.base.idx + replica.entries.length;
+/** The index of the last entry of a replica, or of the last trimmed one if it holds none. */
+export const lastIdx = (replica: HistoryOutline): number => replica.last;
 
 /**
  * The fence of the last entry of a replica. Of two diverging histories, the one whose last fence is higher is valid.
  * @example
  * lastFence(one) > lastFence(other)
  */
-export const lastFence = (replica: Replica): Fence => replica.entries.at(-1)?.fence ?? replica.base.fence;
+export const lastFence = (replica: HistoryOutline): Fence => replica.runs.at(-1)?.fence ?? replica.base.fence;
 
 /**
  * The fence of the entry at an index, or undefined if the replica does not hold it. Also known for the last trimmed entry.
  * @example
  * fenceAt(replica, prevIdx) === prevFence // histories agree up to prevIdx
  */
-export function fenceAt(replica: Replica, index: number): Fence | undefined {
+export function fenceAt(replica: HistoryOutline, index: number): Fence | undefined {
   if (index === replica.base.idx) return replica.base.fence;
-  return replica.entries[index - replica.base.idx - 1]?.fence;
+  if (index < replica.base.idx || index > replica.last) return undefined;
+  return replica.runs.findLast((run) => run.from <= index)!.fence;
 }
 
+/** A copy of the outline alone, to be sent. */
+export const outlineOf = ({ base, last, runs }: HistoryOutline): HistoryOutline => ({ base, last, runs });
+
 /**
- * Extends the base by the next entry.
+ * The highest index up to which two histories are the same, as far as both still hold it; undefined if there is none. Entries with the same
+ * index and fence are the same, and so are all entries before them.
  * @example
- * for (const entry of entries) foldIntoBase(base, entry);
+ * commonIndex(outlineOf(own), request.outline); // 160: both have this entry, with the same fence
  */
-export function foldIntoBase(base: TrimmedBase, entry: Entry): void {
-  base.idx = entry.idx;
-  base.fence = entry.fence;
-  if (!entry.topic) return;
-  const known = base.topics.get(entry.topic);
-  const since = known && known.era === entry.era ? known.since : entry.off;
-  base.topics.set(entry.topic, { head: entry.off, since, era: entry.era });
-  base.senders.set(senderKey(entry.topic, entry.sender), { seq: entry.seq, off: entry.off, at: entry.at });
+export function commonIndex(one: HistoryOutline, other: HistoryOutline): number | undefined {
+  const otherSpans = spansOf(other);
+  for (const span of spansOf(one).reverse())
+    for (const candidate of otherSpans) {
+      if (candidate.fence !== span.fence) continue;
+      const to = Math.min(span.to, candidate.to);
+      if (to >= Math.max(span.from, candidate.from)) return to;
+    }
+  return undefined;
+}
+
+/** The runs with their last indexes, and the last trimmed entry as a span of its own. */
+function spansOf({ base, last, runs }: HistoryOutline): { from: number; to: number; fence: Fence }[] {
+  const entries = runs.map(({ from, fence }, i) => ({ from, to: (runs[i + 1]?.from ?? last + 1) - 1, fence }));
+  return [{ from: base.idx, to: base.idx, fence: base.fence }, ...entries];
+}
+
+/** Records an appended entry in a replica's outline. */
+export function recordAppended(replica: Replica, { idx, fence }: Pick<Entry, 'idx' | 'fence'>): void {
+  if (replica.runs.at(-1)?.fence !== fence) replica.runs.push({ from: idx, fence });
+  replica.last = idx;
+}
+
+/** Records that the entries after an index were removed. */
+export function recordTruncated(replica: Replica, last: number): void {
+  replica.last = last;
+  replica.runs = replica.runs.filter((run) => run.from <= last);
+}
+
+/** Records that the entries up to an index, which the replica holds, were trimmed. */
+export function recordTrimmed(replica: Replica, index: number): void {
+  replica.base = { idx: index, fence: fenceAt(replica, index)! };
+  const kept = replica.runs.filter((run, i) => (replica.runs[i + 1]?.from ?? replica.last + 1) > index + 1);
+  replica.runs = kept.map((run) => ({ ...run, from: Math.max(run.from, index + 1) }));
 }
--- a/packages/state/src/tables.ts
+++ b/packages/state/src/tables.ts
@@ -48,6 +48,15 @@
   },
 ];
 
+/**
+ * Indexes of the entries: by topic, to read a topic's messages from an offset on, and by sender, to find the outcome of a sequence number.
+ * They are checked against the table when the database is opened.
+ */
+const INDEXES = `
+create index if not exists entry_by_topic on entry (shard, topic, era, off);
+create index if not exists entry_by_sender on entry (shard, topic, sender, seq);
+`;
+
 /** The checksum of a row. */
 export const checksumOf = (columns: unknown[]): number => crc32(columns.join('\0'));
 
@@ -64,9 +73,10 @@
 const columnsOnDisk = (sql: Sql, table: string): string[] =>
   (sql.pragma(`table_info(${table})`) as { name: string }[]).map((column) => column.name);
 
-/** Creates missing tables, and adds the checksum column to tables of earlier versions. */
+/** Creates missing tables and indexes, and adds the checksum column to tables of earlier versions. */
 export function createTables(sql: Sql): void {
   sql.exec(TABLES.map(createStatement).join('\n'));
+  sql.exec(INDEXES);
   // Tables created before rows had checksums: their existing rows get none and are accepted unchecked.
   for (const { name } of TABLES)
     if (!columnsOnDisk(sql, name).includes('sum')) sql.exec(`alter table ${name} add column sum integer`);
--- a/packages/trial/src/disk-writer.ts
+++ b/packages/trial/src/disk-writer.ts
@@ -1,5 +1,5 @@
 import { openDatabase, realClock } from '@harecross/kernel';
-import { lastIdx, makeFence, NO_FENCE, DurableState, type Replica } from '@harecross/state';
+import { emptyReplica, lastIdx, makeFence, DurableState } from '@harecross/state';
 
 /**
  * Writes to a node's database without pause, and prints each entry once it is committed: shard, index, promised fence. Lines that begin with
@@ -26,12 +26,7 @@
 state.init();
 const replicas = state.loadReplicas(0);
 for (let s = 0; s < Number(shardCount); s++) {
-  const replica: Replica = replicas.get(s) ?? {
-    shard: s,
-    promised: NO_FENCE,
-    base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
-    entries: [],
-  };
+  const replica = replicas.get(s) ?? emptyReplica(s);
   void (async () => {
     for (let n = 1; ; n++) {
       const idx = await db.commit(() => {
--- a/packages/trial/src/model-key.ts
+++ b/packages/trial/src/model-key.ts
@@ -7,8 +7,10 @@
   type Clock,
   type SyncedDatabase,
   type Kernel,
+  type Sql,
 } from '@harecross/kernel';
-import { DurableState, type Replica } from '@harecross/state';
+import { DurableState, TABLES, createTables, type Entry, type Replica } from '@harecross/state';
+import Database, { type Statement } from 'better-sqlite3';
 import { Subject } from 'rxjs';
 import { pathToFileURL } from 'node:url';
 import type { Json } from './json.js';
@@ -69,6 +71,31 @@
 };
 const nextIteration = (): Promise<void> => new Promise((r) => setImmediate(r));
 
+/** Databases that no model uses at present. */
+const idleDisks: Sql[] = [];
+
+/** An empty disk. Its tables and compiled statements are kept from one model to the next. */
+function takeDisk(): Sql {
+  const sql = idleDisks.pop();
+  if (!sql) return newDisk();
+  for (const { name } of TABLES) sql.prepare(`delete from ${name}`).run();
+  return sql;
+}
+
+function newDisk(): Sql {
+  const sql = new Database(':memory:');
+  const statements = new Map<string, Statement>();
+  const compile = sql.prepare.bind(sql);
+  const prepare = (text: string): Statement => {
+    const statement = statements.get(text) ?? compile(text);
+    statements.set(text, statement);
+    return statement;
+  };
+  Object.assign(sql, { prepare });
+  createTables(sql);
+  return sql;
+}
+
 type Handler = (b: Json, f: Json) => unknown;
 interface PendingCall {
   from: number;
@@ -87,7 +114,9 @@
 class ShardModel {
   private pendingCalls: PendingCall[] = [];
   private pendingRetries: { node: number; instanceNumber: number; fn: () => void }[] = [];
-  private disks: Map<number, Replica>[] = NODES.map(() => new Map());
+  private disks: Sql[] = NODES.map(takeDisk);
+  private states: DurableState[] = [];
+  private copies: ReplicaStore[] = [];
   private handlers: Map<string, Handler>[] = NODES.map(() => new Map());
   private owners: ShardOwner[] = [];
   private instanceNumbers = NODES.map(() => 0);
@@ -181,19 +210,17 @@
       peerOf: (d: string) => d,
       disk: self,
     };
+    // The production store on a database in memory; a commit is durable at once.
     const durableState = new DurableState({
-      sql: undefined,
+      sql: this.disks[i]!,
       commit: async (f: () => unknown) => f(),
+      whenSynced: async () => undefined,
     } as unknown as SyncedDatabase);
-    // The production store without its file: its state in memory stands for the contents of the file.
-    const emptyStatement = { run: () => undefined, get: () => undefined, all: () => [] };
-    Object.assign(durableState, {
-      statement: () => emptyStatement,
-      get: () => self,
-      loadReplicas: () => this.disks[i]!,
-    });
+    durableState.set('disk', self);
     const kernel = kernelStub as unknown as Kernel;
     const copies = new ReplicaStore(kernel, durableState);
+    this.states[i] = durableState;
+    this.copies[i] = copies;
     this.owners[i] = new ShardOwner(
       kernel,
       membership as unknown as MembershipTable,
@@ -202,6 +229,16 @@
     );
   }
 
+  /** The replica of the shard on a node's disk. */
+  private replica(i: number): Replica | undefined {
+    return this.copies[i]!.all.get(SHARD);
+  }
+
+  /** Ends the use of the disks, for the next model. */
+  close(): void {
+    idleDisks.push(...this.disks);
+  }
+
   private shardState(i: number): ShardState {
     return (this.owners[i] as unknown as { shards: ShardTable }).shards.get(SHARD);
   }
@@ -243,7 +280,7 @@
 
   private deliver(call: PendingCall, answer: (x: unknown) => void): void {
     const { injectedFault } = this.plan;
-    const replica = this.disks[call.to]!.get(SHARD);
+    const replica = this.replica(call.to);
     if (
       injectedFault === 'accepts lower fences' &&
       call.m === 'Append' &&
@@ -295,7 +332,7 @@
     NODES.forEach((n, i) => {
       const shard = this.shardState(i);
       if (shard.phase !== 'owner') return;
-      const promised = shard.replicas.filter((d) => this.disks[NODES.indexOf(d)]!.get(SHARD)?.promised === shard.fence);
+      const promised = shard.replicas.filter((d) => this.replica(NODES.indexOf(d))?.promised === shard.fence);
       if (promised.length * 2 <= shard.replicas.length) return;
       for (const [seq, off] of this.accepted) {
         const o = shard.outcomeOf(TOPIC, 's', seq);
@@ -379,12 +416,12 @@
           label: `${n} begins anew`,
           run: () => {
             this.restarted++;
-            const replica = this.disks[i]!.get(SHARD);
-            if (replica && plan.injectedFault === 'forgets its promise') replica.promised = '';
-            if (replica && plan.injectedFault === 'answers before it has synced') replica.entries.pop();
+            const replica = this.replica(i);
+            if (replica && plan.injectedFault === 'forgets its promise') this.states[i]!.savePromise(replica, '');
+            if (replica && plan.injectedFault === 'answers before it has synced')
+              this.states[i]!.truncateFrom(replica, Math.max(replica.last, replica.base.idx + 1));
             this.pendingCalls = this.pendingCalls.filter((a) => a.from !== i);
             this.histories[i] = { fence: '', lines: new Set() };
-            this.disks[i] = structuredClone(this.disks[i]!);
             this.startNode(i);
           },
         });
@@ -394,17 +431,22 @@
   }
 
   key(): string {
-    const replicaKey = (c: Replica | undefined): unknown =>
-      c && [c.promised, c.base.idx, c.entries.map((e) => [e.idx, e.fence, e.off, e.seq])];
+    const entryKey = (e: Entry): unknown => [e.idx, e.fence, e.off, e.seq];
+    const replicaKey = (i: number): unknown => {
+      const replica = this.replica(i);
+      const limits = { entries: Number.MAX_SAFE_INTEGER, bytes: Infinity };
+      const entries = replica && this.states[i]!.reader.entries(SHARD, replica.base.idx + 1, limits);
+      return replica && [replica.promised, replica.base.idx, entries!.map(entryKey)];
+    };
     return JSON.stringify([
-      this.disks.map((d) => replicaKey(d.get(SHARD))),
+      NODES.map((_, i) => replicaKey(i)),
       NODES.map((_, i) => {
         const state = this.shardState(i);
         return [
           state.phase,
           state.fence,
           state.commitIndex,
-          state.entries.map((e) => [e.fence, e.off, e.seq]),
+          state.tail.map(entryKey),
           [...state.matchIndex].sort(byKey),
           [...state.nextIndex].sort(byKey),
           [...state.appendsInFlight].sort(),
@@ -463,6 +505,7 @@
       path.push(0);
       await step(0);
     }
+    model.close();
   }
   return { states: seen.size, runs, complete: true };
 }
--- a/packages/trial/src/process-fleet.ts
+++ b/packages/trial/src/process-fleet.ts
@@ -31,7 +31,8 @@
   exits: number[];
 }
 
-const programPath = (role: Role): string => fileURLToPath(new URL(`../../${role}/dist/main.js`, import.meta.url));
+/** This checkout. */
+const CHECKOUT = fileURLToPath(new URL('../../..', import.meta.url));
 
 /**
  * Free TCP ports on loopback. All are bound before any is released, so that no port is returned twice.
@@ -73,6 +74,10 @@
   private polling = true;
   /** Proxies in front of relays, by client address; clients connect through them. */
   readonly proxies = new Map<string, LinkProxy>();
+  /** Options of Node for each process. */
+  nodeOptions: string[] = [];
+  /** The built checkout whose programs are run. */
+  checkout = CHECKOUT;
 
   /** Allocates ports, writes the configuration files of a deployment and begins health checks; starts no process. */
   static async create(site: DeploymentSpec, folder: string): Promise<Fleet> {
@@ -162,7 +167,8 @@
   start(p: NodeProcess): void {
     if (p.up) return;
     const log = createWriteStream(p.file.replace(/\.json$/, '.log'), { flags: 'a' });
-    const child = spawn(process.execPath, [programPath(p.role), '--config', p.file], {
+    const program = join(this.checkout, `packages/${p.role}/dist/main.js`);
+    const child = spawn(process.execPath, [...this.nodeOptions, program, '--config', p.file], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     child.stdout!.pipe(log);
--- a/packages/trial/src/sim.ts
+++ b/packages/trial/src/sim.ts
@@ -202,6 +202,8 @@
   readonly requestTraffic = new Map<string, { n: number; bytes: number }>();
   /** Bytes of the responses to peer requests, by method. */
   readonly responseBytes = new Map<string, number>();
+  /** Length of the longest peer request or response, by method; recorded while `measureTraffic` is set. */
+  readonly longestFrames = new Map<string, number>();
   /** Records `requestTraffic`, `responseBytes` and the `frames` of each node. */
   measureTraffic = false;
   /** Unexpected errors raised by node code. */
@@ -547,6 +549,10 @@
     n.rate = rate;
   }
 
+  private recordLength(method: string, frame: string): void {
+    this.longestFrames.set(method, Math.max(this.longestFrames.get(method) ?? 0, frame.length));
+  }
+
   private call(from: SimNode, incarnation: number, peer: string, frame: string, timeoutMs: number): Promise<string> {
     const to = this.nodesByPeerAddress.get(peer);
     let method = '';
@@ -554,6 +560,7 @@
       method = /^(\w+) /.exec(frame)?.[1] ?? '?';
       const t = this.requestTraffic.get(method) ?? { n: 0, bytes: 0 };
       this.requestTraffic.set(method, { n: t.n + 1, bytes: t.bytes + frame.length });
+      this.recordLength(method, frame);
     }
     return new Promise((res, rej) => {
       let settled = false;
@@ -596,7 +603,10 @@
           this.runOnNode(to, receiverIncarnation, () => {
             to.handle!(frame).then(
               (s) => {
-                if (method) this.responseBytes.set(method, (this.responseBytes.get(method) ?? 0) + s.length);
+                if (method) {
+                  this.responseBytes.set(method, (this.responseBytes.get(method) ?? 0) + s.length);
+                  this.recordLength(method, s);
+                }
                 if (!to.up || to.incarnation !== receiverIncarnation) return;
                 const responseSendMs = this.queueFrameMs(to, s.length, 'outUntil');
                 this.at(
--- a/packages/trial/src/test/disk.test.ts
+++ b/packages/trial/src/test/disk.test.ts
@@ -18,7 +18,7 @@
 import { basename, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { openDatabase, realClock, type Log } from '@harecross/kernel';
-import { lastIdx, NO_FENCE, DurableState, type Entry } from '@harecross/state';
+import { emptyReplica, lastIdx, NO_FENCE, DurableState, type Entry } from '@harecross/state';
 import test from 'ava';
 import { seededRandom } from '../sim.js';
 
@@ -38,7 +38,7 @@
   era: 1,
   sender: 's',
   seq: idx,
-  body: 'x'.repeat(500),
+  body: `${idx}:`.padEnd(500, 'x'),
   at: 1_000 + idx,
 });
 
@@ -48,12 +48,7 @@
   st.init();
   await db.commit(() => {
     st.set('disk', 'd1');
-    const c = {
-      shard: 3,
-      promised: NO_FENCE,
-      base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
-      entries: [],
-    };
+    const c = emptyReplica(3);
     st.savePromise(c, '1');
     for (let i = 1; i <= 400; i++) st.appendEntry(c, entry(i));
     st.trim(c, 100, 0);
@@ -72,11 +67,12 @@
   t.is(st.get('disk'), 'd1');
   t.is(c.promised, '1');
   t.is(c.base.idx, 100);
-  t.deepEqual(c.base.topics.get('t'), { head: 100, since: 1, era: 1 });
+  t.deepEqual(st.reader.base(3).topics.get('t'), { head: 100, since: 1, era: 1 });
   // The newest entry on the disk is entry 400, received at 1400: ages continue from there.
-  t.deepEqual(c.base.senders.get('t\ns'), { seq: 100, off: 100, at: 9_000 - 290 });
+  t.deepEqual(st.reader.base(3).senders.get('t\ns'), { seq: 100, off: 100, at: 9_000 - 290 });
   t.is(lastIdx(c), 390);
-  t.deepEqual(c.entries[0], { ...entry(101), at: 9_000 - 289 }, 'its age continues');
+  const [first] = st.reader.entries(3, 101, { entries: 1, bytes: Infinity });
+  t.deepEqual(first, { ...entry(101), at: 9_000 - 289 }, 'its age continues');
   db.close();
   rmSync(dir, { recursive: true });
 });
@@ -143,12 +139,7 @@
   const db = openDatabase(dir, realClock, log, () => undefined, '127.0.0.1:1');
   const st = new DurableState(db);
   st.init();
-  const c = {
-    shard: 3,
-    promised: NO_FENCE,
-    base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
-    entries: [],
-  };
+  const c = emptyReplica(3);
   await db.commit(() => {
     st.set('disk', 'd1');
     st.savePromise(c, '1');
@@ -208,15 +199,11 @@
     const [main, wal] = [join(dir, 'state.db'), join(dir, 'state.db-wal')];
     t.is(db.sql.pragma('journal_mode', { simple: true }), 'wal');
     t.is(db.sql.pragma('locking_mode', { simple: true }), 'exclusive');
-    for (const f of [main, wal]) safe.set(f, readFileSync(f));
     const st = new DurableState(db);
     st.init();
-    const c = {
-      shard: 3,
-      promised: NO_FENCE,
-      base: { idx: 0, fence: NO_FENCE, topics: new Map(), senders: new Map() },
-      entries: [],
-    };
+    // The tables are durable when `init` returns.
+    for (const f of [main, wal]) safe.set(f, readFileSync(f));
+    const c = emptyReplica(3);
     let answered = 0;
     let n = 0;
     const write = (k: number): void => {
@@ -403,9 +390,13 @@
   const dir = folder();
   await filled(dir);
   const file = join(dir, 'state.db');
-  const at = readFileSync(file).indexOf('x'.repeat(400));
-  t.true(at > 0);
-  flip(file, at + 200);
+  // Pages keep copies of rows that were moved to another page: one of the places is the row.
+  const body = entry(200).body;
+  const content = readFileSync(file);
+  const places: number[] = [];
+  for (let at = content.indexOf(body); at >= 0; at = content.indexOf(body, at + 1)) places.push(at);
+  t.true(places.length > 0);
+  for (const at of places) flip(file, at + 200);
   const o = open(dir);
   t.regex(told.join(), /checksum mismatch in a row of entry/);
   t.is(o.disk, undefined);
@@ -477,7 +468,9 @@
         t.true(last[s]! > KILLS, 'it wrote');
         t.true(lastIdx(c) >= last[s]!, `shard ${s}: ${lastIdx(c)} is there, ${last[s]} was said to last`);
         t.true(c.promised >= promised[s]!);
-        c.entries.forEach((e, i) => {
+        const entries = st.reader.entries(s, c.base.idx + 1, { entries: Number.MAX_SAFE_INTEGER, bytes: Infinity });
+        t.is(entries.length, lastIdx(c) - c.base.idx);
+        entries.forEach((e, i) => {
           t.is(e.idx, c.base.idx + 1 + i);
           t.is(e.body, `${s}:${e.idx}:`.padEnd(40 + ((e.idx * 37) % 900), 'x'));
         });
--- a/packages/trial/src/test/plant-tests.ts
+++ b/packages/trial/src/test/plant-tests.ts
@@ -114,15 +114,14 @@
   },
   {
     what: 'an owner that forgets what senders said',
-    proto: PublishHandler.prototype,
+    proto: ShardState.prototype,
     sc: 'mixed',
     seeds: [1, 2, 3, 4],
     rules: ['once', 'order'],
     patch: {
-      publish: (old) =>
-        function (this: any, b: any) {
-          for (const shard of this.shards.all()) shard.senders.clear();
-          return old.call(this, b);
+      outcomeOf: () =>
+        function () {
+          return { tag: 'new' };
         },
     },
   },
@@ -197,9 +196,7 @@
     patch: {
       loadReplicas: (old) =>
         function (this: any, now: number) {
-          const out = old.call(this, now);
-          for (const c of out.values()) for (const e of c.entries) e.at = now - 3_600_000;
-          return out;
+          return old.call(this, now - 3_600_000);
         },
     },
   },
@@ -475,10 +472,18 @@
     seeds: [1],
     rules: ['lost'],
     patch: {
-      applyCommitted: (old) =>
-        function (this: any, key: any, e: any, fan: boolean) {
-          old.call(this, key, e, fan);
-          if (e.topic && !this.interests.interestedRelays(e.topic).length) key.topicOf(e.topic, e.era).entries.pop();
+      fanOutCommitted: (old) =>
+        function (this: any, e: any) {
+          old.call(this, e);
+          const forgotten = (this.forgotten ??= new Set<string>());
+          if (e.topic && !this.interests.interestedRelays(e.topic).length) forgotten.add(`${e.topic} ${e.off}`);
+          if (this.pageOfAll) return;
+          this.pageOfAll = this.history.page;
+          this.history.page = async (request: any) => {
+            const page = await this.pageOfAll.call(this.history, request);
+            if (page.tag !== 'page') return page;
+            return { ...page, entries: page.entries.filter((m: any) => !forgotten.has(`${request.topic} ${m.off}`)) };
+          };
         },
     },
   },
--- a/packages/trial/src/test/repair.test.ts
+++ b/packages/trial/src/test/repair.test.ts
@@ -49,7 +49,6 @@
       shard: copy.shard,
       disk: diskIdOf(node),
       last: lastIdx(copy),
-      messages: copy.entries.filter((entry) => entry.topic !== '').length,
     })),
   );
 }
