--- a/packages/trial/src/model-key.ts
+++ b/packages/trial/src/model-key.ts
@@ -106,7 +106,7 @@
   reject: (e: unknown) => void;
 }
 interface Step {
-  label: string;
+  label: () => string;
   run: () => void;
 }
 
@@ -349,13 +349,16 @@
     const { plan } = this;
     const steps: Step[] = [];
     for (const call of this.pendingCalls) {
-      const label = `${call.m} ${NODES[call.from]}>${NODES[call.to]} ${JSON.stringify(call.body).replace(/0000+/g, '').slice(0, 90)}`;
+      const label = (): string => {
+        const body = JSON.stringify(call.body).replace(/0000+/g, '').slice(0, 90);
+        return `${call.m} ${NODES[call.from]}>${NODES[call.to]} ${body}`;
+      };
       const removePending = (): void => {
         this.pendingCalls.splice(this.pendingCalls.indexOf(call), 1);
       };
       const lose = (): void => {
         this.lost++;
-        this.notes(call.from, this.histories[call.from]!.fence, `lost ${label}`);
+        this.notes(call.from, this.histories[call.from]!.fence, `lost ${label()}`);
         call.reject(new HarecrossError({ tag: 'timeout', step: call.m, peer: NODES[call.to]! }));
       };
       steps.push({
@@ -371,14 +374,14 @@
       });
       if (this.lost < plan.losses) {
         steps.push({
-          label: `lost: ${label}`,
+          label: () => `lost: ${label()}`,
           run: () => {
             removePending();
             lose();
           },
         });
         steps.push({
-          label: `its answer lost: ${label}`,
+          label: () => `its answer lost: ${label()}`,
           run: () => {
             removePending();
             this.deliver(call, lose);
@@ -388,7 +391,7 @@
     }
     for (const timer of this.pendingRetries)
       steps.push({
-        label: `${NODES[timer.node]} tries again`,
+        label: () => `${NODES[timer.node]} tries again`,
         run: () => {
           this.pendingRetries.splice(this.pendingRetries.indexOf(timer), 1);
           if (this.instanceNumbers[timer.node] === timer.instanceNumber) timer.fn();
@@ -398,7 +401,7 @@
       const { phase: state } = this.shardState(i);
       if (this.takeoverCount < plan.takeovers && state !== 'taking' && state !== 'confirming' && this.mayTakeShard(n))
         steps.push({
-          label: `${n} takes the key`,
+          label: () => `${n} takes the key`,
           run: () => {
             this.takeoverCount++;
             void this.handle(i, 'TakeKey', { shard: SHARD }, i);
@@ -408,12 +411,12 @@
         const next = Math.max(0, ...this.sent) + 1;
         for (let seq = 1; seq <= Math.min(next, plan.messages); seq++) {
           if (!this.unansweredSends.includes(`${seq}@${i}.${this.instanceNumbers[i]}`))
-            steps.push({ label: `message ${seq} to ${n}`, run: () => this.send(seq, i) });
+            steps.push({ label: () => `message ${seq} to ${n}`, run: () => this.send(seq, i) });
         }
       }
       if (this.restarted < plan.restarts && COPIES.includes(n)) {
         steps.push({
-          label: `${n} begins anew`,
+          label: () => `${n} begins anew`,
           run: () => {
             this.restarted++;
             const replica = this.replica(i);
@@ -434,9 +437,9 @@
     const entryKey = (e: Entry): unknown => [e.idx, e.fence, e.off, e.seq];
     const replicaKey = (i: number): unknown => {
       const replica = this.replica(i);
-      const limits = { entries: Number.MAX_SAFE_INTEGER, bytes: Infinity };
-      const entries = replica && this.states[i]!.reader.entries(SHARD, replica.base.idx + 1, limits);
-      return replica && [replica.promised, replica.base.idx, entries!.map(entryKey)];
+      if (!replica) return undefined;
+      const select = 'select idx, fence, off, seq from entry where shard = ? order by idx';
+      return [replica.promised, replica.base.idx, this.disks[i]!.prepare(select).raw().all(SHARD)];
     };
     return JSON.stringify([
       NODES.map((_, i) => replicaKey(i)),
@@ -484,10 +487,10 @@
     const path = stack.pop()!;
     const model = new ShardModel(plan);
     runs++;
-    const labels: string[] = [];
+    const chosenSteps: Step[] = [];
     const step = async (i: number): Promise<void> => {
       const chosen = model.steps()[i]!;
-      labels.push(chosen.label);
+      chosenSteps.push(chosen);
       chosen.run();
       await nextIteration();
       model.checkOwners();
@@ -495,7 +498,12 @@
     for (const i of path) await step(i);
     for (;;) {
       if (model.violation)
-        return { states: seen.size, runs, complete: false, violation: { what: model.violation, path: labels } };
+        return {
+          states: seen.size,
+          runs,
+          complete: false,
+          violation: { what: model.violation, path: chosenSteps.map((step) => step.label()) },
+        };
       const key = model.key();
       if (seen.has(key)) break;
       seen.add(key);
